--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Entry points for people; CMake does the building.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: build packages test lint format demo bench clean
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+packages:
+	scripts/install-packages
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+lint: packages
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	scripts/lint $(BUILD)
+
+format:
+	git ls-files -co --exclude-standard -- '*.cc' '*.h' | xargs clang-format -i
+
+demo: build
+	$(BUILD)/bin/foxtailquay_demo
+
+bench: build
+	$(BUILD)/bin/foxtailquay_bench
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/include/foxtailquay/error.h
@@ -0,0 +1,136 @@
+// Typed failures. Every failure in foxtailquay is an `error` with a code from
+// one table; the table also fixes the HTTP status that callers see.
+//
+// `ran` states whether the request that failed was executed. `ran::No` is a
+// promise: it may be used only where the request cannot have been executed.
+
+#ifndef FOXTAILQUAY_ERROR_H
+#define FOXTAILQUAY_ERROR_H
+
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "foxtailquay/name_table.h"
+
+namespace foxtailquay {
+
+enum class ran
+{
+  No,
+  Yes,
+  Unknown,
+};
+
+constexpr auto NameTable(ran)
+{
+  return MakeNameTable<ran>(
+    { { ran::No, "no" }, { ran::Yes, "yes" }, { ran::Unknown, "unknown" } });
+}
+
+enum class error_code
+{
+  InvalidRequest,
+  InvalidConfig,
+  InvalidSetting,
+  InvalidChart,
+  Unauthorized,
+  UnknownModel,
+  UnknownService,
+  UnknownWorkspace,
+  NotFound,
+  BodyTooLarge,
+  BudgetExhausted,
+  RateLimited,
+  ConcurrencyLimited,
+  Overloaded,
+  DeadlineExceeded,
+  NoBackendServer,
+  BackendServerFailed,
+  BackendServerLeaving,
+  StreamBroken,
+  IdempotencyConflict,
+  IdempotencyInProgress,
+  OutcomeUnknown,
+  ClaimUnavailable,
+  ClaimCapacity,
+  StaleConfig,
+  StaleIncarnation,
+  StaleFence,
+  VersionConflict,
+  StoreUnavailable,
+  StoreOutcomeUnknown,
+  NotReady,
+  ShuttingDown,
+  CallerDisconnected,
+  PeerUnreachable,
+  ProtocolViolation,
+  Internal,
+};
+
+constexpr auto NameTable(error_code)
+{
+  using e = error_code;
+  return MakeNameTable<e>({
+    { e::InvalidRequest, "invalid_request" },
+    { e::InvalidConfig, "invalid_config" },
+    { e::InvalidSetting, "invalid_setting" },
+    { e::InvalidChart, "invalid_chart" },
+    { e::Unauthorized, "unauthorized" },
+    { e::UnknownModel, "unknown_model" },
+    { e::UnknownService, "unknown_service" },
+    { e::UnknownWorkspace, "unknown_workspace" },
+    { e::NotFound, "not_found" },
+    { e::BodyTooLarge, "body_too_large" },
+    { e::BudgetExhausted, "budget_exhausted" },
+    { e::RateLimited, "rate_limited" },
+    { e::ConcurrencyLimited, "concurrency_limited" },
+    { e::Overloaded, "overloaded" },
+    { e::DeadlineExceeded, "deadline_exceeded" },
+    { e::NoBackendServer, "no_backend_server" },
+    { e::BackendServerFailed, "backend_server_failed" },
+    { e::BackendServerLeaving, "backend_server_leaving" },
+    { e::StreamBroken, "stream_broken" },
+    { e::IdempotencyConflict, "idempotency_conflict" },
+    { e::IdempotencyInProgress, "idempotency_in_progress" },
+    { e::OutcomeUnknown, "outcome_unknown" },
+    { e::ClaimUnavailable, "claim_unavailable" },
+    { e::ClaimCapacity, "claim_capacity" },
+    { e::StaleConfig, "stale_config" },
+    { e::StaleIncarnation, "stale_incarnation" },
+    { e::StaleFence, "stale_fence" },
+    { e::VersionConflict, "version_conflict" },
+    { e::StoreUnavailable, "store_unavailable" },
+    { e::StoreOutcomeUnknown, "store_outcome_unknown" },
+    { e::NotReady, "not_ready" },
+    { e::ShuttingDown, "shutting_down" },
+    { e::CallerDisconnected, "caller_disconnected" },
+    { e::PeerUnreachable, "peer_unreachable" },
+    { e::ProtocolViolation, "protocol_violation" },
+    { e::Internal, "internal" },
+  });
+}
+
+struct error
+{
+  error_code mCode = error_code::Internal;
+  // Whether the failed request was executed.
+  ran mRan = ran::No;
+  // The setting, configuration field, file position or parameter at fault;
+  // empty where none applies.
+  std::string mField;
+  // One sentence for people. Programs use mCode.
+  std::string mDetail;
+  // Earliest useful retry, zero if unknown.
+  absl::Duration mRetryAfter = absl::ZeroDuration();
+};
+
+// Returns the HTTP status that reports aCode to callers.
+int HttpStatusOf(error_code aCode);
+
+// Returns "code: field: detail" for logs and command line output.
+std::string ToString(const error& aError);
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/include/foxtailquay/result.h
@@ -0,0 +1,54 @@
+// result<T> holds a value or an error.
+//
+//   result<config_document> loaded = ParseConfig(text);
+//   if (!IsOk(loaded)) {
+//     return ErrorOf(loaded);
+//   }
+//   Use(ValueOf(loaded));
+
+#ifndef FOXTAILQUAY_RESULT_H
+#define FOXTAILQUAY_RESULT_H
+
+#include <utility>
+#include <variant>
+
+#include "foxtailquay/error.h"
+
+namespace foxtailquay {
+
+template<typename T>
+using result = std::variant<T, error>;
+
+// The value of an operation that yields nothing but success.
+using success = std::monostate;
+
+template<typename T>
+bool IsOk(const result<T>& aResult)
+{
+  return aResult.index() == 0;
+}
+
+// Precondition: IsOk(aResult).
+template<typename T>
+const T& ValueOf(const result<T>& aResult)
+{
+  return std::get<0>(aResult);
+}
+
+// Precondition: IsOk(aResult).
+template<typename T>
+T&& ValueOf(result<T>&& aResult)
+{
+  return std::get<0>(std::move(aResult));
+}
+
+// Precondition: !IsOk(aResult).
+template<typename T>
+const error& ErrorOf(const result<T>& aResult)
+{
+  return std::get<1>(aResult);
+}
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/include/foxtailquay/types.h
@@ -0,0 +1,170 @@
+// Identifiers and units shared by all modules.
+//
+// Amounts are whole tokens after pricing (`token_count`). Points in time and
+// durations are absl::Time and absl::Duration. Identifiers are distinct types
+// so that a workspace cannot be passed where a budget is expected.
+
+#ifndef FOXTAILQUAY_TYPES_H
+#define FOXTAILQUAY_TYPES_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+#include "foxtailquay/name_table.h"
+#include "foxtailquay/result.h"
+
+namespace foxtailquay {
+
+using token_count = std::int64_t;
+// Process incarnation, allocated from the member list; higher is newer.
+using incarnation_number = std::uint64_t;
+// Version of a store value; 0 means that the key does not exist.
+using store_version = std::uint64_t;
+// Version of the configuration document; 0 means none is known.
+using config_version = std::uint64_t;
+// Identifies one caller connection inside one process.
+using request_handle = std::uint64_t;
+
+template<typename Tag>
+struct text_id
+{
+  std::string mValue;
+
+  friend bool operator==(const text_id& aLeft, const text_id& aRight)
+  {
+    return aLeft.mValue == aRight.mValue;
+  }
+  friend bool operator!=(const text_id& aLeft, const text_id& aRight)
+  {
+    return !(aLeft == aRight);
+  }
+  friend bool operator<(const text_id& aLeft, const text_id& aRight)
+  {
+    return aLeft.mValue < aRight.mValue;
+  }
+};
+
+using workspace_id = text_id<struct workspace_tag>;
+using budget_id = text_id<struct budget_tag>;
+using model_id = text_id<struct model_tag>;
+using service_id = text_id<struct service_tag>;
+// Name of a router or agent process, stable across restarts.
+using member_id = text_id<struct member_tag>;
+// Name of a backend server. Its agent's member_id has the same text.
+using backend_id = text_id<struct backend_tag>;
+// An availability zone, for example "ahmedabad-1".
+using zone_id = text_id<struct zone_tag>;
+
+// One incarnation of one process.
+struct process_id
+{
+  member_id mMember;
+  incarnation_number mIncarnation = 0;
+
+  friend bool operator==(const process_id& aLeft, const process_id& aRight)
+  {
+    return std::tie(aLeft.mMember, aLeft.mIncarnation) ==
+           std::tie(aRight.mMember, aRight.mIncarnation);
+  }
+  friend bool operator!=(const process_id& aLeft, const process_id& aRight)
+  {
+    return !(aLeft == aRight);
+  }
+  friend bool operator<(const process_id& aLeft, const process_id& aRight)
+  {
+    return std::tie(aLeft.mMember, aLeft.mIncarnation) <
+           std::tie(aRight.mMember, aRight.mIncarnation);
+  }
+};
+
+// The part of a budget that one router incarnation may spend.
+struct share_id
+{
+  budget_id mBudget;
+  process_id mHolder;
+
+  friend bool operator==(const share_id& aLeft, const share_id& aRight)
+  {
+    return std::tie(aLeft.mBudget, aLeft.mHolder) ==
+           std::tie(aRight.mBudget, aRight.mHolder);
+  }
+  friend bool operator<(const share_id& aLeft, const share_id& aRight)
+  {
+    return std::tie(aLeft.mBudget, aLeft.mHolder) <
+           std::tie(aRight.mBudget, aRight.mHolder);
+  }
+};
+
+// One billed run: the number'th use of a share. Each dispatch attempt has its
+// own id, so a retry never shares a usage record with the attempt before it.
+struct request_id
+{
+  share_id mShare;
+  std::uint64_t mNumber = 0;
+
+  friend bool operator==(const request_id& aLeft, const request_id& aRight)
+  {
+    return std::tie(aLeft.mShare, aLeft.mNumber) ==
+           std::tie(aRight.mShare, aRight.mNumber);
+  }
+  friend bool operator<(const request_id& aLeft, const request_id& aRight)
+  {
+    return std::tie(aLeft.mShare, aLeft.mNumber) <
+           std::tie(aRight.mShare, aRight.mNumber);
+  }
+};
+
+// Text form "budget/router/incarnation/number"; ParseRequestId reads it back.
+// Identifiers must not contain '/', which CheckConfig enforces.
+std::string ToString(const process_id& aProcess);
+std::string ToString(const share_id& aShare);
+std::string ToString(const request_id& aRequest);
+result<request_id> ParseRequestId(std::string_view aText);
+
+enum class process_role
+{
+  Router,
+  Agent,
+};
+
+constexpr auto NameTable(process_role)
+{
+  return MakeNameTable<process_role>(
+    { { process_role::Router, "router" }, { process_role::Agent, "agent" } });
+}
+
+// Scheduling class of a request, highest priority first.
+enum class priority_class
+{
+  Interactive,
+  Standard,
+  Batch,
+};
+
+constexpr auto NameTable(priority_class)
+{
+  return MakeNameTable<priority_class>(
+    { { priority_class::Interactive, "interactive" },
+      { priority_class::Standard, "standard" },
+      { priority_class::Batch, "batch" } });
+}
+
+struct token_usage
+{
+  token_count mPromptTokens = 0;
+  token_count mCompletionTokens = 0;
+};
+
+// What a run costs; held by router and agent until it is committed.
+struct usage_record
+{
+  request_id mRequest;
+  token_usage mUsage;
+  token_count mCost = 0;
+};
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/src/core/account.cc
@@ -0,0 +1,252 @@
+#include "foxtailquay/account.h"
+
+#include <algorithm>
+
+#include "xxhash.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Finds an open share, or null.
+share_record* FindShare(account_shard& aShard, const share_id& aShare)
+{
+  const auto found = aShard.mAccounts.find(aShare.mBudget);
+  if (found == aShard.mAccounts.end()) {
+    return nullptr;
+  }
+  const auto share = found->second.mShares.find(aShare.mHolder);
+  return share == found->second.mShares.end() ? nullptr : &share->second;
+}
+
+bool MayOpen(const account& aAccount, const process_id& aHolder)
+{
+  const auto found = aAccount.mMinIncarnation.find(aHolder.mMember);
+  return found == aAccount.mMinIncarnation.end() ||
+         aHolder.mIncarnation >= found->second;
+}
+
+// Removes a share; its remainder becomes unallocated and no later operation
+// of the same incarnation can open it again.
+void Close(account& aAccount, const process_id& aHolder)
+{
+  const auto share = aAccount.mShares.find(aHolder);
+  aAccount.mClosedSpent += share->second.mSpent;
+  aAccount.mShares.erase(share);
+  incarnation_number& lowest = aAccount.mMinIncarnation[aHolder.mMember];
+  lowest = std::max(lowest, aHolder.mIncarnation + 1);
+}
+
+op_outcome Apply(account_shard& aShard, const top_up_op& aOp)
+{
+  if (aOp.mAmount <= 0) {
+    return op_outcome::Denied;
+  }
+  account& target = aShard.mAccounts[aOp.mBudget];
+  if (!target.mTopUps.emplace(aOp.mTopUpId, aOp.mAmount).second) {
+    return op_outcome::AlreadyApplied;
+  }
+  target.mPaidIn += aOp.mAmount;
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const grant_op& aOp)
+{
+  const auto found = aShard.mAccounts.find(aOp.mShare.mBudget);
+  if (found == aShard.mAccounts.end() ||
+      !MayOpen(found->second, aOp.mShare.mHolder)) {
+    return op_outcome::Denied;
+  }
+  account& source = found->second;
+  const auto open = source.mShares.find(aOp.mShare.mHolder);
+  if (open != source.mShares.end()) {
+    if (open->second.mHeld) {
+      return op_outcome::Denied;
+    }
+    if (aOp.mAdjustment <= open->second.mAdjustment) {
+      return op_outcome::AlreadyApplied;
+    }
+  }
+  const token_count free = Unallocated(source);
+  const token_count limit =
+    std::max<token_count>(free / 1000 * aOp.mMaxPermille, 1);
+  // Rounding down a small remainder would leave tokens that nobody can spend.
+  const token_count allowed = free < 1000 ? free : std::min(free, limit);
+  const token_count amount = std::min(aOp.mWant, allowed);
+  if (amount <= 0 && open == source.mShares.end()) {
+    return op_outcome::Denied;
+  }
+  share_record& share = source.mShares[aOp.mShare.mHolder];
+  share.mAdjustment = aOp.mAdjustment;
+  share.mGranted += std::max<token_count>(amount, 0);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const settle_op& aOp)
+{
+  share_record* share = FindShare(aShard, aOp.mRequest.mShare);
+  // A share is closed only after all its usage records were settled, so a
+  // record for a missing share has been counted.
+  if (share == nullptr || !Insert(share->mSettled, aOp.mRequest.mNumber)) {
+    return op_outcome::AlreadyApplied;
+  }
+  share->mSpent += aOp.mCost;
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const give_back_op& aOp)
+{
+  share_record* share = FindShare(aShard, aOp.mShare);
+  if (share == nullptr || aOp.mAdjustment <= share->mAdjustment) {
+    return op_outcome::AlreadyApplied;
+  }
+  if (share->mHeld || aOp.mAmount < 0 ||
+      aOp.mAmount > share->mGranted - share->mSpent) {
+    return op_outcome::Denied;
+  }
+  share->mAdjustment = aOp.mAdjustment;
+  share->mGranted -= aOp.mAmount;
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const transfer_op& aOp)
+{
+  share_record* from = FindShare(aShard, aOp.mFrom.mShare);
+  if (from == nullptr || !Insert(from->mSettled, aOp.mFrom.mNumber)) {
+    return op_outcome::AlreadyApplied;
+  }
+  from->mGranted -= aOp.mAmount;
+  account& owner = aShard.mAccounts[aOp.mFrom.mShare.mBudget];
+  // A receiver that has been closed cannot have the tokens; they return to
+  // the unallocated part.
+  if (owner.mShares.count(aOp.mTo) != 0 || MayOpen(owner, aOp.mTo)) {
+    owner.mShares[aOp.mTo].mGranted += aOp.mAmount;
+  }
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const close_share_op& aOp)
+{
+  share_record* share = FindShare(aShard, aOp.mShare);
+  if (share == nullptr) {
+    return op_outcome::AlreadyApplied;
+  }
+  if (share->mHeld) {
+    return op_outcome::AlreadyApplied;
+  }
+  if (aOp.mLossEpoch > share->mLossEpoch) {
+    share->mHeld = true;
+    return op_outcome::Applied;
+  }
+  Close(aShard.mAccounts[aOp.mShare.mBudget], aOp.mShare.mHolder);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const note_loss_epoch_op& aOp)
+{
+  share_record* share = FindShare(aShard, aOp.mShare);
+  if (share == nullptr || share->mLossEpoch >= aOp.mLossEpoch) {
+    return op_outcome::AlreadyApplied;
+  }
+  share->mLossEpoch = aOp.mLossEpoch;
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(account_shard& aShard, const release_held_op& aOp)
+{
+  share_record* share = FindShare(aShard, aOp.mShare);
+  if (share == nullptr) {
+    return op_outcome::AlreadyApplied;
+  }
+  if (!share->mHeld) {
+    return op_outcome::Denied;
+  }
+  Close(aShard.mAccounts[aOp.mShare.mBudget], aOp.mShare.mHolder);
+  return op_outcome::Applied;
+}
+
+const budget_id& BudgetOfOp(const top_up_op& aOp)
+{
+  return aOp.mBudget;
+}
+
+const budget_id& BudgetOfOp(const settle_op& aOp)
+{
+  return aOp.mRequest.mShare.mBudget;
+}
+
+const budget_id& BudgetOfOp(const transfer_op& aOp)
+{
+  return aOp.mFrom.mShare.mBudget;
+}
+
+template<typename Op>
+const budget_id& BudgetOfOp(const Op& aOp)
+{
+  return aOp.mShare.mBudget;
+}
+
+} // namespace
+
+bool Insert(settled_set& aSet, std::uint64_t aNumber)
+{
+  if (Contains(aSet, aNumber)) {
+    return false;
+  }
+  aSet.mBeyond.insert(aNumber);
+  while (!aSet.mBeyond.empty() && *aSet.mBeyond.begin() == aSet.mThrough + 1) {
+    aSet.mBeyond.erase(aSet.mBeyond.begin());
+    ++aSet.mThrough;
+  }
+  return true;
+}
+
+bool Contains(const settled_set& aSet, std::uint64_t aNumber)
+{
+  return aNumber <= aSet.mThrough || aSet.mBeyond.count(aNumber) != 0;
+}
+
+op_outcome ApplyOp(account_shard& aShard, const account_op& aOp)
+{
+  return std::visit(
+    [&aShard](const auto& aTyped) { return Apply(aShard, aTyped); }, aOp);
+}
+
+const budget_id& BudgetOf(const account_op& aOp)
+{
+  return std::visit(
+    [](const auto& aTyped) -> const budget_id& { return BudgetOfOp(aTyped); },
+    aOp);
+}
+
+token_count Unallocated(const account& aAccount)
+{
+  token_count allocated = aAccount.mClosedSpent;
+  for (const auto& [holder, share] : aAccount.mShares) {
+    allocated += share.mGranted;
+  }
+  return aAccount.mPaidIn - allocated;
+}
+
+token_count Spent(const account& aAccount)
+{
+  token_count spent = aAccount.mClosedSpent;
+  for (const auto& [holder, share] : aAccount.mShares) {
+    spent += share.mSpent;
+  }
+  return spent;
+}
+
+bool CheckAccount(const account& aAccount)
+{
+  return Unallocated(aAccount) >= 0 && Spent(aAccount) <= aAccount.mPaidIn;
+}
+
+std::uint32_t ShardOf(const budget_id& aBudget, std::uint32_t aShardCount)
+{
+  const std::uint64_t hash =
+    XXH64(aBudget.mValue.data(), aBudget.mValue.size(), 0);
+  return static_cast<std::uint32_t>(hash % aShardCount);
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/core/claim.cc
@@ -0,0 +1,141 @@
+#include "foxtailquay/claim.h"
+
+#include "absl/strings/str_cat.h"
+#include "xxhash.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Encoded size of a claim's fields without its texts.
+constexpr std::size_t kClaimOverheadBytes = 160;
+
+bool IsHeldBy(const claim_record& aClaim, const process_id& aHolder,
+              std::uint64_t aNumber)
+{
+  return aClaim.mHolder == aHolder && aClaim.mNumber == aNumber;
+}
+
+std::size_t SizeOf(const claim_key& aKey, const claim_record& aClaim)
+{
+  std::size_t size = kClaimOverheadBytes + aKey.mWorkspace.mValue.size() +
+                     aKey.mIdempotencyKey.size() +
+                     aClaim.mHolder.mMember.mValue.size();
+  if (aClaim.mAnswer) {
+    size += aClaim.mAnswer->mBody.size() + aClaim.mAnswer->mContentType.size();
+  }
+  return size;
+}
+
+op_outcome Apply(claim_shard& aShard, const claim_op& aOp)
+{
+  const auto found = aShard.mClaims.find(aOp.mKey);
+  if (found != aShard.mClaims.end()) {
+    return IsHeldBy(found->second, aOp.mRecord.mHolder, aOp.mRecord.mNumber)
+             ? op_outcome::AlreadyApplied
+             : op_outcome::Denied;
+  }
+  // Room for the answer is taken into account now, so that a call that has
+  // run can always store it.
+  const std::size_t needed =
+    SizeOf(aOp.mKey, aOp.mRecord) + kMaxStoredAnswerBytes;
+  if (SizeOf(aShard) + needed > kMaxClaimShardBytes) {
+    return op_outcome::Denied;
+  }
+  aShard.mClaims.emplace(aOp.mKey, aOp.mRecord);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(claim_shard& aShard, const store_answer_op& aOp)
+{
+  const auto found = aShard.mClaims.find(aOp.mKey);
+  if (found == aShard.mClaims.end() ||
+      !IsHeldBy(found->second, aOp.mHolder, aOp.mNumber)) {
+    return op_outcome::Denied;
+  }
+  if (found->second.mAnswer) {
+    return op_outcome::AlreadyApplied;
+  }
+  found->second.mAnswer = aOp.mAnswer;
+  if (aOp.mAnswer.mBody.size() > kMaxStoredAnswerBytes) {
+    found->second.mAnswer->mBody.clear();
+    found->second.mAnswer->mComplete = false;
+  }
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(claim_shard& aShard, const release_claim_op& aOp)
+{
+  const auto found = aShard.mClaims.find(aOp.mKey);
+  if (found == aShard.mClaims.end() ||
+      !IsHeldBy(found->second, aOp.mHolder, aOp.mNumber)) {
+    return op_outcome::AlreadyApplied;
+  }
+  if (found->second.mAnswer) {
+    return op_outcome::Denied;
+  }
+  aShard.mClaims.erase(found);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(claim_shard& aShard, const expire_claims_op& aOp)
+{
+  bool changed = false;
+  for (auto it = aShard.mClaims.begin(); it != aShard.mClaims.end();) {
+    if (it->second.mClaimedAt + kClaimRetention < aOp.mNow) {
+      it = aShard.mClaims.erase(it);
+      changed = true;
+    } else {
+      ++it;
+    }
+  }
+  return changed ? op_outcome::Applied : op_outcome::AlreadyApplied;
+}
+
+} // namespace
+
+op_outcome ApplyOp(claim_shard& aShard, const claim_shard_op& aOp)
+{
+  return std::visit(
+    [&aShard](const auto& aTyped) { return Apply(aShard, aTyped); }, aOp);
+}
+
+claim_status StatusOf(const claim_shard& aShard, const claim_op& aAsked)
+{
+  const auto found = aShard.mClaims.find(aAsked.mKey);
+  if (found == aShard.mClaims.end()) {
+    return claim_status::Full;
+  }
+  const claim_record& claim = found->second;
+  if (claim.mFingerprint != aAsked.mRecord.mFingerprint) {
+    return claim_status::Conflict;
+  }
+  if (claim.mAnswer) {
+    return claim_status::Answered;
+  }
+  return IsHeldBy(claim, aAsked.mRecord.mHolder, aAsked.mRecord.mNumber)
+           ? claim_status::Mine
+           : claim_status::Unanswered;
+}
+
+std::size_t SizeOf(const claim_shard& aShard)
+{
+  std::size_t size = 0;
+  for (const auto& [key, claim] : aShard.mClaims) {
+    size += SizeOf(key, claim);
+    if (!claim.mAnswer) {
+      size += kMaxStoredAnswerBytes;
+    }
+  }
+  return size;
+}
+
+std::uint32_t ShardOf(const claim_key& aKey, std::uint32_t aShardCount)
+{
+  const std::string text =
+    absl::StrCat(aKey.mWorkspace.mValue, "/", aKey.mIdempotencyKey);
+  return static_cast<std::uint32_t>(XXH64(text.data(), text.size(), 0) %
+                                    aShardCount);
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/core/commit.h
@@ -0,0 +1,219 @@
+// Group commit of operations on one store document.
+//
+// Operations wait in a queue; one compare-and-swap at a time writes all that
+// are waiting. A conflict or a lost answer leads to a new read and the
+// operations are applied to the value read, which is safe because each is
+// idempotent. An outcome is reported only from a value that is known to be in
+// the store.
+//
+//   Submit(queue, op, ticket);
+//   if (auto request = NextRequest(queue, now, options)) { send it }
+//   for (auto& done : OnReply(queue, reply, now, options)) { ... }
+//
+// Invariant: at most one request per queue is outstanding. Memory is bounded
+// by the operations submitted and not yet committed.
+
+#ifndef FOXTAILQUAY_CORE_COMMIT_H
+#define FOXTAILQUAY_CORE_COMMIT_H
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "foxtailquay/store.h"
+
+namespace foxtailquay {
+
+struct commit_options
+{
+  // Operations wait this long for company before a write.
+  absl::Duration mGroupDelay = absl::Milliseconds(5);
+  // Least time between two writes of one key; bounds the store's write rate.
+  absl::Duration mMinInterval = absl::Milliseconds(20);
+  // Wait after the first and after many failures in a row.
+  absl::Duration mFirstBackoff = absl::Milliseconds(100);
+  absl::Duration mMaxBackoff = absl::Seconds(2);
+};
+
+enum class commit_phase
+{
+  Idle,
+  Reading,
+  Writing,
+};
+
+constexpr auto NameTable(commit_phase)
+{
+  return MakeNameTable<commit_phase>({ { commit_phase::Idle, "idle" },
+                                       { commit_phase::Reading, "reading" },
+                                       { commit_phase::Writing, "writing" } });
+}
+
+template<typename Op>
+struct pending_op
+{
+  Op mOp;
+  std::uint64_t mTicket = 0;
+  absl::Time mSubmitted;
+  op_outcome mOutcome = op_outcome::Denied;
+};
+
+template<typename Document, typename Op>
+struct commit_queue
+{
+  store_key mKey;
+  commit_phase mPhase = commit_phase::Idle;
+  // Last value known to be in the store, and whether it may be the newest.
+  Document mCommitted;
+  store_version mVersion = 0;
+  bool mKnown = false;
+  // Value of the outstanding write.
+  Document mWriting;
+  // The first mInFlight entries of mPending are part of mWriting.
+  std::vector<pending_op<Op>> mPending;
+  std::size_t mInFlight = 0;
+  absl::Time mNotBefore = absl::InfinitePast();
+  int mFailures = 0;
+  // Set to read the document again although no operation is waiting.
+  bool mRefresh = false;
+};
+
+template<typename Document, typename Op>
+void Submit(commit_queue<Document, Op>& aQueue, Op aOp, std::uint64_t aTicket,
+            absl::Time aNow)
+{
+  aQueue.mPending.push_back(
+    { std::move(aOp), aTicket, aNow, op_outcome::Denied });
+}
+
+// Doubles with each failure in a row up to the maximum.
+inline absl::Duration BackoffAfter(int aFailures,
+                                   const commit_options& aOptions)
+{
+  absl::Duration wait = aOptions.mFirstBackoff;
+  for (int i = 1; i < aFailures && wait < aOptions.mMaxBackoff; ++i) {
+    wait *= 2;
+  }
+  return std::min(wait, aOptions.mMaxBackoff);
+}
+
+// Earliest time at which NextRequest would return a request;
+// InfiniteFuture if it waits for a reply or has nothing to do.
+template<typename Document, typename Op>
+absl::Time NextWake(const commit_queue<Document, Op>& aQueue,
+                    const commit_options& aOptions)
+{
+  if (aQueue.mPhase != commit_phase::Idle) {
+    return absl::InfiniteFuture();
+  }
+  if (aQueue.mRefresh) {
+    return aQueue.mNotBefore;
+  }
+  if (aQueue.mPending.empty()) {
+    return absl::InfiniteFuture();
+  }
+  return std::max(aQueue.mNotBefore,
+                  aQueue.mPending.front().mSubmitted + aOptions.mGroupDelay);
+}
+
+// Returns the next read or write if one is due.
+template<typename Document, typename Op>
+std::optional<store_request> NextRequest(commit_queue<Document, Op>& aQueue,
+                                         absl::Time aNow,
+                                         const commit_options& aOptions)
+{
+  if (NextWake(aQueue, aOptions) > aNow) {
+    return std::nullopt;
+  }
+  store_request request;
+  request.mKey = aQueue.mKey;
+  if (!aQueue.mKnown || aQueue.mRefresh) {
+    aQueue.mRefresh = false;
+    aQueue.mPhase = commit_phase::Reading;
+    return request;
+  }
+  aQueue.mWriting = aQueue.mCommitted;
+  for (auto& pending : aQueue.mPending) {
+    pending.mOutcome = ApplyOp(aQueue.mWriting, pending.mOp);
+  }
+  aQueue.mInFlight = aQueue.mPending.size();
+  aQueue.mPhase = commit_phase::Writing;
+  request.mWrite = aQueue.mWriting;
+  request.mIfVersion = aQueue.mVersion;
+  return request;
+}
+
+// Removes and returns the operations whose outcome is known to be in the
+// store: those that the committed value already contains or denies.
+template<typename Document, typename Op>
+std::vector<pending_op<Op>> TakeSettled(commit_queue<Document, Op>& aQueue)
+{
+  std::vector<pending_op<Op>> settled;
+  std::vector<pending_op<Op>> waiting;
+  Document trial = aQueue.mCommitted;
+  bool changed = false;
+  for (auto& pending : aQueue.mPending) {
+    pending.mOutcome = ApplyOp(trial, pending.mOp);
+    // A denial after an uncommitted change may depend on that change.
+    if (pending.mOutcome == op_outcome::Applied || changed) {
+      changed = true;
+      waiting.push_back(std::move(pending));
+    } else {
+      settled.push_back(std::move(pending));
+    }
+  }
+  aQueue.mPending = std::move(waiting);
+  return settled;
+}
+
+// Takes the reply to the outstanding request and returns the operations that
+// are now decided. Their effects are in aQueue.mCommitted.
+template<typename Document, typename Op>
+std::vector<pending_op<Op>> OnReply(commit_queue<Document, Op>& aQueue,
+                                    const store_reply& aReply, absl::Time aNow,
+                                    const commit_options& aOptions)
+{
+  const commit_phase phase = aQueue.mPhase;
+  aQueue.mPhase = commit_phase::Idle;
+  if (aReply.mStatus == store_status::Unavailable ||
+      aReply.mStatus == store_status::Unknown) {
+    // The value may have changed under a write without an answer.
+    aQueue.mKnown = aQueue.mKnown && phase == commit_phase::Writing &&
+                    aReply.mStatus == store_status::Unavailable;
+    aQueue.mInFlight = 0;
+    ++aQueue.mFailures;
+    aQueue.mNotBefore = aNow + BackoffAfter(aQueue.mFailures, aOptions);
+    return {};
+  }
+  aQueue.mFailures = 0;
+  if (phase == commit_phase::Reading) {
+    aQueue.mKnown = true;
+    aQueue.mVersion = aReply.mVersion;
+    aQueue.mCommitted =
+      aReply.mDocument ? std::get<Document>(*aReply.mDocument) : Document{};
+    return TakeSettled(aQueue);
+  }
+  if (aReply.mStatus == store_status::Conflict) {
+    aQueue.mKnown = false;
+    aQueue.mInFlight = 0;
+    return {};
+  }
+  aQueue.mVersion = aReply.mVersion;
+  aQueue.mCommitted = std::move(aQueue.mWriting);
+  aQueue.mNotBefore = aNow + aOptions.mMinInterval;
+  const auto end =
+    aQueue.mPending.begin() + static_cast<std::ptrdiff_t>(aQueue.mInFlight);
+  std::vector<pending_op<Op>> decided(
+    std::make_move_iterator(aQueue.mPending.begin()),
+    std::make_move_iterator(end));
+  aQueue.mPending.erase(aQueue.mPending.begin(), end);
+  aQueue.mInFlight = 0;
+  return decided;
+}
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,146 @@
+#include "foxtailquay/membership.h"
+
+#include <algorithm>
+
+namespace foxtailquay {
+
+namespace {
+
+bool IsCurrent(const member_list& aList, const process_id& aProcess)
+{
+  const auto found = aList.mMembers.find(aProcess.mMember);
+  return found != aList.mMembers.end() &&
+         found->second.mIncarnation == aProcess.mIncarnation;
+}
+
+bool HasFence(const member_list& aList, const process_id& aProcess)
+{
+  return std::any_of(aList.mFences.begin(), aList.mFences.end(),
+                     [&aProcess](const fence_record& aFence) {
+                       return aFence.mFenced == aProcess;
+                     });
+}
+
+// Precondition: aProcess is no longer in the member map.
+void AddFence(member_list& aList, const process_id& aProcess)
+{
+  fence_record fence;
+  fence.mFenced = aProcess;
+  fence.mLossEpoch = aList.mLossEpoch;
+  for (const auto& [id, member] : aList.mMembers) {
+    fence.mWitnesses.emplace(id, member.mIncarnation);
+  }
+  aList.mFences.push_back(std::move(fence));
+}
+
+// Removes a member that did not stop gracefully. The fence keeps the epoch
+// from before this loss: a router's own loss must not hold its own shares.
+void RemoveLost(member_list& aList, const process_id& aProcess)
+{
+  const process_role role = aList.mMembers[aProcess.mMember].mRole;
+  aList.mMembers.erase(aProcess.mMember);
+  if (role == process_role::Router && !HasFence(aList, aProcess)) {
+    AddFence(aList, aProcess);
+  }
+  ++aList.mLossEpoch;
+}
+
+op_outcome Apply(member_list& aList, const join_op& aOp)
+{
+  const auto found = aList.mMembers.find(aOp.mMember);
+  if (found != aList.mMembers.end()) {
+    if (found->second.mNonce == aOp.mRecord.mNonce) {
+      return op_outcome::AlreadyApplied;
+    }
+    RemoveLost(aList, { aOp.mMember, found->second.mIncarnation });
+  }
+  member_record record = aOp.mRecord;
+  record.mIncarnation = ++aList.mLastIncarnation[aOp.mMember];
+  record.mStatus = member_status::Active;
+  aList.mMembers[aOp.mMember] = std::move(record);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(member_list& aList, const mark_leaving_op& aOp)
+{
+  if (!IsCurrent(aList, aOp.mProcess)) {
+    return op_outcome::Denied;
+  }
+  member_record& member = aList.mMembers[aOp.mProcess.mMember];
+  if (member.mStatus == member_status::Leaving) {
+    return op_outcome::AlreadyApplied;
+  }
+  member.mStatus = member_status::Leaving;
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(member_list& aList, const leave_op& aOp)
+{
+  if (!IsCurrent(aList, aOp.mProcess)) {
+    return op_outcome::AlreadyApplied;
+  }
+  aList.mMembers.erase(aOp.mProcess.mMember);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(member_list& aList, const raise_fence_op& aOp)
+{
+  if (!IsCurrent(aList, aOp.mProcess)) {
+    return op_outcome::AlreadyApplied;
+  }
+  if (aList.mMembers[aOp.mProcess.mMember].mRole != process_role::Router) {
+    return op_outcome::Denied;
+  }
+  RemoveLost(aList, aOp.mProcess);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(member_list& aList, const remove_lost_op& aOp)
+{
+  if (!IsCurrent(aList, aOp.mProcess)) {
+    return op_outcome::AlreadyApplied;
+  }
+  RemoveLost(aList, aOp.mProcess);
+  return op_outcome::Applied;
+}
+
+op_outcome Apply(member_list& aList, const finish_fence_op& aOp)
+{
+  const auto old = std::remove_if(aList.mFences.begin(), aList.mFences.end(),
+                                  [&aOp](const fence_record& aFence) {
+                                    return aFence.mFenced == aOp.mProcess;
+                                  });
+  if (old == aList.mFences.end()) {
+    return op_outcome::AlreadyApplied;
+  }
+  aList.mFences.erase(old, aList.mFences.end());
+  return op_outcome::Applied;
+}
+
+} // namespace
+
+op_outcome ApplyOp(member_list& aList, const member_op& aOp)
+{
+  return std::visit(
+    [&aList](const auto& aTyped) { return Apply(aList, aTyped); }, aOp);
+}
+
+bool IsFenced(const member_list& aList, const process_id& aProcess)
+{
+  if (HasFence(aList, aProcess)) {
+    return true;
+  }
+  const auto last = aList.mLastIncarnation.find(aProcess.mMember);
+  if (last == aList.mLastIncarnation.end()) {
+    return false;
+  }
+  if (last->second > aProcess.mIncarnation) {
+    return true;
+  }
+  // The newest incarnation, no longer a member and not in a fence: it left or
+  // its fence has been finished.
+  return last->second == aProcess.mIncarnation &&
+         aList.mMembers.count(aProcess.mMember) == 0;
+}
+
+} // namespace foxtailquay
