--- a/include/foxtailquay/account.h
+++ b/include/foxtailquay/account.h
@@ -86,6 +86,8 @@
   share_id mShare;
   std::uint64_t mAdjustment = 0;
   token_count mWant = 0;
+  // What waiting requests need now; granted even above mMaxPermille.
+  token_count mNeed = 0;
   // At most this part of the unallocated tokens is granted, in 1/1000, so
   // that near the end of a budget the last tokens are not hoarded.
   int mMaxPermille = 1000;
--- a/include/foxtailquay/messages.h
+++ b/include/foxtailquay/messages.h
@@ -70,6 +70,10 @@
 struct gossip_message
 {
   std::vector<load_report> mLoad;
+  // Members that the sender cannot reach.
+  std::vector<process_id> mSuspects;
+  // Suspects of the other side that the sender has heard from recently.
+  std::vector<process_id> mAlive;
   // True in the answer, which is not answered again.
   bool mIsReply = false;
 };
@@ -125,12 +129,25 @@
   token_count mWant = 0;
 };
 
-// Tokens that the sender has given away for good.
+// Tokens that the sender has given away for good. Amount 0: it has none.
 struct transfer_message
 {
   transfer_op mTransfer;
 };
 
+// A router that stops while the store is unavailable hands its uncommitted
+// operations to a peer, in order; the last one per budget closes its share.
+// mTransfers are the receiver's to spend at once.
+struct hand_over_message
+{
+  std::vector<account_op> mOps;
+  std::vector<transfer_op> mTransfers;
+};
+
+// The receiver has taken over; the sender may exit.
+struct hand_over_ack_message
+{};
+
 // Account operations for the committer of a shard.
 struct commit_ops_message
 {
@@ -151,7 +168,8 @@
   std::variant<gossip_message, fetch_config_message, config_message,
                fetch_members_message, members_message, usage_report_message,
                usage_ack_message, fence_query_message, fence_ack_message,
-               transfer_request_message, transfer_message, commit_ops_message,
+               transfer_request_message, transfer_message, hand_over_message,
+               hand_over_ack_message, commit_ops_message,
                commit_result_message>;
 
 struct envelope
--- a/src/core/account.cc
+++ b/src/core/account.cc
@@ -68,11 +68,8 @@
     }
   }
   const token_count free = Unallocated(source);
-  const token_count limit =
-    std::max<token_count>(free / 1000 * aOp.mMaxPermille, 1);
-  // Rounding down a small remainder would leave tokens that nobody can spend.
-  const token_count allowed = free < 1000 ? free : std::min(free, limit);
-  const token_count amount = std::min(aOp.mWant, allowed);
+  const token_count paced = std::min(aOp.mWant, free / 1000 * aOp.mMaxPermille);
+  const token_count amount = std::min(free, std::max(aOp.mNeed, paced));
   if (amount <= 0 && open == source.mShares.end()) {
     return op_outcome::Denied;
   }
--- a/src/core/commit.h
+++ b/src/core/commit.h
@@ -6,8 +6,8 @@
 // idempotent. An outcome is reported only from a value that is known to be in
 // the store.
 //
-//   Submit(queue, op, ticket);
-//   if (auto request = NextRequest(queue, now, options)) { send it }
+//   Submit(queue, op, ticket, due);
+//   if (auto request = NextRequest(queue, now)) { send it }
 //   for (auto& done : OnReply(queue, reply, now, options)) { ... }
 //
 // Invariant: at most one request per queue is outstanding. Memory is bounded
@@ -29,8 +29,6 @@
 
 struct commit_options
 {
-  // Operations wait this long for company before a write.
-  absl::Duration mGroupDelay = absl::Milliseconds(5);
   // Least time between two writes of one key; bounds the store's write rate.
   absl::Duration mMinInterval = absl::Milliseconds(20);
   // Wait after the first and after many failures in a row.
@@ -57,7 +55,8 @@
 {
   Op mOp;
   std::uint64_t mTicket = 0;
-  absl::Time mSubmitted;
+  // When it must be written at the latest; it waits until then for company.
+  absl::Time mDue;
   op_outcome mOutcome = op_outcome::Denied;
 };
 
@@ -83,10 +82,10 @@
 
 template<typename Document, typename Op>
 void Submit(commit_queue<Document, Op>& aQueue, Op aOp, std::uint64_t aTicket,
-            absl::Time aNow)
+            absl::Time aDue)
 {
   aQueue.mPending.push_back(
-    { std::move(aOp), aTicket, aNow, op_outcome::Denied });
+    { std::move(aOp), aTicket, aDue, op_outcome::Denied });
 }
 
 // Doubles with each failure in a row up to the maximum.
@@ -103,8 +102,7 @@
 // Earliest time at which NextRequest would return a request;
 // InfiniteFuture if it waits for a reply or has nothing to do.
 template<typename Document, typename Op>
-absl::Time NextWake(const commit_queue<Document, Op>& aQueue,
-                    const commit_options& aOptions)
+absl::Time NextWake(const commit_queue<Document, Op>& aQueue)
 {
   if (aQueue.mPhase != commit_phase::Idle) {
     return absl::InfiniteFuture();
@@ -112,20 +110,19 @@
   if (aQueue.mRefresh) {
     return aQueue.mNotBefore;
   }
-  if (aQueue.mPending.empty()) {
-    return absl::InfiniteFuture();
+  absl::Time due = absl::InfiniteFuture();
+  for (const auto& pending : aQueue.mPending) {
+    due = std::min(due, pending.mDue);
   }
-  return std::max(aQueue.mNotBefore,
-                  aQueue.mPending.front().mSubmitted + aOptions.mGroupDelay);
+  return std::max(aQueue.mNotBefore, due);
 }
 
 // Returns the next read or write if one is due.
 template<typename Document, typename Op>
 std::optional<store_request> NextRequest(commit_queue<Document, Op>& aQueue,
-                                         absl::Time aNow,
-                                         const commit_options& aOptions)
+                                         absl::Time aNow)
 {
-  if (NextWake(aQueue, aOptions) > aNow) {
+  if (NextWake(aQueue) > aNow) {
     return std::nullopt;
   }
   store_request request;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -80,6 +80,11 @@
     return op_outcome::AlreadyApplied;
   }
   aList.mMembers.erase(aOp.mProcess.mMember);
+  // A member that stopped gracefully holds no usage record, so fences need
+  // not wait for it.
+  for (fence_record& fence : aList.mFences) {
+    fence.mWitnesses.erase(aOp.mProcess.mMember);
+  }
   return op_outcome::Applied;
 }
 
