--- /dev/null
+++ b/src/cli/output.cc
@@ -0,0 +1,123 @@
+#include "cli/output.h"
+
+#include <array>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "openssl/evp.h"
+#include "openssl/rand.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr std::size_t kIdBytes = 16;
+
+cli_failure CryptoError(std::string aField)
+{
+  return { exit_code::Usage,
+           { error_code::Internal, ran::No, std::move(aField),
+             "OpenSSL reports a failure", absl::ZeroDuration() } };
+}
+
+std::string Hex(const unsigned char* aBytes, std::size_t aSize)
+{
+  return absl::BytesToHexString(
+    absl::string_view(reinterpret_cast<const char*>(aBytes), aSize));
+}
+
+const Json::Value& MemberOf(const Json::Value& aObject, std::string_view aName)
+{
+  return aObject.isObject() ? aObject[std::string(aName)]
+                            : Json::Value::nullSingleton();
+}
+
+} // namespace
+
+std::string ToPrettyText(const Json::Value& aJson)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "  ";
+  builder["emitUTF8"] = true;
+  return Json::writeString(builder, aJson);
+}
+
+Json::Value FailureToJson(const cli_failure& aFailure)
+{
+  Json::Value body;
+  body["code"] = std::string(NameOf(aFailure.mError.mCode));
+  body["param"] = aFailure.mError.mField;
+  body["message"] = aFailure.mError.mDetail;
+  body["ran"] = std::string(NameOf(aFailure.mError.mRan));
+  Json::Value root;
+  root["error"] = body;
+  root["exit_code"] = static_cast<int>(aFailure.mExit);
+  root["exit_name"] = std::string(NameOf(aFailure.mExit));
+  return root;
+}
+
+std::string FailureToText(const cli_failure& aFailure)
+{
+  std::string text = absl::StrCat(std::string(NameOf(aFailure.mExit)), ": ",
+                                  ToString(aFailure.mError));
+  if (aFailure.mError.mCode == error_code::Unauthorized) {
+    absl::StrAppend(&text, " (is --operator_key_file the router's key?)");
+  }
+  if (aFailure.mError.mRetryAfter > absl::ZeroDuration()) {
+    absl::StrAppend(&text, " (retry after ",
+                    absl::FormatDuration(aFailure.mError.mRetryAfter), ")");
+  }
+  return text;
+}
+
+cli_failure BadAnswer(std::string_view aName, std::string_view aExpected)
+{
+  return { exit_code::Refused,
+           { error_code::ProtocolViolation, ran::Unknown, std::string(aName),
+             absl::StrCat("the router's answer has no ", std::string(aExpected),
+                          " here; are the router and "
+                          "foxtailquayctl of the same version?"),
+             absl::ZeroDuration() } };
+}
+
+cli_result<std::int64_t> IntegerOf(const Json::Value& aObject,
+                                   std::string_view aName)
+{
+  const Json::Value& member = MemberOf(aObject, aName);
+  if (!member.isInt64()) {
+    return BadAnswer(aName, "integer");
+  }
+  return std::int64_t{ member.asInt64() };
+}
+
+cli_result<std::string> StringOf(const Json::Value& aObject,
+                                 std::string_view aName)
+{
+  const Json::Value& member = MemberOf(aObject, aName);
+  if (!member.isString()) {
+    return BadAnswer(aName, "string");
+  }
+  return member.asString();
+}
+
+cli_result<std::string> NewId(std::string_view aPrefix)
+{
+  std::array<unsigned char, kIdBytes> bytes{};
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+    return CryptoError("random id");
+  }
+  return absl::StrCat(std::string(aPrefix), Hex(bytes.data(), bytes.size()));
+}
+
+cli_result<std::string> Sha256(std::string_view aText)
+{
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int size = 0;
+  if (EVP_Digest(aText.data(), aText.size(), digest.data(), &size, EVP_sha256(),
+                 nullptr) != 1) {
+    return CryptoError("SHA-256");
+  }
+  return Hex(digest.data(), size);
+}
+
+} // namespace foxtailquay
