--- /dev/null
+++ b/tests/config_file_test.cc
@@ -0,0 +1,293 @@
+// Guards against configuration files that are read differently from what the
+// operator wrote, and against errors that do not say where and why.
+
+#define BOOST_TEST_MODULE config_file
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+#include "wire/config_file.h"
+#include "wire/document_codec.h"
+
+namespace foxtailquay {
+namespace {
+
+// A configuration that each case of the tables below changes in one place.
+constexpr std::string_view kGood = R"(fleet:
+  request_timeout: 2m
+  queue_timeout: 1500ms
+models:
+  loom-8b: {prompt_price: 1, completion_price: 3}
+services:
+  orders:
+    timeout: 20s
+    calls:
+      - {method: GET, path_prefix: /, repeatable: true}
+backends:
+  model-1: {kind: engine, zone: surat-1, models: [loom-8b]}
+  orders-1: {kind: service, zone: surat-1, services: [orders]}
+workspaces:
+  studio:
+    budgets: [{id: studio-main}]
+    share_horizon: 45s
+    rate_per_second: 2.5
+)";
+
+std::string Replaced(std::string aText, const std::string& aOld,
+                     const std::string& aNew)
+{
+  const std::size_t at = aText.find(aOld);
+  BOOST_REQUIRE(at != std::string::npos);
+  return aText.replace(at, aOld.size(), aNew);
+}
+
+result<config_document> Read(const std::string& aText)
+{
+  auto file = ParseYaml(aText, "f.yaml");
+  return IsOk(file) ? DecodeConfig(ValueOf(file)) : ErrorOf(file);
+}
+
+result<config_patch> ReadPatch(const std::string& aText)
+{
+  auto file = ParseYaml(aText, "p.yaml");
+  return IsOk(file) ? DecodePatch(ValueOf(file)) : ErrorOf(file);
+}
+
+// A duration that is taken for another unit changes timeouts a thousandfold.
+BOOST_AUTO_TEST_CASE(durations_have_units)
+{
+  const auto read = Read(std::string(kGood));
+  BOOST_REQUIRE_MESSAGE(
+    IsOk(read), ToString(std::get_if<error>(&read) ? ErrorOf(read) : error{}));
+  const config_document& config = ValueOf(read);
+  BOOST_TEST(config.mVersion == 0u);
+  BOOST_TEST((config.mFleet.mRequestTimeout == absl::Minutes(2)));
+  BOOST_TEST((config.mFleet.mQueueTimeout == absl::Milliseconds(1500)));
+  BOOST_TEST((config.mServices.at({ "orders" }).mTimeout == absl::Seconds(20)));
+  const workspace_config& studio = config.mWorkspaces.at({ "studio" });
+  BOOST_TEST((studio.mShareHorizon == absl::Seconds(45)));
+  BOOST_TEST(studio.mRatePerSecond == 2.5);
+}
+
+// The JSON form of the store must be usable as a file, for a restore.
+BOOST_AUTO_TEST_CASE(json_is_accepted_as_a_file)
+{
+  const auto read = Read(std::string(kGood));
+  BOOST_REQUIRE(IsOk(read));
+  const Json::Value json = ToJson(ValueOf(read));
+  const auto again = Read(ToText(json));
+  BOOST_REQUIRE(IsOk(again));
+  BOOST_TEST(ToText(ToJson(ValueOf(again))) == ToText(json));
+}
+
+struct bad_file
+{
+  std::string mOld;
+  std::string mNew;
+  std::string mField;
+  std::string mDetail;
+};
+
+const std::vector<bad_file>& BadFiles()
+{
+  static const std::vector<bad_file> kFiles = {
+    { "request_timeout: 2m", "request_timeout: 120",
+      "f.yaml:2: fleet.request_timeout",
+      "\"120\" is not a duration such as 20s, 1500ms or 2m" },
+    { "request_timeout: 2m", "request_timeout: [2m]",
+      "f.yaml:2: fleet.request_timeout", "is not a duration such as" },
+    { "request_timeout: 2m", "request_timeout: 100us",
+      "f.yaml:2: fleet.request_timeout",
+      "\"100us\" is not a whole number of milliseconds" },
+    { "request_timeout: 2m", "request_timeout: 25h",
+      "f.yaml:2: fleet.request_timeout", "25h is not between 1ms and 24h" },
+    { "request_timeout: 2m", "request_timeout_ms: 2m",
+      "f.yaml:2: fleet.request_timeout_ms",
+      "\"2m\" is not a whole number of milliseconds" },
+    { "request_timeout: 2m", "request_timout: 2m",
+      "f.yaml:2: fleet.request_timout", "is not a known field; known are" },
+    { "queue_timeout: 1500ms", "request_timeout_ms: 3000",
+      "f.yaml:3: fleet.request_timeout_ms", "is given twice" },
+    { "queue_timeout: 1500ms", "request_timeout: 3s",
+      "f.yaml:3: fleet.request_timeout", "is given twice" },
+    { "queue_timeout: 1500ms", "queue_length: many",
+      "f.yaml:3: fleet.queue_length", "\"many\" is not a whole number" },
+    { "queue_timeout: 1500ms", "queue_length: \"5\"",
+      "f.yaml:3: fleet.queue_length", "\"5\" is not a whole number" },
+    { "queue_timeout: 1500ms", "queue_length: 99999999999999999999",
+      "f.yaml:3: fleet.queue_length", "is not a whole number" },
+    { "queue_timeout: 1500ms", "queue_length: -1",
+      "f.yaml:3: fleet.queue_length", "-1 is not between 0 and 100000" },
+    { "prompt_price: 1,", "prompt_price: 1.5,",
+      "f.yaml:5: models.loom-8b.prompt_price", "1.5 is not a whole number" },
+    { "loom-8b: {prompt", "\"loom 8b\": {prompt", "f.yaml:5: models.loom 8b",
+      "\"loom 8b\" must be 1 to 128 letters" },
+    { "timeout: 20s", "timeout: soon", "f.yaml:8: services.orders.timeout",
+      "\"soon\" is not a duration" },
+    { "path_prefix: /,", "path_prefix: orders,",
+      "f.yaml:10: services.orders.calls[0].path",
+      "\"orders\" does not start with /" },
+    { "repeatable: true", "repeatable: yes",
+      "f.yaml:10: services.orders.calls[0].repeatable",
+      "\"yes\" is not true or false" },
+    { "kind: engine", "kind: motor", "f.yaml:12: backends.model-1.kind",
+      "\"motor\" is not one of engine, service" },
+    { "models: [loom-8b]}", "models: [loom-9b]}",
+      "f.yaml:12: backends.model-1.models",
+      "\"loom-9b\" is not a configured model" },
+    { "kind: service, zone: surat-1", "kind: service",
+      "f.yaml:13: backends.orders-1.zone", "is missing" },
+    { "[{id: studio-main}]", "[{id: a}, {pays_for: [b]}]",
+      "f.yaml:16: workspaces.studio.budgets[1].id", "is missing" },
+    { "[{id: studio-main}]", "[]", "f.yaml:16: workspaces.studio.budgets",
+      "a workspace needs at least one budget" },
+    { "share_horizon: 45s", "share_horizon: 0s",
+      "f.yaml:17: workspaces.studio.share_horizon",
+      "0 is not between 1ms and 24h" },
+    { "share_horizon: 45s", "key_hashes: [abc]",
+      "f.yaml:17: workspaces.studio.key_hashes", "64 lower-case hexadecimal" },
+    { "rate_per_second: 2.5", "rate_per_second: .inf",
+      "f.yaml:18: workspaces.studio.rate_per_second",
+      "\".inf\" is not a number" },
+    { "  rate_per_second: 2.5\n", "  rate_per_second: 2.5\n  studio: {}\n",
+      "f.yaml:19: workspaces.studio", "is given twice" },
+    { "rate_per_second: 2.5", "rate_per_second: [2.5", "f.yaml:19",
+      "is not YAML" },
+    { "workspaces:\n", "workspace:\n", "f.yaml:14: workspace",
+      "is not a known field" },
+    { "fleet:", "? [a]\n: b\nfleet:", "f.yaml:1",
+      "a field name must be a plain text" },
+    { "fleet:", "a: 1\n---\nfleet:", "f.yaml:1",
+      "holds more than one YAML document" },
+    { "fleet:", "fleet: {a: [[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]}\nold:",
+      "f.yaml:1", "is nested deeper than 16 levels" },
+  };
+  return kFiles;
+}
+
+BOOST_AUTO_TEST_CASE(errors_name_line_field_value_and_what_is_right)
+{
+  for (const bad_file& bad : BadFiles()) {
+    const auto read = Read(Replaced(std::string(kGood), bad.mOld, bad.mNew));
+    BOOST_TEST_CONTEXT(bad.mNew)
+    {
+      BOOST_REQUIRE(!IsOk(read));
+      const error& failed = ErrorOf(read);
+      BOOST_TEST((failed.mCode == error_code::InvalidConfig));
+      BOOST_TEST(failed.mField.substr(0, bad.mField.size()) == bad.mField);
+      BOOST_TEST(failed.mDetail.find(bad.mDetail) != std::string::npos,
+                 failed.mDetail);
+    }
+  }
+}
+
+// Text without sections would otherwise pass as an empty configuration, and
+// as a patch remove nothing but raise the version.
+BOOST_AUTO_TEST_CASE(files_without_sections_are_refused)
+{
+  for (const char* text :
+       { "", "# only a comment\n", "just text\n", "- a\n", "null\n" }) {
+    BOOST_TEST(!IsOk(Read(text)));
+    BOOST_TEST(!IsOk(ReadPatch(text)));
+  }
+}
+
+// Nested aliases would make a short file use up the memory.
+BOOST_AUTO_TEST_CASE(aliases_do_not_multiply_without_bound)
+{
+  std::string text = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n";
+  for (int i = 1; i < 9; ++i) {
+    const std::string last = "*a" + std::to_string(i - 1);
+    text += "a" + std::to_string(i) + ": &a" + std::to_string(i) + " [" + last;
+    for (int j = 1; j < 10; ++j) {
+      text += ", " + last;
+    }
+    text += "]\n";
+  }
+  const auto read = Read(text);
+  BOOST_REQUIRE(!IsOk(read));
+  BOOST_TEST(ErrorOf(read).mDetail.find("values") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(files_above_the_size_limit_are_refused)
+{
+  const auto read = Read(std::string(kMaxConfigFileBytes + 1, '#'));
+  BOOST_REQUIRE(!IsOk(read));
+  BOOST_TEST(ErrorOf(read).mDetail.find("more than the limit") !=
+             std::string::npos);
+}
+
+// A removal that is read as an entry with defaults would keep a backend
+// server or customer in service.
+BOOST_AUTO_TEST_CASE(null_removes_an_entry_of_a_patch)
+{
+  const auto read = ReadPatch("if_version: 7\npatch_id: p1\n"
+                              "models: {old: null, new: {}}\n"
+                              "backends:\n  gone:\n"
+                              "workspaces: {w: ~}\n");
+  BOOST_REQUIRE(IsOk(read));
+  const config_patch& patch = ValueOf(read);
+  BOOST_TEST(patch.mIfVersion == 7u);
+  BOOST_TEST(patch.mPatchId == "p1");
+  BOOST_TEST(!patch.mFleet.has_value());
+  BOOST_TEST(!patch.mModels.at({ "old" }).has_value());
+  BOOST_TEST(patch.mModels.at({ "new" }).has_value());
+  BOOST_TEST(!patch.mBackends.at({ "gone" }).has_value());
+  BOOST_TEST(!patch.mWorkspaces.at({ "w" }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(errors_in_patches_are_located)
+{
+  const auto read = ReadPatch("models:\n  a: {}\n  b: {max_tokens: lots}\n");
+  BOOST_REQUIRE(!IsOk(read));
+  BOOST_TEST(ErrorOf(read).mField == "p.yaml:3: models.b.max_tokens");
+}
+
+// A router reports a field that need not stand in the file itself.
+BOOST_AUTO_TEST_CASE(errors_from_elsewhere_get_the_nearest_line)
+{
+  const auto file = ParseYaml("models:\n  a.b: {}\n", "p.yaml");
+  BOOST_REQUIRE(IsOk(file));
+  error failed;
+  failed.mField = "models.a.b.max_tokens";
+  BOOST_TEST(Locate(ValueOf(file), failed).mField ==
+             "p.yaml:2: models.a.b.max_tokens");
+  failed.mField = "backends.x";
+  BOOST_TEST(Locate(ValueOf(file), failed).mField == "p.yaml:1: backends.x");
+  failed.mField = "";
+  BOOST_TEST(Locate(ValueOf(file), failed).mField == "p.yaml:1");
+}
+
+std::string Example(const std::string& aName)
+{
+  std::ifstream file(std::string(FOXTAILQUAY_SOURCE_DIR) + "/examples/" +
+                     aName);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// "config show" must print what "config check" accepts, unchanged.
+BOOST_AUTO_TEST_CASE(written_files_read_back_the_same)
+{
+  std::vector<std::string> texts = { std::string(kGood),
+                                     Example("sabarmati.yaml"),
+                                     Example("ezerna.yaml") };
+  // Texts that look like other types, and ids that look like fields.
+  texts.push_back(Replaced(std::string(kGood), "[{id: studio-main}]",
+                           "[{id: \"007\", pays_for: [\"true\", \"1e5\"]}, "
+                           "{id: \"null\"}]"));
+  texts.push_back(Replaced(std::string(kGood), "  studio:", "  timeout:"));
+  for (const std::string& text : texts) {
+    const auto read = Read(text);
+    BOOST_REQUIRE(IsOk(read));
+    const auto again = Read(ToYaml(ValueOf(read)));
+    BOOST_REQUIRE_MESSAGE(IsOk(again), ToYaml(ValueOf(read)));
+    BOOST_TEST(ToText(ToJson(ValueOf(again))) == ToText(ToJson(ValueOf(read))));
+  }
+}
+
+} // namespace
+} // namespace foxtailquay
