Refuse patches without an identifier; test the configuration

Cause: two patches without an identifier for the same version were taken for one another, so the second was reported as applied although it was lost. Change: ApplyOp denies a patch with an empty identifier. Found by tests/config_test.cc, which also covers each rule of CheckConfig, and version numbers and identifiers under random sequences of patches.

--- a/include/foxtailquay/config.h
+++ b/include/foxtailquay/config.h
@@ -168,7 +168,8 @@
                                    const config_patch& aPatch);
 
 // Store operation form of ApplyPatch: AlreadyApplied if this patch made
-// version mIfVersion + 1, Denied if another one did or the patch is invalid.
+// version mIfVersion + 1, Denied if another one did, the patch is invalid or
+// its identifier is empty.
 op_outcome ApplyOp(config_document& aConfig, const config_patch& aPatch);
 
 // The workspace that owns the API key with this SHA-256, or null.
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -63,7 +63,7 @@
       "",
       0,
       0,
-      "print the SHA-256 of an API key for key_hashes",
+      "print the SHA-256 of an API key",
       "Reads one API key from standard input, without the line end, and "
       "prints the text that stands for it in a workspace's key_hashes. The "
       "configuration never holds the key itself. Offline.",
--- a/src/core/config.cc
+++ b/src/core/config.cc
@@ -305,6 +305,11 @@
 
 op_outcome ApplyOp(config_document& aConfig, const config_patch& aPatch)
 {
+  // Two patches without an identifier could not be told apart, and the second
+  // would be reported as applied.
+  if (aPatch.mPatchId.empty()) {
+    return op_outcome::Denied;
+  }
   const auto made = aConfig.mPatchIds.find(aPatch.mIfVersion + 1);
   if (made != aConfig.mPatchIds.end() && made->second == aPatch.mPatchId) {
     return op_outcome::AlreadyApplied;
--- /dev/null
+++ b/tests/config_test.cc
@@ -0,0 +1,416 @@
+// Guards against a configuration that reverts, skips a version, loses an
+// operator's patch or applies it twice, and against entries that contradict
+// each other.
+
+#define BOOST_TEST_MODULE config
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <limits>
+
+#include "foxtailquay/config.h"
+#include "rapidcheck.h"
+#include "rapidcheck/boost_test.h"
+
+namespace foxtailquay {
+namespace {
+
+const std::string kHash(64, 'a');
+
+config_document Good()
+{
+  config_document config;
+  config.mVersion = 7;
+  config.mPatchIds[7] = "p6";
+  config.mModels[{ "m" }] = {};
+  config.mServices[{ "s" }].mCalls = { { "GET", "/", true } };
+  config.mBackends[{ "e1" }].mZone = { "z" };
+  config.mBackends[{ "e1" }].mModels = { { "m" } };
+  config.mBackends[{ "s1" }].mKind = backend_kind::Service;
+  config.mBackends[{ "s1" }].mZone = { "z" };
+  config.mBackends[{ "s1" }].mServices = { { "s" } };
+  config.mWorkspaces[{ "w" }].mKeyHashes = { kHash };
+  config.mWorkspaces[{ "w" }].mBudgets = { { { "b" }, {} } };
+  return config;
+}
+
+struct change
+{
+  std::string mField;
+  // Part of the detail: the value and what would be right.
+  std::string mDetail;
+  std::function<void(config_document&)> mMake;
+};
+
+std::vector<change> BadFleets()
+{
+  using c = config_document;
+  return {
+    { "fleet.account_shards", "0 is not between 1 and 4096",
+      [](c& a) { a.mFleet.mAccountShards = 0; } },
+    { "fleet.account_shards", "4097 is not",
+      [](c& a) { a.mFleet.mAccountShards = 4097; } },
+    { "fleet.claim_shards", "0 is not",
+      [](c& a) { a.mFleet.mClaimShards = 0; } },
+    { "fleet.request_timeout", "0 is not between 1ms and 24h",
+      [](c& a) { a.mFleet.mRequestTimeout = absl::ZeroDuration(); } },
+    { "fleet.request_timeout", "inf is not",
+      [](c& a) { a.mFleet.mRequestTimeout = absl::InfiniteDuration(); } },
+    { "fleet.queue_timeout", "-1s is not",
+      [](c& a) { a.mFleet.mQueueTimeout = -absl::Seconds(1); } },
+    { "fleet.queue_length", "-1 is not between 0 and 100000",
+      [](c& a) { a.mFleet.mQueueLength = -1; } },
+  };
+}
+
+std::vector<change> BadTargets()
+{
+  using c = config_document;
+  return {
+    { "models.a/b", "\"a/b\" must be 1 to 128",
+      [](c& a) { a.mModels[{ "a/b" }] = {}; } },
+    { "models.", "\"\" must be 1 to 128",
+      [](c& a) { a.mModels[{ "" }] = {}; } },
+    { "models." + std::string(129, 'x'), "must be 1 to 128",
+      [](c& a) { a.mModels[{ std::string(129, 'x') }] = {}; } },
+    { "models.m.prompt_price", "-1 is not between 0 and 1000000",
+      [](c& a) { a.mModels[{ "m" }].mPromptPrice = -1; } },
+    { "models.m.completion_price", "1000001 is not",
+      [](c& a) { a.mModels[{ "m" }].mCompletionPrice = 1'000'001; } },
+    { "models.m.max_tokens", "0 is not between 1 and 10000000",
+      [](c& a) { a.mModels[{ "m" }].mMaxTokens = 0; } },
+    { "models.m.default_max_tokens", "8193 is not between 1 and 8192",
+      [](c& a) { a.mModels[{ "m" }].mDefaultMaxTokens = 8193; } },
+    { "services.s.calls[0].method", "\"get\" is not GET, POST",
+      [](c& a) { a.mServices[{ "s" }].mCalls[0].mMethod = "get"; } },
+    { "services.s.calls[0].path", "\"x\" does not start with /",
+      [](c& a) { a.mServices[{ "s" }].mCalls[0].mPathPrefix = "x"; } },
+    { "services.s.call_price", "-1 is not",
+      [](c& a) { a.mServices[{ "s" }].mCallPrice = -1; } },
+    { "services.s.timeout", "0 is not",
+      [](c& a) { a.mServices[{ "s" }].mTimeout = {}; } },
+    { "backends.e1.models", "\"x\" is not a configured model",
+      [](c& a) { a.mBackends[{ "e1" }].mModels = { { "x" } }; } },
+    { "backends.s1.services", "\"x\" is not a configured service",
+      [](c& a) { a.mBackends[{ "s1" }].mServices = { { "x" } }; } },
+    { "backends.e1.kind", "engine needs models and no services",
+      [](c& a) { a.mBackends[{ "e1" }].mModels.clear(); } },
+    { "backends.e1.kind", "engine needs models and no services",
+      [](c& a) { a.mBackends[{ "e1" }].mServices = { { "s" } }; } },
+    { "backends.s1.kind", "service needs services and no models",
+      [](c& a) { a.mBackends[{ "s1" }].mModels = { { "m" } }; } },
+    { "backends.e1.zone", "\"\" must be 1 to 128",
+      [](c& a) { a.mBackends[{ "e1" }].mZone = {}; } },
+    { "backends.e1.max_concurrency", "0 is not between 1 and 100000",
+      [](c& a) { a.mBackends[{ "e1" }].mMaxConcurrency = 0; } },
+  };
+}
+
+std::vector<change> BadWorkspaces()
+{
+  using c = config_document;
+  const auto with = [](auto aSet) {
+    return [aSet](c& a) { aSet(a.mWorkspaces[{ "w" }]); };
+  };
+  using w = workspace_config;
+  return {
+    { "workspaces.w.key_hashes", "64 lower-case hexadecimal",
+      with([](w& a) { a.mKeyHashes = { std::string(63, 'a') }; }) },
+    { "workspaces.w.key_hashes", "64 lower-case hexadecimal",
+      with([](w& a) { a.mKeyHashes = { std::string(64, 'A') }; }) },
+    { "workspaces.w.budgets", "at least one budget",
+      with([](w& a) { a.mBudgets.clear(); }) },
+    { "workspaces.w.budgets.id", "\"a b\" must be",
+      with([](w& a) { a.mBudgets[0].mBudget = { "a b" }; }) },
+    { "workspaces.w.rate_per_second", "-1 is not between 0 and",
+      with([](w& a) { a.mRatePerSecond = -1; }) },
+    { "workspaces.w.burst", "-1 is not", with([](w& a) { a.mBurst = -1; }) },
+    { "workspaces.w.max_concurrency", "-1 is not",
+      with([](w& a) { a.mMaxConcurrency = -1; }) },
+    { "workspaces.w.share_horizon", "0 is not",
+      with([](w& a) { a.mShareHorizon = {}; }) },
+    { "workspaces.x", "budget \"b\" also belongs to workspace \"w\"",
+      [](c& a) {
+        a.mWorkspaces[{ "x" }].mBudgets = { { { "b" }, {} } };
+      } },
+    { "workspaces.x", "key hash aaaaaaaa... also belongs to workspace \"w\"",
+      [](c& a) {
+        a.mWorkspaces[{ "x" }].mKeyHashes = { kHash };
+        a.mWorkspaces[{ "x" }].mBudgets = { { { "b2" }, {} } };
+      } },
+  };
+}
+
+// The patch that turns aFrom into aTo.
+config_patch PatchTo(const config_document& aFrom, const config_document& aTo,
+                     const std::string& aId)
+{
+  config_patch patch;
+  patch.mPatchId = aId;
+  patch.mIfVersion = aFrom.mVersion;
+  patch.mFleet = aTo.mFleet;
+  const auto fill = [](const auto& aOld, const auto& aNew, auto& aInto) {
+    for (const auto& [id, value] : aOld) {
+      if (aNew.count(id) == 0) {
+        aInto[id] = std::nullopt;
+      }
+    }
+    for (const auto& [id, value] : aNew) {
+      aInto[id] = value;
+    }
+  };
+  fill(aFrom.mModels, aTo.mModels, patch.mModels);
+  fill(aFrom.mServices, aTo.mServices, patch.mServices);
+  fill(aFrom.mBackends, aTo.mBackends, patch.mBackends);
+  fill(aFrom.mWorkspaces, aTo.mWorkspaces, patch.mWorkspaces);
+  return patch;
+}
+
+// Each rule of CheckConfig alone, directly and through a patch: a document
+// that breaks one must not get into the store on either way.
+BOOST_AUTO_TEST_CASE(invalid_documents_are_refused_with_field_and_value)
+{
+  BOOST_REQUIRE(IsOk(CheckConfig(Good())));
+  for (const auto& table : { BadFleets(), BadTargets(), BadWorkspaces() }) {
+    for (const change& bad : table) {
+      config_document config = Good();
+      bad.mMake(config);
+      const auto checked = CheckConfig(config);
+      BOOST_TEST_CONTEXT(bad.mField << ": " << bad.mDetail)
+      {
+        BOOST_REQUIRE(!IsOk(checked));
+        BOOST_TEST((ErrorOf(checked).mCode == error_code::InvalidConfig));
+        BOOST_TEST(ErrorOf(checked).mField == bad.mField);
+        BOOST_TEST(ErrorOf(checked).mDetail.find(bad.mDetail) !=
+                     std::string::npos,
+                   ErrorOf(checked).mDetail);
+        config_document stored = Good();
+        BOOST_TEST((ApplyOp(stored, PatchTo(Good(), config, "p")) ==
+                    op_outcome::Denied));
+        BOOST_TEST(stored.mVersion == Good().mVersion);
+      }
+    }
+  }
+}
+
+// A reference to a removed entry would send requests to nothing.
+BOOST_AUTO_TEST_CASE(entries_in_use_cannot_be_removed)
+{
+  config_patch patch;
+  patch.mIfVersion = 7;
+  patch.mPatchId = "p";
+  patch.mModels[{ "m" }] = std::nullopt;
+  const auto refused = ApplyPatch(Good(), patch);
+  BOOST_REQUIRE(!IsOk(refused));
+  BOOST_TEST(ErrorOf(refused).mField == "backends.e1.models");
+  patch.mBackends[{ "e1" }] = std::nullopt;
+  const auto applied = ApplyPatch(Good(), patch);
+  BOOST_REQUIRE(IsOk(applied));
+  BOOST_TEST(ValueOf(applied).mModels.empty());
+  BOOST_TEST(ValueOf(applied).mBackends.size() == 1u);
+}
+
+// Another shard count would look for accounts where they are not.
+BOOST_AUTO_TEST_CASE(shard_counts_are_fixed_by_the_first_version)
+{
+  config_document empty;
+  config_patch first;
+  first.mPatchId = "p0";
+  first.mFleet.emplace().mAccountShards = 16;
+  auto made = ApplyPatch(empty, first);
+  BOOST_REQUIRE(IsOk(made));
+  BOOST_TEST(ValueOf(made).mVersion == 1u);
+  BOOST_TEST(ValueOf(made).mFleet.mAccountShards == 16u);
+  for (const bool accounts : { true, false }) {
+    config_patch later;
+    later.mPatchId = "p1";
+    later.mIfVersion = 1;
+    later.mFleet = ValueOf(made).mFleet;
+    (accounts ? later.mFleet->mAccountShards : later.mFleet->mClaimShards)++;
+    BOOST_TEST(!IsOk(ApplyPatch(ValueOf(made), later)));
+  }
+}
+
+// All versions from 0 to 4 against all versions from 0 to 4: only the exact
+// one may apply, whatever the identifier.
+BOOST_AUTO_TEST_CASE(patches_apply_to_their_version_only)
+{
+  config_document config;
+  for (config_version current = 0; current < 5; ++current) {
+    for (config_version wanted = 0; wanted < 5; ++wanted) {
+      config_patch patch;
+      patch.mIfVersion = wanted;
+      patch.mPatchId = "other";
+      const auto applied = ApplyPatch(config, patch);
+      BOOST_TEST(IsOk(applied) == (wanted == current));
+      if (!IsOk(applied)) {
+        BOOST_TEST((ErrorOf(applied).mCode == error_code::VersionConflict));
+        BOOST_TEST((ErrorOf(applied).mRan == ran::No));
+        config_document copy = config;
+        BOOST_TEST((ApplyOp(copy, patch) == op_outcome::Denied));
+      }
+    }
+    config_patch next;
+    next.mIfVersion = current;
+    next.mPatchId = "p" + std::to_string(current);
+    BOOST_REQUIRE((ApplyOp(config, next) == op_outcome::Applied));
+    BOOST_REQUIRE(config.mVersion == current + 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_highest_version_number_does_not_wrap)
+{
+  config_document config = Good();
+  config_patch patch;
+  patch.mPatchId = "p";
+  patch.mIfVersion = std::numeric_limits<config_version>::max();
+  BOOST_TEST((ApplyOp(config, patch) == op_outcome::Denied));
+}
+
+// Two patches without identifiers for the same version: the second must not
+// be reported as applied, since it was not.
+BOOST_AUTO_TEST_CASE(patches_without_identifier_are_not_taken_for_each_other)
+{
+  config_document config = Good();
+  config_patch first;
+  first.mIfVersion = 7;
+  first.mModels[{ "first" }] = model_config{};
+  config_patch second;
+  second.mIfVersion = 7;
+  second.mModels[{ "second" }] = model_config{};
+  ApplyOp(config, first);
+  BOOST_TEST((ApplyOp(config, second) != op_outcome::AlreadyApplied));
+  BOOST_TEST(config.mModels.count({ "second" }) == 0u);
+}
+
+// --- Random sequences -------------------------------------------------------
+
+// A patch that changes some entries, valid or not, for a version near the
+// current one.
+config_patch RandomPatch(const config_document& aConfig)
+{
+  config_patch patch;
+  patch.mPatchId = "p" + std::to_string(*rc::gen::inRange(0, 6));
+  const int behind = *rc::gen::inRange(-1, 3);
+  const auto version = static_cast<std::int64_t>(aConfig.mVersion) - behind;
+  patch.mIfVersion =
+    static_cast<config_version>(std::max<std::int64_t>(version, 0));
+  const int changes = *rc::gen::inRange(0, 4);
+  for (int i = 0; i < changes; ++i) {
+    const model_id model{ "m" + std::to_string(*rc::gen::inRange(0, 4)) };
+    const backend_id backend{ "e" + std::to_string(*rc::gen::inRange(0, 3)) };
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        patch.mModels[model] = model_config{};
+        break;
+      case 1:
+        patch.mModels[model] = std::nullopt;
+        break;
+      case 2:
+        patch.mBackends[backend] = backend_config{};
+        patch.mBackends[backend]->mZone = { "z" };
+        patch.mBackends[backend]->mModels = { model };
+        break;
+      default:
+        patch.mBackends[backend] = std::nullopt;
+        break;
+    }
+  }
+  return patch;
+}
+
+bool SameContent(const config_document& aLeft, const config_document& aRight)
+{
+  const auto keys = [](const auto& aMap) {
+    std::vector<std::string> names;
+    for (const auto& entry : aMap) {
+      names.push_back(entry.first.mValue);
+    }
+    return names;
+  };
+  return aLeft.mVersion == aRight.mVersion &&
+         aLeft.mPatchIds == aRight.mPatchIds &&
+         keys(aLeft.mModels) == keys(aRight.mModels) &&
+         keys(aLeft.mBackends) == keys(aRight.mBackends);
+}
+
+// Whatever operators send, in whatever order: a version is exactly one above
+// the last, the document stays valid, a refused patch changes nothing, and an
+// applied patch sent again changes nothing.
+RC_BOOST_PROP(versions_rise_by_one_and_patches_apply_once, ())
+{
+  config_document config;
+  const int steps = *rc::gen::inRange(1, 30);
+  for (int i = 0; i < steps; ++i) {
+    const config_patch patch = RandomPatch(config);
+    const config_document before = config;
+    const op_outcome outcome = ApplyOp(config, patch);
+    RC_ASSERT(IsOk(CheckConfig(config)));
+    if (outcome != op_outcome::Applied) {
+      RC_ASSERT(SameContent(config, before));
+      continue;
+    }
+    RC_ASSERT(config.mVersion == before.mVersion + 1);
+    RC_ASSERT(patch.mIfVersion == before.mVersion);
+    const config_document once = config;
+    RC_ASSERT(ApplyOp(config, patch) == op_outcome::AlreadyApplied);
+    RC_ASSERT(SameContent(config, once));
+  }
+}
+
+// A router that lost the answer reads the document after others have patched
+// it further; it must recognise its own patch, and never another's.
+RC_BOOST_PROP(lost_answers_are_recognised_after_further_patches, ())
+{
+  config_document config;
+  config_patch mine;
+  mine.mPatchId = "mine";
+  mine.mIfVersion = 0;
+  config_patch rival = mine;
+  rival.mPatchId = "rival";
+  RC_ASSERT(ApplyOp(config, mine) == op_outcome::Applied);
+  const auto further = *rc::gen::inRange<config_version>(0, 2 * kPatchIdsKept);
+  for (config_version i = 0; i < further; ++i) {
+    config_patch other;
+    other.mPatchId = "other";
+    other.mIfVersion = config.mVersion;
+    RC_ASSERT(ApplyOp(config, other) == op_outcome::Applied);
+  }
+  RC_ASSERT(config.mPatchIds.size() <= kPatchIdsKept);
+  const bool kept = further < kPatchIdsKept;
+  RC_ASSERT(ApplyOp(config, mine) ==
+            (kept ? op_outcome::AlreadyApplied : op_outcome::Denied));
+  RC_ASSERT(ApplyOp(config, rival) == op_outcome::Denied);
+  RC_ASSERT(config.mVersion == further + 1);
+}
+
+// --- Look-ups ---------------------------------------------------------------
+
+// The wrong budget or workspace pays, or a call is run twice.
+BOOST_AUTO_TEST_CASE(lookups_take_the_first_match)
+{
+  config_document config = Good();
+  BOOST_REQUIRE(FindWorkspace(config, kHash) != nullptr);
+  BOOST_TEST(FindWorkspace(config, kHash)->first.mValue == "w");
+  BOOST_TEST(FindWorkspace(config, "") == nullptr);
+  workspace_config workspace;
+  workspace.mBudgets = { { { "large" }, { "m" } }, { { "rest" }, {} } };
+  BOOST_TEST(FindBudget(workspace, "m")->mBudget.mValue == "large");
+  BOOST_TEST(FindBudget(workspace, "x")->mBudget.mValue == "rest");
+  workspace.mBudgets.pop_back();
+  BOOST_TEST(FindBudget(workspace, "x") == nullptr);
+  BOOST_TEST(IsAllowed(workspace, "x"));
+  workspace.mAllowed = { "m" };
+  BOOST_TEST(IsAllowed(workspace, "m"));
+  BOOST_TEST(!IsAllowed(workspace, "x"));
+  service_config service;
+  BOOST_TEST(!IsRepeatable(service, "GET", "/"));
+  service.mCalls = { { "POST", "/cut", false }, { "*", "/", true } };
+  BOOST_TEST(!IsRepeatable(service, "POST", "/cut/7"));
+  BOOST_TEST(IsRepeatable(service, "GET", "/cut/7"));
+  BOOST_TEST(IsRepeatable(service, "POST", "/quote"));
+  BOOST_TEST(!IsRepeatable(service, "POST", "cut"));
+}
+
+} // namespace
+} // namespace foxtailquay
