--- /dev/null
+++ b/src/runtime/log.cc
@@ -0,0 +1,171 @@
+#include "runtime/log.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "log4cxx/basicconfigurator.h"
+#include "log4cxx/consoleappender.h"
+#include "log4cxx/logger.h"
+#include "log4cxx/patternlayout.h"
+
+namespace foxtailquay {
+
+namespace {
+
+log4cxx::LevelPtr LevelOf(log_level aLevel)
+{
+  switch (aLevel) {
+    case log_level::Debug:
+      return log4cxx::Level::getDebug();
+    case log_level::Info:
+      return log4cxx::Level::getInfo();
+    case log_level::Warn:
+      return log4cxx::Level::getWarn();
+    case log_level::Error:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+// Loggers are looked up once: the lookup by name takes a lock.
+const log4cxx::LoggerPtr& LoggerOf(log_component aComponent)
+{
+  static const auto kLoggers = [] {
+    std::array<log4cxx::LoggerPtr, CountOf<log_component>()> loggers;
+    for (const auto& entry : NameTable(log_component{})) {
+      loggers[static_cast<std::size_t>(entry.mValue)] =
+        log4cxx::Logger::getLogger(std::string(entry.mName));
+    }
+    return loggers;
+  }();
+  return kLoggers[static_cast<std::size_t>(aComponent)];
+}
+
+bool NeedsQuotes(const std::string& aValue)
+{
+  return aValue.empty() ||
+         std::any_of(aValue.begin(), aValue.end(), [](unsigned char aChar) {
+           return aChar <= ' ' || aChar == '"' || aChar == '=' ||
+                  aChar == '\\' || aChar == 0x7f;
+         });
+}
+
+void AppendQuoted(std::string& aLine, const std::string& aValue)
+{
+  aLine += '"';
+  for (const char c : aValue) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      aLine += '\\';
+      aLine += c;
+    } else if (byte < ' ' || byte == 0x7f) {
+      absl::StrAppend(&aLine, "\\x", absl::Hex(byte, absl::kZeroPad2));
+    } else {
+      aLine += c;
+    }
+  }
+  aLine += '"';
+}
+
+template<typename Enum>
+std::string NamesText()
+{
+  std::vector<std::string> names;
+  for (const auto& entry : NameTable(Enum{})) {
+    names.emplace_back(entry.mName);
+  }
+  return absl::StrJoin(names, ", ");
+}
+
+error LevelsError(std::string aDetail)
+{
+  return error{ error_code::InvalidSetting, ran::No, "--log_levels",
+                std::move(aDetail), absl::ZeroDuration() };
+}
+
+} // namespace
+
+void StartLog(const log_options& aOptions)
+{
+  const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
+    "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %p %c %m%n"));
+  const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
+    layout, log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(appender);
+  for (const auto& entry : NameTable(log_component{})) {
+    const auto own = aOptions.mLevels.find(entry.mValue);
+    LoggerOf(entry.mValue)
+      ->setLevel(LevelOf(own == aOptions.mLevels.end() ? aOptions.mLevel
+                                                       : own->second));
+  }
+}
+
+bool IsLogged(log_component aComponent, log_level aLevel)
+{
+  return LoggerOf(aComponent)->isEnabledFor(LevelOf(aLevel));
+}
+
+std::string FormatLogLine(log_event aEvent,
+                          std::initializer_list<log_field> aFields)
+{
+  std::string line(NameOf(aEvent));
+  for (const log_field& field : aFields) {
+    line += ' ';
+    line += field.mKey;
+    line += '=';
+    if (NeedsQuotes(field.mValue)) {
+      AppendQuoted(line, field.mValue);
+    } else {
+      line += field.mValue;
+    }
+  }
+  return line;
+}
+
+void Log(log_component aComponent, log_level aLevel, log_event aEvent,
+         std::initializer_list<log_field> aFields)
+{
+  if (IsLogged(aComponent, aLevel)) {
+    LoggerOf(aComponent)
+      ->forcedLog(LevelOf(aLevel), FormatLogLine(aEvent, aFields),
+                  log4cxx::spi::LocationInfo::getLocationUnavailable());
+  }
+}
+
+result<std::map<log_component, log_level>> ParseLogLevels(
+  std::string_view aText)
+{
+  std::map<log_component, log_level> levels;
+  if (aText.empty()) {
+    return levels;
+  }
+  for (const std::string& part : std::vector<std::string>(absl::StrSplit(
+         absl::string_view(aText.data(), aText.size()), ','))) {
+    const std::vector<std::string> pair = absl::StrSplit(part, '=');
+    if (pair.size() != 2) {
+      return LevelsError(
+        absl::StrCat("\"", part, "\" is not component=level"));
+    }
+    const auto component = FromName<log_component>(pair[0]);
+    if (!component) {
+      return LevelsError(absl::StrCat("unknown component \"", pair[0],
+                                      "\"; it must be one of ",
+                                      NamesText<log_component>()));
+    }
+    const auto level = FromName<log_level>(pair[1]);
+    if (!level) {
+      return LevelsError(absl::StrCat("unknown level \"", pair[1],
+                                      "\"; it must be one of ",
+                                      NamesText<log_level>()));
+    }
+    levels[*component] = *level;
+  }
+  return levels;
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/runtime/log.h
@@ -0,0 +1,163 @@
+// Structured logging: one event name and key=value fields per line.
+//
+//   Log(log_component::Dispatch, log_level::Info, log_event::RunRefused,
+//       { { "request", id }, { "code", code } });
+//
+// A component's level is a setting. Secrets (API keys, operator and peer keys,
+// request and response bodies) are never passed to Log.
+
+#ifndef FOXTAILQUAY_RUNTIME_LOG_H
+#define FOXTAILQUAY_RUNTIME_LOG_H
+
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "foxtailquay/name_table.h"
+#include "foxtailquay/result.h"
+
+namespace foxtailquay {
+
+enum class log_component
+{
+  Daemon,
+  Control,
+  Frontend,
+  Dispatch,
+  Operator,
+  Peer,
+  Store,
+  Agent,
+  Engine,
+};
+
+constexpr auto NameTable(log_component)
+{
+  return MakeNameTable<log_component>(
+    { { log_component::Daemon, "daemon" },
+      { log_component::Control, "control" },
+      { log_component::Frontend, "frontend" },
+      { log_component::Dispatch, "dispatch" },
+      { log_component::Operator, "operator" },
+      { log_component::Peer, "peer" },
+      { log_component::Store, "store" },
+      { log_component::Agent, "agent" },
+      { log_component::Engine, "engine" } });
+}
+
+enum class log_level
+{
+  Debug,
+  Info,
+  Warn,
+  Error,
+};
+
+constexpr auto NameTable(log_level)
+{
+  return MakeNameTable<log_level>({ { log_level::Debug, "debug" },
+                                    { log_level::Info, "info" },
+                                    { log_level::Warn, "warn" },
+                                    { log_level::Error, "error" } });
+}
+
+enum class log_event
+{
+  ProcessStarted,
+  ProcessStopping,
+  ProcessStopped,
+  StartFailed,
+  SignalReceived,
+  RequestReceived,
+  RequestAnswered,
+  RequestRefused,
+  CallerGone,
+  RunDispatched,
+  RunAccepted,
+  RunRefused,
+  RunFinished,
+  RunFailed,
+  RunCancelled,
+  EventDropped,
+  MessageReceived,
+  MessageDropped,
+  MessageInvalid,
+  PeerUnreachable,
+  StoreCalled,
+  StoreFailed,
+  OperatorRequest,
+  OperatorRefused,
+  BackendUnreachable,
+  CommandForwarded,
+  ConnectionRefused,
+};
+
+constexpr auto NameTable(log_event)
+{
+  using e = log_event;
+  return MakeNameTable<e>({
+    { e::ProcessStarted, "process_started" },
+    { e::ProcessStopping, "process_stopping" },
+    { e::ProcessStopped, "process_stopped" },
+    { e::StartFailed, "start_failed" },
+    { e::SignalReceived, "signal_received" },
+    { e::RequestReceived, "request_received" },
+    { e::RequestAnswered, "request_answered" },
+    { e::RequestRefused, "request_refused" },
+    { e::CallerGone, "caller_gone" },
+    { e::RunDispatched, "run_dispatched" },
+    { e::RunAccepted, "run_accepted" },
+    { e::RunRefused, "run_refused" },
+    { e::RunFinished, "run_finished" },
+    { e::RunFailed, "run_failed" },
+    { e::RunCancelled, "run_cancelled" },
+    { e::EventDropped, "event_dropped" },
+    { e::MessageReceived, "message_received" },
+    { e::MessageDropped, "message_dropped" },
+    { e::MessageInvalid, "message_invalid" },
+    { e::PeerUnreachable, "peer_unreachable" },
+    { e::StoreCalled, "store_called" },
+    { e::StoreFailed, "store_failed" },
+    { e::OperatorRequest, "operator_request" },
+    { e::OperatorRefused, "operator_refused" },
+    { e::BackendUnreachable, "backend_unreachable" },
+    { e::CommandForwarded, "command_forwarded" },
+    { e::ConnectionRefused, "connection_refused" },
+  });
+}
+
+struct log_field
+{
+  std::string_view mKey;
+  std::string mValue;
+};
+
+struct log_options
+{
+  log_level mLevel = log_level::Info;
+  std::map<log_component, log_level> mLevels;
+};
+
+// Sends log lines to the standard error stream. Call once, before any thread
+// logs.
+void StartLog(const log_options& aOptions);
+
+// Any thread.
+bool IsLogged(log_component aComponent, log_level aLevel);
+void Log(log_component aComponent, log_level aLevel, log_event aEvent,
+         std::initializer_list<log_field> aFields);
+
+// The text of one line: "event key=value ...". A value that is empty or has
+// spaces, quotes, '=' or control characters is quoted and escaped, so that it
+// cannot forge another field or line.
+std::string FormatLogLine(log_event aEvent,
+                          std::initializer_list<log_field> aFields);
+
+// Parses "component=level,...". Errors: InvalidSetting.
+result<std::map<log_component, log_level>> ParseLogLevels(
+  std::string_view aText);
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/src/runtime/timer.cc
@@ -0,0 +1,76 @@
+#include "runtime/timer.h"
+
+#include "runtime/clock.h"
+
+namespace foxtailquay {
+
+namespace {
+
+void RunTimer(timer& aTimer)
+{
+  absl::MutexLock lock(&aTimer.mMutex);
+  while (!aTimer.mStopping) {
+    if (aTimer.mEntries.empty()) {
+      aTimer.mChanged.Wait(&aTimer.mMutex);
+      continue;
+    }
+    const auto first = aTimer.mEntries.begin();
+    const absl::Duration left = first->first.first - MonotonicNow();
+    if (left > absl::ZeroDuration()) {
+      aTimer.mChanged.WaitWithTimeout(&aTimer.mMutex, left);
+      continue;
+    }
+    const std::function<void()> callback = std::move(first->second);
+    aTimer.mRunning = first->first;
+    aTimer.mEntries.erase(first);
+    aTimer.mMutex.Unlock();
+    callback();
+    aTimer.mMutex.Lock();
+    aTimer.mRunning = { absl::InfinitePast(), 0 };
+    aTimer.mChanged.SignalAll();
+  }
+}
+
+} // namespace
+
+result<success> StartTimer(timer& aTimer)
+{
+  auto thread = StartThread("timer", [&aTimer] { RunTimer(aTimer); });
+  if (!IsOk(thread)) {
+    return ErrorOf(thread);
+  }
+  aTimer.mThread = ValueOf(thread);
+  return success{};
+}
+
+timer_id Schedule(timer& aTimer, absl::Time aWhen,
+                  std::function<void()> aCallback)
+{
+  absl::MutexLock lock(&aTimer.mMutex);
+  const timer_id id{ aWhen, aTimer.mNextNumber++ };
+  aTimer.mEntries[id] = std::move(aCallback);
+  aTimer.mChanged.SignalAll();
+  return id;
+}
+
+void Cancel(timer& aTimer, const timer_id& aId)
+{
+  absl::MutexLock lock(&aTimer.mMutex);
+  aTimer.mEntries.erase(aId);
+  while (aTimer.mRunning == aId) {
+    aTimer.mChanged.Wait(&aTimer.mMutex);
+  }
+}
+
+void StopTimer(timer& aTimer)
+{
+  {
+    absl::MutexLock lock(&aTimer.mMutex);
+    aTimer.mStopping = true;
+    aTimer.mEntries.clear();
+    aTimer.mChanged.SignalAll();
+  }
+  Join(aTimer.mThread);
+}
+
+} // namespace foxtailquay
