--- /dev/null
+++ b/src/wire/error_codec.cc
@@ -0,0 +1,69 @@
+#include "wire/error_codec.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace foxtailquay {
+
+error_type TypeOf(error_code aCode)
+{
+  switch (HttpStatusOf(aCode)) {
+    case 401:
+      return error_type::Authentication;
+    case 402:
+      return error_type::InsufficientQuota;
+    case 429:
+      return error_type::RateLimit;
+    case 409:
+      return error_type::Conflict;
+    case 400:
+    case 404:
+    case 413:
+    case 499:
+      return error_type::InvalidRequest;
+    default:
+      return error_type::Server;
+  }
+}
+
+Json::Value ToJson(const error& aError)
+{
+  Json::Value body(Json::objectValue);
+  body["message"] = aError.mDetail.empty() ? std::string(NameOf(aError.mCode))
+                                           : aError.mDetail;
+  body["type"] = std::string(NameOf(TypeOf(aError.mCode)));
+  body["code"] = std::string(NameOf(aError.mCode));
+  body["param"] =
+    aError.mField.empty() ? Json::Value() : Json::Value(aError.mField);
+  body["ran"] = std::string(NameOf(aError.mRan));
+  Json::Value json(Json::objectValue);
+  json["error"] = body;
+  return json;
+}
+
+result<error> ErrorFromJson(const Json::Value& aJson)
+{
+  const Json::Value& body =
+    aJson.isObject() ? aJson["error"] : Json::Value::nullSingleton();
+  const auto text = [&body](const char* aName) {
+    const Json::Value& value =
+      body.isObject() ? body[aName] : Json::Value::nullSingleton();
+    return value.isString() ? value.asString() : std::string();
+  };
+  const auto code = FromName<error_code>(text("code"));
+  const auto whetherRan = FromName<ran>(text("ran"));
+  if (!code || !whetherRan) {
+    return error{ error_code::ProtocolViolation, ran::Unknown, "error",
+                  "expected an error object with code and ran",
+                  absl::ZeroDuration() };
+  }
+  return error{ *code, *whetherRan, text("param"), text("message"),
+                absl::ZeroDuration() };
+}
+
+int RetryAfterSeconds(const error& aError)
+{
+  return static_cast<int>(
+    absl::ToInt64Seconds(absl::Ceil(aError.mRetryAfter, absl::Seconds(1))));
+}
+
+} // namespace foxtailquay
