--- /dev/null
+++ b/src/wire/completion.cc
@@ -0,0 +1,373 @@
+#include "wire/completion.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "wire/document_codec.h"
+#include "wire/usage_meter.h"
+#include "xxhash.h"
+
+namespace foxtailquay {
+
+namespace {
+
+error FieldFault(std::string aField, std::string aDetail)
+{
+  return error{ error_code::InvalidRequest, ran::No, std::move(aField),
+                std::move(aDetail), absl::ZeroDuration() };
+}
+
+// --- Prompts ----------------------------------------------------------------
+
+// Appends a message's content, which is text or a list of text parts.
+result<success> AppendContent(const Json::Value& aContent,
+                              const std::string& aPath, std::string& aPrompt)
+{
+  if (aContent.isNull()) {
+    return success{};
+  }
+  if (aContent.isString()) {
+    aPrompt += aContent.asString();
+    return success{};
+  }
+  if (!aContent.isArray()) {
+    return FieldFault(aPath, "must be a string or an array of text parts");
+  }
+  for (Json::ArrayIndex i = 0; i < aContent.size(); ++i) {
+    const Json::Value& part = aContent[i];
+    // The tokens of other kinds of part have no bound that is known here.
+    if (!part.isObject() || part["type"] != "text" ||
+        !part["text"].isString()) {
+      return FieldFault(absl::StrCat(aPath, "[", i, "]"),
+                        "only parts of type text are supported");
+    }
+    aPrompt += part["text"].asString();
+  }
+  return success{};
+}
+
+// Tokens that an engine's chat template may add around one message.
+constexpr token_count kTemplateTokensPerMessage = 8;
+
+result<success> ReadMessages(const Json::Value& aBody,
+                             completion_request& aRequest)
+{
+  const Json::Value& messages = aBody["messages"];
+  if (!messages.isArray() || messages.empty()) {
+    return FieldFault("messages", "must be an array with a message");
+  }
+  for (Json::ArrayIndex i = 0; i < messages.size(); ++i) {
+    const std::string path = absl::StrCat("messages[", i, "]");
+    const Json::Value& message = messages[i];
+    if (!message.isObject() || !message["role"].isString()) {
+      return FieldFault(path, "must be an object with a role");
+    }
+    aRequest.mPrompt += message["role"].asString() + "\n";
+    auto content = AppendContent(message["content"], path + ".content",
+                                 aRequest.mPrompt);
+    if (!IsOk(content)) {
+      return content;
+    }
+    if (message.isMember("tool_calls")) {
+      aRequest.mPrompt += ToText(message["tool_calls"]);
+    }
+    aRequest.mPrompt += "\n";
+  }
+  aRequest.mPromptTokensBound = kTemplateTokensPerMessage * messages.size();
+  for (const char* name : { "tools", "functions", "response_format" }) {
+    if (aBody.isMember(name)) {
+      aRequest.mPromptTokensBound +=
+        static_cast<token_count>(ToText(aBody[name]).size());
+    }
+  }
+  return success{};
+}
+
+result<success> ReadTextPrompt(const Json::Value& aBody,
+                               completion_request& aRequest)
+{
+  const Json::Value& prompt = aBody["prompt"];
+  const Json::Value& text =
+    prompt.isArray() && prompt.size() == 1 ? prompt[0] : prompt;
+  if (!text.isString()) {
+    return FieldFault("prompt", "must be a string");
+  }
+  aRequest.mPrompt = text.asString();
+  return success{};
+}
+
+// --- Other fields -----------------------------------------------------------
+
+result<success> ReadMaxTokens(const Json::Value& aBody,
+                              completion_request& aRequest)
+{
+  for (const char* name : { "max_tokens", "max_completion_tokens" }) {
+    const Json::Value& value = aBody[name];
+    if (value.isNull()) {
+      continue;
+    }
+    if (!value.isInt64() || value.asInt64() < 1) {
+      return FieldFault(name, "must be a whole number of at least 1");
+    }
+    aRequest.mMaxTokens =
+      std::min(aRequest.mMaxTokens.value_or(value.asInt64()), value.asInt64());
+  }
+  return success{};
+}
+
+result<success> ReadOptions(const Json::Value& aBody,
+                            completion_request& aRequest)
+{
+  if (!aBody["model"].isString() || aBody["model"].asString().empty()) {
+    return FieldFault("model", "must be the name of a model");
+  }
+  aRequest.mModel = aBody["model"].asString();
+  const Json::Value& stream = aBody["stream"];
+  if (!stream.isNull() && !stream.isBool()) {
+    return FieldFault("stream", "must be true or false");
+  }
+  aRequest.mStream = stream.isBool() && stream.asBool();
+  // The reservation covers one completion.
+  for (const char* name : { "n", "best_of" }) {
+    if (!aBody[name].isNull() && aBody[name] != 1) {
+      return FieldFault(name, "only 1 is supported");
+    }
+  }
+  return ReadMaxTokens(aBody, aRequest);
+}
+
+// --- Answers ----------------------------------------------------------------
+
+const Json::Value& FirstChoice(const Json::Value& aEvent)
+{
+  const Json::Value& choices =
+    aEvent.isObject() ? aEvent["choices"] : Json::Value::nullSingleton();
+  return choices.isArray() && !choices.empty() && choices[0].isObject()
+           ? choices[0]
+           : Json::Value::nullSingleton();
+}
+
+void AppendText(const Json::Value& aValue, std::string& aText)
+{
+  if (aValue.isString()) {
+    aText += aValue.asString();
+  }
+}
+
+// Merges one piece of a tool call: strings of `arguments` are concatenated.
+void AddToolCall(completion_assembly& aAssembly, const Json::Value& aPiece)
+{
+  // Bounds the list against an index that an engine made up.
+  constexpr unsigned kMaxToolCalls = 128;
+  if (!aPiece.isObject()) {
+    return;
+  }
+  const unsigned index = aPiece["index"].isUInt() ? aPiece["index"].asUInt() : 0;
+  if (index >= kMaxToolCalls) {
+    return;
+  }
+  if (aAssembly.mToolCalls.size() <= index) {
+    aAssembly.mToolCalls.resize(index + 1, Json::Value(Json::objectValue));
+  }
+  Json::Value& call = aAssembly.mToolCalls[index];
+  for (const char* name : { "id", "type" }) {
+    if (aPiece[name].isString()) {
+      call[name] = aPiece[name];
+    }
+  }
+  const Json::Value& function = aPiece["function"];
+  if (function.isObject()) {
+    for (const char* name : { "name", "arguments" }) {
+      std::string text = call["function"][name].asString();
+      AppendText(function[name], text);
+      call["function"][name] = text;
+    }
+  }
+}
+
+void AddDelta(completion_assembly& aAssembly, const Json::Value& aDelta)
+{
+  if (!aDelta.isObject()) {
+    return;
+  }
+  AppendText(aDelta["content"], aAssembly.mText);
+  AppendText(aDelta["reasoning_content"], aAssembly.mReasoning);
+  if (aDelta["role"].isString()) {
+    aAssembly.mRole = aDelta["role"].asString();
+  }
+  if (aDelta["tool_calls"].isArray()) {
+    for (const Json::Value& piece : aDelta["tool_calls"]) {
+      AddToolCall(aAssembly, piece);
+    }
+  }
+}
+
+Json::Value ChatMessage(const completion_assembly& aAssembly)
+{
+  Json::Value message(Json::objectValue);
+  message["role"] = aAssembly.mRole;
+  message["content"] = aAssembly.mText;
+  if (!aAssembly.mReasoning.empty()) {
+    message["reasoning_content"] = aAssembly.mReasoning;
+  }
+  if (!aAssembly.mToolCalls.empty()) {
+    Json::Value calls(Json::arrayValue);
+    for (const Json::Value& call : aAssembly.mToolCalls) {
+      calls.append(call);
+    }
+    message["tool_calls"] = calls;
+    if (aAssembly.mText.empty()) {
+      message["content"] = Json::Value();
+    }
+  }
+  return message;
+}
+
+// The members that all events of a stream share.
+Json::Value SharedMembers(const Json::Value& aEarlier)
+{
+  Json::Value shared(Json::objectValue);
+  for (const char* name :
+       { "id", "created", "model", "system_fingerprint", "object" }) {
+    if (aEarlier.isObject() && aEarlier.isMember(name)) {
+      shared[name] = aEarlier[name];
+    }
+  }
+  return shared;
+}
+
+Json::Value EventLike(completion_endpoint aEndpoint,
+                      const Json::Value& aEarlier)
+{
+  Json::Value event = SharedMembers(aEarlier);
+  if (!event.isMember("object")) {
+    event["object"] = aEndpoint == completion_endpoint::Chat
+                        ? "chat.completion.chunk"
+                        : "text_completion";
+  }
+  event["choices"] = Json::Value(Json::arrayValue);
+  return event;
+}
+
+} // namespace
+
+result<completion_request> ParseCompletion(completion_endpoint aEndpoint,
+                                           std::string_view aBody)
+{
+  auto json = ParseJson(aBody);
+  if (!IsOk(json)) {
+    return FieldFault("body", absl::StrCat("the body ",
+                                           ErrorOf(json).mDetail));
+  }
+  const Json::Value& body = ValueOf(json);
+  if (!body.isObject()) {
+    return FieldFault("body", "must be a JSON object");
+  }
+  completion_request request;
+  auto read = ReadOptions(body, request);
+  if (IsOk(read)) {
+    read = aEndpoint == completion_endpoint::Chat
+             ? ReadMessages(body, request)
+             : ReadTextPrompt(body, request);
+  }
+  if (!IsOk(read)) {
+    return ErrorOf(read);
+  }
+  request.mPromptTokensBound +=
+    static_cast<token_count>(request.mPrompt.size());
+  return request;
+}
+
+std::vector<std::uint64_t> PrefixHashes(std::string_view aPrompt)
+{
+  constexpr std::size_t kShortest = 256;
+  constexpr std::size_t kMostPrefixes = 8;
+  std::vector<std::uint64_t> hashes;
+  for (std::size_t size = kShortest;
+       size <= aPrompt.size() && hashes.size() < kMostPrefixes; size *= 2) {
+    hashes.push_back(XXH64(aPrompt.data(), size, 0));
+  }
+  return hashes;
+}
+
+result<std::string> EngineBody(const run_request& aRun)
+{
+  auto json = ParseJson(aRun.mBody);
+  if (!IsOk(json) || !ValueOf(json).isObject()) {
+    return FieldFault("body", "must be a JSON object");
+  }
+  Json::Value body = ValueOf(std::move(json));
+  body.removeMember("max_completion_tokens");
+  body["max_tokens"] = Json::Int64(aRun.mMaxTokens);
+  body["stream"] = true;
+  if (!body["stream_options"].isObject()) {
+    body["stream_options"] = Json::Value(Json::objectValue);
+  }
+  body["stream_options"]["include_usage"] = true;
+  return ToText(body);
+}
+
+void AddEvent(completion_assembly& aAssembly, const Json::Value& aEvent)
+{
+  if (aAssembly.mShared.isNull()) {
+    aAssembly.mShared = SharedMembers(aEvent);
+  }
+  const Json::Value& choice = FirstChoice(aEvent);
+  if (!choice.isObject()) {
+    return;
+  }
+  AppendText(choice["text"], aAssembly.mText);
+  AddDelta(aAssembly, choice["delta"]);
+  if (choice["finish_reason"].isString()) {
+    aAssembly.mFinishReason = choice["finish_reason"];
+  }
+}
+
+std::string FinishAssembly(const completion_assembly& aAssembly,
+                           const token_usage& aUsage)
+{
+  const bool chat = aAssembly.mEndpoint == completion_endpoint::Chat;
+  Json::Value answer = aAssembly.mShared.isObject()
+                         ? aAssembly.mShared
+                         : Json::Value(Json::objectValue);
+  answer["object"] = chat ? "chat.completion" : "text_completion";
+  Json::Value choice(Json::objectValue);
+  choice["index"] = 0;
+  choice["finish_reason"] = aAssembly.mFinishReason;
+  choice["logprobs"] = Json::Value();
+  if (chat) {
+    choice["message"] = ChatMessage(aAssembly);
+  } else {
+    choice["text"] = aAssembly.mText;
+  }
+  answer["choices"] = Json::Value(Json::arrayValue);
+  answer["choices"].append(choice);
+  answer["usage"] = UsageToJson(aUsage);
+  return ToText(answer);
+}
+
+Json::Value UsageEvent(completion_endpoint aEndpoint,
+                       const Json::Value& aEarlier, const token_usage& aUsage)
+{
+  Json::Value event = EventLike(aEndpoint, aEarlier);
+  event["usage"] = UsageToJson(aUsage);
+  return event;
+}
+
+Json::Value LengthEvent(completion_endpoint aEndpoint,
+                        const Json::Value& aEarlier)
+{
+  Json::Value event = EventLike(aEndpoint, aEarlier);
+  Json::Value choice(Json::objectValue);
+  choice["index"] = 0;
+  choice["finish_reason"] = "length";
+  if (aEndpoint == completion_endpoint::Chat) {
+    choice["delta"] = Json::Value(Json::objectValue);
+  } else {
+    choice["text"] = "";
+  }
+  event["choices"].append(choice);
+  return event;
+}
+
+} // namespace foxtailquay
--- a/src/wire/error_codec.cc
+++ b/src/wire/error_codec.cc
@@ -1,7 +1,5 @@
 #include "wire/error_codec.h"
 
-#include "absl/strings/str_cat.h"
-
 namespace foxtailquay {
 
 error_type TypeOf(error_code aCode)
@@ -40,7 +38,7 @@
   return json;
 }
 
-result<error> ErrorFromJson(const Json::Value& aJson)
+result<success> ReadError(const Json::Value& aJson, error& aInto)
 {
   const Json::Value& body =
     aJson.isObject() ? aJson["error"] : Json::Value::nullSingleton();
@@ -56,8 +54,9 @@
                   "expected an error object with code and ran",
                   absl::ZeroDuration() };
   }
-  return error{ *code, *whetherRan, text("param"), text("message"),
-                absl::ZeroDuration() };
+  aInto = error{ *code, *whetherRan, text("param"), text("message"),
+                 absl::ZeroDuration() };
+  return success{};
 }
 
 int RetryAfterSeconds(const error& aError)
--- a/src/wire/error_codec.h
+++ b/src/wire/error_codec.h
@@ -40,9 +40,9 @@
 // The whole body, {"error": {...}}.
 Json::Value ToJson(const error& aError);
 
-// Reads ToJson's form back. mRetryAfter is not part of it. Errors:
+// Reads ToJson's form back into aInto. mRetryAfter is not part of it. Errors:
 // ProtocolViolation if aJson is not such an object.
-result<error> ErrorFromJson(const Json::Value& aJson);
+result<success> ReadError(const Json::Value& aJson, error& aInto);
 
 // Retry-After in whole seconds, rounded up; 0 if a retry time is not known.
 int RetryAfterSeconds(const error& aError);
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -208,7 +208,7 @@
 template<typename Struct>
 Json::Value EncodeStruct(const Struct& aStruct)
 {
-  static const Struct kDefaults{};
+  [[maybe_unused]] static const Struct kDefaults{};
   Json::Value json(Json::objectValue);
   std::apply(
     [&](const auto&... aFields) {
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -1,7 +1,8 @@
 // JSON forms of the messages between processes.
 //
 // An envelope's JSON holds the sender, the versions it knows and the message
-// body; the kind of the message is the JSON-RPC method that carries it.
+// body; the kind of the message is the JSON-RPC method that carries it. The
+// fields are in message_fields.h.
 // Decoders are strict: an unknown or missing field is an error.
 
 #ifndef FOXTAILQUAY_WIRE_MESSAGE_CODEC_H
@@ -12,7 +13,6 @@
 #include "foxtailquay/messages.h"
 #include "foxtailquay/result.h"
 #include "json/json.h"
-#include "wire/json_fields.h"
 
 namespace foxtailquay {
 
@@ -66,10 +66,6 @@
 result<envelope> EnvelopeFromJson(message_kind aKind,
                                   const Json::Value& aJson);
 
-// The envelope's fields other than the message, for POST /run.
-void AddHeader(Json::Value& aJson, const envelope& aEnvelope);
-envelope ReadHeader(json_fields& aFields);
-
 } // namespace foxtailquay
 
 #endif
--- /dev/null
+++ b/src/wire/message_fields.h
@@ -0,0 +1,177 @@
+// Tables of the JSON fields of the messages between processes; see
+// json_fields.h.
+
+#ifndef FOXTAILQUAY_WIRE_MESSAGE_FIELDS_H
+#define FOXTAILQUAY_WIRE_MESSAGE_FIELDS_H
+
+#include <cstdint>
+#include <utility>
+
+#include "foxtailquay/messages.h"
+#include "wire/document_fields.h"
+
+namespace foxtailquay {
+
+// An account operation is a variant and has a codec of its own.
+template<>
+Json::Value EncodeValue<account_op>(const account_op& aOp);
+template<>
+result<success> DecodeValue<account_op>(const Json::Value& aJson,
+                                        const json_path& aPath,
+                                        account_op& aInto);
+
+using numbered_op = std::pair<std::uint64_t, account_op>;
+using numbered_outcome = std::pair<std::uint64_t, op_outcome>;
+
+constexpr auto FieldsOf(const numbered_op*)
+{
+  return std::make_tuple(Required("ticket", &numbered_op::first),
+                         Required("op", &numbered_op::second));
+}
+
+constexpr auto FieldsOf(const numbered_outcome*)
+{
+  return std::make_tuple(Required("ticket", &numbered_outcome::first),
+                         Required("outcome", &numbered_outcome::second));
+}
+
+constexpr auto FieldsOf(const store_key*)
+{
+  return std::make_tuple(Required("area", &store_key::mArea),
+                         Required("shard", &store_key::mShard));
+}
+
+constexpr auto FieldsOf(const load_report*)
+{
+  return std::make_tuple(
+    Required("backend", &load_report::mBackend),
+    Required("sequence", &load_report::mSequence),
+    Required("running", &load_report::mRunning),
+    Required("queued", &load_report::mQueued),
+    Required("leaving", &load_report::mLeaving),
+    Optional("cached_prefixes", &load_report::mCachedPrefixes),
+    Optional("loaded_models", &load_report::mLoadedModels));
+}
+
+constexpr auto FieldsOf(const gossip_message*)
+{
+  return std::make_tuple(Required("load", &gossip_message::mLoad),
+                         Optional("suspects", &gossip_message::mSuspects),
+                         Optional("alive", &gossip_message::mAlive),
+                         Required("is_reply", &gossip_message::mIsReply));
+}
+
+constexpr auto FieldsOf(const fetch_config_message*)
+{
+  return std::make_tuple();
+}
+
+constexpr auto FieldsOf(const config_message*)
+{
+  return std::make_tuple(Required("config", &config_message::mConfig));
+}
+
+constexpr auto FieldsOf(const fetch_members_message*)
+{
+  return std::make_tuple();
+}
+
+constexpr auto FieldsOf(const members_message*)
+{
+  return std::make_tuple(Required("version", &members_message::mVersion),
+                         Required("members", &members_message::mMembers));
+}
+
+constexpr auto FieldsOf(const usage_report_message*)
+{
+  return std::make_tuple(Required("records", &usage_report_message::mRecords));
+}
+
+constexpr auto FieldsOf(const usage_ack_message*)
+{
+  return std::make_tuple(Required("requests", &usage_ack_message::mRequests));
+}
+
+constexpr auto FieldsOf(const fence_query_message*)
+{
+  return std::make_tuple(Required("fenced", &fence_query_message::mFenced));
+}
+
+constexpr auto FieldsOf(const fence_ack_message*)
+{
+  return std::make_tuple(Required("fenced", &fence_ack_message::mFenced),
+                         Required("records", &fence_ack_message::mRecords),
+                         Required("transfers", &fence_ack_message::mTransfers));
+}
+
+constexpr auto FieldsOf(const transfer_request_message*)
+{
+  return std::make_tuple(Required("budget", &transfer_request_message::mBudget),
+                         Required("want", &transfer_request_message::mWant));
+}
+
+constexpr auto FieldsOf(const transfer_message*)
+{
+  return std::make_tuple(Required("transfer", &transfer_message::mTransfer));
+}
+
+constexpr auto FieldsOf(const hand_over_message*)
+{
+  return std::make_tuple(Required("ops", &hand_over_message::mOps),
+                         Required("transfers", &hand_over_message::mTransfers));
+}
+
+constexpr auto FieldsOf(const hand_over_ack_message*)
+{
+  return std::make_tuple();
+}
+
+constexpr auto FieldsOf(const commit_ops_message*)
+{
+  return std::make_tuple(Required("key", &commit_ops_message::mKey),
+                         Required("ops", &commit_ops_message::mOps));
+}
+
+constexpr auto FieldsOf(const commit_result_message*)
+{
+  return std::make_tuple(
+    Required("key", &commit_result_message::mKey),
+    Required("version", &commit_result_message::mVersion),
+    Required("outcomes", &commit_result_message::mOutcomes),
+    Required("accounts", &commit_result_message::mAccounts));
+}
+
+// The sender and the versions it knows; the message itself goes beside them.
+constexpr auto FieldsOf(const envelope*)
+{
+  return std::make_tuple(
+    Required("sender", &envelope::mSender), Required("role", &envelope::mRole),
+    Required("config_version", &envelope::mConfigVersion),
+    Required("members_version", &envelope::mMembersVersion));
+}
+
+// The body, which may be any bytes, goes beside them.
+constexpr auto FieldsOf(const run_request*)
+{
+  return std::make_tuple(
+    Required("request", &run_request::mRequest),
+    Required("backend", &run_request::mBackend),
+    Required("kind", &run_request::mKind),
+    Required("target", &run_request::mTarget),
+    Required("config_version", &run_request::mConfigVersion),
+    Required("max_tokens", &run_request::mMaxTokens),
+    Required("max_prompt_tokens", &run_request::mMaxPromptTokens),
+    Required("prompt_price", &run_request::mPromptPrice),
+    Required("completion_price", &run_request::mCompletionPrice),
+    Required("call_price", &run_request::mCallPrice),
+    Required("priority", &run_request::mPriority),
+    Required("timeout_ms", &run_request::mTimeout),
+    Required("method", &run_request::mMethod),
+    Required("path", &run_request::mPath),
+    Required("content_type", &run_request::mContentType),
+    Required("stream", &run_request::mStream));
+}
+
+} // namespace foxtailquay
+
+#endif
--- a/src/wire/run_codec.cc
+++ b/src/wire/run_codec.cc
@@ -1,187 +1,203 @@
 #include "wire/run_codec.h"
 
+#include <utility>
+
 #include "absl/strings/escaping.h"
 #include "wire/document_codec.h"
 #include "wire/error_codec.h"
-#include "wire/json_fields.h"
-#include "wire/message_codec.h"
+#include "wire/message_fields.h"
+#include "wire/utf8.h"
 
 namespace foxtailquay {
 
 namespace {
 
-// Length of the well-formed UTF-8 sequence at the start of aText, 0 if none.
-std::size_t SequenceLength(std::string_view aText)
-{
-  const auto byte = [&aText](std::size_t aAt) {
-    return static_cast<unsigned char>(aText[aAt]);
-  };
-  const unsigned char first = byte(0);
-  if (first < 0x80) {
-    return 1;
-  }
-  const std::size_t length = first >= 0xc2 && first <= 0xdf   ? 2
-                             : first >= 0xe0 && first <= 0xef ? 3
-                             : first >= 0xf0 && first <= 0xf4 ? 4
-                                                              : 0;
-  if (length == 0 || aText.size() < length) {
-    return 0;
-  }
-  for (std::size_t i = 1; i < length; ++i) {
-    if ((byte(i) & 0xc0) != 0x80) {
-      return 0;
-    }
-  }
-  // Overlong forms, surrogates and values above U+10FFFF.
-  const unsigned char second = byte(1);
-  if ((first == 0xe0 && second < 0xa0) || (first == 0xed && second > 0x9f) ||
-      (first == 0xf0 && second < 0x90) || (first == 0xf4 && second > 0x8f)) {
-    return 0;
-  }
-  return length;
+constexpr char kRun[] = "run";
+constexpr char kBody[] = "body";
+constexpr char kText[] = "text";
+constexpr char kError[] = "error";
+
+// A frame's fields by type; the text and the error go beside them.
+struct head_json
+{
+  std::uint64_t mNumber = 0;
+  frame_type mType = frame_type::Head;
+  std::string mRequest;
+  int mStatus = 0;
+  std::string mContentType;
+};
+
+constexpr auto FieldsOf(const head_json*)
+{
+  return std::make_tuple(Required("n", &head_json::mNumber),
+                         Required("type", &head_json::mType),
+                         Required("request", &head_json::mRequest),
+                         Required("status", &head_json::mStatus),
+                         Required("content_type", &head_json::mContentType));
+}
+
+struct data_json
+{
+  std::uint64_t mNumber = 0;
+  frame_type mType = frame_type::Data;
+};
+
+constexpr auto FieldsOf(const data_json*)
+{
+  return std::make_tuple(Required("n", &data_json::mNumber),
+                         Required("type", &data_json::mType));
+}
+
+struct end_json
+{
+  std::uint64_t mNumber = 0;
+  frame_type mType = frame_type::End;
+  token_count mPromptTokens = 0;
+  token_count mCompletionTokens = 0;
+};
+
+constexpr auto FieldsOf(const end_json*)
+{
+  return std::make_tuple(
+    Required("n", &end_json::mNumber), Required("type", &end_json::mType),
+    Required("prompt_tokens", &end_json::mPromptTokens),
+    Required("completion_tokens", &end_json::mCompletionTokens));
+}
+
+std::string Base64Name(const char* aName)
+{
+  return std::string(aName) + "_base64";
 }
 
-// Stores bytes under aName, or under aName + "_base64" if they are not text.
-void WriteBytes(Json::Value& aJson, const std::string& aName,
+// Stores bytes under aName, or as base64 under another name if they are not
+// text.
+void WriteBytes(Json::Value& aJson, const char* aName,
                 const std::string& aBytes)
 {
   if (IsUtf8(aBytes)) {
     aJson[aName] = aBytes;
   } else {
-    aJson[aName + "_base64"] = absl::Base64Escape(aBytes);
+    aJson[Base64Name(aName)] = absl::Base64Escape(aBytes);
   }
 }
 
-std::string ReadBytes(json_fields& aFields, const std::string& aName)
+// Removes what WriteBytes stored.
+result<success> TakeBytes(Json::Value& aJson, const json_path& aPath,
+                          const char* aName, std::string& aInto)
 {
-  const std::string encodedName = aName + "_base64";
-  if (!Has(aFields, encodedName)) {
-    return ReadString(aFields, aName);
+  Json::Value value;
+  if (aJson.removeMember(aName, &value)) {
+    return DecodeValue(value, Below(aPath, aName), aInto);
   }
-  std::string bytes;
-  if (!absl::Base64Unescape(ReadString(aFields, encodedName), &bytes)) {
-    Fail(aFields, encodedName, "not valid base64");
+  const std::string encodedName = Base64Name(aName);
+  if (!aJson.removeMember(encodedName, &value)) {
+    return FieldError(Below(aPath, aName), "is missing");
   }
-  return bytes;
+  std::string encoded;
+  auto outcome = DecodeValue(value, Below(aPath, encodedName), encoded);
+  if (IsOk(outcome) && !absl::Base64Unescape(encoded, &aInto)) {
+    return FieldError(Below(aPath, encodedName), "is not base64");
+  }
+  return outcome;
 }
 
-Json::Value RunToJson(const run_request& aRun)
+result<success> TakeError(Json::Value& aJson, const json_path& aPath,
+                          error& aInto)
 {
-  Json::Value json(Json::objectValue);
-  json["request"] = ToString(aRun.mRequest);
-  json["backend"] = aRun.mBackend.mValue;
-  json["kind"] = std::string(NameOf(aRun.mKind));
-  json["target"] = aRun.mTarget;
-  json["config_version"] = Json::UInt64(aRun.mConfigVersion);
-  json["max_tokens"] = Json::Int64(aRun.mMaxTokens);
-  json["max_prompt_tokens"] = Json::Int64(aRun.mMaxPromptTokens);
-  json["prompt_price"] = Json::Int64(aRun.mPromptPrice);
-  json["completion_price"] = Json::Int64(aRun.mCompletionPrice);
-  json["call_price"] = Json::Int64(aRun.mCallPrice);
-  json["priority"] = std::string(NameOf(aRun.mPriority));
-  json["timeout_ms"] = Json::Int64(absl::ToInt64Milliseconds(aRun.mTimeout));
-  json["method"] = aRun.mMethod;
-  WriteBytes(json, "path", aRun.mPath);
-  WriteBytes(json, "content_type", aRun.mContentType);
-  WriteBytes(json, "body", aRun.mBody);
-  json["stream"] = aRun.mStream;
-  return json;
+  Json::Value wrapped(Json::objectValue);
+  if (!aJson.removeMember(kError, &wrapped[kError])) {
+    return FieldError(Below(aPath, kError), "is missing");
+  }
+  return ReadError(wrapped, aInto);
 }
 
-result<run_request> RunFromJson(const Json::Value& aJson)
+result<success> DecodeHead(const Json::Value& aJson, run_frame& aInto)
 {
-  json_fields fields(aJson, "run");
-  run_request run;
-  auto request = ParseRequestId(ReadString(fields, "request"));
-  if (IsOk(request)) {
-    run.mRequest = ValueOf(std::move(request));
-  } else {
-    Fail(fields, ErrorOf(request));
-  }
-  run.mBackend.mValue = ReadString(fields, "backend");
-  run.mKind = ReadName<backend_kind>(fields, "kind");
-  run.mTarget = ReadString(fields, "target");
-  run.mConfigVersion = ReadUint64(fields, "config_version");
-  run.mMaxTokens = ReadInteger<token_count>(fields, "max_tokens");
-  run.mMaxPromptTokens = ReadInteger<token_count>(fields, "max_prompt_tokens");
-  run.mPromptPrice = ReadInteger<token_count>(fields, "prompt_price");
-  run.mCompletionPrice = ReadInteger<token_count>(fields, "completion_price");
-  run.mCallPrice = ReadInteger<token_count>(fields, "call_price");
-  run.mPriority = ReadName<priority_class>(fields, "priority");
-  run.mTimeout =
-    absl::Milliseconds(ReadInteger<std::int64_t>(fields, "timeout_ms"));
-  run.mMethod = ReadString(fields, "method");
-  run.mPath = ReadBytes(fields, "path");
-  run.mContentType = ReadBytes(fields, "content_type");
-  run.mBody = ReadBytes(fields, "body");
-  run.mStream = ReadBool(fields, "stream");
-  if (auto done = Finish(fields); !IsOk(done)) {
-    return ErrorOf(done);
-  }
-  return run;
+  head_json head;
+  auto outcome = DecodeValue(aJson, json_path{}, head);
+  aInto.mNumber = head.mNumber;
+  aInto.mRequest = std::move(head.mRequest);
+  aInto.mStatus = head.mStatus;
+  aInto.mContentType = std::move(head.mContentType);
+  return outcome;
 }
 
-void WriteUsage(Json::Value& aJson, const token_usage& aUsage)
+result<success> DecodeData(Json::Value aJson, run_frame& aInto)
 {
-  aJson["prompt_tokens"] = Json::Int64(aUsage.mPromptTokens);
-  aJson["completion_tokens"] = Json::Int64(aUsage.mCompletionTokens);
+  auto outcome = TakeBytes(aJson, json_path{}, kText, aInto.mText);
+  data_json data;
+  if (IsOk(outcome)) {
+    outcome = DecodeValue(aJson, json_path{}, data);
+  }
+  aInto.mNumber = data.mNumber;
+  return outcome;
 }
 
-token_usage ReadUsage(json_fields& aFields)
+result<success> DecodeEnd(Json::Value aJson, run_frame& aInto)
 {
-  constexpr auto kMax = std::numeric_limits<token_count>::max();
-  token_usage usage;
-  usage.mPromptTokens = ReadInteger(aFields, "prompt_tokens", 0, kMax);
-  usage.mCompletionTokens = ReadInteger(aFields, "completion_tokens", 0, kMax);
-  return usage;
+  if (aInto.mType == frame_type::Broken) {
+    auto outcome = TakeError(aJson, json_path{}, aInto.mError);
+    if (!IsOk(outcome)) {
+      return outcome;
+    }
+  }
+  end_json end;
+  auto outcome = DecodeValue(aJson, json_path{}, end);
+  if (IsOk(outcome) && (end.mPromptTokens < 0 || end.mCompletionTokens < 0)) {
+    return FieldError(json_path{}, "token counts must not be negative");
+  }
+  aInto.mNumber = end.mNumber;
+  aInto.mUsage = { end.mPromptTokens, end.mCompletionTokens };
+  return outcome;
 }
 
-void ReadFrameError(json_fields& aFields, run_frame& aFrame)
+result<success> DecodeTyped(const Json::Value& aJson, run_frame& aInto)
 {
-  Json::Value wrapped(Json::objectValue);
-  wrapped["error"] = Read(aFields, "error");
-  auto decoded = ErrorFromJson(wrapped);
-  if (IsOk(decoded)) {
-    aFrame.mError = ValueOf(std::move(decoded));
-  } else {
-    Fail(aFields, ErrorOf(decoded));
+  switch (aInto.mType) {
+    case frame_type::Head:
+      return DecodeHead(aJson, aInto);
+    case frame_type::Data:
+      return DecodeData(aJson, aInto);
+    case frame_type::End:
+    case frame_type::Broken:
+      return DecodeEnd(aJson, aInto);
   }
+  return FieldError(json_path{}, "has an unknown type");
 }
 
-} // namespace
-
-bool IsUtf8(std::string_view aText)
+result<success> DecodeRun(Json::Value aJson, const json_path& aPath,
+                          run_request& aInto)
 {
-  while (!aText.empty()) {
-    const std::size_t length = SequenceLength(aText);
-    if (length == 0) {
-      return false;
-    }
-    aText.remove_prefix(length);
+  auto outcome = CheckObject(aJson, aPath);
+  if (IsOk(outcome)) {
+    outcome = TakeBytes(aJson, aPath, kBody, aInto.mBody);
   }
-  return true;
+  return IsOk(outcome) ? DecodeValue(aJson, aPath, aInto) : outcome;
 }
 
+} // namespace
+
 std::string EncodeFrame(const run_frame& aFrame)
 {
-  Json::Value json(Json::objectValue);
-  json["n"] = Json::UInt64(aFrame.mNumber);
-  json["type"] = std::string(NameOf(aFrame.mType));
+  Json::Value json;
   switch (aFrame.mType) {
     case frame_type::Head:
-      json["request"] = aFrame.mRequest;
-      json["status"] = aFrame.mStatus;
-      WriteBytes(json, "content_type", aFrame.mContentType);
+      json = EncodeValue(head_json{ aFrame.mNumber, aFrame.mType,
+                                    aFrame.mRequest, aFrame.mStatus,
+                                    aFrame.mContentType });
       break;
     case frame_type::Data:
-      WriteBytes(json, "text", aFrame.mText);
-      break;
-    case frame_type::Broken:
-      json["error"] = ToJson(aFrame.mError)["error"];
-      WriteUsage(json, aFrame.mUsage);
+      json = EncodeValue(data_json{ aFrame.mNumber, aFrame.mType });
+      WriteBytes(json, kText, aFrame.mText);
       break;
     case frame_type::End:
-      WriteUsage(json, aFrame.mUsage);
+    case frame_type::Broken:
+      json = EncodeValue(end_json{ aFrame.mNumber, aFrame.mType,
+                                   aFrame.mUsage.mPromptTokens,
+                                   aFrame.mUsage.mCompletionTokens });
+      if (aFrame.mType == frame_type::Broken) {
+        json[kError] = ToJson(aFrame.mError)[kError];
+      }
       break;
   }
   return ToText(json);
@@ -193,39 +209,27 @@
   if (!IsOk(json)) {
     return ErrorOf(json);
   }
-  json_fields fields(ValueOf(json), "frame");
+  const json_path root;
   run_frame frame;
-  frame.mNumber = ReadUint64(fields, "n");
-  frame.mType = ReadName<frame_type>(fields, "type");
-  switch (frame.mType) {
-    case frame_type::Head:
-      frame.mRequest = ReadString(fields, "request");
-      frame.mStatus =
-        static_cast<int>(ReadInteger(fields, "status", 100, 999));
-      frame.mContentType = ReadBytes(fields, "content_type");
-      break;
-    case frame_type::Data:
-      frame.mText = ReadBytes(fields, "text");
-      break;
-    case frame_type::Broken:
-      ReadFrameError(fields, frame);
-      frame.mUsage = ReadUsage(fields);
-      break;
-    case frame_type::End:
-      frame.mUsage = ReadUsage(fields);
-      break;
+  auto outcome = CheckObject(ValueOf(json), root);
+  if (IsOk(outcome)) {
+    outcome = DecodeEnum(ValueOf(json)["type"], Below(root, "type"),
+                         frame.mType);
   }
-  if (auto done = Finish(fields); !IsOk(done)) {
-    return ErrorOf(done);
+  if (IsOk(outcome)) {
+    outcome = DecodeTyped(ValueOf(json), frame);
+  }
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
   }
   return frame;
 }
 
 std::string EncodeDispatch(const run_dispatch& aDispatch)
 {
-  Json::Value json(Json::objectValue);
-  AddHeader(json, aDispatch.mHeader);
-  json["run"] = RunToJson(aDispatch.mRun);
+  Json::Value json = EncodeValue(aDispatch.mHeader);
+  json[kRun] = EncodeValue(aDispatch.mRun);
+  WriteBytes(json[kRun], kBody, aDispatch.mRun.mBody);
   return ToText(json);
 }
 
@@ -235,17 +239,23 @@
   if (!IsOk(json)) {
     return ErrorOf(json);
   }
-  json_fields fields(ValueOf(json), "dispatch");
+  const json_path root;
+  Json::Value header = ValueOf(std::move(json));
+  auto outcome = CheckObject(header, root);
   run_dispatch dispatch;
-  dispatch.mHeader = ReadHeader(fields);
-  auto run = RunFromJson(Read(fields, "run"));
-  if (auto done = Finish(fields); !IsOk(done)) {
-    return ErrorOf(done);
+  Json::Value run;
+  if (IsOk(outcome) && !header.removeMember(kRun, &run)) {
+    outcome = FieldError(Below(root, kRun), "is missing");
+  }
+  if (IsOk(outcome)) {
+    outcome = DecodeValue(header, root, dispatch.mHeader);
+  }
+  if (IsOk(outcome)) {
+    outcome = DecodeRun(std::move(run), Below(root, kRun), dispatch.mRun);
   }
-  if (!IsOk(run)) {
-    return ErrorOf(run);
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
   }
-  dispatch.mRun = ValueOf(std::move(run));
   return dispatch;
 }
 
--- a/src/wire/run_codec.h
+++ b/src/wire/run_codec.h
@@ -65,9 +65,6 @@
 // Errors: ProtocolViolation with the path of the field.
 result<run_dispatch> DecodeDispatch(std::string_view aText);
 
-// True if aText is well-formed UTF-8.
-bool IsUtf8(std::string_view aText);
-
 } // namespace foxtailquay
 
 #endif
--- /dev/null
+++ b/src/wire/sse.cc
@@ -0,0 +1,93 @@
+#include "wire/sse.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Takes one line without its end. Returns false if the handler stopped.
+bool TakeLine(sse_parser& aParser, const sse_handler& aHandler)
+{
+  const std::string_view line = aParser.mLine;
+  constexpr std::string_view kData = "data";
+  if (line.empty()) {
+    bool more = true;
+    if (aParser.mHasData) {
+      more = aHandler(aParser.mData);
+    }
+    aParser.mData.clear();
+    aParser.mHasData = false;
+    return more;
+  }
+  const auto colon = line.find(':');
+  if (line.substr(0, colon) == kData) {
+    std::string_view value =
+      colon == std::string_view::npos ? "" : line.substr(colon + 1);
+    if (!value.empty() && value[0] == ' ') {
+      value.remove_prefix(1);
+    }
+    if (aParser.mHasData) {
+      aParser.mData += '\n';
+    }
+    aParser.mData += value;
+    aParser.mHasData = true;
+  }
+  return true;
+}
+
+} // namespace
+
+result<bool> Feed(sse_parser& aParser, std::string_view aBytes,
+                  const sse_handler& aHandler)
+{
+  for (const char byte : aBytes) {
+    const bool skip = byte == '\n' && aParser.mAfterReturn;
+    aParser.mAfterReturn = byte == '\r';
+    if (skip) {
+      continue;
+    }
+    if (byte != '\n' && byte != '\r') {
+      aParser.mLine += byte;
+      if (aParser.mLine.size() + aParser.mData.size() > kMaxSseEventBytes) {
+        return error{ error_code::ProtocolViolation, ran::Unknown, "",
+                      "an event of the stream is too large",
+                      absl::ZeroDuration() };
+      }
+      continue;
+    }
+    const bool more = TakeLine(aParser, aHandler);
+    aParser.mLine.clear();
+    if (!more) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::string SseEvent(std::string_view aPayload)
+{
+  std::string event;
+  for (;;) {
+    const auto end = aPayload.find('\n');
+    event += "data: ";
+    event += aPayload.substr(0, end);
+    event += '\n';
+    if (end == std::string_view::npos) {
+      event += '\n';
+      return event;
+    }
+    aPayload.remove_prefix(end + 1);
+  }
+}
+
+std::string SsePayload(std::string_view aEvent)
+{
+  sse_parser parser;
+  std::string payload;
+  (void)Feed(parser, aEvent, [&payload](std::string_view aPayload) {
+    payload = aPayload;
+    return false;
+  });
+  return payload;
+}
+
+} // namespace foxtailquay
