--- a/src/wire/completion.cc
+++ b/src/wire/completion.cc
@@ -62,18 +62,20 @@
     if (!message.isObject() || !message["role"].isString()) {
       return FieldFault(path, "must be an object with a role");
     }
-    aRequest.mPrompt += message["role"].asString() + "\n";
+    aRequest.mPromptTokensBound +=
+      kTemplateTokensPerMessage +
+      static_cast<token_count>(message["role"].asString().size());
     auto content = AppendContent(message["content"], path + ".content",
                                  aRequest.mPrompt);
     if (!IsOk(content)) {
       return content;
     }
     if (message.isMember("tool_calls")) {
-      aRequest.mPrompt += ToText(message["tool_calls"]);
+      aRequest.mPromptTokensBound +=
+        static_cast<token_count>(ToText(message["tool_calls"]).size());
     }
     aRequest.mPrompt += "\n";
   }
-  aRequest.mPromptTokensBound = kTemplateTokensPerMessage * messages.size();
   for (const char* name : { "tools", "functions", "response_format" }) {
     if (aBody.isMember(name)) {
       aRequest.mPromptTokensBound +=
@@ -300,6 +302,8 @@
   body.removeMember("max_completion_tokens");
   body["max_tokens"] = Json::Int64(aRun.mMaxTokens);
   body["stream"] = true;
+  // Engines run lower numbers first, as the classes are ordered.
+  body["priority"] = static_cast<int>(aRun.mPriority);
   if (!body["stream_options"].isObject()) {
     body["stream_options"] = Json::Value(Json::objectValue);
   }
--- a/src/wire/completion.h
+++ b/src/wire/completion.h
@@ -37,7 +37,8 @@
   std::string mModel;
   std::optional<token_count> mMaxTokens;
   bool mStream = false;
-  // Everything that becomes prompt tokens, in order.
+  // The prompt, or the contents of the messages, each followed by a line feed:
+  // the text whose prefixes engines report as cached.
   std::string mPrompt;
   // Upper bound of the prompt's tokens.
   token_count mPromptTokensBound = 0;
