--- /dev/null
+++ b/src/wire/message_codec.cc
@@ -0,0 +1,71 @@
+#include "wire/message_codec.h"
+
+#include <utility>
+
+#include "wire/document_codec.h"
+#include "wire/message_fields.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr char kBody[] = "body";
+
+} // namespace
+
+template<>
+Json::Value EncodeValue<account_op>(const account_op& aOp)
+{
+  return ToJson(aOp);
+}
+
+template<>
+result<success> DecodeValue<account_op>(const Json::Value& aJson,
+                                        const json_path& aPath,
+                                        account_op& aInto)
+{
+  return DecodeVariant<account_op_kind>("op", aJson, aPath, aInto);
+}
+
+message_kind KindOf(const message& aMessage)
+{
+  return static_cast<message_kind>(aMessage.index());
+}
+
+Json::Value ToJson(const envelope& aEnvelope)
+{
+  Json::Value json = EncodeValue(aEnvelope);
+  json[kBody] =
+    std::visit([](const auto& aMessage) { return EncodeValue(aMessage); },
+               aEnvelope.mBody);
+  return json;
+}
+
+result<envelope> EnvelopeFromJson(message_kind aKind, const Json::Value& aJson)
+{
+  const json_path root;
+  auto outcome = CheckObject(aJson, root);
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
+  }
+  const json_path bodyPath = Below(root, kBody);
+  const Json::Value* body = FindMember(aJson, kBody);
+  if (body == nullptr) {
+    return FieldError(bodyPath, "is missing");
+  }
+  Json::Value header = aJson;
+  header.removeMember(kBody);
+  envelope decoded;
+  outcome = DecodeValue(header, root, decoded);
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
+  }
+  outcome = DecodeAlternative<0>(static_cast<std::size_t>(aKind), *body,
+                                 bodyPath, decoded.mBody);
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
+  }
+  return decoded;
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/wire/run_codec.cc
@@ -0,0 +1,262 @@
+#include "wire/run_codec.h"
+
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "wire/document_codec.h"
+#include "wire/error_codec.h"
+#include "wire/message_fields.h"
+#include "wire/utf8.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr char kRun[] = "run";
+constexpr char kBody[] = "body";
+constexpr char kText[] = "text";
+constexpr char kError[] = "error";
+
+// A frame's fields by type; the text and the error go beside them.
+struct head_json
+{
+  std::uint64_t mNumber = 0;
+  frame_type mType = frame_type::Head;
+  std::string mRequest;
+  int mStatus = 0;
+  std::string mContentType;
+};
+
+constexpr auto FieldsOf(const head_json*)
+{
+  return std::make_tuple(Required("n", &head_json::mNumber),
+                         Required("type", &head_json::mType),
+                         Required("request", &head_json::mRequest),
+                         Required("status", &head_json::mStatus),
+                         Required("content_type", &head_json::mContentType));
+}
+
+struct data_json
+{
+  std::uint64_t mNumber = 0;
+  frame_type mType = frame_type::Data;
+};
+
+constexpr auto FieldsOf(const data_json*)
+{
+  return std::make_tuple(Required("n", &data_json::mNumber),
+                         Required("type", &data_json::mType));
+}
+
+struct end_json
+{
+  std::uint64_t mNumber = 0;
+  frame_type mType = frame_type::End;
+  token_count mPromptTokens = 0;
+  token_count mCompletionTokens = 0;
+};
+
+constexpr auto FieldsOf(const end_json*)
+{
+  return std::make_tuple(
+    Required("n", &end_json::mNumber), Required("type", &end_json::mType),
+    Required("prompt_tokens", &end_json::mPromptTokens),
+    Required("completion_tokens", &end_json::mCompletionTokens));
+}
+
+std::string Base64Name(const char* aName)
+{
+  return std::string(aName) + "_base64";
+}
+
+// Stores bytes under aName, or as base64 under another name if they are not
+// text.
+void WriteBytes(Json::Value& aJson, const char* aName,
+                const std::string& aBytes)
+{
+  if (IsUtf8(aBytes)) {
+    aJson[aName] = aBytes;
+  } else {
+    aJson[Base64Name(aName)] = absl::Base64Escape(aBytes);
+  }
+}
+
+// Removes what WriteBytes stored.
+result<success> TakeBytes(Json::Value& aJson, const json_path& aPath,
+                          const char* aName, std::string& aInto)
+{
+  Json::Value value;
+  if (aJson.removeMember(aName, &value)) {
+    return DecodeValue(value, Below(aPath, aName), aInto);
+  }
+  const std::string encodedName = Base64Name(aName);
+  if (!aJson.removeMember(encodedName, &value)) {
+    return FieldError(Below(aPath, aName), "is missing");
+  }
+  std::string encoded;
+  auto outcome = DecodeValue(value, Below(aPath, encodedName), encoded);
+  if (IsOk(outcome) && !absl::Base64Unescape(encoded, &aInto)) {
+    return FieldError(Below(aPath, encodedName), "is not base64");
+  }
+  return outcome;
+}
+
+result<success> TakeError(Json::Value& aJson, const json_path& aPath,
+                          error& aInto)
+{
+  Json::Value wrapped(Json::objectValue);
+  if (!aJson.removeMember(kError, &wrapped[kError])) {
+    return FieldError(Below(aPath, kError), "is missing");
+  }
+  return ReadError(wrapped, aInto);
+}
+
+result<success> DecodeHead(const Json::Value& aJson, run_frame& aInto)
+{
+  head_json head;
+  auto outcome = DecodeValue(aJson, json_path{}, head);
+  aInto.mNumber = head.mNumber;
+  aInto.mRequest = std::move(head.mRequest);
+  aInto.mStatus = head.mStatus;
+  aInto.mContentType = std::move(head.mContentType);
+  return outcome;
+}
+
+result<success> DecodeData(Json::Value aJson, run_frame& aInto)
+{
+  auto outcome = TakeBytes(aJson, json_path{}, kText, aInto.mText);
+  data_json data;
+  if (IsOk(outcome)) {
+    outcome = DecodeValue(aJson, json_path{}, data);
+  }
+  aInto.mNumber = data.mNumber;
+  return outcome;
+}
+
+result<success> DecodeEnd(Json::Value aJson, run_frame& aInto)
+{
+  if (aInto.mType == frame_type::Broken) {
+    auto outcome = TakeError(aJson, json_path{}, aInto.mError);
+    if (!IsOk(outcome)) {
+      return outcome;
+    }
+  }
+  end_json end;
+  auto outcome = DecodeValue(aJson, json_path{}, end);
+  if (IsOk(outcome) && (end.mPromptTokens < 0 || end.mCompletionTokens < 0)) {
+    return FieldError(json_path{}, "token counts must not be negative");
+  }
+  aInto.mNumber = end.mNumber;
+  aInto.mUsage = { end.mPromptTokens, end.mCompletionTokens };
+  return outcome;
+}
+
+result<success> DecodeTyped(const Json::Value& aJson, run_frame& aInto)
+{
+  switch (aInto.mType) {
+    case frame_type::Head:
+      return DecodeHead(aJson, aInto);
+    case frame_type::Data:
+      return DecodeData(aJson, aInto);
+    case frame_type::End:
+    case frame_type::Broken:
+      return DecodeEnd(aJson, aInto);
+  }
+  return FieldError(json_path{}, "has an unknown type");
+}
+
+result<success> DecodeRun(Json::Value aJson, const json_path& aPath,
+                          run_request& aInto)
+{
+  auto outcome = CheckObject(aJson, aPath);
+  if (IsOk(outcome)) {
+    outcome = TakeBytes(aJson, aPath, kBody, aInto.mBody);
+  }
+  return IsOk(outcome) ? DecodeValue(aJson, aPath, aInto) : outcome;
+}
+
+} // namespace
+
+std::string EncodeFrame(const run_frame& aFrame)
+{
+  Json::Value json;
+  switch (aFrame.mType) {
+    case frame_type::Head:
+      json = EncodeValue(head_json{ aFrame.mNumber, aFrame.mType,
+                                    aFrame.mRequest, aFrame.mStatus,
+                                    aFrame.mContentType });
+      break;
+    case frame_type::Data:
+      json = EncodeValue(data_json{ aFrame.mNumber, aFrame.mType });
+      WriteBytes(json, kText, aFrame.mText);
+      break;
+    case frame_type::End:
+    case frame_type::Broken:
+      json = EncodeValue(end_json{ aFrame.mNumber, aFrame.mType,
+                                   aFrame.mUsage.mPromptTokens,
+                                   aFrame.mUsage.mCompletionTokens });
+      if (aFrame.mType == frame_type::Broken) {
+        json[kError] = ToJson(aFrame.mError)[kError];
+      }
+      break;
+  }
+  return ToText(json);
+}
+
+result<run_frame> DecodeFrame(std::string_view aLine)
+{
+  auto json = ParseJson(aLine);
+  if (!IsOk(json)) {
+    return ErrorOf(json);
+  }
+  const json_path root;
+  run_frame frame;
+  auto outcome = CheckObject(ValueOf(json), root);
+  if (IsOk(outcome)) {
+    outcome = DecodeEnum(ValueOf(json)["type"], Below(root, "type"),
+                         frame.mType);
+  }
+  if (IsOk(outcome)) {
+    outcome = DecodeTyped(ValueOf(json), frame);
+  }
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
+  }
+  return frame;
+}
+
+std::string EncodeDispatch(const run_dispatch& aDispatch)
+{
+  Json::Value json = EncodeValue(aDispatch.mHeader);
+  json[kRun] = EncodeValue(aDispatch.mRun);
+  WriteBytes(json[kRun], kBody, aDispatch.mRun.mBody);
+  return ToText(json);
+}
+
+result<run_dispatch> DecodeDispatch(std::string_view aText)
+{
+  auto json = ParseJson(aText);
+  if (!IsOk(json)) {
+    return ErrorOf(json);
+  }
+  const json_path root;
+  Json::Value header = ValueOf(std::move(json));
+  auto outcome = CheckObject(header, root);
+  run_dispatch dispatch;
+  Json::Value run;
+  if (IsOk(outcome) && !header.removeMember(kRun, &run)) {
+    outcome = FieldError(Below(root, kRun), "is missing");
+  }
+  if (IsOk(outcome)) {
+    outcome = DecodeValue(header, root, dispatch.mHeader);
+  }
+  if (IsOk(outcome)) {
+    outcome = DecodeRun(std::move(run), Below(root, kRun), dispatch.mRun);
+  }
+  if (!IsOk(outcome)) {
+    return ErrorOf(outcome);
+  }
+  return dispatch;
+}
+
+} // namespace foxtailquay
