--- a/src/wire/document_fields.h
+++ b/src/wire/document_fields.h
@@ -77,6 +77,7 @@
   return std::make_tuple(Required("share", &grant_op::mShare),
                          Required("adjustment", &grant_op::mAdjustment),
                          Required("want", &grant_op::mWant),
+                         Required("need", &grant_op::mNeed),
                          Required("max_permille", &grant_op::mMaxPermille));
 }
 
--- a/tests/document_codec_test.cc
+++ b/tests/document_codec_test.cc
@@ -464,8 +464,8 @@
   const std::pair<account_op, const char*> cases[] = {
     { top_up_op{ { "b" }, "t", 5 },
       R"({"amount":5,"budget":"b","op":"top_up","top_up_id":"t"})" },
-    { grant_op{ share, 2, 7, 250 },
-      R"({"adjustment":2,"max_permille":250,"op":"grant","share":"b/r/3","want":7})" },
+    { grant_op{ share, 2, 7, 3, 250 },
+      R"({"adjustment":2,"max_permille":250,"need":3,"op":"grant","share":"b/r/3","want":7})" },
     { settle_op{ { share, 9 }, 4 },
       R"({"cost":4,"op":"settle","request":"b/r/3/9"})" },
     { give_back_op{ share, 2, 7 },
