--- /dev/null
+++ b/standins/demo.cc
@@ -0,0 +1,310 @@
+// foxtailquay_demo: starts a whole fleet on loopback ports and shows what it
+// does, step by step. Ends by itself; the exit code is the number of steps
+// that failed.
+
+#include <signal.h>
+
+#include <iostream>
+
+#include "process_fleet.h"
+
+namespace foxtailquay {
+namespace {
+
+struct demo
+{
+  process_fleet mFleet;
+  // Configuration version before the last patch.
+  std::uint64_t mOldVersion = 0;
+};
+
+constexpr char kTrialKey[] = "trial-key-for-tests";
+constexpr char kTrialBudget[] = "trial-2026";
+
+void Show(const std::string& aLabel, const std::string& aText)
+{
+  constexpr std::size_t kShown = 240;
+  std::cout << "    " << aLabel << ": " << aText.substr(0, kShown)
+            << (aText.size() > kShown ? "..." : "") << "\n";
+}
+
+void Show(const std::string& aLabel, const http_answer& aAnswer)
+{
+  Show(aLabel, "HTTP " + std::to_string(aAnswer.mStatus) + " " + aAnswer.mBody);
+}
+
+std::string CodeOf(const http_answer& aAnswer)
+{
+  return aAnswer.mJson.isObject() ? aAnswer.mJson["error"]["code"].asString()
+                                  : "";
+}
+
+bool StartAll(demo& aDemo)
+{
+  const auto started = StartFleet(aDemo.mFleet, fleet_options{});
+  if (!IsOk(started)) {
+    Show("error", ToString(ErrorOf(started)));
+    return false;
+  }
+  Show("started", "3 routers, 3 engines and 2 order services in 3 zones, "
+                  "an agent beside each");
+  return true;
+}
+
+bool StreamCompletion(demo& aDemo)
+{
+  const auto answer =
+    AskAsync(aDemo.mFleet.mRouters[0].mPort, "POST", "/v1/chat/completions",
+             CallerHeaders(), ChatBody("plan a trip to Plovdiv", 8, true));
+  const bool whole = AwaitEnd(*answer);
+  Show("stream", answer->mText.substr(0, answer->mText.find("\n\n")));
+  Show("ended", answer->mText.substr(
+                  answer->mText.size() < 200 ? 0 : answer->mText.size() - 200));
+  return whole && answer->mStatus == 200 &&
+         answer->mText.find("Plovdiv") != std::string::npos &&
+         answer->mText.find("t8") != std::string::npos &&
+         answer->mText.find("\"completion_tokens\":8") != std::string::npos &&
+         answer->mText.find("data: [DONE]") != std::string::npos;
+}
+
+bool WholeCompletion(demo& aDemo)
+{
+  const http_answer answer =
+    Ask(aDemo.mFleet.mRouters[1].mPort, "POST", "/v1/chat/completions",
+        CallerHeaders(), ChatBody("how deep is the Sabarmati", 5));
+  Show("answer", answer);
+  return answer.mStatus == 200 &&
+         answer.mJson["choices"][0]["message"]["content"].asString() ==
+           "Sabarmati t2 t3 t4 t5 " &&
+         answer.mJson["usage"]["completion_tokens"].asInt() == 5;
+}
+
+int OrdersPlaced(const process_fleet& aFleet)
+{
+  int placed = 0;
+  for (const fleet_node& node : aFleet.mAgents) {
+    if (node.mMember.rfind("orders", 0) == 0) {
+      placed += Ran(node.mPort)["orders"].asInt();
+    }
+  }
+  return placed;
+}
+
+bool OrderOnce(demo& aDemo)
+{
+  httplib::Headers headers = CallerHeaders();
+  headers.emplace("Idempotency-Key", "dye-lot-17");
+  Json::Value order;
+  order["cloth"] = "indigo, 40 m";
+  const int before = OrdersPlaced(aDemo.mFleet);
+  const std::string path = "/v1/services/orders/orders";
+  const http_answer first =
+    Ask(aDemo.mFleet.mRouters[0].mPort, "POST", path, headers, order);
+  const http_answer second =
+    Ask(aDemo.mFleet.mRouters[1].mPort, "POST", path, headers, order);
+  const int placed = OrdersPlaced(aDemo.mFleet) - before;
+  Show("router-1", first);
+  Show("router-2", second);
+  Show("orders placed", std::to_string(placed));
+  return first.mStatus == 201 && second.mStatus == 201 &&
+         first.mBody == second.mBody && placed == 1;
+}
+
+bool AddTrialWorkspace(demo& aDemo)
+{
+  const fleet_node& router = aDemo.mFleet.mRouters[1];
+  aDemo.mOldVersion = ConfigVersion(router);
+  Json::Value patch;
+  patch["if_version"] = Json::UInt64{ aDemo.mOldVersion };
+  patch["workspaces"]["trial"] = WorkspaceJson(kTrialKey, kTrialBudget);
+  const http_answer patched = PatchConfig(router, patch);
+  const http_answer toppedUp = TopUp(router, kTrialBudget, "trial-1", 100);
+  Show("patch", patched);
+  Show("top-up", toppedUp);
+  // The other routers have the new version within 5 s.
+  const bool everywhere = AwaitCondition(
+    [&] {
+      for (const fleet_node& other : aDemo.mFleet.mRouters) {
+        if (ConfigVersion(other) != aDemo.mOldVersion + 1) {
+          return false;
+        }
+      }
+      return true;
+    },
+    5);
+  return patched.mStatus == 200 && toppedUp.mStatus == 200 && everywhere;
+}
+
+http_answer AskTrial(const demo& aDemo)
+{
+  return Ask(aDemo.mFleet.mRouters[2].mPort, "POST", "/v1/chat/completions",
+             CallerHeaders(kTrialKey), ChatBody("one question", 60));
+}
+
+bool RunOutOfBudget(demo& aDemo)
+{
+  int served = 0;
+  http_answer answer;
+  // 100 tokens pay for two answers of 32 tokens, but not for a third with a
+  // limit of 60.
+  while (served < 4 && (answer = AskTrial(aDemo)).mStatus == 200) {
+    ++served;
+  }
+  Show("served", std::to_string(served));
+  Show("refused", answer);
+  return served >= 1 && answer.mStatus == 402 &&
+         CodeOf(answer) == "budget_exhausted" &&
+         HeaderOf(answer, "X-Foxtailquay-Ran") == "no";
+}
+
+bool RejectStalePatch(demo& aDemo)
+{
+  Json::Value patch;
+  patch["if_version"] = Json::UInt64{ aDemo.mOldVersion };
+  patch["workspaces"]["trial"] = Json::Value();
+  const http_answer answer = PatchConfig(aDemo.mFleet.mRouters[0], patch);
+  Show("patch for version " + std::to_string(aDemo.mOldVersion), answer);
+  return answer.mStatus == 409 && CodeOf(answer) == "version_conflict" &&
+         ConfigVersion(aDemo.mFleet.mRouters[0]) == aDemo.mOldVersion + 1;
+}
+
+bool TopUpTwice(demo& aDemo)
+{
+  const fleet_node& router = aDemo.mFleet.mRouters[0];
+  const http_answer first = TopUp(router, kTrialBudget, "trial-2", 500);
+  const http_answer again = TopUp(router, kTrialBudget, "trial-2", 500);
+  Show("top-up", first);
+  Show("repeated", again);
+  // A router may refuse for a moment until it learns of the top-up.
+  http_answer answer;
+  const bool served = AwaitCondition(
+    [&] {
+      answer = AskTrial(aDemo);
+      return answer.mStatus == 200;
+    },
+    10);
+  Show("answer", answer);
+  return again.mJson["paid_in"].asInt() == 600 && served;
+}
+
+// Tokens that the engines and services ran, at their prices.
+int CostOfRuns(const process_fleet& aFleet)
+{
+  int cost = 0;
+  for (const fleet_node& node : aFleet.mAgents) {
+    for (const Json::Value& run : Ran(node.mPort)["ran"]) {
+      cost += run.isMember("model") ? run["prompt_tokens"].asInt() +
+                                        run["completion_tokens"].asInt()
+                                    : 5;
+    }
+  }
+  return cost;
+}
+
+bool PrintBill(demo& aDemo)
+{
+  int spent = 0;
+  const int ran = CostOfRuns(aDemo.mFleet);
+  // Settlement is committed in batches.
+  const bool equal = AwaitCondition(
+    [&] {
+      spent = 0;
+      for (const char* budget : { kBudget, kTrialBudget }) {
+        spent +=
+          ReadBudget(aDemo.mFleet.mRouters[0], budget).mJson["spent"].asInt();
+      }
+      return spent == ran;
+    },
+    20);
+  for (const char* budget : { kBudget, kTrialBudget }) {
+    Show(budget, ReadBudget(aDemo.mFleet.mRouters[0], budget));
+  }
+  Show("billed", std::to_string(spent) + ", run by the backend servers " +
+                   std::to_string(ran));
+  return equal && spent > 0;
+}
+
+void SetTokenDelay(const process_fleet& aFleet, int aMilliseconds)
+{
+  Json::Value fault;
+  fault["token_delay_ms"] = aMilliseconds;
+  for (const fleet_node& node : aFleet.mAgents) {
+    if (node.mMember.rfind("engine", 0) == 0) {
+      SetFault(node.mPort, fault);
+    }
+  }
+}
+
+bool StopDuringStream(demo& aDemo)
+{
+  fleet_node& router = aDemo.mFleet.mRouters[2];
+  SetTokenDelay(aDemo.mFleet, 100);
+  const auto answer =
+    AskAsync(router.mPort, "POST", "/v1/chat/completions", CallerHeaders(),
+             ChatBody("a long harvest report", 20, true));
+  const bool began = AwaitText(*answer, "t2 ");
+  Signal(router.mProcess, SIGTERM);
+  // Until it has stopped accepting, a new request may still be served.
+  const bool refused = AwaitCondition(
+    [&] { return Ask(router.mPort, "GET", "/readyz").mStatus != 200; }, 20);
+  const bool whole = AwaitEnd(*answer);
+  SetTokenDelay(aDemo.mFleet, 0);
+  const int code = AwaitExit(router.mProcess);
+  Show("stream after SIGTERM",
+       whole ? "complete, " + std::to_string(answer->mText.size()) + " bytes"
+             : "cut off");
+  Show("exit code", std::to_string(code));
+  return began && refused && whole &&
+         answer->mText.find("t20 ") != std::string::npos &&
+         answer->mText.find("data: [DONE]") != std::string::npos && code == 0;
+}
+
+struct step
+{
+  const char* mTitle;
+  bool (*mRun)(demo&);
+};
+
+constexpr step kSteps[] = {
+  { "start the fleet and patch in the first configuration", &StartAll },
+  { "stream a completion", &StreamCompletion },
+  { "get a completion in one piece", &WholeCompletion },
+  { "the same order at two routers runs once", &OrderOnce },
+  { "add a workspace by a patch", &AddTrialWorkspace },
+  { "run a workspace out of its budget", &RunOutOfBudget },
+  { "a patch for an old version is rejected", &RejectStalePatch },
+  { "top up, twice with the same id", &TopUpTwice },
+  { "the bill equals what ran", &PrintBill },
+  { "stop a router while it streams", &StopDuringStream },
+};
+
+int RunDemo()
+{
+  demo demo;
+  int failed = 0;
+  for (const step& step : kSteps) {
+    std::cout << "--- " << step.mTitle << std::endl;
+    const bool passed = step.mRun(demo);
+    std::cout << (passed ? "PASS " : "FAIL ") << step.mTitle << std::endl;
+    failed += passed ? 0 : 1;
+    if (!passed && step.mRun == &StartAll) {
+      break;
+    }
+  }
+  if (failed != 0) {
+    demo.mFleet.mKeepLogs = true;
+    std::cout << LogTails(demo.mFleet);
+  }
+  std::cout << (failed == 0 ? "all steps passed"
+                            : std::to_string(failed) + " steps failed")
+            << std::endl;
+  return failed;
+}
+
+} // namespace
+} // namespace foxtailquay
+
+int main()
+{
+  return foxtailquay::RunDemo();
+}
--- /dev/null
+++ b/standins/process_fleet.cc
@@ -0,0 +1,417 @@
+#include "process_fleet.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "openssl/sha.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr char kOperatorKey[] = "operator-key-for-tests";
+constexpr char kPeerKey[] = "peer-key-for-tests";
+
+error Failure(const std::string& aDetail)
+{
+  return error{
+    error_code::Internal, ran::No, {}, aDetail, absl::ZeroDuration()
+  };
+}
+
+std::string ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace
+
+namespace {
+
+void WriteKey(const std::string& aPath, const std::string& aKey)
+{
+  std::ofstream(aPath) << aKey << "\n";
+}
+
+// A free port that stays reserved: the socket is bound but does not listen,
+// and SO_REUSEADDR on both sides lets the child bind it too.
+int ReservePort(process_fleet& aFleet)
+{
+  const int reserved = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int yes = 1;
+  setsockopt(reserved, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(reserved, generic, size) != 0 ||
+      getsockname(reserved, generic, &size) != 0) {
+    close(reserved);
+    return 0;
+  }
+  aFleet.mReserved.push_back(reserved);
+  return ntohs(address.sin_port);
+}
+
+std::string Address(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+} // namespace
+
+result<success> StartStandIn(process_fleet& aFleet, child_process& aChild,
+                             const std::string& aName,
+                             std::vector<std::string> aArguments, int& aPort)
+{
+  aChild.mName = aName;
+  aChild.mLogFile = aFleet.mFolder + "/" + aName + ".log";
+  aChild.mArguments = std::move(aArguments);
+  auto started = Start(aChild);
+  if (!IsOk(started)) {
+    return started;
+  }
+  const bool listening = AwaitCondition([&] {
+    std::istringstream line(ReadFile(aChild.mLogFile));
+    std::string word;
+    return static_cast<bool>(line >> word >> aPort) && word == "listening";
+  });
+  return listening ? result<success>()
+                   : Failure(aName + " did not start to listen");
+}
+
+namespace {
+
+std::vector<std::string> NodeArguments(const process_fleet& aFleet,
+                                       const fleet_node& aNode,
+                                       const std::string& aRole)
+{
+  std::vector<std::string> arguments{
+    "foxtailquayd",
+    "--role=" + aRole,
+    "--member=" + aNode.mMember,
+    "--zone=" + aNode.mZone,
+    "--peer_listen=" + Address(aNode.mPeerPort),
+    "--store=" + Address(aFleet.mPlatformPort),
+    "--peer_key_file=" + aFleet.mFolder + "/peer.key"
+  };
+  if (aRole == "agent") {
+    arguments.push_back("--backend=" + Address(aNode.mPort));
+  } else {
+    arguments.push_back("--listen=" + Address(aNode.mPort));
+    arguments.push_back("--operator_key_file=" + aFleet.mFolder +
+                        "/operator.key");
+    arguments.push_back("--vm_list=" + Address(aFleet.mPlatformPort) +
+                        "/v1/vms");
+  }
+  return arguments;
+}
+
+result<success> StartNode(process_fleet& aFleet, fleet_node& aNode,
+                          const std::string& aRole)
+{
+  aNode.mPeerPort = ReservePort(aFleet);
+  if (aRole == "router") {
+    aNode.mPort = ReservePort(aFleet);
+  }
+  aNode.mProcess.mName = aNode.mMember;
+  aNode.mProcess.mLogFile = aFleet.mFolder + "/" + aNode.mMember + ".log";
+  aNode.mProcess.mArguments = NodeArguments(aFleet, aNode, aRole);
+  return Start(aNode.mProcess);
+}
+
+std::string Zone(int aIndex)
+{
+  return "zone-" + std::to_string(aIndex % 3 + 1);
+}
+
+result<success> StartBackends(process_fleet& aFleet,
+                              const fleet_options& aOptions)
+{
+  for (int i = 0; i < aOptions.mEngines + aOptions.mServices; ++i) {
+    const bool engine = i < aOptions.mEngines;
+    const int number = engine ? i : i - aOptions.mEngines;
+    fleet_node& node = aFleet.mAgents.emplace_back();
+    node.mMember =
+      (engine ? "engine-" : "orders-") + std::to_string(number + 1);
+    node.mZone = Zone(number);
+    std::vector<std::string> arguments{ engine ? "standin_engine"
+                                               : "standin_service" };
+    if (engine) {
+      arguments.push_back(std::string("--models=") + kModel);
+      arguments.insert(arguments.end(), aOptions.mEngineFlags.begin(),
+                       aOptions.mEngineFlags.end());
+    }
+    auto started =
+      StartStandIn(aFleet, node.mBackend, node.mMember + "-backend",
+                   std::move(arguments), node.mPort);
+    if (!IsOk(started)) {
+      return started;
+    }
+  }
+  return success{};
+}
+
+result<success> StartNodes(process_fleet& aFleet, const fleet_options& aOptions)
+{
+  for (int i = 0; i < aOptions.mRouters; ++i) {
+    fleet_node& node = aFleet.mRouters.emplace_back();
+    node.mMember = "router-" + std::to_string(i + 1);
+    node.mZone = Zone(i);
+    auto started = StartNode(aFleet, node, "router");
+    if (!IsOk(started)) {
+      return started;
+    }
+  }
+  for (fleet_node& node : aFleet.mAgents) {
+    auto started = StartNode(aFleet, node, "agent");
+    if (!IsOk(started)) {
+      return started;
+    }
+  }
+  return success{};
+}
+
+int HealthPort(const fleet_node& aNode)
+{
+  return aNode.mBackend.mName.empty() ? aNode.mPort : aNode.mPeerPort;
+}
+
+bool AwaitStatus(const fleet_node& aNode, const std::string& aPath)
+{
+  return AwaitCondition(
+    [&] { return Ask(HealthPort(aNode), "GET", aPath).mStatus == 200; });
+}
+
+result<success> AwaitAll(process_fleet& aFleet, const std::string& aPath)
+{
+  for (const auto* nodes : { &aFleet.mRouters, &aFleet.mAgents }) {
+    for (const fleet_node& node : *nodes) {
+      if (!AwaitStatus(node, aPath)) {
+        return Failure(node.mMember + " does not answer 200 on " + aPath);
+      }
+    }
+  }
+  return success{};
+}
+
+Json::Value FirstPatch(const process_fleet& aFleet)
+{
+  Json::Value patch;
+  patch["if_version"] = 0;
+  patch["models"][kModel]["max_tokens"] = 4096;
+  Json::Value read;
+  read["method"] = "GET";
+  read["path_prefix"] = "/orders/";
+  read["repeatable"] = true;
+  patch["services"]["orders"]["calls"].append(read);
+  patch["services"]["orders"]["call_price"] = 5;
+  for (const fleet_node& node : aFleet.mAgents) {
+    const bool engine = node.mMember.rfind("engine", 0) == 0;
+    Json::Value& backend = patch["backends"][node.mMember];
+    backend["kind"] = engine ? "engine" : "service";
+    backend["zone"] = node.mZone;
+    backend[engine ? "models" : "services"].append(engine ? kModel : "orders");
+  }
+  patch["workspaces"][kWorkspace] = WorkspaceJson(kApiKey, kBudget);
+  return patch;
+}
+
+// The first patch is refused until the router has joined.
+result<success> Configure(process_fleet& aFleet, const fleet_options& aOptions)
+{
+  const fleet_node& router = aFleet.mRouters[0];
+  http_answer answer;
+  const bool patched = AwaitCondition([&] {
+    answer = PatchConfig(router, FirstPatch(aFleet));
+    return answer.mStatus != 0 && answer.mStatus != 503;
+  });
+  if (!patched || answer.mStatus != 200) {
+    return Failure("the first configuration was refused: " + answer.mBody);
+  }
+  if (aOptions.mPaidIn > 0) {
+    answer = TopUp(router, kBudget, "first", aOptions.mPaidIn);
+    if (answer.mStatus != 200) {
+      return Failure("the first top-up was refused: " + answer.mBody);
+    }
+  }
+  return success{};
+}
+
+} // namespace
+
+process_fleet::process_fleet()
+{
+  std::string folder =
+    std::filesystem::temp_directory_path() / "foxtailquay-XXXXXX";
+  if (mkdtemp(folder.data()) != nullptr) {
+    mFolder = folder;
+  }
+}
+
+process_fleet::~process_fleet()
+{
+  for (auto* nodes : { &mRouters, &mAgents }) {
+    for (fleet_node& node : *nodes) {
+      Kill(node.mProcess);
+      Kill(node.mBackend);
+    }
+  }
+  Kill(mPlatform);
+  for (const int reserved : mReserved) {
+    close(reserved);
+  }
+  if (!mFolder.empty() && !mKeepLogs) {
+    std::error_code ignored;
+    std::filesystem::remove_all(mFolder, ignored);
+  }
+}
+
+result<success> StartFleet(process_fleet& aFleet, const fleet_options& aOptions)
+{
+  if (aFleet.mFolder.empty()) {
+    return Failure("cannot make a temporary folder");
+  }
+  WriteKey(aFleet.mFolder + "/operator.key", kOperatorKey);
+  WriteKey(aFleet.mFolder + "/peer.key", kPeerKey);
+  auto outcome = StartStandIn(aFleet, aFleet.mPlatform, "platform",
+                              { "standin_platform" }, aFleet.mPlatformPort);
+  if (IsOk(outcome)) {
+    outcome = StartBackends(aFleet, aOptions);
+  }
+  if (IsOk(outcome)) {
+    outcome = StartNodes(aFleet, aOptions);
+  }
+  if (IsOk(outcome)) {
+    outcome = AwaitAll(aFleet, "/healthz");
+  }
+  if (IsOk(outcome)) {
+    outcome = Configure(aFleet, aOptions);
+  }
+  return IsOk(outcome) ? AwaitAll(aFleet, "/readyz") : outcome;
+}
+
+result<success> RestartNode(process_fleet& /*aFleet*/, fleet_node& aNode)
+{
+  auto started = Start(aNode.mProcess);
+  if (IsOk(started) && !AwaitReady(aNode)) {
+    return Failure(aNode.mMember + " is not ready after a restart");
+  }
+  return started;
+}
+
+bool AwaitReady(const fleet_node& aNode)
+{
+  return AwaitStatus(aNode, "/readyz");
+}
+
+std::string LogTails(const process_fleet& aFleet)
+{
+  constexpr std::size_t kTailBytes = 2000;
+  std::string tails;
+  for (const auto* nodes : { &aFleet.mRouters, &aFleet.mAgents }) {
+    for (const fleet_node& node : *nodes) {
+      const std::string log = ReadFile(node.mProcess.mLogFile);
+      const std::size_t start =
+        log.size() > kTailBytes ? log.size() - kTailBytes : 0;
+      tails += "--- " + node.mProcess.mLogFile + "\n" + log.substr(start);
+    }
+  }
+  return tails;
+}
+
+httplib::Headers OperatorHeaders()
+{
+  return { { "Authorization", std::string("Bearer ") + kOperatorKey } };
+}
+
+httplib::Headers CallerHeaders(const std::string& aKey)
+{
+  return { { "Authorization", "Bearer " + aKey } };
+}
+
+Json::Value ChatBody(const std::string& aPrompt, int aMaxTokens, bool aStream)
+{
+  Json::Value message;
+  message["role"] = "user";
+  message["content"] = aPrompt;
+  Json::Value body;
+  body["model"] = kModel;
+  body["messages"].append(message);
+  body["max_tokens"] = aMaxTokens;
+  body["stream"] = aStream;
+  return body;
+}
+
+std::string KeyHash(const std::string& aKey)
+{
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(aKey.data()), aKey.size(),
+         digest);
+  std::string text;
+  for (const unsigned char byte : digest) {
+    constexpr char kDigits[] = "0123456789abcdef";
+    text += { kDigits[byte >> 4], kDigits[byte & 15] };
+  }
+  return text;
+}
+
+Json::Value WorkspaceJson(const std::string& aKey, const std::string& aBudget)
+{
+  Json::Value budget;
+  budget["id"] = aBudget;
+  Json::Value workspace;
+  workspace["key_hashes"].append(KeyHash(aKey));
+  workspace["budgets"].append(budget);
+  return workspace;
+}
+
+std::uint64_t ConfigVersion(const fleet_node& aRouter)
+{
+  return Ask(aRouter.mPort, "GET", "/admin/config", OperatorHeaders())
+    .mJson["version"]
+    .asUInt64();
+}
+
+http_answer PatchConfig(const fleet_node& aRouter, Json::Value aPatch)
+{
+  return Ask(aRouter.mPort, "POST", "/admin/config", OperatorHeaders(), aPatch);
+}
+
+http_answer TopUp(const fleet_node& aRouter, const std::string& aBudget,
+                  const std::string& aId, int aAmount)
+{
+  Json::Value body;
+  body["id"] = aId;
+  body["amount"] = aAmount;
+  return Ask(aRouter.mPort, "POST", "/admin/budgets/" + aBudget + "/topups",
+             OperatorHeaders(), body);
+}
+
+http_answer ReadBudget(const fleet_node& aRouter, const std::string& aBudget)
+{
+  return Ask(aRouter.mPort, "GET", "/admin/budgets/" + aBudget,
+             OperatorHeaders());
+}
+
+http_answer SetFault(int aPort, const Json::Value& aFaults)
+{
+  return Ask(aPort, "POST", "/fault", {}, aFaults);
+}
+
+Json::Value Ran(int aPort)
+{
+  return Ask(aPort, "GET", "/ran").mJson;
+}
+
+} // namespace foxtailquay
