--- a/src/core/commit.h
+++ b/src/core/commit.h
@@ -6,8 +6,8 @@
 // idempotent. An outcome is reported only from a value that is known to be in
 // the store.
 //
-//   Submit(queue, op, ticket);
-//   if (auto request = NextRequest(queue, now, options)) { send it }
+//   Submit(queue, op, ticket, due);
+//   if (auto request = NextRequest(queue, now)) { send it }
 //   for (auto& done : OnReply(queue, reply, now, options)) { ... }
 //
 // Invariant: at most one request per queue is outstanding. Memory is bounded
@@ -29,8 +29,6 @@
 
 struct commit_options
 {
-  // Operations wait this long for company before a write.
-  absl::Duration mGroupDelay = absl::Milliseconds(5);
   // Least time between two writes of one key; bounds the store's write rate.
   absl::Duration mMinInterval = absl::Milliseconds(20);
   // Wait after the first and after many failures in a row.
@@ -57,8 +55,11 @@
 {
   Op mOp;
   std::uint64_t mTicket = 0;
-  absl::Time mSubmitted;
+  // When it must be written at the latest; it waits until then for company.
+  absl::Time mDue;
   op_outcome mOutcome = op_outcome::Denied;
+  // Part of a write whose outcome is not known; it may have taken effect.
+  bool mInDoubt = false;
 };
 
 template<typename Document, typename Op>
@@ -70,6 +71,8 @@
   Document mCommitted;
   store_version mVersion = 0;
   bool mKnown = false;
+  // Successful reads so far.
+  std::uint64_t mReads = 0;
   // Value of the outstanding write.
   Document mWriting;
   // The first mInFlight entries of mPending are part of mWriting.
@@ -79,14 +82,17 @@
   int mFailures = 0;
   // Set to read the document again although no operation is waiting.
   bool mRefresh = false;
+  // Expected version of the last write without an answer. The write may still
+  // reach the store until the key is seen at a higher version.
+  std::optional<store_version> mDoubtVersion;
 };
 
 template<typename Document, typename Op>
 void Submit(commit_queue<Document, Op>& aQueue, Op aOp, std::uint64_t aTicket,
-            absl::Time aNow)
+            absl::Time aDue)
 {
   aQueue.mPending.push_back(
-    { std::move(aOp), aTicket, aNow, op_outcome::Denied });
+    { std::move(aOp), aTicket, aDue, op_outcome::Denied, false });
 }
 
 // Doubles with each failure in a row up to the maximum.
@@ -103,8 +109,7 @@
 // Earliest time at which NextRequest would return a request;
 // InfiniteFuture if it waits for a reply or has nothing to do.
 template<typename Document, typename Op>
-absl::Time NextWake(const commit_queue<Document, Op>& aQueue,
-                    const commit_options& aOptions)
+absl::Time NextWake(const commit_queue<Document, Op>& aQueue)
 {
   if (aQueue.mPhase != commit_phase::Idle) {
     return absl::InfiniteFuture();
@@ -112,20 +117,19 @@
   if (aQueue.mRefresh) {
     return aQueue.mNotBefore;
   }
-  if (aQueue.mPending.empty()) {
-    return absl::InfiniteFuture();
+  absl::Time due = absl::InfiniteFuture();
+  for (const auto& pending : aQueue.mPending) {
+    due = std::min(due, pending.mDue);
   }
-  return std::max(aQueue.mNotBefore,
-                  aQueue.mPending.front().mSubmitted + aOptions.mGroupDelay);
+  return std::max(aQueue.mNotBefore, due);
 }
 
 // Returns the next read or write if one is due.
 template<typename Document, typename Op>
 std::optional<store_request> NextRequest(commit_queue<Document, Op>& aQueue,
-                                         absl::Time aNow,
-                                         const commit_options& aOptions)
+                                         absl::Time aNow)
 {
-  if (NextWake(aQueue, aOptions) > aNow) {
+  if (NextWake(aQueue) > aNow) {
     return std::nullopt;
   }
   store_request request;
@@ -138,6 +142,7 @@
   aQueue.mWriting = aQueue.mCommitted;
   for (auto& pending : aQueue.mPending) {
     pending.mOutcome = ApplyOp(aQueue.mWriting, pending.mOp);
+    pending.mInDoubt = true;
   }
   aQueue.mInFlight = aQueue.mPending.size();
   aQueue.mPhase = commit_phase::Writing;
@@ -157,6 +162,7 @@
   bool changed = false;
   for (auto& pending : aQueue.mPending) {
     pending.mOutcome = ApplyOp(trial, pending.mOp);
+    pending.mInDoubt = pending.mInDoubt && aQueue.mDoubtVersion.has_value();
     // A denial after an uncommitted change may depend on that change.
     if (pending.mOutcome == op_outcome::Applied || changed) {
       changed = true;
@@ -178,6 +184,14 @@
 {
   const commit_phase phase = aQueue.mPhase;
   aQueue.mPhase = commit_phase::Idle;
+  if (phase == commit_phase::Writing &&
+      (aReply.mStatus == store_status::Unavailable ||
+       aReply.mStatus == store_status::Conflict)) {
+    for (std::size_t i = 0; i < aQueue.mInFlight; ++i) {
+      aQueue.mPending[i].mInDoubt =
+        aQueue.mPending[i].mInDoubt && aQueue.mDoubtVersion.has_value();
+    }
+  }
   if (aReply.mStatus == store_status::Unavailable ||
       aReply.mStatus == store_status::Unknown) {
     // The value may have changed under a write without an answer.
@@ -185,13 +199,21 @@
                     aReply.mStatus == store_status::Unavailable;
     aQueue.mInFlight = 0;
     ++aQueue.mFailures;
+    if (phase == commit_phase::Writing &&
+        aReply.mStatus == store_status::Unknown) {
+      aQueue.mDoubtVersion = aQueue.mVersion;
+    }
     aQueue.mNotBefore = aNow + BackoffAfter(aQueue.mFailures, aOptions);
     return {};
   }
   aQueue.mFailures = 0;
   if (phase == commit_phase::Reading) {
     aQueue.mKnown = true;
+    ++aQueue.mReads;
     aQueue.mVersion = aReply.mVersion;
+    if (aQueue.mDoubtVersion && aQueue.mVersion > *aQueue.mDoubtVersion) {
+      aQueue.mDoubtVersion.reset();
+    }
     aQueue.mCommitted =
       aReply.mDocument ? std::get<Document>(*aReply.mDocument) : Document{};
     return TakeSettled(aQueue);
@@ -202,6 +224,7 @@
     return {};
   }
   aQueue.mVersion = aReply.mVersion;
+  aQueue.mDoubtVersion.reset();
   aQueue.mCommitted = std::move(aQueue.mWriting);
   aQueue.mNotBefore = aNow + aOptions.mMinInterval;
   const auto end =
@@ -214,6 +237,23 @@
   return decided;
 }
 
+// Removes a waiting operation. Returns false, and keeps it, if it is part of a
+// write that may have taken effect, or is not waiting.
+template<typename Document, typename Op>
+bool Withdraw(commit_queue<Document, Op>& aQueue, std::uint64_t aTicket)
+{
+  for (auto it = aQueue.mPending.begin(); it != aQueue.mPending.end(); ++it) {
+    if (it->mTicket == aTicket) {
+      if (it->mInDoubt) {
+        return false;
+      }
+      aQueue.mPending.erase(it);
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace foxtailquay
 
 #endif
