Route by estimated time to first token; add the backend server chart

The previous rule, least own outstanding runs, ignored the load report, the prompt cache, the loaded models and the zone. ChooseBackend now compares estimated delays of a few servers drawn at random, so that routers with the same old report do not all choose the same one, and uses a rendezvous-hashed subset of large fleets. Health follows charts/backend_server.yaml once a chart is passed to NoteEnded.

--- /dev/null
+++ b/src/core/backend_health.h
@@ -0,0 +1,130 @@
+// Health of one backend server as one router sees it: a state chart
+// (charts/backend_server.yaml) with the enumerations of its names.
+//
+//   auto chart = LoadChart<backend_status, backend_event, backend_guard,
+//                          backend_action>(text, "backend_server.yaml");
+//   NoteEvent(view, backend_event::RunFailed, &ValueOf(chart), options, now);
+//
+// The counters that guards and actions use are fields of backend_view
+// (routing.h). All functions take constant time and no memory.
+
+#ifndef FOXTAILQUAY_CORE_BACKEND_HEALTH_H
+#define FOXTAILQUAY_CORE_BACKEND_HEALTH_H
+
+#include "absl/time/time.h"
+#include "foxtailquay/chart.h"
+#include "foxtailquay/name_table.h"
+
+namespace foxtailquay {
+
+struct backend_view;
+struct routing_options;
+
+enum class backend_status
+{
+  Healthy,
+  Suspect,
+  Ejected,
+  Probing,
+  Leaving,
+  Gone,
+};
+
+constexpr auto NameTable(backend_status)
+{
+  return MakeNameTable<backend_status>({
+    { backend_status::Healthy, "healthy" },
+    { backend_status::Suspect, "suspect" },
+    { backend_status::Ejected, "ejected" },
+    { backend_status::Probing, "probing" },
+    { backend_status::Leaving, "leaving" },
+    { backend_status::Gone, "gone" },
+  });
+}
+
+enum class backend_event
+{
+  RunSucceeded,
+  RunFailed,
+  // The ejection time has passed.
+  EjectionOver,
+  // The agent, an operator or the VM list says that the server is leaving.
+  LeaveAnnounced,
+  // A server that was leaving accepts work again.
+  Rejoined,
+  // The server is no longer configured or its VM no longer exists.
+  Removed,
+};
+
+constexpr auto NameTable(backend_event)
+{
+  return MakeNameTable<backend_event>({
+    { backend_event::RunSucceeded, "run_succeeded" },
+    { backend_event::RunFailed, "run_failed" },
+    { backend_event::EjectionOver, "ejection_over" },
+    { backend_event::LeaveAnnounced, "leave_announced" },
+    { backend_event::Rejoined, "rejoined" },
+    { backend_event::Removed, "removed" },
+  });
+}
+
+enum class backend_guard
+{
+  // This failure brings the consecutive failures to the limit.
+  FailuresReached,
+  // This success is the last one that the return needs.
+  ProbeComplete,
+};
+
+constexpr auto NameTable(backend_guard)
+{
+  return MakeNameTable<backend_guard>({
+    { backend_guard::FailuresReached, "failures_reached" },
+    { backend_guard::ProbeComplete, "probe_complete" },
+  });
+}
+
+enum class backend_action
+{
+  CountFailure,
+  ClearFailures,
+  // Sets the end of the ejection, longer after each one in a row.
+  Eject,
+  ClearEjections,
+  StartProbe,
+  CountProbe,
+};
+
+constexpr auto NameTable(backend_action)
+{
+  return MakeNameTable<backend_action>({
+    { backend_action::CountFailure, "count_failure" },
+    { backend_action::ClearFailures, "clear_failures" },
+    { backend_action::Eject, "eject" },
+    { backend_action::ClearEjections, "clear_ejections" },
+    { backend_action::StartProbe, "start_probe" },
+    { backend_action::CountProbe, "count_probe" },
+  });
+}
+
+using backend_chart =
+  chart<backend_status, backend_event, backend_guard, backend_action>;
+
+// Fires aEvent and performs the actions on aView. Without a chart nothing
+// happens. Precondition: aView is not shared with another thread.
+void NoteEvent(backend_view& aView, backend_event aEvent,
+               const backend_chart* aChart, const routing_options& aOptions,
+               absl::Time aNow);
+
+// Fires EjectionOver if aView is ejected and the time has passed. Call it
+// before choosing a backend server, or on each tick.
+void AdvanceHealth(backend_view& aView, const backend_chart* aChart,
+                   const routing_options& aOptions, absl::Time aNow);
+
+// Most runs that this router may have on the backend server at once in its
+// present state: 0 while it is ejected, leaving or gone.
+int ConcurrencyLimit(const backend_view& aView, absl::Time aNow);
+
+} // namespace foxtailquay
+
+#endif
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -2,12 +2,23 @@
 //
 // A router keeps one `backend_view` per backend server, from lagging load
 // reports and from its own outstanding work, and asks ChooseBackend for each
-// dispatch.
+// dispatch:
+//
+//   auto chosen = ChooseBackend(views, query, options, now, random);
+//   NoteDispatched(views[*chosen], query, options, now);
+//   ...
+//   NoteEnded(views[*chosen], failed, options, now, chart);
+//
+// ChooseBackend compares estimated times to the first token. It takes time
+// proportional to the number of views; a view holds at most
+// kMaxOwnChanges + mPrefixMemory entries.
 
 #ifndef FOXTAILQUAY_CORE_ROUTING_H
 #define FOXTAILQUAY_CORE_ROUTING_H
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -16,6 +27,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "backend_health.h"
 #include "foxtailquay/config.h"
 #include "foxtailquay/messages.h"
 
@@ -27,7 +39,66 @@
 {
   // Consecutive failures after which a backend server is ejected.
   int mEjectAfterFailures = 3;
+  // First ejection; it doubles with each further one in a row.
   absl::Duration mEjectionTime = absl::Seconds(5);
+  absl::Duration mMaxEjectionTime = absl::Seconds(60);
+  // Successes that a returning backend server needs to be healthy again.
+  int mProbeSuccesses = 5;
+
+  // Name of this router; decides on its subset of a large fleet.
+  member_id mRouter;
+  // Live routers, this one included.
+  int mRouters = 1;
+  // Backend servers of one target that this router uses, if they are usable.
+  // 20 leaves a choice of healthy servers after the loss of a zone.
+  int mSubsetSize = 20;
+
+  // Backend servers drawn at random and compared, besides those that probably
+  // hold the prompt's prefix; 0 compares all. With all compared, routers that
+  // see the same old report would choose the same server.
+  int mChoices = 3;
+  // Age of a load report when it arrives.
+  absl::Duration mReportLag = absl::Seconds(1);
+  // Part of this router's net change since the report that each other router
+  // is assumed to have made as well.
+  double mPeerWeight = 0.5;
+
+  // One-way delay between availability zones.
+  absl::Duration mZoneDistance = absl::Microseconds(1500);
+  // Time to load a model that is not loaded.
+  absl::Duration mModelLoadTime = absl::Seconds(20);
+  // Typical time that a run holds a slot.
+  absl::Duration mRunTime = absl::Seconds(5);
+  // Additional time to the first token on a server that is full but has no
+  // queue.
+  absl::Duration mFullLoadCost = absl::Milliseconds(200);
+  // Added for a suspect backend server.
+  absl::Duration mSuspectCost = absl::Milliseconds(500);
+  double mPrefillTokensPerSecond = 8000;
+  // Part of the slots that batch work leaves to the other classes.
+  double mBatchReserve = 0.1;
+
+  // Prefixes remembered per backend server, from reports and own dispatches.
+  std::size_t mPrefixMemory = 256;
+  // Time after which a remembered prefix counts half.
+  absl::Duration mPrefixHalfLife = absl::Seconds(30);
+};
+
+// A change of this router's outstanding runs on one backend server.
+struct own_change
+{
+  absl::Time mAt;
+  int mDelta = 0;
+};
+
+// Most changes kept per backend server; more than one router makes on one
+// server within the lag of a report.
+constexpr std::size_t kMaxOwnChanges = 128;
+
+struct known_prefix
+{
+  std::uint64_t mHash = 0;
+  absl::Time mSeenAt = absl::InfinitePast();
 };
 
 struct backend_view
@@ -42,6 +113,20 @@
   int mFailures = 0;
   absl::Time mEjectedUntil = absl::InfinitePast();
   bool mLeaving = false;
+  // Health; see backend_health.h.
+  backend_status mStatus = backend_status::Healthy;
+  // Ejections since the backend server was last healthy.
+  int mEjections = 0;
+  // Successes of the present return.
+  int mProbes = 0;
+  // Changes of mOutstanding, oldest first.
+  std::deque<own_change> mOwnChanges;
+  // Prompt tokens that this router has sent and that are probably not
+  // processed yet, as of mPrefillAt.
+  double mPrefillBacklog = 0;
+  absl::Time mPrefillAt = absl::InfinitePast();
+  // Table of prefixes by hash; a newer prefix replaces one in its place.
+  std::vector<known_prefix> mPrefixes;
 };
 
 struct routing_query
@@ -50,6 +135,7 @@
   // Model or service name.
   std::string mTarget;
   zone_id mZone;
+  // Hashes of prompt prefixes, shortest first.
   std::vector<std::uint64_t> mPrefixes;
   priority_class mPriority = priority_class::Standard;
   token_count mPromptTokens = 0;
@@ -58,17 +144,59 @@
 };
 
 // Returns the backend server to use, or nothing if none can serve the query.
+// Looks at this router's subset first, then at all others, and last at
+// ejected and returning backend servers, since an attempt there is better
+// than none.
 std::optional<backend_id> ChooseBackend(
   const std::map<backend_id, backend_view>& aViews, const routing_query& aQuery,
   const routing_options& aOptions, absl::Time aNow, random_engine& aRandom);
 
-// Takes a report unless a newer one is known.
+// How many further runs this router should send to the backend servers of the
+// query now: its part of the slots that are probably free, at least 1 if any
+// slot is free.
+int FreeSlots(const std::map<backend_id, backend_view>& aViews,
+              const routing_query& aQuery, const routing_options& aOptions,
+              absl::Time aNow);
+
+// The subset of the backend servers of a target that this router uses,
+// chosen by rendezvous hashing: a change of one server or router changes few
+// subsets. All of them if there are no more than mSubsetSize.
+std::set<backend_id> SubsetOf(const std::map<backend_id, backend_view>& aViews,
+                              backend_kind aKind, const std::string& aTarget,
+                              const routing_options& aOptions);
+
+// Runs and queued requests that are probably on the backend server, of all
+// routers. aPeers is how many routers use the server, this one included.
+double EstimatedLoad(const backend_view& aView, double aPeers,
+                     const routing_options& aOptions, absl::Time aNow);
+
+// Estimated time to the first token.
+absl::Duration EstimatedDelay(const backend_view& aView,
+                              const routing_query& aQuery, double aPeers,
+                              const routing_options& aOptions, absl::Time aNow);
+
+// Expected part of the prompt, 0 to 1, that the backend server has cached.
+double CachedPart(const backend_view& aView, const routing_query& aQuery,
+                  const routing_options& aOptions, absl::Time aNow);
+
+// Takes a report unless a newer one is known. The overload with options also
+// learns the report's cached prefixes.
 void NoteReport(backend_view& aView, const load_report& aReport,
                 absl::Time aNow);
+void NoteReport(backend_view& aView, const load_report& aReport,
+                const routing_options& aOptions, absl::Time aNow);
+
+// A run was sent. The overload with the query also remembers its prefixes and
+// prompt size.
 void NoteDispatched(backend_view& aView, absl::Time aNow);
-// The run ended; aFailed counts towards ejection.
+void NoteDispatched(backend_view& aView, const routing_query& aQuery,
+                    const routing_options& aOptions, absl::Time aNow);
+
+// The run ended; aFailed counts towards ejection. With a chart, the health
+// follows it; without one, ejection is by consecutive failures only.
 void NoteEnded(backend_view& aView, bool aFailed,
-               const routing_options& aOptions, absl::Time aNow);
+               const routing_options& aOptions, absl::Time aNow,
+               const backend_chart* aChart = nullptr);
 
 // True if the backend server is configured for the target.
 bool Serves(const backend_config& aConfig, backend_kind aKind,
--- /dev/null
+++ b/tests/backend_health_test.cc
@@ -0,0 +1,109 @@
+// Guards against a backend server that keeps receiving work after failures,
+// after it announced that it leaves, or all at once when it returns.
+
+#define BOOST_TEST_MODULE backend_health
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include "core/routing.h"
+
+namespace foxtailquay {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+const backend_chart& Chart()
+{
+  static const backend_chart kChart = [] {
+    std::ifstream file(FOXTAILQUAY_SOURCE_DIR "/charts/backend_server.yaml");
+    std::stringstream text;
+    text << file.rdbuf();
+    auto loaded =
+      LoadChart<backend_status, backend_event, backend_guard, backend_action>(
+        text.str(), "backend_server.yaml");
+    if (!IsOk(loaded)) {
+      BOOST_FAIL(ToString(ErrorOf(loaded)));
+    }
+    return ValueOf(std::move(loaded));
+  }();
+  return kChart;
+}
+
+backend_view ViewIn(backend_status aStatus)
+{
+  backend_view view;
+  view.mConfig.mMaxConcurrency = 8;
+  view.mStatus = aStatus;
+  return view;
+}
+
+// A wrong or missing transition in the chart file.
+BOOST_AUTO_TEST_CASE(each_state_handles_each_event_as_intended)
+{
+  using s = backend_status;
+  const std::array<std::array<s, 6>, 6> expected = { {
+    // success, failure, ejection over, leave, rejoin, remove
+    { s::Healthy, s::Suspect, s::Healthy, s::Leaving, s::Healthy, s::Gone },
+    { s::Healthy, s::Suspect, s::Suspect, s::Leaving, s::Suspect, s::Gone },
+    { s::Ejected, s::Ejected, s::Probing, s::Leaving, s::Ejected, s::Gone },
+    { s::Probing, s::Ejected, s::Probing, s::Leaving, s::Probing, s::Gone },
+    { s::Leaving, s::Leaving, s::Leaving, s::Leaving, s::Probing, s::Gone },
+    { s::Gone, s::Gone, s::Gone, s::Gone, s::Gone, s::Gone },
+  } };
+  for (const auto& from : NameTable(backend_status{})) {
+    for (const auto& event : NameTable(backend_event{})) {
+      backend_view view = ViewIn(from.mValue);
+      NoteEvent(view, event.mValue, &Chart(), {}, kStart);
+      const auto to = expected[static_cast<std::size_t>(from.mValue)]
+                              [static_cast<std::size_t>(event.mValue)];
+      BOOST_TEST(NameOf(view.mStatus) == NameOf(to),
+                 from.mName << " + " << event.mName);
+    }
+  }
+}
+
+// Ejection too early or never, and a return at full load.
+BOOST_AUTO_TEST_CASE(ejects_after_failures_and_returns_slowly)
+{
+  const routing_options options;
+  backend_view view = ViewIn(backend_status::Healthy);
+  for (int i = 0; i < options.mEjectAfterFailures; ++i) {
+    BOOST_TEST(ConcurrencyLimit(view, kStart) == 8);
+    NoteEnded(view, true, options, kStart, &Chart());
+  }
+  BOOST_TEST(NameOf(view.mStatus) == "ejected");
+  BOOST_TEST(ConcurrencyLimit(view, kStart) == 0);
+  AdvanceHealth(view, &Chart(), options, kStart);
+  BOOST_TEST(NameOf(view.mStatus) == "ejected");
+  const absl::Time over = kStart + options.mEjectionTime;
+  AdvanceHealth(view, &Chart(), options, over);
+  for (int i = 0; i < options.mProbeSuccesses; ++i) {
+    BOOST_TEST(NameOf(view.mStatus) == "probing");
+    BOOST_TEST(ConcurrencyLimit(view, over) == 1 + i);
+    NoteEnded(view, false, options, over, &Chart());
+  }
+  BOOST_TEST(NameOf(view.mStatus) == "healthy");
+}
+
+// A server that fails each probe must not be probed every few seconds.
+BOOST_AUTO_TEST_CASE(ejections_in_a_row_grow_to_a_limit)
+{
+  const routing_options options;
+  backend_view view = ViewIn(backend_status::Probing);
+  absl::Time now = kStart;
+  absl::Duration last = absl::ZeroDuration();
+  for (int i = 0; i < 12; ++i) {
+    NoteEnded(view, true, options, now, &Chart());
+    const absl::Duration time = view.mEjectedUntil - now;
+    BOOST_TEST((time >= last && time <= options.mMaxEjectionTime));
+    last = time;
+    now = view.mEjectedUntil;
+    AdvanceHealth(view, &Chart(), options, now);
+  }
+  BOOST_TEST((last == options.mMaxEjectionTime));
+}
+
+} // namespace
+} // namespace foxtailquay
