Admit by class and workspace with bounded queues; tie retries to the deadline

It now queues by target: higher classes first, lower ones with a guaranteed part of the work and reserved slots that are released by ageing, and start-time fair queueing between workspaces. Requests that would not run in time, by the drain rate, are refused on arrival with a Retry-After; a full queue sheds the lowest class first. Per-workspace rate limits are token buckets.

MayRetry compared the deadline with the first delay only, so that a later attempt could be started after the deadline; it now uses the longest delay of that attempt.

--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -1,14 +1,35 @@
 // Admission: rate and concurrency limits per workspace, and bounded queues by
 // priority class for requests that must wait for capacity.
+//
+//   decision = Admit(state, request, workspace, fleet, free_slots, now);
+//   ... when slots become free:
+//   for (handle : TakeAdmitted(state, target, free_slots, now)) { dispatch }
+//   ... at NextExpiry(state):
+//   for (handle : TakeExpired(state, now)) { refuse }
+//
+// Higher classes run first; lower ones keep a guaranteed part of the work.
+// Inside a class, workspaces share by weighted fair queueing. A request that
+// would probably not run in time is refused on arrival. If the queue is full,
+// the lowest class gives way first, then the workspace with the most queued
+// requests.
+//
+// Memory: at most mQueueLength requests per target, one entry per workspace
+// with requests or a rate limit, one per target. An operation takes time
+// proportional to the number of workspaces in one queue.
 
 #ifndef FOXTAILQUAY_CORE_ADMISSION_H
 #define FOXTAILQUAY_CORE_ADMISSION_H
 
+#include <array>
 #include <cstddef>
 #include <map>
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "fair_queue.h"
 #include "foxtailquay/config.h"
 #include "foxtailquay/error.h"
 
@@ -25,6 +46,34 @@
   absl::Time mDeadline;
   // Worst-case cost, an estimate of the work.
   token_count mCost = 0;
+  // Part of the work that the workspace gets relative to others in its class.
+  double mWeight = 1;
+};
+
+constexpr std::size_t kPriorityClasses = CountOf<priority_class>();
+
+struct admission_options
+{
+  // Part of the work, by class, that a class gets while higher ones wait.
+  // Without it, batch work would starve under steady interactive load.
+  std::array<double, kPriorityClasses> mGuaranteedPart = { 0, 0.2, 0.1 };
+  // Free slots that a class leaves to higher ones, so that these need not
+  // wait for the end of a long run. They apply while higher classes are
+  // active.
+  std::array<int, kPriorityClasses> mReservedSlots = { 0, 1, 2 };
+  // A class is active for this long after its last request.
+  absl::Duration mActiveTime = absl::Seconds(1);
+  // Part of its longest wait after which a request ignores reserved slots.
+  double mAgeingPart = 0.5;
+  // Averaging time of the drain rate.
+  absl::Duration mDrainWindow = absl::Seconds(5);
+  // Requests taken from a queue before its drain rate is trusted.
+  double mMinDrained = 3;
+  absl::Duration mMinRetryAfter = absl::Seconds(1);
+  absl::Duration mMaxRetryAfter = absl::Seconds(30);
+  // Routers among which the rate limits of workspaces are divided; 1 applies
+  // the whole limit at each router.
+  int mRouters = 1;
 };
 
 enum class admission_outcome
@@ -52,17 +101,56 @@
 struct workspace_load
 {
   int mInFlight = 0;
+  int mQueued = 0;
+  // Token bucket of the rate limit; not used without one.
+  bool mRateLimited = false;
+  double mTokens = 0;
+  absl::Time mRefilledAt = absl::InfinitePast();
+};
+
+struct queued_request
+{
+  admission_request mRequest;
+  absl::Time mQueuedAt;
+  absl::Time mExpiry;
+};
+
+struct class_queue
+{
+  fair_queue mWaiting;
+  // Work that this class may take ahead of higher classes.
+  double mCredit = 0;
+  // Requests taken, with exponential decay over mDrainWindow.
+  double mDrained = 0;
+  absl::Time mLastRequest = absl::InfinitePast();
+};
+
+struct target_queue
+{
+  std::array<class_queue, kPriorityClasses> mClasses;
+  // Seconds with a queue, with the same decay as mDrained. The rate refers to
+  // these only, because without a queue it would be the rate of arrivals.
+  double mBusySeconds = 0;
+  absl::Time mDecayedAt = absl::InfinitePast();
 };
 
 struct admission_state
 {
+  admission_options mOptions;
   std::map<workspace_id, workspace_load> mWorkspaces;
+  std::map<std::string, target_queue> mTargets;
+  std::map<request_handle, queued_request> mQueued;
+  std::set<std::pair<absl::Time, request_handle>> mExpiries;
+  // Displaced by other requests; TakeExpired returns them.
+  std::vector<request_handle> mDisplaced;
 };
 
 // Decides on a new request. aFreeSlots is how many requests for the target
 // the known backend servers can take now. An admitted request counts against
 // the workspace until NoteDone; a queued one does so once TakeAdmitted
-// returns it.
+// returns it. A request counts against its rate limit unless it is refused.
+// Errors: ConcurrencyLimited, RateLimited, Overloaded, DeadlineExceeded, all
+// with ran::No; mRetryAfter is the expected time until a retry can succeed.
 admission_decision Admit(admission_state& aState,
                          const admission_request& aRequest,
                          const workspace_config& aWorkspace,
@@ -75,7 +163,8 @@
                                          const std::string& aTarget,
                                          int aFreeSlots, absl::Time aNow);
 
-// Removes and returns queued requests whose time in the queue is over.
+// Removes and returns queued requests whose time in the queue is over, and
+// those that gave way to others since the last call.
 std::vector<request_handle> TakeExpired(admission_state& aState,
                                         absl::Time aNow);
 
@@ -85,9 +174,17 @@
 // An admitted request has ended.
 void NoteDone(admission_state& aState, const workspace_id& aWorkspace);
 
-// Earliest time at which TakeExpired has something to return.
+// Earliest time at which TakeExpired has something to return; in the past if
+// it has now.
 absl::Time NextExpiry(const admission_state& aState);
 
+// Time that a request of the class and workspace would probably wait for a
+// slot, from the drain rate; zero while the rate is not known.
+absl::Duration EstimatedWait(const admission_state& aState,
+                             const std::string& aTarget,
+                             priority_class aPriority,
+                             const workspace_id& aWorkspace);
+
 // Targets with queued requests, in a fixed order.
 std::vector<std::string> QueuedTargets(const admission_state& aState);
 
--- a/src/core/retry.cc
+++ b/src/core/retry.cc
@@ -10,24 +10,30 @@
     std::min(aOptions.mBudgetCap, aState.mBudget + aOptions.mBudgetRatio);
 }
 
+absl::Duration LongestDelay(int aAttempts, const retry_options& aOptions)
+{
+  absl::Duration delay = aOptions.mFirstDelay;
+  for (int i = 1; i < aAttempts && delay < aOptions.mMaxDelay; ++i) {
+    delay *= 2;
+  }
+  return std::min(delay, aOptions.mMaxDelay);
+}
+
 bool MayRetry(const retry_state& aState, int aAttempts, absl::Time aDeadline,
               absl::Time aNow, const retry_options& aOptions)
 {
   return aAttempts < aOptions.mMaxAttempts && aState.mBudget >= 1 &&
-         aNow + aOptions.mFirstDelay < aDeadline;
+         aNow + LongestDelay(aAttempts, aOptions) < aDeadline;
 }
 
 absl::Duration TakeRetry(retry_state& aState, int aAttempts,
                          const retry_options& aOptions, random_engine& aRandom)
 {
   aState.mBudget -= 1;
-  absl::Duration limit = aOptions.mFirstDelay;
-  for (int i = 1; i < aAttempts && limit < aOptions.mMaxDelay; ++i) {
-    limit *= 2;
-  }
-  limit = std::min(limit, aOptions.mMaxDelay);
+  // Half of the delay is random, so that requests that failed together are
+  // not retried together, and the delay still grows with each attempt.
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
-  return limit * jitter(aRandom);
+  return LongestDelay(aAttempts, aOptions) * jitter(aRandom);
 }
 
 } // namespace foxtailquay
--- a/src/core/retry.h
+++ b/src/core/retry.h
@@ -1,5 +1,15 @@
 // Retries: a budget that keeps them a small part of the traffic, and the
 // delay before each.
+//
+//   NoteFirstAttempt(state, options);
+//   ... the attempt failed and may be repeated:
+//   if (MayRetry(state, attempts, deadline, now, options)) {
+//     retry_at = now + TakeRetry(state, attempts, options, random);
+//   }
+//
+// When all requests fail, attempts exceed requests by at most mBudgetRatio
+// and the saved budget, so retries do not keep an overloaded fleet overloaded.
+// Not thread-safe; constant time and memory.
 
 #ifndef FOXTAILQUAY_CORE_RETRY_H
 #define FOXTAILQUAY_CORE_RETRY_H
@@ -28,8 +38,11 @@
 // A first attempt was made; it earns a part of a retry.
 void NoteFirstAttempt(retry_state& aState, const retry_options& aOptions);
 
+// Upper bound of the delay after aAttempts attempts.
+absl::Duration LongestDelay(int aAttempts, const retry_options& aOptions);
+
 // True if a request that has made aAttempts attempts may be tried once more
-// before aDeadline. Does not change the budget.
+// before aDeadline, whatever the jitter. Does not change the budget.
 bool MayRetry(const retry_state& aState, int aAttempts, absl::Time aDeadline,
               absl::Time aNow, const retry_options& aOptions);
 
--- /dev/null
+++ b/tests/admission_test.cc
@@ -0,0 +1,263 @@
+// Guards against limits that do not hold, queues that grow without bound, and
+// classes or workspaces that starve others.
+
+#define BOOST_TEST_MODULE admission
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+#include "core/admission.h"
+#include "rapidcheck.h"
+
+namespace foxtailquay {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+const std::string kModel = "loom-7b";
+
+admission_request Request(request_handle aHandle, std::string aWorkspace,
+                          priority_class aPriority = priority_class::Standard,
+                          token_count aCost = 100)
+{
+  return { aHandle,   { std::move(aWorkspace) },   kModel,
+           aPriority, kStart + absl::Seconds(600), aCost,
+           1 };
+}
+
+admission_decision Try(admission_state& aState, const admission_request& aWhat,
+                       int aFree, absl::Time aNow,
+                       const workspace_config& aWorkspace = {},
+                       const fleet_config& aFleet = {})
+{
+  return Admit(aState, aWhat, aWorkspace, aFleet, aFree, aNow);
+}
+
+// The long-run rate and the burst must both hold, and the hint must be right.
+BOOST_AUTO_TEST_CASE(rate_limit_and_retry_after)
+{
+  workspace_config limited;
+  limited.mRatePerSecond = 10;
+  limited.mBurst = 5;
+  admission_state state;
+  int admitted = 0;
+  for (int ms = 0; ms < 10000; ms += 10) {
+    const auto decision =
+      Try(state, Request(1, "a"), 1, kStart + absl::Milliseconds(ms), limited);
+    admitted += decision.mOutcome == admission_outcome::Admitted ? 1 : 0;
+  }
+  BOOST_TEST(admitted >= 103);
+  BOOST_TEST(admitted <= 105);
+  limited.mRatePerSecond = 0.25;
+  limited.mBurst = 1;
+  state = {};
+  Try(state, Request(1, "a"), 1, kStart, limited);
+  const auto refused =
+    Try(state, Request(2, "a"), 1, kStart + absl::Seconds(1), limited);
+  BOOST_TEST(NameOf(refused.mError.mCode) == "rate_limited");
+  BOOST_TEST(absl::ToDoubleSeconds(refused.mError.mRetryAfter) == 3.0,
+             boost::test_tools::tolerance(1e-6));
+}
+
+// Queued requests must count too, or a burst would exceed the limit later.
+BOOST_AUTO_TEST_CASE(concurrency_limit_counts_queued_requests)
+{
+  workspace_config limited;
+  limited.mMaxConcurrency = 2;
+  admission_state state;
+  Try(state, Request(1, "a"), 1, kStart, limited);
+  Try(state, Request(2, "a"), 0, kStart, limited);
+  const auto third = Try(state, Request(3, "a"), 5, kStart, limited);
+  BOOST_TEST(NameOf(third.mError.mCode) == "concurrency_limited");
+  BOOST_TEST(TakeAdmitted(state, kModel, 5, kStart).size() == 1u);
+  NoteDone(state, { "a" });
+  NoteDone(state, { "a" });
+  BOOST_TEST(state.mWorkspaces.empty());
+}
+
+// A workspace that floods the queue must not delay another one.
+BOOST_AUTO_TEST_CASE(workspaces_of_a_class_share_by_work)
+{
+  admission_state state;
+  for (request_handle i = 0; i < 100; ++i) {
+    Try(state, Request(i, "flood", priority_class::Standard, 100), 0, kStart);
+  }
+  for (request_handle i = 100; i < 110; ++i) {
+    Try(state, Request(i, "small", priority_class::Standard, 200), 0, kStart);
+  }
+  // Items of twice the cost get half as many turns.
+  const auto taken = TakeAdmitted(state, kModel, 30, kStart);
+  const auto small =
+    std::count_if(taken.begin(), taken.end(),
+                  [](request_handle aHandle) { return aHandle >= 100; });
+  BOOST_TEST(small == 10);
+  // Withdrawn requests must not be charged to the workspace.
+  for (request_handle i = 30; i < 80; ++i) {
+    Withdraw(state, i);
+  }
+  Try(state, Request(200, "small"), 0, kStart);
+  const auto next = TakeAdmitted(state, kModel, 2, kStart);
+  BOOST_TEST(std::count(next.begin(), next.end(), 200u) == 1);
+}
+
+// Interactive requests run first; batch work must still get its part.
+BOOST_AUTO_TEST_CASE(batch_is_behind_interactive_but_not_starved)
+{
+  admission_state state;
+  fleet_config fleet;
+  fleet.mQueueLength = 10000;
+  request_handle handle = 0;
+  for (int i = 0; i < 100; ++i) {
+    Try(state, Request(handle++, "b", priority_class::Batch, 1000), 0, kStart,
+        {}, fleet);
+  }
+  double interactive = 0;
+  double batch = 0;
+  for (int i = 0; i < 2000; ++i) {
+    Try(state, Request(handle++, "i", priority_class::Interactive, 100), 0,
+        kStart, {}, fleet);
+    const auto taken = TakeAdmitted(state, kModel, 1, kStart);
+    BOOST_REQUIRE(taken.size() == 1u);
+    (taken[0] < 100 ? batch : interactive) += taken[0] < 100 ? 1000 : 100;
+    // The first interactive request must not wait behind a batch request.
+    BOOST_TEST((i > 0 || batch == 0));
+  }
+  BOOST_TEST(batch >= 0.05 * (batch + interactive));
+  BOOST_TEST(batch <= 0.15 * (batch + interactive));
+}
+
+// Batch work leaves slots free for interactive requests, but not for ever.
+BOOST_AUTO_TEST_CASE(reserved_slots_are_released_by_ageing)
+{
+  admission_state state;
+  Try(state, Request(1, "i", priority_class::Interactive), 1, kStart);
+  const auto batch =
+    Try(state, Request(2, "b", priority_class::Batch), 2, kStart);
+  BOOST_TEST(NameOf(batch.mOutcome) == "queued");
+  Try(state, Request(3, "i", priority_class::Interactive), 0,
+      kStart + absl::Seconds(2.4));
+  TakeAdmitted(state, kModel, 1, kStart + absl::Seconds(2.4));
+  BOOST_TEST(
+    TakeAdmitted(state, kModel, 1, kStart + absl::Seconds(2.45)).empty());
+  BOOST_TEST(
+    TakeAdmitted(state, kModel, 1, kStart + absl::Seconds(2.5)).size() == 1u);
+}
+
+// A full queue sheds the lowest class first, then the longest workspace.
+BOOST_AUTO_TEST_CASE(a_full_queue_sheds_the_lowest_class_first)
+{
+  admission_state state;
+  fleet_config fleet;
+  fleet.mQueueLength = 4;
+  const auto queue = [&](request_handle aHandle, const char* aWorkspace,
+                         priority_class aPriority) {
+    return NameOf(
+      Try(state, Request(aHandle, aWorkspace, aPriority), 0, kStart, {}, fleet)
+        .mOutcome);
+  };
+  queue(1, "a", priority_class::Batch);
+  queue(2, "a", priority_class::Standard);
+  queue(3, "a", priority_class::Standard);
+  queue(4, "a", priority_class::Standard);
+  BOOST_TEST(queue(5, "a", priority_class::Batch) == "refused");
+  BOOST_TEST(queue(6, "a", priority_class::Standard) == "queued");
+  BOOST_TEST(queue(7, "b", priority_class::Standard) == "queued");
+  BOOST_TEST(queue(8, "a", priority_class::Standard) == "refused");
+  BOOST_TEST((NextExpiry(state) <= kStart));
+  BOOST_TEST(
+    (TakeExpired(state, kStart) == std::vector<request_handle>{ 1, 6 }));
+  BOOST_TEST((NextExpiry(state) == kStart + fleet.mQueueTimeout));
+}
+
+// Requests that cannot run in time must be refused on arrival, with a hint.
+BOOST_AUTO_TEST_CASE(refuses_early_when_the_queue_drains_too_slowly)
+{
+  admission_state state;
+  fleet_config fleet;
+  fleet.mQueueTimeout = absl::Seconds(2);
+  absl::Time now = kStart;
+  request_handle handle = 0;
+  int refused = 0;
+  int expired = 0;
+  // 20 arrivals and 5 free slots a second.
+  for (int i = 0; i < 400; ++i, now += absl::Milliseconds(50)) {
+    const auto decision = Try(state, Request(handle++, "a"), 0, now, {}, fleet);
+    if (decision.mOutcome == admission_outcome::Refused) {
+      ++refused;
+      BOOST_TEST((decision.mError.mRetryAfter >= absl::Seconds(1)));
+      BOOST_TEST((decision.mError.mRetryAfter <= absl::Seconds(4)));
+    }
+    expired += static_cast<int>(TakeExpired(state, now).size());
+    if (i % 4 == 0) {
+      TakeAdmitted(state, kModel, 1, now);
+    }
+  }
+  BOOST_TEST(refused >= 250);
+  // Without early refusal, all of the about 300 would expire in the queue.
+  BOOST_TEST(expired <= 30);
+  auto late = Request(handle, "a");
+  late.mDeadline = now;
+  BOOST_TEST(NameOf(Try(state, late, 0, now).mError.mCode) ==
+             "deadline_exceeded");
+}
+
+// Random operations: counts stay consistent and each request ends once.
+BOOST_AUTO_TEST_CASE(random_operations_lose_no_request)
+{
+  const bool passed = rc::check([](std::uint64_t aSeed) {
+    std::mt19937_64 random(aSeed);
+    admission_state state;
+    fleet_config fleet;
+    fleet.mQueueLength = 8;
+    std::map<request_handle, std::string> queued;
+    std::map<std::string, int> flying;
+    absl::Time now = kStart;
+    const auto fly = [&](request_handle aHandle) {
+      ++flying[queued.at(aHandle)];
+      queued.erase(aHandle);
+    };
+    for (request_handle i = 1; i < 200; ++i) {
+      now += absl::Milliseconds(static_cast<int>(random() % 300));
+      const std::string workspace(1, static_cast<char>('a' + random() % 3));
+      const auto priority =
+        static_cast<priority_class>(random() % kPriorityClasses);
+      const auto decision = Try(
+        state,
+        Request(i, workspace, priority, static_cast<token_count>(1 + i % 50)),
+        static_cast<int>(random() % 2), now, {}, fleet);
+      if (decision.mOutcome != admission_outcome::Refused) {
+        queued[i] = workspace;
+      }
+      if (decision.mOutcome == admission_outcome::Admitted) {
+        fly(i);
+      }
+      for (request_handle handle : TakeExpired(state, now)) {
+        RC_ASSERT(queued.erase(handle) == 1u);
+      }
+      for (request_handle handle :
+           TakeAdmitted(state, kModel, static_cast<int>(random() % 3), now)) {
+        fly(handle);
+      }
+      if (!queued.empty() && random() % 4 == 0) {
+        Withdraw(state, queued.begin()->first);
+        queued.erase(queued.begin());
+      }
+      if (flying[workspace] > 0) {
+        --flying[workspace];
+        NoteDone(state, { workspace });
+      }
+      RC_ASSERT(state.mQueued.size() == queued.size());
+      RC_ASSERT(queued.size() <= 8u);
+      for (const auto& [name, count] : flying) {
+        const auto found = state.mWorkspaces.find({ name });
+        RC_ASSERT(
+          count ==
+          (found == state.mWorkspaces.end() ? 0 : found->second.mInFlight));
+      }
+    }
+  });
+  BOOST_TEST(passed);
+}
+
+} // namespace
+} // namespace foxtailquay
