Route, admit and eject by the policy modules

Backend views are refreshed when their inputs change and once a second, since a pass over 600 views at each event would cost most of the control budget.

--- a/src/core/node_charts.h
+++ b/src/core/node_charts.h
@@ -4,6 +4,7 @@
 #ifndef FOXTAILQUAY_CORE_NODE_CHARTS_H
 #define FOXTAILQUAY_CORE_NODE_CHARTS_H
 
+#include "backend_health.h"
 #include "foxtailquay/chart.h"
 #include "foxtailquay/name_table.h"
 
@@ -454,6 +455,7 @@
   patch_chart mPatch;
   process_chart mProcess;
   run_chart mRun;
+  backend_chart mBackend;
 };
 
 } // namespace foxtailquay
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -112,7 +112,7 @@
 {
   AdvanceProcess(aState, aNow);
   FireTimers(aState, aNow);
-  RefreshViews(aState);
+  RefreshViews(aState, aNow);
   AdmitQueued(aState, aNow);
   const bool member = aState.mNode.mSelf.mIncarnation != 0;
   if (member && aState.mNextReview <= aNow) {
@@ -192,6 +192,7 @@
     LoadInto(aTexts, "config_patch", charts->mPatch),
     LoadInto(aTexts, "process", charts->mProcess),
     LoadInto(aTexts, "run", charts->mRun),
+    LoadInto(aTexts, "backend_server", charts->mBackend),
   };
   for (const auto& one : loaded) {
     if (!IsOk(one)) {
@@ -219,6 +220,7 @@
   router->mNode = MakeNodeCore(aSettings, process_role::Router, aCharts,
                                aOptions.mStoreMinInterval);
   router->mOptions = aOptions;
+  router->mRouting.mRouter = aSettings.mMember;
   router->mRetryOptions.mMaxAttempts = aOptions.mMaxAttempts;
   return router;
 }
@@ -292,9 +294,8 @@
                              share.mGranted, share.mCommittedSpent, reserved });
   }
   for (const auto& [id, view] : aState.mBackends) {
-    const char* status = view.mAddress.empty() ? "absent"
-                         : view.mLeaving       ? "leaving"
-                                               : "active";
+    const std::string status =
+      view.mAddress.empty() ? "absent" : std::string(NameOf(view.mStatus));
     dump.mBackends.push_back(
       { id, status, view.mOutstanding, view.mReport.mRunning });
   }
--- a/src/core/router_members.cc
+++ b/src/core/router_members.cc
@@ -16,9 +16,16 @@
 constexpr std::size_t kMaxReportsPerMessage = 40;
 // Suspects named in one message, and probed for a peer.
 constexpr std::size_t kMaxSuspects = 8;
+constexpr absl::Duration kViewRefreshInterval = absl::Seconds(1);
+// A backend server whose reports since its refusal say that it takes work
+// again has been put back into use.
+constexpr absl::Duration kRejoinAfter = absl::Seconds(2);
 // Witnesses of a fence are asked again at this interval.
 constexpr absl::Duration kFenceQueryInterval = absl::Seconds(1);
 
+void RefreshView(router_state& aState, const backend_id& aId,
+                 backend_view& aView, absl::Time aNow);
+
 std::vector<load_report> NewestReports(const router_state& aState)
 {
   std::vector<const backend_view*> views;
@@ -69,7 +76,8 @@
   for (const load_report& report : aGossip.mLoad) {
     const auto view = aState.mBackends.find(report.mBackend);
     if (view != aState.mBackends.end()) {
-      NoteReport(view->second, report, aNow);
+      NoteReport(view->second, report, aState.mRouting, aNow);
+      RefreshView(aState, view->first, view->second, aNow);
     }
   }
 }
@@ -291,6 +299,63 @@
   }
 }
 
+// Rebuilds what is derived from the configuration.
+void IndexConfig(router_state& aState)
+{
+  const config_document& config = aState.mNode.mConfig;
+  aState.mIndexedConfig = config.mVersion;
+  aState.mBudgetOwners.clear();
+  for (const auto& [id, workspace] : config.mWorkspaces) {
+    for (const budget_config& budget : workspace.mBudgets) {
+      aState.mBudgetOwners[budget.mBudget] = id;
+    }
+  }
+  for (auto it = aState.mBackends.begin(); it != aState.mBackends.end();) {
+    it = config.mBackends.count(it->first) == 0 ? aState.mBackends.erase(it)
+                                                : std::next(it);
+  }
+  for (const auto& [id, backend] : config.mBackends) {
+    aState.mBackends[id].mConfig = backend;
+    aState.mBackends[id].mReport.mBackend = id;
+  }
+}
+
+void NoteRejoined(router_state& aState, backend_view& aView, absl::Time aNow)
+{
+  if (aView.mLeaving) {
+    aView.mLeaving = false;
+    NoteEvent(aView, backend_event::Rejoined, &aState.mNode.mCharts->mBackend,
+              aState.mRouting, aNow);
+  }
+}
+
+// Follows the backend server's agent in the member list.
+void RefreshView(router_state& aState, const backend_id& aId,
+                 backend_view& aView, absl::Time aNow)
+{
+  const auto& members = aState.mNode.mMembers.mMembers;
+  AdvanceHealth(aView, &aState.mNode.mCharts->mBackend, aState.mRouting, aNow);
+  aView.mAgent = member_id{ aId.mValue };
+  const auto agent = members.find(aView.mAgent);
+  if (agent == members.end()) {
+    aView.mAddress.clear();
+    return;
+  }
+  aView.mAddress = agent->second.mAddress;
+  if (aView.mAgentIncarnation != agent->second.mIncarnation) {
+    aView.mAgentIncarnation = agent->second.mIncarnation;
+    aView.mReport.mLeaving = false;
+    NoteRejoined(aState, aView, aNow);
+  }
+  if (agent->second.mStatus == member_status::Leaving ||
+      aView.mReport.mLeaving) {
+    NoteLeaving(aState, aView, aNow);
+  } else if (aView.mLeaving &&
+             aView.mLeavingSince + kRejoinAfter < aView.mReportedAt) {
+    NoteRejoined(aState, aView, aNow);
+  }
+}
+
 } // namespace
 
 void OnMessage(router_state& aState, const envelope& aEnvelope, absl::Time aNow)
@@ -440,42 +505,37 @@
   }
 }
 
-void RefreshViews(router_state& aState)
+void NoteLeaving(router_state& aState, backend_view& aView, absl::Time aNow)
 {
-  const config_document& config = aState.mNode.mConfig;
-  if (config.mVersion != aState.mIndexedConfig) {
-    aState.mIndexedConfig = config.mVersion;
-    aState.mBudgetOwners.clear();
-    for (const auto& [id, workspace] : config.mWorkspaces) {
-      for (const budget_config& budget : workspace.mBudgets) {
-        aState.mBudgetOwners[budget.mBudget] = id;
-      }
-    }
-    for (auto it = aState.mBackends.begin(); it != aState.mBackends.end();) {
-      it = config.mBackends.count(it->first) == 0 ? aState.mBackends.erase(it)
-                                                  : std::next(it);
-    }
-    for (const auto& [id, backend] : config.mBackends) {
-      aState.mBackends[id].mConfig = backend;
-      aState.mBackends[id].mReport.mBackend = id;
-    }
+  if (!aView.mLeaving) {
+    aView.mLeaving = true;
+    aView.mLeavingSince = aNow;
+    NoteEvent(aView, backend_event::LeaveAnnounced,
+              &aState.mNode.mCharts->mBackend, aState.mRouting, aNow);
   }
-  const auto& members = aState.mNode.mMembers.mMembers;
-  for (auto& [id, view] : aState.mBackends) {
-    view.mAgent = member_id{ id.mValue };
-    const auto agent = members.find(view.mAgent);
-    if (agent == members.end()) {
-      view.mAddress.clear();
-      view.mLeaving = false;
-      continue;
-    }
-    if (view.mAgentIncarnation != agent->second.mIncarnation) {
-      view.mAgentIncarnation = agent->second.mIncarnation;
-      view.mLeaving = false;
+}
+
+void RefreshViews(router_state& aState, absl::Time aNow)
+{
+  const node_core& node = aState.mNode;
+  const bool changed = node.mConfig.mVersion != aState.mIndexedConfig ||
+                       node.mMembersVersion != aState.mIndexedMembers;
+  if (node.mConfig.mVersion != aState.mIndexedConfig) {
+    IndexConfig(aState);
+  }
+  if (node.mMembersVersion != aState.mIndexedMembers) {
+    aState.mIndexedMembers = node.mMembersVersion;
+    const auto routers = ActiveMembers(node, process_role::Router);
+    aState.mRouting.mRouters = static_cast<int>(routers.size()) + 1;
+    aState.mAdmission.mOptions.mRouters = aState.mRouting.mRouters;
+  }
+  // Between changes of the inputs only ejection times pass, for which a look
+  // a second is enough.
+  if (changed || aState.mNextViewRefresh <= aNow) {
+    aState.mNextViewRefresh = aNow + kViewRefreshInterval;
+    for (auto& [id, view] : aState.mBackends) {
+      RefreshView(aState, id, view, aNow);
     }
-    view.mAddress = agent->second.mAddress;
-    view.mLeaving =
-      view.mLeaving || agent->second.mStatus == member_status::Leaving;
   }
 }
 
--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -125,21 +125,6 @@
   return success{};
 }
 
-// Requests for aTarget that the usable backend servers can take now.
-int FreeSlots(const router_state& aState, backend_kind aKind,
-              const std::string& aTarget, absl::Time aNow)
-{
-  int slots = 0;
-  for (const auto& [id, view] : aState.mBackends) {
-    if (Serves(view.mConfig, aKind, aTarget) && !view.mConfig.mDrain &&
-        !view.mLeaving && !view.mReport.mLeaving && !view.mAddress.empty() &&
-        view.mEjectedUntil <= aNow) {
-      slots += std::max(0, view.mConfig.mMaxConcurrency - view.mOutstanding);
-    }
-  }
-  return slots;
-}
-
 backend_kind KindOf(const request_state& aRequest)
 {
   return aRequest.mAsk.mKind == request_kind::Completion
@@ -147,6 +132,19 @@
            : backend_kind::Service;
 }
 
+routing_query QueryOf(const router_state& aState, const request_state& aRequest)
+{
+  routing_query query;
+  query.mKind = KindOf(aRequest);
+  query.mTarget = aRequest.mAsk.mTarget;
+  query.mZone = aState.mNode.mSettings.mZone;
+  query.mPrefixes = aRequest.mAsk.mPrefixes;
+  query.mPriority = aRequest.mPriority;
+  query.mPromptTokens = aRequest.mAsk.mPromptTokensBound;
+  query.mExclude = aRequest.mTried;
+  return query;
+}
+
 token_count CostOf(const request_state& aRequest)
 {
   if (aRequest.mAsk.mKind == request_kind::ServiceCall) {
@@ -229,14 +227,7 @@
 
 void Dispatch(router_state& aState, request_state& aRequest, absl::Time aNow)
 {
-  routing_query query;
-  query.mKind = KindOf(aRequest);
-  query.mTarget = aRequest.mAsk.mTarget;
-  query.mZone = aState.mNode.mSettings.mZone;
-  query.mPrefixes = aRequest.mAsk.mPrefixes;
-  query.mPriority = aRequest.mPriority;
-  query.mPromptTokens = aRequest.mAsk.mPromptTokensBound;
-  query.mExclude = aRequest.mTried;
+  const routing_query query = QueryOf(aState, aRequest);
   const auto chosen = ChooseBackend(aState.mBackends, query, aState.mRouting,
                                     aNow, aState.mNode.mRandom);
   if (!chosen) {
@@ -256,7 +247,7 @@
   if (aRequest.mAttempts++ == 0) {
     NoteFirstAttempt(aState.mRetries, aState.mRetryOptions);
   }
-  NoteDispatched(view, aNow);
+  NoteDispatched(view, query, aState.mRouting, aNow);
   aState.mAcknowledgeTo[aRequest.mRun] = view.mAgent;
   aState.mActions.emplace_back(dispatch_action{
     aRequest.mHandle, view.mAgent, view.mAddress,
@@ -368,7 +359,8 @@
 {
   const auto view = aState.mBackends.find(aRequest.mBackend);
   if (view != aState.mBackends.end()) {
-    NoteEnded(view->second, aFailed, aState.mRouting, aNow);
+    NoteEnded(view->second, aFailed, aState.mRouting, aNow,
+              &aState.mNode.mCharts->mBackend);
   }
 }
 
@@ -381,6 +373,21 @@
          aCode == error_code::BackendServerLeaving;
 }
 
+// Slots for the queue of a target. Models and services have queues of their
+// own, unless both have the same name.
+int QueueSlots(const router_state& aState, const std::string& aTarget,
+               absl::Time aNow)
+{
+  int slots = 0;
+  for (backend_kind kind : { backend_kind::Engine, backend_kind::Service }) {
+    routing_query query;
+    query.mKind = kind;
+    query.mTarget = aTarget;
+    slots += FreeSlots(aState.mBackends, query, aState.mRouting, aNow);
+  }
+  return slots;
+}
+
 // Why a request that waited for tokens in vain is refused.
 error FundingError(const router_state& aState, const request_state& aRequest)
 {
@@ -451,7 +458,9 @@
   const admission_decision decision =
     Admit(aState.mAdmission, asked, config.mWorkspaces.at(request.mWorkspace),
           config.mFleet,
-          FreeSlots(aState, KindOf(request), request.mAsk.mTarget, aNow), aNow);
+          FreeSlots(aState.mBackends, QueryOf(aState, request), aState.mRouting,
+                    aNow),
+          aNow);
   switch (decision.mOutcome) {
     case admission_outcome::Admitted:
       FireRequest(aState, request, request_event::Admitted, aNow);
@@ -469,10 +478,7 @@
 void AdmitQueued(router_state& aState, absl::Time aNow)
 {
   for (const std::string& target : QueuedTargets(aState.mAdmission)) {
-    // A queue holds requests of one kind, as models and services have
-    // different names in any one configuration.
-    const int slots = FreeSlots(aState, backend_kind::Engine, target, aNow) +
-                      FreeSlots(aState, backend_kind::Service, target, aNow);
+    const int slots = QueueSlots(aState, target, aNow);
     for (request_handle handle :
          TakeAdmitted(aState.mAdmission, target, slots, aNow)) {
       const auto found = aState.mRequests.find(handle);
@@ -574,7 +580,7 @@
       Send(aState.mNode, view->second.mAgent, fetch_members_message{});
     }
     if (aEvent.mError.mCode == error_code::BackendServerLeaving) {
-      view->second.mLeaving = true;
+      NoteLeaving(aState, view->second, aNow);
     }
   }
   error reason = aEvent.mError;
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -133,6 +133,8 @@
   // Index of the configuration: the workspace of each budget.
   std::map<budget_id, workspace_id> mBudgetOwners;
   config_version mIndexedConfig = 0;
+  store_version mIndexedMembers = 0;
+  absl::Time mNextViewRefresh = absl::InfinitePast();
   std::map<backend_id, backend_view> mBackends;
   admission_state mAdmission;
   retry_state mRetries;
@@ -252,7 +254,9 @@
 void NoteTicketDone(router_state& aState, std::uint64_t aTicket,
                     absl::Time aNow);
 // Brings backend views and indices in line with configuration and members.
-void RefreshViews(router_state& aState);
+void RefreshViews(router_state& aState, absl::Time aNow);
+// The backend server's agent has said that it takes no new work.
+void NoteLeaving(router_state& aState, backend_view& aView, absl::Time aNow);
 
 // --- router_operator.cc -----------------------------------------------------
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -115,6 +115,7 @@
   int mFailures = 0;
   absl::Time mEjectedUntil = absl::InfinitePast();
   bool mLeaving = false;
+  absl::Time mLeavingSince = absl::InfinitePast();
   // Health; see backend_health.h.
   backend_status mStatus = backend_status::Healthy;
   // Ejections since the backend server was last healthy.
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -25,8 +25,8 @@
 node_charts_ptr Charts()
 {
   std::map<std::string, std::string> texts;
-  for (const char* name :
-       { "request", "share", "config_patch", "process", "run" }) {
+  for (const char* name : { "request", "share", "config_patch", "process",
+                            "run", "backend_server" }) {
     const std::string file = std::string(name) + ".yaml";
     texts[file] =
       ReadFile(std::string(FOXTAILQUAY_SOURCE_DIR) + "/charts/" + file);
