Compare key hashes in full; measure capacity slopes

Cause: the ownership check compared only the first 8 digits of key hashes, so that two of 5,100 workspaces could be taken for one another and a valid configuration was refused. Found by the capacity program, whose generated hashes begin alike. Change: compare whole hashes; a test covers it.

--- /dev/null
+++ b/bench/capacity/capacity.cc
@@ -0,0 +1,431 @@
+// Measures what routers, agents and the store spend at several sizes of the
+// fleet, fits lines, and prints the figures of docs/CAPACITY.md as Markdown.
+//
+//   foxtailquay_capacity --charts_dir=DIR [--experiment=NAME]
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "fleet.h"
+#include "gflags/gflags.h"
+#include "wire/document_codec.h"
+#include "wire/message_codec.h"
+
+DEFINE_string(charts_dir, "charts", "folder of the state charts");
+DEFINE_string(experiment, "all",
+              "idle, requests, contention, memory, config, restart, outage "
+              "or all");
+DEFINE_int32(seconds, 20, "virtual seconds per measurement");
+
+namespace foxtailquay {
+namespace {
+
+using chart_texts = std::map<std::string, std::string>;
+
+struct table
+{
+  std::vector<std::string> mHeader;
+  std::vector<std::vector<double>> mRows;
+};
+
+void Print(const char* aTitle, const table& aTable)
+{
+  std::cout << "\n### " << aTitle << "\n\n|";
+  for (const std::string& name : aTable.mHeader) {
+    std::cout << " " << name << " |";
+  }
+  std::cout << "\n|";
+  for (std::size_t i = 0; i < aTable.mHeader.size(); ++i) {
+    std::cout << "---:|";
+  }
+  std::cout << "\n";
+  for (const auto& row : aTable.mRows) {
+    std::cout << "|";
+    for (double value : row) {
+      std::cout << " " << absl::StrFormat("%.4g", value) << " |";
+    }
+    std::cout << "\n";
+  }
+}
+
+// Least squares line of column aY over column aX.
+void PrintFit(const table& aTable, std::size_t aX, std::size_t aY, double aAt)
+{
+  double n = 0;
+  double sx = 0;
+  double sy = 0;
+  double sxx = 0;
+  double sxy = 0;
+  for (const auto& row : aTable.mRows) {
+    n += 1;
+    sx += row[aX];
+    sy += row[aY];
+    sxx += row[aX] * row[aX];
+    sxy += row[aX] * row[aY];
+  }
+  const double spread = n * sxx - sx * sx;
+  if (spread == 0) {
+    return;
+  }
+  const double slope = (n * sxy - sx * sy) / spread;
+  const double base = (sy - slope * sx) / n;
+  std::cout << absl::StrFormat("- %s = %.4g + %.4g * %s; at %.6g: %.4g\n",
+                               aTable.mHeader[aY], base, slope,
+                               aTable.mHeader[aX], aAt, base + slope * aAt);
+}
+
+double HeapBytes()
+{
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+double CpuSeconds()
+{
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+// Control cost of a fleet without requests.
+void MeasureIdle(const chart_texts& aCharts)
+{
+  table costs{ { "members", "router CPU %", "router messages/s",
+                 "router bytes/s", "agent CPU %", "agent bytes/s",
+                 "store reads/s", "store writes/s" },
+               {} };
+  for (int routers : { 5, 10, 20, 40 }) {
+    fleet_size size;
+    size.mRouters = routers;
+    size.mAgents = routers * 10 / 7;
+    fleet measured = MakeFleet(size, aCharts);
+    ResetCosts(measured);
+    RunFor(measured, absl::Seconds(FLAGS_seconds));
+    const double seconds = FLAGS_seconds;
+    const role_cost& router = measured.mRouterCost;
+    const role_cost& agent = measured.mAgentCost;
+    costs.mRows.push_back(
+      { static_cast<double>(size.mRouters + size.mAgents),
+        100 * router.mCpuSeconds / seconds / size.mRouters,
+        static_cast<double>(router.mMessages) / seconds / size.mRouters,
+        static_cast<double>(router.mBytes) / seconds / size.mRouters,
+        100 * agent.mCpuSeconds / seconds / size.mAgents,
+        static_cast<double>(agent.mBytes) / seconds / size.mAgents,
+        static_cast<double>(measured.mStoreCost.mReads) / seconds,
+        static_cast<double>(measured.mStoreCost.mWrites) / seconds });
+  }
+  Print("Control without requests", costs);
+  for (std::size_t column = 1; column < costs.mHeader.size(); ++column) {
+    PrintFit(costs, 0, column, 1020);
+  }
+}
+
+// Additional cost of each request.
+void MeasureRequests(const chart_texts& aCharts)
+{
+  table costs{ { "requests/s", "router CPU us/s", "agent CPU us/s",
+                 "control bytes/s", "store writes/s", "store conflicts/s",
+                 "refused" },
+               {} };
+  for (double rate : { 0.0, 30.0, 60.0, 120.0, 240.0 }) {
+    fleet_size size;
+    size.mRouters = 10;
+    size.mAgents = 14;
+    size.mBudgets = 50;
+    size.mRequestsPerSecond = rate;
+    fleet measured = MakeFleet(size, aCharts);
+    RunFor(measured, absl::Seconds(5));
+    ResetCosts(measured);
+    RunFor(measured, absl::Seconds(FLAGS_seconds));
+    const double seconds = FLAGS_seconds;
+    costs.mRows.push_back(
+      { rate, 1e6 * measured.mRouterCost.mCpuSeconds / seconds,
+        1e6 * measured.mAgentCost.mCpuSeconds / seconds,
+        static_cast<double>(measured.mRouterCost.mBytes) / seconds,
+        static_cast<double>(measured.mStoreCost.mWrites) / seconds,
+        static_cast<double>(measured.mStoreCost.mConflicts) / seconds,
+        static_cast<double>(measured.mRefused) });
+  }
+  Print("Requests on 10 routers and 14 agents, 50 budgets, 4 shards", costs);
+  for (std::size_t column = 1; column < 5; ++column) {
+    PrintFit(costs, 0, column, 4900);
+  }
+}
+
+// Store writes as more routers draw on the same budgets.
+void MeasureContention(const chart_texts& aCharts)
+{
+  table costs{ { "routers", "requests/s", "shards", "store writes/s",
+                 "conflicts/s", "store reads/s", "answered", "refused" },
+               {} };
+  for (std::uint32_t shards : { 4u, 16u }) {
+    for (int routers : { 5, 10, 20, 40 }) {
+      fleet_size size;
+      size.mRouters = routers;
+      size.mAgents = routers;
+      size.mBudgets = 100;
+      size.mShards = shards;
+      size.mRequestsPerSecond = 12.0 * routers;
+      fleet measured = MakeFleet(size, aCharts);
+      RunFor(measured, absl::Seconds(5));
+      ResetCosts(measured);
+      RunFor(measured, absl::Seconds(FLAGS_seconds));
+      const double seconds = FLAGS_seconds;
+      const store_cost& store = measured.mStoreCost;
+      costs.mRows.push_back({ static_cast<double>(routers),
+                              size.mRequestsPerSecond,
+                              static_cast<double>(shards),
+                              static_cast<double>(store.mWrites) / seconds,
+                              static_cast<double>(store.mConflicts) / seconds,
+                              static_cast<double>(store.mReads) / seconds,
+                              static_cast<double>(measured.mAnswered),
+                              static_cast<double>(measured.mRefused) });
+    }
+  }
+  Print("Store load at 12 requests/s per router, 100 budgets", costs);
+}
+
+router_ptr LoneRouter(const node_charts& aCharts)
+{
+  node_settings settings;
+  settings.mMember.mValue = "router-0";
+  settings.mZone.mValue = "zone-0";
+  settings.mAddress = "10.0.0.1:9000";
+  settings.mNonce = "n";
+  return MakeRouter(settings, router_options{}, aCharts);
+}
+
+member_list MakeMembers(int aCount)
+{
+  member_list list;
+  for (int i = 0; i < aCount; ++i) {
+    member_record record;
+    record.mRole = i % 17 < 7 ? process_role::Router : process_role::Agent;
+    record.mIncarnation = 3;
+    record.mZone.mValue = absl::StrCat("zone-", i % 8);
+    record.mAddress = absl::StrCat("10.0.", i / 250, ".", i % 250, ":9000");
+    record.mNonce = absl::StrCat("0123456789abcdef-", i);
+    const member_id id{ absl::StrCat("member-", i) };
+    list.mMembers[id] = record;
+    list.mLastIncarnation[id] = 3;
+  }
+  return list;
+}
+
+void Deliver(router_state& aRouter, message aBody, config_version aVersion)
+{
+  envelope news;
+  news.mSender = { { "router-9" }, 1 };
+  news.mConfigVersion = aVersion;
+  news.mBody = std::move(aBody);
+  Step(aRouter, message_event{ news }, absl::FromUnixSeconds(1'000'000));
+}
+
+// Memory of one router by what it knows, and size and decoding time of the
+// two documents that every process holds.
+void MeasureDocuments(const chart_texts& aCharts)
+{
+  const auto charts = ValueOf(LoadCharts(aCharts));
+  table members{ { "members", "router bytes", "JSON bytes", "decode ms" }, {} };
+  for (int count : { 128, 256, 512, 1024 }) {
+    const member_list list = MakeMembers(count);
+    router_ptr router = LoneRouter(*charts);
+    const double before = HeapBytes();
+    Deliver(*router, members_message{ 7, list }, 0);
+    const double after = HeapBytes();
+    const std::string text = EncodeDocument(list);
+    const double start = CpuSeconds();
+    const auto decoded = DecodeDocument(store_area::Members, text);
+    const double spent = CpuSeconds() - start;
+    members.mRows.push_back({ static_cast<double>(count), after - before,
+                              static_cast<double>(text.size()),
+                              IsOk(decoded) ? 1e3 * spent : -1 });
+  }
+  Print("Member list", members);
+  for (std::size_t column = 1; column < 4; ++column) {
+    PrintFit(members, 0, column, 1020);
+  }
+  table configs{ { "workspaces", "router bytes", "JSON bytes", "decode ms" },
+                 {} };
+  for (int workspaces : { 640, 1275, 2550, 5100 }) {
+    fleet_size size;
+    size.mBudgets = workspaces * 2;
+    size.mModels = 35;
+    size.mAgents = 600;
+    config_document document;
+    const auto patched = ApplyPatch(document, MakeConfig(size));
+    if (!IsOk(patched)) {
+      std::cerr << ToString(ErrorOf(patched)) << "\n";
+      return;
+    }
+    document = ValueOf(patched);
+    router_ptr router = LoneRouter(*charts);
+    const double before = HeapBytes();
+    Deliver(*router, config_message{ document }, 1);
+    const double after = HeapBytes();
+    const std::string text = EncodeDocument(document);
+    const double start = CpuSeconds();
+    const auto decoded = DecodeDocument(store_area::Config, text);
+    const double spent = CpuSeconds() - start;
+    configs.mRows.push_back({ static_cast<double>(workspaces), after - before,
+                              static_cast<double>(text.size()),
+                              IsOk(decoded) ? 1e3 * spent : -1 });
+  }
+  Print("Configuration, 600 backend servers and 35 models", configs);
+  for (std::size_t column = 1; column < 4; ++column) {
+    PrintFit(configs, 0, column, 5100);
+  }
+}
+
+// Size of an account shard by the number of routers that hold shares.
+void MeasureAccounts()
+{
+  table sizes{ { "holders", "JSON bytes per account" }, {} };
+  for (int holders : { 1, 5, 25, 100, 420 }) {
+    account_shard shard;
+    account& one = shard.mAccounts[{ "budget-1234" }];
+    one.mPaidIn = 1'000'000'000;
+    one.mTopUps["0123456789abcdef"] = one.mPaidIn;
+    for (int i = 0; i < holders; ++i) {
+      share_record record;
+      record.mGranted = 1'000'000;
+      record.mSpent = 734'512;
+      record.mSettled = { 12'345, { 12'347, 12'350 } };
+      record.mAdjustment = 321;
+      record.mLossEpoch = 44;
+      one.mShares[{ { absl::StrCat("router-", i) }, 17 }] = record;
+    }
+    sizes.mRows.push_back(
+      { static_cast<double>(holders),
+        static_cast<double>(EncodeDocument(shard).size()) });
+  }
+  Print("Account size", sizes);
+  PrintFit(sizes, 0, 1, 420);
+}
+
+bool AllReady(const fleet& aFleet)
+{
+  return std::all_of(
+    aFleet.mNodes.begin(), aFleet.mNodes.end(), [](const fleet_node& aNode) {
+      return aNode.mRouter ? IsReady(*aNode.mRouter) : IsReady(*aNode.mAgent);
+    });
+}
+
+// Every process restarts at the same moment.
+void MeasureRestart(const chart_texts& aCharts)
+{
+  table costs{ { "members", "seconds until all are ready", "store reads",
+                 "store writes", "store conflicts" },
+               {} };
+  for (int routers : { 5, 10, 20, 40 }) {
+    fleet_size size;
+    size.mRouters = routers;
+    size.mAgents = routers;
+    fleet measured = MakeFleet(size, aCharts);
+    ResetCosts(measured);
+    RestartAll(measured);
+    const absl::Time start = measured.mNow;
+    while (!AllReady(measured) && measured.mNow < start + absl::Minutes(10)) {
+      RunFor(measured, absl::Milliseconds(100));
+    }
+    const store_cost& store = measured.mStoreCost;
+    costs.mRows.push_back({ static_cast<double>(2 * routers),
+                            absl::ToDoubleSeconds(measured.mNow - start),
+                            static_cast<double>(store.mReads),
+                            static_cast<double>(store.mWrites),
+                            static_cast<double>(store.mConflicts) });
+  }
+  Print("Restart of the whole fleet at once", costs);
+  for (std::size_t column = 1; column < 5; ++column) {
+    PrintFit(costs, 0, column, 1020);
+  }
+}
+
+// The store is down for ten minutes under load and comes back.
+void MeasureOutage(const chart_texts& aCharts)
+{
+  table costs{ { "routers", "answered", "refused",
+                 "store calls in the 10 s "
+                 "after",
+                 "writes in the 10 s after" },
+               {} };
+  for (int routers : { 5, 10, 20 }) {
+    fleet_size size;
+    size.mRouters = routers;
+    size.mAgents = routers;
+    size.mRequestsPerSecond = 4.0 * routers;
+    fleet measured = MakeFleet(size, aCharts);
+    RunFor(measured, absl::Seconds(30));
+    ResetCosts(measured);
+    measured.mStoreDown = true;
+    RunFor(measured, absl::Minutes(10));
+    const double answered = static_cast<double>(measured.mAnswered);
+    const double refused = static_cast<double>(measured.mRefused);
+    measured.mStoreDown = false;
+    ResetCosts(measured);
+    RunFor(measured, absl::Seconds(10));
+    const store_cost& store = measured.mStoreCost;
+    costs.mRows.push_back({ static_cast<double>(routers), answered, refused,
+                            static_cast<double>(store.mReads + store.mWrites),
+                            static_cast<double>(store.mWrites) });
+  }
+  Print("Store outage of 10 minutes at 4 requests/s per router", costs);
+}
+
+chart_texts ReadCharts()
+{
+  chart_texts texts;
+  for (const char* name : { "request", "share", "config_patch", "process",
+                            "run", "backend_server" }) {
+    const std::string file = absl::StrCat(name, ".yaml");
+    std::ifstream stream(absl::StrCat(FLAGS_charts_dir, "/", file));
+    std::stringstream text;
+    text << stream.rdbuf();
+    texts[file] = text.str();
+  }
+  return texts;
+}
+
+void RunExperiments()
+{
+  const chart_texts charts = ReadCharts();
+  const auto wanted = [](const char* aName) {
+    return FLAGS_experiment == "all" || FLAGS_experiment == aName;
+  };
+  if (wanted("idle")) {
+    MeasureIdle(charts);
+  }
+  if (wanted("requests")) {
+    MeasureRequests(charts);
+  }
+  if (wanted("contention")) {
+    MeasureContention(charts);
+  }
+  if (wanted("memory")) {
+    MeasureDocuments(charts);
+    MeasureAccounts();
+  }
+  if (wanted("restart")) {
+    MeasureRestart(charts);
+  }
+  if (wanted("outage")) {
+    MeasureOutage(charts);
+  }
+}
+
+} // namespace
+} // namespace foxtailquay
+
+int main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  foxtailquay::RunExperiments();
+  return 0;
+}
--- a/src/core/config.cc
+++ b/src/core/config.cc
@@ -192,20 +192,26 @@
 // other's tokens.
 result<success> CheckOwnership(const config_document& aConfig)
 {
-  std::map<std::string, std::string> owners;
+  std::map<std::string, std::string> budgetOwners;
+  std::map<std::string, std::string> hashOwners;
   for (const auto& [id, workspace] : aConfig.mWorkspaces) {
-    std::set<std::string> own;
+    const std::string field = absl::StrCat("workspaces.", id.mValue);
     for (const budget_config& budget : workspace.mBudgets) {
-      own.insert("budget \"" + budget.mBudget.mValue + "\"");
+      const std::string& name = budget.mBudget.mValue;
+      const auto [owner, added] = budgetOwners.emplace(name, id.mValue);
+      if (!added && owner->second != id.mValue) {
+        return ConfigError(field,
+                           absl::StrCat("budget \"", name,
+                                        "\" also belongs to workspace \"",
+                                        owner->second, "\""));
+      }
     }
     for (const std::string& hash : workspace.mKeyHashes) {
-      own.insert("key hash " + hash.substr(0, 8) + "...");
-    }
-    for (const std::string& name : own) {
-      const auto [owner, added] = owners.emplace(name, id.mValue);
-      if (!added) {
-        return ConfigError(absl::StrCat("workspaces.", id.mValue),
-                           absl::StrCat(name, " also belongs to workspace \"",
+      const auto [owner, added] = hashOwners.emplace(hash, id.mValue);
+      if (!added && owner->second != id.mValue) {
+        return ConfigError(field,
+                           absl::StrCat("key hash ", hash.substr(0, 8),
+                                        "... also belongs to workspace \"",
                                         owner->second, "\""));
       }
     }
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -194,6 +194,21 @@
 }
 
 // A reference to a removed entry would send requests to nothing.
+// Two hashes that begin alike were once taken for the same key.
+BOOST_AUTO_TEST_CASE(key_hashes_are_compared_in_full)
+{
+  config_patch patch;
+  for (const char* last : { "1", "2" }) {
+    workspace_config workspace;
+    workspace.mKeyHashes = { std::string(63, '0') + last };
+    workspace.mBudgets = { { { std::string("budget-") + last }, {} } };
+    patch.mWorkspaces[{ std::string("workspace-") + last }] = workspace;
+  }
+  BOOST_TEST(IsOk(ApplyPatch(config_document{}, patch)));
+  patch.mWorkspaces.begin()->second->mKeyHashes[0].back() = '2';
+  BOOST_TEST(!IsOk(ApplyPatch(config_document{}, patch)));
+}
+
 BOOST_AUTO_TEST_CASE(entries_in_use_cannot_be_removed)
 {
   config_patch patch;
