Commit account operations through one router per shard

Cause: every router wrote the account shards itself, so that writes grew with routers and half of them were conflicts. Change: operations go to a committer per shard, chosen by rendezvous hashing; a shard is written at most once per shards/200 s. Answers carry only the asking router's share and the largest holders. Gossip passes on 10 reports instead of 40 and none in answers.

--- a/include/foxtailquay/messages.h
+++ b/include/foxtailquay/messages.h
@@ -152,12 +152,18 @@
 struct commit_ops_message
 {
   store_key mKey;
+  // The sender's number for this message, repeated in the answer.
+  std::uint64_t mNumber = 0;
+  // Operations with the sender's numbers.
   std::vector<std::pair<std::uint64_t, account_op>> mOps;
 };
 
+// All operations of a commit_ops_message are decided. No outcomes: the
+// receiver does not commit for the sender.
 struct commit_result_message
 {
   store_key mKey;
+  std::uint64_t mNumber = 0;
   store_version mVersion = 0;
   std::vector<std::pair<std::uint64_t, op_outcome>> mOutcomes;
   // Accounts that the operations touched, as committed.
--- a/include/foxtailquay/router.h
+++ b/include/foxtailquay/router.h
@@ -277,6 +277,10 @@
   absl::Duration mSettleDelay = absl::Milliseconds(200);
   absl::Duration mClaimDelay = absl::Milliseconds(2);
   absl::Duration mStoreMinInterval = absl::Milliseconds(20);
+  // Account writes per second that the whole fleet may make. With one
+  // committer per shard, a shard is written at most once per
+  // shards / this many seconds.
+  int mStoreWritesPerSecond = 200;
   // A claim that is not decided after this time is given up, unrun.
   absl::Duration mClaimTimeout = absl::Seconds(3);
   // How long a repeated call waits for the answer of the first one.
--- a/src/core/commit.h
+++ b/src/core/commit.h
@@ -41,13 +41,17 @@
   Idle,
   Reading,
   Writing,
+  // Sent to another router that commits for this one.
+  Forwarded,
 };
 
 constexpr auto NameTable(commit_phase)
 {
-  return MakeNameTable<commit_phase>({ { commit_phase::Idle, "idle" },
-                                       { commit_phase::Reading, "reading" },
-                                       { commit_phase::Writing, "writing" } });
+  return MakeNameTable<commit_phase>(
+    { { commit_phase::Idle, "idle" },
+      { commit_phase::Reading, "reading" },
+      { commit_phase::Writing, "writing" },
+      { commit_phase::Forwarded, "forwarded" } });
 }
 
 template<typename Op>
@@ -60,6 +64,10 @@
   op_outcome mOutcome = op_outcome::Denied;
   // Part of a write whose outcome is not known; it may have taken effect.
   bool mInDoubt = false;
+  // Sent to another router, which may apply it at any later time.
+  bool mForwarded = false;
+  // Number within the queue, for the answer of that router.
+  std::uint64_t mId = 0;
 };
 
 template<typename Document, typename Op>
@@ -78,6 +86,7 @@
   // The first mInFlight entries of mPending are part of mWriting.
   std::vector<pending_op<Op>> mPending;
   std::size_t mInFlight = 0;
+  std::uint64_t mNextId = 1;
   absl::Time mNotBefore = absl::InfinitePast();
   int mFailures = 0;
   // Set to read the document again although no operation is waiting.
@@ -91,8 +100,8 @@
 void Submit(commit_queue<Document, Op>& aQueue, Op aOp, std::uint64_t aTicket,
             absl::Time aDue)
 {
-  aQueue.mPending.push_back(
-    { std::move(aOp), aTicket, aDue, op_outcome::Denied, false });
+  aQueue.mPending.push_back({ std::move(aOp), aTicket, aDue, op_outcome::Denied,
+                              false, false, aQueue.mNextId++ });
 }
 
 // Doubles with each failure in a row up to the maximum.
@@ -162,7 +171,8 @@
   bool changed = false;
   for (auto& pending : aQueue.mPending) {
     pending.mOutcome = ApplyOp(trial, pending.mOp);
-    pending.mInDoubt = pending.mInDoubt && aQueue.mDoubtVersion.has_value();
+    pending.mInDoubt = pending.mForwarded ||
+                       (pending.mInDoubt && aQueue.mDoubtVersion.has_value());
     // A denial after an uncommitted change may depend on that change.
     if (pending.mOutcome == op_outcome::Applied || changed) {
       changed = true;
@@ -188,8 +198,9 @@
       (aReply.mStatus == store_status::Unavailable ||
        aReply.mStatus == store_status::Conflict)) {
     for (std::size_t i = 0; i < aQueue.mInFlight; ++i) {
-      aQueue.mPending[i].mInDoubt =
-        aQueue.mPending[i].mInDoubt && aQueue.mDoubtVersion.has_value();
+      auto& pending = aQueue.mPending[i];
+      pending.mInDoubt = pending.mForwarded ||
+                         (pending.mInDoubt && aQueue.mDoubtVersion.has_value());
     }
   }
   if (aReply.mStatus == store_status::Unavailable ||
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -139,11 +139,7 @@
 void AdvanceStoreQueues(router_state& aState, absl::Time aNow)
 {
   AdvanceQueues(aState.mNode, aNow);
-  for (auto& [shard, queue] : aState.mAccounts) {
-    if (auto request = NextRequest(queue, aNow)) {
-      aState.mNode.mStoreRequests.push_back(std::move(*request));
-    }
-  }
+  AdvanceAccountQueues(aState, aNow);
   for (auto& [shard, queue] : aState.mClaims) {
     if (auto request = NextRequest(queue, aNow)) {
       aState.mNode.mStoreRequests.push_back(std::move(*request));
@@ -220,6 +216,7 @@
   router->mNode = MakeNodeCore(aSettings, process_role::Router, aCharts,
                                aOptions.mStoreMinInterval);
   router->mOptions = aOptions;
+  router->mSettleDelay = aOptions.mSettleDelay;
   router->mRouting.mRouter = aSettings.mMember;
   router->mRetryOptions.mMaxAttempts = aOptions.mMaxAttempts;
   return router;
@@ -264,7 +261,8 @@
     wake = std::min(
       { wake, aState.mNextReview, aState.mNextGossip, aState.mNextStorePoll });
   }
-  return std::min({ wake, NextExpiry(aState.mAdmission), aState.mStopDue });
+  return std::min({ wake, NextExpiry(aState.mAdmission),
+                    NextForwardWake(aState), aState.mStopDue });
 }
 
 bool IsReady(const router_state& aState)
--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -156,21 +156,6 @@
   }
 }
 
-void AskPeers(router_state& aState, share_state& aShare, absl::Time aNow)
-{
-  const token_count missing = MissingTokens(aState, aShare);
-  if (missing == 0 || !aShare.mAsked.empty()) {
-    return;
-  }
-  aShare.mAskedUntil = aNow + kPeerPatience;
-  for (const member_id& peer : HoldersOf(aState, aShare)) {
-    aShare.mAsked.insert(peer);
-    Send(aState.mNode, peer,
-         transfer_request_message{ aShare.mId.mBudget, missing });
-  }
-  RefuseIfHopeless(aState, aShare, aNow);
-}
-
 // Reserves for the waiting requests that are covered, in order of arrival. A
 // small request may pass a large one that is not covered.
 void FundWaiting(router_state& aState, share_state& aShare, absl::Time aNow)
@@ -228,54 +213,6 @@
   }
 }
 
-// Tells agents that the usage records of committed runs may be dropped.
-void AcknowledgeRecords(router_state& aState,
-                        const std::vector<pending_op<account_op>>& aDecided)
-{
-  std::map<member_id, usage_ack_message> acks;
-  for (const auto& done : aDecided) {
-    const auto* settle = std::get_if<settle_op>(&done.mOp);
-    if (settle == nullptr) {
-      continue;
-    }
-    const auto found = aState.mAcknowledgeTo.find(settle->mRequest);
-    if (found != aState.mAcknowledgeTo.end()) {
-      acks[found->second].mRequests.push_back(settle->mRequest);
-      aState.mAcknowledgeTo.erase(found);
-    }
-  }
-  for (auto& [agent, ack] : acks) {
-    Send(aState.mNode, agent, std::move(ack));
-  }
-}
-
-// Handles a decided operation on one of this router's own shares.
-void OnShareOpDone(router_state& aState, const pending_op<account_op>& aDone,
-                   absl::Time aNow)
-{
-  if (const auto* grant = std::get_if<grant_op>(&aDone.mOp)) {
-    const auto share = aState.mShares.find(grant->mShare.mBudget);
-    if (share != aState.mShares.end() && share->second.mId == grant->mShare) {
-      share->second.mGrantPending = false;
-      FireShare(aState, share->second,
-                aDone.mOutcome == op_outcome::Denied
-                  ? share_event::GrantDenied
-                  : share_event::GrantCommitted,
-                aNow);
-    }
-  } else if (const auto* back = std::get_if<give_back_op>(&aDone.mOp)) {
-    const auto share = aState.mShares.find(back->mShare.mBudget);
-    if (share != aState.mShares.end() && share->second.mId == back->mShare) {
-      share->second.mGiveBackPending = 0;
-    }
-  } else if (const auto* close = std::get_if<close_share_op>(&aDone.mOp)) {
-    const auto share = aState.mShares.find(close->mShare.mBudget);
-    if (share != aState.mShares.end() && share->second.mId == close->mShare) {
-      FireShare(aState, share->second, share_event::CloseCommitted, aNow);
-    }
-  }
-}
-
 void GiveBackSurplus(router_state& aState, share_state& aShare, absl::Time aNow)
 {
   if (aShare.mGrantPending || aShare.mGiveBackPending > 0 ||
@@ -300,37 +237,26 @@
   back.mAdjustment = ++aShare.mAdjustment;
   back.mAmount = free - keep;
   aShare.mGiveBackPending = back.mAmount;
-  SubmitAccountOp(aState, back, 0, aNow + aState.mOptions.mSettleDelay);
+  SubmitAccountOp(aState, back, 0, aNow + aState.mSettleDelay);
 }
 
-bool HasOpenFence(const member_list& aMembers, const process_id& aProcess)
-{
-  return std::any_of(aMembers.mFences.begin(), aMembers.mFences.end(),
-                     [&aProcess](const fence_record& aFence) {
-                       return aFence.mFenced == aProcess;
-                     });
-}
+} // namespace
 
-// Closes shares that a fenced router opened with a write that reached the
-// store after its fence was complete. Agents refuse that incarnation, so
-// nothing was spent from them.
-void CloseStrayShares(router_state& aState, const account_queue& aQueue,
-                      absl::Time aNow)
+void AskPeers(router_state& aState, share_state& aShare, absl::Time aNow)
 {
-  const member_list& members = aState.mNode.mMembers;
-  for (const auto& [budget, owner] : aQueue.mCommitted.mAccounts) {
-    for (const auto& [holder, share] : owner.mShares) {
-      if (!share.mHeld && !(holder == aState.mNode.mSelf) &&
-          IsFenced(members, holder) && !HasOpenFence(members, holder)) {
-        SubmitAccountOp(aState, close_share_op{ { budget, holder }, 0 }, 0,
-                        aNow + aState.mOptions.mSettleDelay);
-      }
-    }
+  const token_count missing = MissingTokens(aState, aShare);
+  if (missing == 0 || !aShare.mAsked.empty()) {
+    return;
+  }
+  aShare.mAskedUntil = aNow + kPeerPatience;
+  for (const member_id& peer : HoldersOf(aState, aShare)) {
+    aShare.mAsked.insert(peer);
+    Send(aState.mNode, peer,
+         transfer_request_message{ aShare.mId.mBudget, missing });
   }
+  RefuseIfHopeless(aState, aShare, aNow);
 }
 
-} // namespace
-
 bool IsStoreHealthy(const router_state& aState)
 {
   for (const auto& [shard, queue] : aState.mAccounts) {
@@ -420,43 +346,7 @@
     share->second.mLastUsed = aNow;
   }
   SubmitAccountOp(aState, settle_op{ aRequest.mRun, aCost }, 0,
-                  aNow + aState.mOptions.mSettleDelay);
-}
-
-void OnAccountsReply(router_state& aState, const store_reply& aReply,
-                     absl::Time aNow)
-{
-  account_queue& queue = aState.mAccounts[aReply.mKey.mShard];
-  const auto decided = OnReply(queue, aReply, aNow, aState.mNode.mCommit);
-  const bool known = aReply.mStatus == store_status::Ok;
-  if (known) {
-    for (auto& [budget, share] : aState.mShares) {
-      const auto found = queue.mCommitted.mAccounts.find(budget);
-      if (found != queue.mCommitted.mAccounts.end()) {
-        RefreshFrom(share, found->second);
-      }
-    }
-  }
-  if (known && !aReply.mWasWrite) {
-    CloseStrayShares(aState, queue, aNow);
-  }
-  AcknowledgeRecords(aState, decided);
-  for (const auto& done : decided) {
-    OnShareOpDone(aState, done, aNow);
-    if (done.mTicket != 0) {
-      NoteTicketDone(aState, done.mTicket, aNow);
-      OnOperatorOpDone(aState, done.mTicket, done.mOutcome, &queue.mCommitted,
-                       aNow);
-    }
-  }
-  if (!aReply.mWasWrite) {
-    AnswerUsage(aState, aReply.mKey.mShard, known, aNow);
-  }
-  if (!known && !IsStoreHealthy(aState)) {
-    for (auto& [budget, share] : aState.mShares) {
-      AskPeers(aState, share, aNow);
-    }
-  }
+                  aNow + aState.mSettleDelay);
 }
 
 void ReviewShares(router_state& aState, absl::Time aNow)
@@ -493,7 +383,7 @@
   if (share != aState.mShares.end() && allowed) {
     transfer = GiveTransfer(share->second, aFrom, aMessage.mWant);
     if (transfer.mAmount > 0) {
-      SubmitAccountOp(aState, transfer, 0, aNow + aState.mOptions.mSettleDelay);
+      SubmitAccountOp(aState, transfer, 0, aNow + aState.mSettleDelay);
     }
   }
   Send(aState.mNode, aFrom.mMember, transfer_message{ transfer });
@@ -507,11 +397,11 @@
   const bool mine = aTransfer.mTo == aState.mNode.mSelf &&
                     !IsRefused(aState.mNode, aTransfer.mFrom.mShare.mHolder);
   if (aTransfer.mAmount > 0 && mine && TakeTransfer(share, aTransfer)) {
-    SubmitAccountOp(aState, aTransfer, 0, aNow + aState.mOptions.mSettleDelay);
+    SubmitAccountOp(aState, aTransfer, 0, aNow + aState.mSettleDelay);
     if (aState.mNotedLossEpoch > 0) {
       SubmitAccountOp(aState,
                       note_loss_epoch_op{ share.mId, aState.mNotedLossEpoch },
-                      0, aNow + aState.mOptions.mSettleDelay);
+                      0, aNow + aState.mSettleDelay);
     }
     FireShare(aState, share, share_event::TransferReceived, aNow);
   }
@@ -527,32 +417,6 @@
   }
 }
 
-void OnUsageReport(router_state& aState, const process_id& aFrom,
-                   const usage_report_message& aMessage)
-{
-  usage_ack_message ack;
-  for (const usage_record& record : aMessage.mRecords) {
-    const share_id& id = record.mRequest.mShare;
-    if (!(id.mHolder == aState.mNode.mSelf)) {
-      continue;
-    }
-    const auto share = aState.mShares.find(id.mBudget);
-    if (share == aState.mShares.end() || !(share->second.mId == id)) {
-      continue;
-    }
-    const std::uint64_t number = record.mRequest.mNumber;
-    // Neither open nor waiting for a commit: it is committed.
-    if (number < share->second.mNextNumber &&
-        share->second.mOpen.count(number) == 0 &&
-        share->second.mUncommitted.count(number) == 0) {
-      ack.mRequests.push_back(record.mRequest);
-    }
-  }
-  if (!ack.mRequests.empty()) {
-    Send(aState.mNode, aFrom.mMember, std::move(ack));
-  }
-}
-
 void NoteLosses(router_state& aState, absl::Time aNow)
 {
   const member_list& members = aState.mNode.mMembers;
@@ -577,7 +441,7 @@
       // Queued behind all settlements and transfers submitted so far.
       SubmitAccountOp(aState,
                       note_loss_epoch_op{ share.mId, members.mLossEpoch }, 0,
-                      aNow + aState.mOptions.mSettleDelay);
+                      aNow + aState.mSettleDelay);
     }
   }
 }
--- a/src/core/router_claim.cc
+++ b/src/core/router_claim.cc
@@ -183,7 +183,7 @@
     if (queue.mKnown && queue.mPending.empty() &&
         SizeOf(queue.mCommitted) > kExpireAboveBytes) {
       Submit(queue, claim_shard_op(expire_claims_op{ aNow }), 0,
-             aNow + aState.mOptions.mSettleDelay);
+             aNow + aState.mSettleDelay);
     }
   }
 }
--- /dev/null
+++ b/src/core/router_commit.cc
@@ -0,0 +1,443 @@
+// Commits of account operations: group commit by this router, or by the
+// committer of the shard, to which other routers forward their operations.
+//
+// One committer per shard, chosen by rendezvous hashing, keeps the number of
+// writes independent of the number of routers. The compare-and-swap alone
+// makes commits safe, so two routers that both think they are the committer
+// only cause conflicts.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "router_state.h"
+#include "xxhash.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Other routers' shares in an answer; as many as are asked for a transfer.
+constexpr std::size_t kHoldersInAnswer = 2;
+// Answers that take longer lead to a commit by the router itself.
+constexpr absl::Duration kForwardPatience = absl::Seconds(1);
+// How long a router commits for itself after a committer failed it.
+constexpr absl::Duration kDirectTime = absl::Seconds(5);
+
+// Tells agents that the usage records of committed runs may be dropped.
+void AcknowledgeRecords(router_state& aState,
+                        const std::vector<pending_op<account_op>>& aDecided)
+{
+  std::map<member_id, usage_ack_message> acks;
+  for (const auto& done : aDecided) {
+    const auto* settle = std::get_if<settle_op>(&done.mOp);
+    if (settle == nullptr) {
+      continue;
+    }
+    const auto found = aState.mAcknowledgeTo.find(settle->mRequest);
+    if (found != aState.mAcknowledgeTo.end()) {
+      acks[found->second].mRequests.push_back(settle->mRequest);
+      aState.mAcknowledgeTo.erase(found);
+    }
+  }
+  for (auto& [agent, ack] : acks) {
+    Send(aState.mNode, agent, std::move(ack));
+  }
+}
+
+// Handles a decided operation on one of this router's own shares.
+void OnShareOpDone(router_state& aState, const pending_op<account_op>& aDone,
+                   absl::Time aNow)
+{
+  if (const auto* grant = std::get_if<grant_op>(&aDone.mOp)) {
+    const auto share = aState.mShares.find(grant->mShare.mBudget);
+    if (share != aState.mShares.end() && share->second.mId == grant->mShare) {
+      share->second.mGrantPending = false;
+      FireShare(aState, share->second,
+                aDone.mOutcome == op_outcome::Denied
+                  ? share_event::GrantDenied
+                  : share_event::GrantCommitted,
+                aNow);
+    }
+  } else if (const auto* back = std::get_if<give_back_op>(&aDone.mOp)) {
+    const auto share = aState.mShares.find(back->mShare.mBudget);
+    if (share != aState.mShares.end() && share->second.mId == back->mShare) {
+      share->second.mGiveBackPending = 0;
+    }
+  } else if (const auto* given = std::get_if<transfer_op>(&aDone.mOp)) {
+    const auto share = aState.mShares.find(given->mFrom.mShare.mBudget);
+    if (share != aState.mShares.end() &&
+        given->mTo == share->second.mId.mHolder) {
+      DropTransfer(share->second, given->mFrom);
+    }
+  } else if (const auto* close = std::get_if<close_share_op>(&aDone.mOp)) {
+    const auto share = aState.mShares.find(close->mShare.mBudget);
+    if (share != aState.mShares.end() && share->second.mId == close->mShare) {
+      FireShare(aState, share->second, share_event::CloseCommitted, aNow);
+    }
+  }
+}
+
+bool HasOpenFence(const member_list& aMembers, const process_id& aProcess)
+{
+  return std::any_of(aMembers.mFences.begin(), aMembers.mFences.end(),
+                     [&aProcess](const fence_record& aFence) {
+                       return aFence.mFenced == aProcess;
+                     });
+}
+
+// Closes shares that a fenced router opened with a write that reached the
+// store after its fence was complete. Agents refuse that incarnation, so
+// nothing was spent from them.
+void CloseStrayShares(router_state& aState, const account_queue& aQueue,
+                      absl::Time aNow)
+{
+  const member_list& members = aState.mNode.mMembers;
+  for (const auto& [budget, owner] : aQueue.mCommitted.mAccounts) {
+    for (const auto& [holder, share] : owner.mShares) {
+      if (!share.mHeld && !(holder == aState.mNode.mSelf) &&
+          IsFenced(members, holder) && !HasOpenFence(members, holder)) {
+        SubmitAccountOp(aState, close_share_op{ { budget, holder }, 0 }, 0,
+                        aNow + aState.mSettleDelay);
+      }
+    }
+  }
+}
+
+// Takes the figures of committed accounts into the shares. Figures older than
+// those seen before are ignored: an old grant could count tokens that have
+// been given back since.
+void TakeFigures(router_state& aState, std::uint32_t aShard,
+                 const std::map<budget_id, account>& aAccounts,
+                 store_version aVersion, bool aWhole)
+{
+  store_version& seen = aState.mFigures[aShard];
+  if (aVersion < seen) {
+    return;
+  }
+  seen = aVersion;
+  for (const auto& [budget, owner] : aAccounts) {
+    const auto share = aState.mShares.find(budget);
+    if (share != aState.mShares.end()) {
+      RefreshFrom(share->second, owner, aWhole);
+    }
+  }
+}
+
+// What a router needs of an account: its own share, those of the routers with
+// the most unspent tokens, and what is unallocated. The answer's size then
+// does not grow with the number of routers that draw on the budget.
+account TrimFor(const account& aAccount, const process_id& aRouter)
+{
+  std::vector<std::pair<token_count, process_id>> holders;
+  for (const auto& [holder, record] : aAccount.mShares) {
+    if (!(holder == aRouter) && !record.mHeld) {
+      holders.emplace_back(record.mSpent - record.mGranted, holder);
+    }
+  }
+  const std::size_t kept = std::min(kHoldersInAnswer, holders.size());
+  std::partial_sort(holders.begin(),
+                    holders.begin() + static_cast<std::ptrdiff_t>(kept),
+                    holders.end());
+  holders.resize(kept);
+  std::set<process_id> keep{ aRouter };
+  for (const auto& [free, holder] : holders) {
+    keep.insert(holder);
+  }
+  account trimmed;
+  trimmed.mPaidIn = aAccount.mPaidIn;
+  trimmed.mClosedSpent = aAccount.mClosedSpent;
+  for (const auto& [holder, record] : aAccount.mShares) {
+    if (keep.count(holder) != 0) {
+      trimmed.mShares.emplace(holder, record);
+    } else {
+      // Keeps the unallocated part right.
+      trimmed.mClosedSpent += record.mGranted;
+    }
+  }
+  return trimmed;
+}
+
+// Adds outcomes to the answers that peers wait for, and sends the complete
+// ones.
+void AnswerPeers(router_state& aState, const account_queue& aQueue,
+                 const std::vector<pending_op<account_op>>& aDecided)
+{
+  for (const auto& done : aDecided) {
+    const auto origin = aState.mForwardOrigins.find(done.mTicket);
+    if (origin == aState.mForwardOrigins.end()) {
+      continue;
+    }
+    const auto [key, id] = origin->second;
+    aState.mForwardOrigins.erase(origin);
+    forward_answer& answer = aState.mForwardAnswers[key];
+    answer.mResult.mOutcomes.emplace_back(id, done.mOutcome);
+    answer.mBudgets.insert(BudgetOf(done.mOp));
+    if (--answer.mRemaining > 0) {
+      continue;
+    }
+    answer.mResult.mVersion = aQueue.mVersion;
+    for (const budget_id& budget : answer.mBudgets) {
+      const auto found = aQueue.mCommitted.mAccounts.find(budget);
+      if (found != aQueue.mCommitted.mAccounts.end()) {
+        answer.mResult.mAccounts.emplace(budget,
+                                         TrimFor(found->second, key.first));
+      }
+    }
+    Send(aState.mNode, key.first.mMember, std::move(answer.mResult));
+    aState.mForwardAnswers.erase(key);
+  }
+}
+
+void TakeDecided(router_state& aState, const account_queue& aQueue,
+                 const std::vector<pending_op<account_op>>& aDecided,
+                 absl::Time aNow)
+{
+  AcknowledgeRecords(aState, aDecided);
+  for (const auto& done : aDecided) {
+    OnShareOpDone(aState, done, aNow);
+    if (done.mTicket != 0) {
+      NoteTicketDone(aState, done.mTicket, aNow);
+      OnOperatorOpDone(aState, done.mTicket, done.mOutcome, &aQueue.mCommitted,
+                       aNow);
+    }
+  }
+}
+
+std::uint64_t RankOf(const member_id& aRouter, std::uint32_t aShard)
+{
+  return XXH64(aRouter.mValue.data(), aRouter.mValue.size(), aShard);
+}
+
+// The router that commits a shard; this router if it is to do so itself.
+member_id CommitterOf(const router_state& aState, std::uint32_t aShard,
+                      absl::Time aNow)
+{
+  const member_id& self = aState.mNode.mSelf.mMember;
+  const auto direct = aState.mDirectUntil.find(aShard);
+  if (aState.mNode.mStatus != process_status::Ready ||
+      (direct != aState.mDirectUntil.end() && direct->second > aNow)) {
+    return self;
+  }
+  member_id best = self;
+  std::uint64_t rank = RankOf(self, aShard);
+  for (const member_id& id :
+       ActiveMembers(aState.mNode, process_role::Router)) {
+    const std::uint64_t other = RankOf(id, aShard);
+    if (other > rank && aState.mNode.mSuspectedSince.count(id) == 0) {
+      best = id;
+      rank = other;
+    }
+  }
+  return best;
+}
+
+void Forward(router_state& aState, account_queue& aQueue,
+             const member_id& aCommitter, absl::Time aNow)
+{
+  forward_progress& progress = aState.mForwards[aQueue.mKey.mShard];
+  progress.mCommitter = aCommitter;
+  progress.mNumber = NextTicket(aState);
+  progress.mGiveUp =
+    aNow + kForwardPatience + 2 * aState.mAccountCommit.mMinInterval;
+  commit_ops_message forward;
+  forward.mKey = aQueue.mKey;
+  forward.mNumber = progress.mNumber;
+  for (auto& pending : aQueue.mPending) {
+    pending.mForwarded = true;
+    pending.mInDoubt = true;
+    forward.mOps.emplace_back(pending.mId, pending.mOp);
+  }
+  aQueue.mPhase = commit_phase::Forwarded;
+  Send(aState.mNode, aCommitter, std::move(forward));
+}
+
+// Stops waiting for a committer; this router commits for itself for a while.
+void GiveUpForward(router_state& aState, std::uint32_t aShard, absl::Time aNow)
+{
+  account_queue& queue = aState.mAccounts[aShard];
+  if (queue.mPhase == commit_phase::Forwarded) {
+    queue.mPhase = commit_phase::Idle;
+    aState.mDirectUntil[aShard] = aNow + kDirectTime;
+  }
+  aState.mForwards.erase(aShard);
+}
+
+} // namespace
+
+void OnAccountsReply(router_state& aState, const store_reply& aReply,
+                     absl::Time aNow)
+{
+  account_queue& queue = aState.mAccounts[aReply.mKey.mShard];
+  const auto decided = OnReply(queue, aReply, aNow, aState.mAccountCommit);
+  const bool known = aReply.mStatus == store_status::Ok;
+  if (known) {
+    TakeFigures(aState, aReply.mKey.mShard, queue.mCommitted.mAccounts,
+                queue.mVersion, true);
+  }
+  if (known && !aReply.mWasWrite) {
+    CloseStrayShares(aState, queue, aNow);
+  }
+  AnswerPeers(aState, queue, decided);
+  TakeDecided(aState, queue, decided, aNow);
+  if (!aReply.mWasWrite) {
+    AnswerUsage(aState, aReply.mKey.mShard, known, aNow);
+  }
+  if (!known && !IsStoreHealthy(aState)) {
+    for (auto& [budget, share] : aState.mShares) {
+      AskPeers(aState, share, aNow);
+    }
+  }
+}
+
+void OnUsageReport(router_state& aState, const process_id& aFrom,
+                   const usage_report_message& aMessage)
+{
+  usage_ack_message ack;
+  for (const usage_record& record : aMessage.mRecords) {
+    const share_id& id = record.mRequest.mShare;
+    if (!(id.mHolder == aState.mNode.mSelf)) {
+      continue;
+    }
+    const auto share = aState.mShares.find(id.mBudget);
+    if (share == aState.mShares.end() || !(share->second.mId == id)) {
+      continue;
+    }
+    const std::uint64_t number = record.mRequest.mNumber;
+    // Neither open nor waiting for a commit: it is committed.
+    if (number < share->second.mNextNumber &&
+        share->second.mOpen.count(number) == 0 &&
+        share->second.mUncommitted.count(number) == 0) {
+      ack.mRequests.push_back(record.mRequest);
+    }
+  }
+  if (!ack.mRequests.empty()) {
+    Send(aState.mNode, aFrom.mMember, std::move(ack));
+  }
+}
+
+void OnCommitOps(router_state& aState, const process_id& aFrom,
+                 const commit_ops_message& aMessage, absl::Time aNow)
+{
+  commit_result_message result;
+  result.mKey = aMessage.mKey;
+  result.mNumber = aMessage.mNumber;
+  const bool known =
+    aMessage.mKey.mArea == store_area::Accounts &&
+    aMessage.mKey.mShard < aState.mNode.mConfig.mFleet.mAccountShards;
+  if (!known || aMessage.mOps.empty() ||
+      aState.mNode.mStatus != process_status::Ready ||
+      IsRefused(aState.mNode, aFrom) || !IsStoreHealthy(aState)) {
+    Send(aState.mNode, aFrom.mMember, std::move(result));
+    return;
+  }
+  const forward_key key{ aFrom, aMessage.mNumber };
+  const auto [answer, added] = aState.mForwardAnswers.try_emplace(key);
+  if (!added) {
+    return;
+  }
+  answer->second.mResult = std::move(result);
+  answer->second.mRemaining = aMessage.mOps.size();
+  account_queue& queue = aState.mAccounts[aMessage.mKey.mShard];
+  queue.mKey = aMessage.mKey;
+  for (const auto& [id, op] : aMessage.mOps) {
+    const std::uint64_t ticket = NextTicket(aState);
+    aState.mForwardOrigins[ticket] = { key, id };
+    Submit(queue, op, ticket, aNow);
+  }
+}
+
+void OnCommitResult(router_state& aState, const process_id& aFrom,
+                    const commit_result_message& aMessage, absl::Time aNow)
+{
+  const std::uint32_t shard = aMessage.mKey.mShard;
+  const auto progress = aState.mForwards.find(shard);
+  if (progress == aState.mForwards.end() ||
+      progress->second.mCommitter != aFrom.mMember ||
+      progress->second.mNumber != aMessage.mNumber) {
+    return;
+  }
+  if (aMessage.mOutcomes.empty()) {
+    GiveUpForward(aState, shard, aNow);
+    return;
+  }
+  aState.mForwards.erase(progress);
+  account_queue& queue = aState.mAccounts[shard];
+  queue.mPhase = commit_phase::Idle;
+  queue.mNotBefore = aNow + aState.mAccountCommit.mMinInterval;
+  std::map<std::uint64_t, op_outcome> outcomes(aMessage.mOutcomes.begin(),
+                                               aMessage.mOutcomes.end());
+  std::vector<pending_op<account_op>> decided;
+  std::vector<pending_op<account_op>> waiting;
+  for (auto& pending : queue.mPending) {
+    const auto outcome = outcomes.find(pending.mId);
+    if (outcome == outcomes.end()) {
+      waiting.push_back(std::move(pending));
+    } else {
+      pending.mOutcome = outcome->second;
+      decided.push_back(std::move(pending));
+    }
+  }
+  queue.mPending = std::move(waiting);
+  if (aMessage.mVersion >= aState.mFigures[shard]) {
+    // Only the touched accounts are new; the value as a whole is not known.
+    for (const auto& [budget, owner] : aMessage.mAccounts) {
+      queue.mCommitted.mAccounts[budget] = owner;
+    }
+    queue.mKnown = false;
+  }
+  TakeFigures(aState, shard, aMessage.mAccounts, aMessage.mVersion, false);
+  TakeDecided(aState, queue, decided, aNow);
+}
+
+void OnCommitterUnreachable(router_state& aState, const member_id& aPeer,
+                            absl::Time aNow)
+{
+  std::vector<std::uint32_t> shards;
+  for (const auto& [shard, progress] : aState.mForwards) {
+    if (progress.mCommitter == aPeer) {
+      shards.push_back(shard);
+    }
+  }
+  for (std::uint32_t shard : shards) {
+    GiveUpForward(aState, shard, aNow);
+  }
+}
+
+void AdvanceAccountQueues(router_state& aState, absl::Time aNow)
+{
+  std::vector<std::uint32_t> late;
+  for (const auto& [shard, progress] : aState.mForwards) {
+    if (progress.mGiveUp <= aNow) {
+      late.push_back(shard);
+    }
+  }
+  for (std::uint32_t shard : late) {
+    GiveUpForward(aState, shard, aNow);
+  }
+  for (auto& [shard, queue] : aState.mAccounts) {
+    if (NextWake(queue) > aNow) {
+      continue;
+    }
+    if (!queue.mRefresh) {
+      const member_id committer = CommitterOf(aState, shard, aNow);
+      if (committer != aState.mNode.mSelf.mMember) {
+        Forward(aState, queue, committer, aNow);
+        continue;
+      }
+    }
+    if (auto request = NextRequest(queue, aNow)) {
+      aState.mNode.mStoreRequests.push_back(std::move(*request));
+    }
+  }
+}
+
+absl::Time NextForwardWake(const router_state& aState)
+{
+  absl::Time wake = absl::InfiniteFuture();
+  for (const auto& [shard, progress] : aState.mForwards) {
+    wake = std::min(wake, progress.mGiveUp);
+  }
+  return wake;
+}
+
+} // namespace foxtailquay
--- a/src/core/router_members.cc
+++ b/src/core/router_members.cc
@@ -13,13 +13,17 @@
 constexpr std::size_t kGossipFanOut = 2;
 constexpr std::size_t kPushFanOut = 4;
 // Newest load reports passed on in one message.
-constexpr std::size_t kMaxReportsPerMessage = 40;
+constexpr std::size_t kMaxReportsPerMessage = 10;
 // Suspects named in one message, and probed for a peer.
 constexpr std::size_t kMaxSuspects = 8;
 constexpr absl::Duration kViewRefreshInterval = absl::Seconds(1);
 // A backend server whose reports since its refusal say that it takes work
 // again has been put back into use.
 constexpr absl::Duration kRejoinAfter = absl::Seconds(2);
+// Settlements wait longer in a large fleet, so that each message to a
+// committer carries several.
+constexpr absl::Duration kSettleDelayPerRouter = absl::Milliseconds(10);
+constexpr absl::Duration kMaxSettleDelay = absl::Seconds(5);
 // Witnesses of a fence are asked again at this interval.
 constexpr absl::Duration kFenceQueryInterval = absl::Seconds(1);
 
@@ -64,7 +68,10 @@
 gossip_message MakeGossip(const router_state& aState, bool aIsReply)
 {
   gossip_message gossip;
-  gossip.mLoad = NewestReports(aState);
+  // Answers repeat little that is new, so reports travel one way only.
+  if (!aIsReply) {
+    gossip.mLoad = NewestReports(aState);
+  }
   gossip.mSuspects = Suspects(aState);
   gossip.mIsReply = aIsReply;
   return gossip;
@@ -304,6 +311,10 @@
 {
   const config_document& config = aState.mNode.mConfig;
   aState.mIndexedConfig = config.mVersion;
+  aState.mAccountCommit.mMinInterval =
+    std::max(aState.mOptions.mStoreMinInterval,
+             absl::Seconds(1) * config.mFleet.mAccountShards /
+               aState.mOptions.mStoreWritesPerSecond);
   aState.mBudgetOwners.clear();
   for (const auto& [id, workspace] : config.mWorkspaces) {
     for (const budget_config& budget : workspace.mBudgets) {
@@ -378,6 +389,10 @@
     OnTransferRequest(aState, from, *asked, aNow);
   } else if (const auto* given = std::get_if<transfer_message>(&body)) {
     OnTransfer(aState, from, given->mTransfer, aNow);
+  } else if (const auto* ops = std::get_if<commit_ops_message>(&body)) {
+    OnCommitOps(aState, from, *ops, aNow);
+  } else if (const auto* result = std::get_if<commit_result_message>(&body)) {
+    OnCommitResult(aState, from, *result, aNow);
   } else if (std::holds_alternative<hand_over_message>(body)) {
     OnHandOver(aState, aEnvelope, aNow);
   } else if (std::holds_alternative<hand_over_ack_message>(body)) {
@@ -396,6 +411,7 @@
     aState.mNode.mSuspectedSince.emplace(aPeer, aNow);
   }
   OnPeerSilent(aState, aPeer, aNow);
+  OnCommitterUnreachable(aState, aPeer, aNow);
 }
 
 void OnVmGone(router_state& aState, const vm_gone_event& aEvent,
@@ -528,6 +544,9 @@
     const auto routers = ActiveMembers(node, process_role::Router);
     aState.mRouting.mRouters = static_cast<int>(routers.size()) + 1;
     aState.mAdmission.mOptions.mRouters = aState.mRouting.mRouters;
+    aState.mSettleDelay =
+      std::clamp(kSettleDelayPerRouter * aState.mRouting.mRouters,
+                 aState.mOptions.mSettleDelay, kMaxSettleDelay);
   }
   // Between changes of the inputs only ejection times pass, for which a look
   // a second is enough.
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -117,15 +117,47 @@
   std::set<std::uint64_t> mTickets;
 };
 
+// Operations sent to the committer of a shard.
+struct forward_progress
+{
+  member_id mCommitter;
+  std::uint64_t mNumber = 0;
+  absl::Time mGiveUp;
+};
+
+// A commit_ops_message of a peer: its sender and number.
+using forward_key = std::pair<process_id, std::uint64_t>;
+
+// The answer to it, as far as its operations are decided.
+struct forward_answer
+{
+  commit_result_message mResult;
+  std::set<budget_id> mBudgets;
+  std::size_t mRemaining = 0;
+};
+
 struct router_state
 {
   node_core mNode;
   router_options mOptions;
+  // How long settlements wait for company, by the size of the fleet.
+  absl::Duration mSettleDelay;
+  // For account shards; the interval follows from their number.
+  commit_options mAccountCommit;
   routing_options mRouting;
   retry_options mRetryOptions;
 
   std::map<std::uint32_t, account_queue> mAccounts;
   std::map<std::uint32_t, claim_queue> mClaims;
+  // Newest version of each account shard whose figures have been used.
+  std::map<std::uint32_t, store_version> mFigures;
+  std::map<std::uint32_t, forward_progress> mForwards;
+  // Shards that this router commits itself for a while.
+  std::map<std::uint32_t, absl::Time> mDirectUntil;
+  // Operations of peers by ticket, with the message and number at the peer.
+  std::map<std::uint64_t, std::pair<forward_key, std::uint64_t>>
+    mForwardOrigins;
+  std::map<forward_key, forward_answer> mForwardAnswers;
   std::map<budget_id, share_state> mShares;
   std::map<request_handle, request_state> mRequests;
   std::vector<request_handle> mFinishedRequests;
@@ -205,16 +237,15 @@
 // Settles the current attempt at aCost.
 void SettleRun(router_state& aState, request_state& aRequest, token_count aCost,
                absl::Time aNow);
-void OnAccountsReply(router_state& aState, const store_reply& aReply,
-                     absl::Time aNow);
+// Asks peers for the tokens that waiting requests lack.
+void AskPeers(router_state& aState, share_state& aShare, absl::Time aNow);
 void ReviewShares(router_state& aState, absl::Time aNow);
 void OnTransferRequest(router_state& aState, const process_id& aFrom,
                        const transfer_request_message& aMessage,
                        absl::Time aNow);
 void OnTransfer(router_state& aState, const process_id& aFrom,
                 const transfer_op& aTransfer, absl::Time aNow);
-void OnUsageReport(router_state& aState, const process_id& aFrom,
-                   const usage_report_message& aMessage);
+
 // A peer that was asked for a transfer cannot answer.
 void OnPeerSilent(router_state& aState, const member_id& aPeer,
                   absl::Time aNow);
@@ -224,6 +255,22 @@
 void ForgetShares(router_state& aState, absl::Time aNow);
 bool IsStoreHealthy(const router_state& aState);
 
+// --- router_commit.cc -------------------------------------------------------
+
+void OnAccountsReply(router_state& aState, const store_reply& aReply,
+                     absl::Time aNow);
+void OnUsageReport(router_state& aState, const process_id& aFrom,
+                   const usage_report_message& aMessage);
+void OnCommitOps(router_state& aState, const process_id& aFrom,
+                 const commit_ops_message& aMessage, absl::Time aNow);
+void OnCommitResult(router_state& aState, const process_id& aFrom,
+                    const commit_result_message& aMessage, absl::Time aNow);
+void OnCommitterUnreachable(router_state& aState, const member_id& aPeer,
+                            absl::Time aNow);
+// Sends due operations to the store or to the committer of their shard.
+void AdvanceAccountQueues(router_state& aState, absl::Time aNow);
+absl::Time NextForwardWake(const router_state& aState);
+
 // --- router_claim.cc --------------------------------------------------------
 
 void SubmitClaim(router_state& aState, request_state& aRequest,
--- a/src/core/share.cc
+++ b/src/core/share.cc
@@ -96,7 +96,17 @@
          Contains(found->second.mSettled, aNumber);
 }
 
-void RefreshFrom(share_state& aShare, const account& aAccount)
+void DropTransfer(share_state& aShare, const request_id& aFrom)
+{
+  auto& in = aShare.mTransfersIn;
+  in.erase(std::remove_if(in.begin(), in.end(),
+                          [&aFrom](const transfer_op& aTransfer) {
+                            return aTransfer.mFrom == aFrom;
+                          }),
+           in.end());
+}
+
+void RefreshFrom(share_state& aShare, const account& aAccount, bool aWhole)
 {
   aShare.mUnallocated = Unallocated(aAccount);
   const auto found = aAccount.mShares.find(aShare.mId.mHolder);
@@ -117,12 +127,15 @@
   // record that its agent handed over.
   eraseSettled(aShare.mOpen);
   auto& in = aShare.mTransfersIn;
-  in.erase(std::remove_if(in.begin(), in.end(),
-                          [&aAccount](const transfer_op& aTransfer) {
-                            return IsSettledIn(aAccount,
-                                               aTransfer.mFrom.mShare.mHolder,
-                                               aTransfer.mFrom.mNumber);
-                          }),
+  in.erase(std::remove_if(
+             in.begin(), in.end(),
+             [&aAccount, aWhole](const transfer_op& aTransfer) {
+               const process_id& owner = aTransfer.mFrom.mShare.mHolder;
+               const bool listed = aAccount.mShares.count(owner) != 0;
+               return (aWhole || listed) &&
+                      IsSettledIn(aAccount, aTransfer.mFrom.mShare.mHolder,
+                                  aTransfer.mFrom.mNumber);
+             }),
            in.end());
 }
 
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -78,8 +78,12 @@
 // Counts a transfer from a peer. Returns false if it was received before.
 bool TakeTransfer(share_state& aShare, const transfer_op& aTransfer);
 
-// Takes the figures of a newly committed account.
-void RefreshFrom(share_state& aShare, const account& aAccount);
+// Takes the figures of a newly committed account. aWhole is false if other
+// routers' shares may have been left out of it.
+void RefreshFrom(share_state& aShare, const account& aAccount, bool aWhole);
+
+// A transfer from a peer is committed and part of mGranted.
+void DropTransfer(share_state& aShare, const request_id& aFrom);
 
 // True if the share's settled set in aAccount covers aNumber of aOwner, or
 // the owner's share is closed.
--- a/src/wire/message_fields.h
+++ b/src/wire/message_fields.h
@@ -129,6 +129,7 @@
 constexpr auto FieldsOf(const commit_ops_message*)
 {
   return std::make_tuple(Required("key", &commit_ops_message::mKey),
+                         Required("number", &commit_ops_message::mNumber),
                          Required("ops", &commit_ops_message::mOps));
 }
 
@@ -136,6 +137,7 @@
 {
   return std::make_tuple(
     Required("key", &commit_result_message::mKey),
+    Required("number", &commit_result_message::mNumber),
     Required("version", &commit_result_message::mVersion),
     Required("outcomes", &commit_result_message::mOutcomes),
     Required("accounts", &commit_result_message::mAccounts));
