--- a/standins/demo.cc
+++ b/standins/demo.cc
@@ -79,17 +79,6 @@
          answer.mJson["usage"]["completion_tokens"].asInt() == 5;
 }
 
-int OrdersPlaced(const process_fleet& aFleet)
-{
-  int placed = 0;
-  for (const fleet_node& node : aFleet.mAgents) {
-    if (node.mMember.rfind("orders", 0) == 0) {
-      placed += Ran(node.mPort)["orders"].asInt();
-    }
-  }
-  return placed;
-}
-
 bool OrderOnce(demo& aDemo)
 {
   httplib::Headers headers = CallerHeaders();
@@ -224,21 +213,10 @@
   return equal && spent > 0;
 }
 
-void SetTokenDelay(const process_fleet& aFleet, int aMilliseconds)
-{
-  Json::Value fault;
-  fault["token_delay_ms"] = aMilliseconds;
-  for (const fleet_node& node : aFleet.mAgents) {
-    if (node.mMember.rfind("engine", 0) == 0) {
-      SetFault(node.mPort, fault);
-    }
-  }
-}
-
 bool StopDuringStream(demo& aDemo)
 {
   fleet_node& router = aDemo.mFleet.mRouters[2];
-  SetTokenDelay(aDemo.mFleet, 100);
+  SetEngineFault(aDemo.mFleet, "token_delay_ms", 100);
   const auto answer =
     AskAsync(router.mPort, "POST", "/v1/chat/completions", CallerHeaders(),
              ChatBody("a long harvest report", 20, true));
@@ -248,7 +226,7 @@
   const bool refused = AwaitCondition(
     [&] { return Ask(router.mPort, "GET", "/readyz").mStatus != 200; }, 20);
   const bool whole = AwaitEnd(*answer);
-  SetTokenDelay(aDemo.mFleet, 0);
+  SetEngineFault(aDemo.mFleet, "token_delay_ms", 0);
   const int code = AwaitExit(router.mProcess);
   Show("stream after SIGTERM",
        whole ? "complete, " + std::to_string(answer->mText.size()) + " bytes"
--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -195,6 +195,10 @@
     WaitFor(aEngine, aLock, steady::now(), [&aEngine] {
       return std::chrono::milliseconds(aEngine.mFaults.mTokenDelayMs);
     });
+    aEngine.mChanged.wait(aLock, [&aEngine, number] {
+      const int holdAfter = aEngine.mFaults.mHoldAfterTokens;
+      return holdAfter == 0 || number <= holdAfter;
+    });
     const int breakAfter = aEngine.mFaults.mBreakAfterTokens;
     if (breakAfter > 0 && number > breakAfter) {
       return run_state::Broken;
--- a/standins/engine_state.cc
+++ b/standins/engine_state.cc
@@ -100,7 +100,8 @@
            Choice("cache_events", aFaults.mCacheEvents, kCacheEventNames),
            Count("fail_requests", aFaults.mFailRequests),
            Count("break_after_tokens", aFaults.mBreakAfterTokens),
-           Count("token_delay_ms", aFaults.mTokenDelayMs) };
+           Count("token_delay_ms", aFaults.mTokenDelayMs),
+           Count("hold_after_tokens", aFaults.mHoldAfterTokens) };
 }
 
 std::string_view NameOf(run_state aState)
--- a/standins/engine_state.h
+++ b/standins/engine_state.h
@@ -45,6 +45,8 @@
   int mFailRequests = 0;
   int mBreakAfterTokens = 0;
   int mTokenDelayMs = 0;
+  // Runs stop before the token after this one until the fault is cleared.
+  int mHoldAfterTokens = 0;
 };
 
 std::vector<fault_field> FieldsOf(engine_faults& aFaults);
--- a/standins/process_fleet.cc
+++ b/standins/process_fleet.cc
@@ -205,11 +205,14 @@
   return success{};
 }
 
-Json::Value FirstPatch(const process_fleet& aFleet)
+Json::Value FirstPatch(const process_fleet& aFleet,
+                       const fleet_options& aOptions)
 {
   Json::Value patch;
   patch["if_version"] = 0;
+  patch["patch_id"] = "first";
   patch["models"][kModel]["max_tokens"] = 4096;
+  patch["models"][kModel]["prompt_price"] = aOptions.mPromptPrice;
   Json::Value read;
   read["method"] = "GET";
   read["path_prefix"] = "/orders/";
@@ -217,7 +220,7 @@
   patch["services"]["orders"]["calls"].append(read);
   patch["services"]["orders"]["call_price"] = 5;
   for (const fleet_node& node : aFleet.mAgents) {
-    const bool engine = node.mMember.rfind("engine", 0) == 0;
+    const bool engine = IsEngine(node);
     Json::Value& backend = patch["backends"][node.mMember];
     backend["kind"] = engine ? "engine" : "service";
     backend["zone"] = node.mZone;
@@ -233,7 +236,7 @@
   const fleet_node& router = aFleet.mRouters[0];
   http_answer answer;
   const bool patched = AwaitCondition([&] {
-    answer = PatchConfig(router, FirstPatch(aFleet));
+    answer = PatchConfig(router, FirstPatch(aFleet, aOptions));
     return answer.mStatus != 0 && answer.mStatus != 503;
   });
   if (!patched || answer.mStatus != 200) {
@@ -315,6 +318,18 @@
   return AwaitStatus(aNode, "/readyz");
 }
 
+bool AwaitNoShare(const fleet_node& aAsked, const fleet_node& aHolder)
+{
+  return AwaitCondition([&] {
+    const http_answer answer = ReadBudget(aAsked, kBudget);
+    bool found = answer.mStatus != 200;
+    for (const std::string& holder : answer.mJson["shares"].getMemberNames()) {
+      found = found || holder.rfind(aHolder.mMember + "/", 0) == 0;
+    }
+    return !found;
+  });
+}
+
 std::string LogTails(const process_fleet& aFleet)
 {
   constexpr std::size_t kTailBytes = 2000;
@@ -335,6 +350,11 @@
   return { { "Authorization", std::string("Bearer ") + kOperatorKey } };
 }
 
+httplib::Headers PeerHeaders()
+{
+  return { { "Authorization", std::string("Bearer ") + kPeerKey } };
+}
+
 httplib::Headers CallerHeaders(const std::string& aKey)
 {
   return { { "Authorization", "Bearer " + aKey } };
@@ -385,6 +405,10 @@
 
 http_answer PatchConfig(const fleet_node& aRouter, Json::Value aPatch)
 {
+  static int patches = 0;
+  if (!aPatch.isMember("patch_id")) {
+    aPatch["patch_id"] = "patch-" + std::to_string(++patches);
+  }
   return Ask(aRouter.mPort, "POST", "/admin/config", OperatorHeaders(), aPatch);
 }
 
@@ -409,6 +433,43 @@
   return Ask(aPort, "POST", "/fault", {}, aFaults);
 }
 
+void SetEngineFault(const process_fleet& aFleet, const std::string& aName,
+                    int aValue)
+{
+  Json::Value fault;
+  fault[aName] = aValue;
+  for (const fleet_node& node : aFleet.mAgents) {
+    if (IsEngine(node)) {
+      SetFault(node.mPort, fault);
+    }
+  }
+}
+
+bool IsEngine(const fleet_node& aAgent)
+{
+  return aAgent.mMember.rfind("engine", 0) == 0;
+}
+
+int GeneratedTokens(const process_fleet& aFleet)
+{
+  int tokens = 0;
+  for (const fleet_node& node : aFleet.mAgents) {
+    for (const Json::Value& run : Ran(node.mPort)["ran"]) {
+      tokens += run.get("completion_tokens", 0).asInt();
+    }
+  }
+  return tokens;
+}
+
+int OrdersPlaced(const process_fleet& aFleet)
+{
+  int placed = 0;
+  for (const fleet_node& node : aFleet.mAgents) {
+    placed += Ran(node.mPort).get("orders", 0).asInt();
+  }
+  return placed;
+}
+
 Json::Value Ran(int aPort)
 {
   return Ask(aPort, "GET", "/ran").mJson;
--- a/standins/process_fleet.h
+++ b/standins/process_fleet.h
@@ -30,6 +30,9 @@
   std::vector<std::string> mEngineFlags;
   // Paid in to the budget of workspace "acme" at the start.
   int mPaidIn = 100'000;
+  // Price of a prompt token. With 0 a bill is exactly the tokens generated;
+  // the prompt of a run that breaks off is only estimated.
+  int mPromptPrice = 1;
 };
 
 struct fleet_node
@@ -82,10 +85,13 @@
 result<success> RestartNode(process_fleet& aFleet, fleet_node& aNode);
 // Waits until the node's /readyz answers 200.
 bool AwaitReady(const fleet_node& aNode);
+// Waits until budget kBudget has no share of any incarnation of the router.
+bool AwaitNoShare(const fleet_node& aAsked, const fleet_node& aHolder);
 // Names the log files with their last lines, for failure reports.
 std::string LogTails(const process_fleet& aFleet);
 
 httplib::Headers OperatorHeaders();
+httplib::Headers PeerHeaders();
 httplib::Headers CallerHeaders(const std::string& aKey = kApiKey);
 
 // A whole or streamed chat completion.
@@ -98,11 +104,20 @@
 
 // Reads the configuration's version from a router.
 std::uint64_t ConfigVersion(const fleet_node& aRouter);
+// Adds a "patch_id" if there is none.
 http_answer PatchConfig(const fleet_node& aRouter, Json::Value aPatch);
 http_answer TopUp(const fleet_node& aRouter, const std::string& aBudget,
                   const std::string& aId, int aAmount);
 http_answer ReadBudget(const fleet_node& aRouter, const std::string& aBudget);
 http_answer SetFault(int aPort, const Json::Value& aFaults);
+// Sets faults at all engines.
+void SetEngineFault(const process_fleet& aFleet, const std::string& aName,
+                    int aValue);
+bool IsEngine(const fleet_node& aAgent);
+// Tokens that all engines have generated, and orders that all services have
+// placed.
+int GeneratedTokens(const process_fleet& aFleet);
+int OrdersPlaced(const process_fleet& aFleet);
 // What the stand-in at aPort ran.
 Json::Value Ran(int aPort);
 
