--- a/standins/stand_in.cc
+++ b/standins/stand_in.cc
@@ -152,7 +152,7 @@
 {
   std::size_t known = 0;
   for (const fault_field& field : aFields) {
-    const std::string name(field.mName);
+    std::string name(field.mName);
     if (aJson.isMember(name)) {
       ++known;
       if (!field.mSet(aJson[name])) {
