--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -342,6 +342,11 @@
     return;
   }
   aRequest.mFinished = true;
+  // A caller that is gone gets an answer as well: the thread that serves its
+  // connection waits for it.
+  Answer(aState, aRequest,
+         MakeError(error_code::CallerDisconnected, ran::Unknown, "",
+                   "the caller has closed its connection"));
   StopWaiting(aState, aRequest);
   if (aRequest.mAdmitted) {
     NoteDone(aState.mAdmission, aRequest.mWorkspace);
--- /dev/null
+++ b/src/daemon/agent_host.cc
@@ -0,0 +1,325 @@
+#include "daemon/agent_host.h"
+
+#include <utility>
+
+#include "absl/synchronization/notification.h"
+#include "daemon/node_io.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+#include "wire/agent_front.h"
+#include "wire/agent_link.h"
+#include "wire/peer_front.h"
+#include "wire/probes.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr absl::Duration kLoadInterval = absl::Seconds(1);
+
+} // namespace
+
+struct agent_host
+{
+  explicit agent_host(const daemon_settings& aSettings);
+
+  const daemon_settings mSettings;
+  agent_link mLink;
+  node_io mIo;
+  // Reads the backend server's load; a slow one must not hold up the store.
+  elastic_pool mLoadPool;
+  node_charts_ptr mCharts;
+  agent_front mFront;
+  peer_front mPeers;
+  http_server_ptr mPeerServer;
+  posix_thread mControl;
+  absl::Notification mStopped;
+
+  // Used on the control thread only.
+  agent_ptr mAgent;
+
+  // Used by one pool task at a time.
+  bool mBackendReachable = true;
+};
+
+namespace {
+
+void PostMustEvent(agent_host& aHost, agent_event aEvent)
+{
+  auto posted =
+    PostEvent(aHost.mLink, std::move(aEvent), event_class::Conclusion);
+  if (!IsOk(posted)) {
+    Log(log_component::Control, log_level::Warn, log_event::EventDropped,
+        { { "error", ToString(ErrorOf(posted)) } });
+  }
+}
+
+// --- Actions, on the control thread -------------------------------------------
+
+void Decide(agent_host& aHost, request_handle aHandle, run_decision aDecision)
+{
+  WithOpen(aHost.mLink.mRuns, aHandle, [&aDecision](agent_run& aRun) {
+    Put(aRun.mDecisions, std::move(aDecision));
+  });
+}
+
+void Perform(agent_host& aHost, start_run_action aAction)
+{
+  const request_handle handle = aAction.mHandle;
+  Decide(aHost, handle, std::move(aAction));
+}
+
+void Perform(agent_host& aHost, refuse_run_action aAction)
+{
+  const request_handle handle = aAction.mHandle;
+  Decide(aHost, handle, std::move(aAction));
+}
+
+void Perform(agent_host& aHost, abort_run_action aAction)
+{
+  WithOpen(aHost.mLink.mRuns, aAction.mHandle,
+           [](agent_run& aRun) { Stop(aRun.mStopper); });
+}
+
+void Perform(agent_host& aHost, answer_command_action aAction)
+{
+  WithOpen(aHost.mLink.mCommands, aAction.mHandle,
+           [&aAction](command_box& aBox) {
+             Put(aBox, std::move(aAction.mAnswer));
+           });
+}
+
+void Perform(agent_host& aHost, send_action aAction)
+{
+  SendToPeer(aHost.mIo.mSender, std::move(aAction));
+}
+
+void Perform(agent_host& aHost, store_action aAction)
+{
+  CallStore(aHost.mIo, std::move(aAction.mRequest),
+            [&aHost](store_reply aReply) {
+              PostMustEvent(aHost, store_reply_event{ std::move(aReply) });
+            });
+}
+
+void Perform(agent_host& aHost, stopped_action)
+{
+  if (!aHost.mStopped.HasBeenNotified()) {
+    aHost.mStopped.Notify();
+  }
+}
+
+// --- Events, on the control thread --------------------------------------------
+
+void HandleEvent(agent_host& aHost, agent_event aEvent)
+{
+  const absl::Time begin = MonotonicNow();
+  auto actions = Step(*aHost.mAgent, std::move(aEvent), begin);
+  for (agent_action& action : actions) {
+    std::visit(
+      [&aHost](auto& aTyped) { Perform(aHost, std::move(aTyped)); }, action);
+  }
+  Count(*aHost.mLink.mMetrics, counter::EventsHandled);
+  Observe(*aHost.mLink.mMetrics, histogram::ControlStep,
+          MonotonicNow() - begin);
+}
+
+void HandleItem(agent_host& aHost, std::optional<agent_item> aItem)
+{
+  if (!aItem) {
+    HandleEvent(aHost, tick_event{});
+  } else if (auto* event = std::get_if<agent_event>(&*aItem)) {
+    HandleEvent(aHost, std::move(*event));
+  } else {
+    std::get<agent_query>(*aItem)(*aHost.mAgent);
+  }
+}
+
+void RunControl(agent_host& aHost)
+{
+  RunControlLoop(
+    aHost.mLink.mQueue,
+    [&aHost](std::optional<agent_item> aItem) {
+      HandleItem(aHost, std::move(aItem));
+    },
+    [&aHost] { return NextWake(*aHost.mAgent); });
+}
+
+// --- Load ---------------------------------------------------------------------
+
+void ScheduleLoad(agent_host& aHost, absl::Time aWhen);
+
+void PollLoad(agent_host& aHost)
+{
+  const absl::Time begin = MonotonicNow();
+  auto load = ReadLoad(aHost.mFront.mEngine);
+  if (load) {
+    // The next report replaces one that is refused.
+    (void)PostEvent(aHost.mLink, std::move(*load), event_class::NewWork);
+  }
+  if (load.has_value() != aHost.mBackendReachable) {
+    aHost.mBackendReachable = load.has_value();
+    Log(log_component::Engine, log_level::Warn, log_event::BackendUnreachable,
+        { { "address", aHost.mFront.mEngine.mAddress },
+          { "reachable", load ? "true" : "false" } });
+  }
+  ScheduleLoad(aHost, begin + kLoadInterval);
+}
+
+void ScheduleLoad(agent_host& aHost, absl::Time aWhen)
+{
+  Schedule(aHost.mIo.mTimer, aWhen, [&aHost] {
+    if (!TrySubmit(aHost.mLoadPool, [&aHost] { PollLoad(aHost); })) {
+      ScheduleLoad(aHost, MonotonicNow() + kLoadInterval);
+    }
+  });
+}
+
+// --- Port ---------------------------------------------------------------------
+
+std::optional<http_reply> ServeGet(agent_host& aHost,
+                                   const http_request& aRequest)
+{
+  const std::string& path = aRequest.mPath;
+  if (path == "/healthz") {
+    return HealthReply();
+  }
+  if (path == "/readyz") {
+    return AgentReadyReply(aHost.mLink);
+  }
+  if (path == "/metrics") {
+    return AgentMetricsReply(aHost.mLink);
+  }
+  if (path == "/debug/state") {
+    return IsPeer(aHost.mSettings.mPeerKey, aRequest)
+             ? AgentStateReply(aHost.mLink)
+             : PeerUnauthorized();
+  }
+  return std::nullopt;
+}
+
+std::optional<http_reply> ServePeerPort(agent_host& aHost,
+                                        const http_request& aRequest,
+                                        http_connection& aConnection)
+{
+  const std::string& path = aRequest.mPath;
+  if (aRequest.mMethod == "POST") {
+    if (path == "/run") {
+      return ServeRun(aHost.mFront, aRequest, aConnection);
+    }
+    if (path == "/rpc") {
+      return ServeRpc(aHost.mPeers, aRequest);
+    }
+    if (path == "/command") {
+      return ServeCommand(aHost.mFront, aRequest);
+    }
+  }
+  std::optional<http_reply> reply;
+  if (aRequest.mMethod == "GET") {
+    reply = ServeGet(aHost, aRequest);
+  }
+  return reply ? reply
+               : ErrorReply({ error_code::NotFound, ran::No, "",
+                              "no such resource", absl::ZeroDuration() });
+}
+
+peer_front_options PeerOptions(agent_host& aHost)
+{
+  peer_front_options options;
+  options.mPeerKey = aHost.mSettings.mPeerKey;
+  options.mOnMessage = [&aHost](envelope aEnvelope) {
+    return PostEvent(aHost.mLink, message_event{ std::move(aEnvelope) },
+                     event_class::NewWork);
+  };
+  options.mOnDrain = [&aHost] { RequestStop(aHost); };
+  return options;
+}
+
+// Routers that still wait when the node has stopped; there should be none.
+void AnswerRemaining(agent_host& aHost)
+{
+  absl::MutexLock lock(&aHost.mLink.mRuns.mMutex);
+  for (const auto& [handle, run] : aHost.mLink.mRuns.mOpen) {
+    Put(run->mDecisions,
+        run_decision(refuse_run_action{
+          handle, error{ error_code::ShuttingDown, ran::No, "",
+                         "the agent has stopped", absl::ZeroDuration() } }));
+  }
+}
+
+} // namespace
+
+agent_host::agent_host(const daemon_settings& aSettings)
+  : mSettings(aSettings)
+  , mLink(control_queue_options{})
+  , mIo(aSettings, {}, *mLink.mMetrics,
+        [this](const member_id& aMember) {
+          PostMustEvent(*this, peer_unreachable_event{ aMember });
+        })
+  , mLoadPool({ "load", 1, 0, absl::Seconds(10) })
+  , mFront{ mLink, {}, aSettings.mPeerKey, mIo.mTimer }
+  , mPeers(PeerOptions(*this), *mLink.mMetrics)
+{
+  mFront.mEngine.mAddress = ToString(aSettings.mBackend);
+}
+
+void agent_host_deleter::operator()(agent_host* aHost) const
+{
+  delete aHost;
+}
+
+result<agent_host_ptr> StartAgent(const daemon_settings& aSettings)
+{
+  agent_host_ptr host(new agent_host(aSettings));
+  auto charts = LoadChartDir(aSettings.mChartsDir);
+  if (!IsOk(charts)) {
+    return ErrorOf(charts);
+  }
+  host->mCharts = ValueOf(std::move(charts));
+  host->mAgent =
+    MakeAgent(MakeNodeSettings(aSettings), agent_options{}, *host->mCharts);
+  auto started = StartTimer(host->mIo.mTimer);
+  if (!IsOk(started)) {
+    return ErrorOf(started);
+  }
+  auto control =
+    StartThread("control", [&host = *host] { RunControl(host); });
+  if (!IsOk(control)) {
+    StopIo(host->mIo);
+    return ErrorOf(control);
+  }
+  host->mControl = ValueOf(control);
+  host->mPeerServer = MakeHttpServer(
+    PeerServerOptions(aSettings),
+    [&host = *host](const http_request& aRequest,
+                    http_connection& aConnection) {
+      return ServePeerPort(host, aRequest, aConnection);
+    });
+  auto port = StartServer(*host->mPeerServer);
+  if (!IsOk(port)) {
+    host->mStopped.Notify();
+    WaitUntilStopped(*host);
+    return ErrorOf(port);
+  }
+  ScheduleLoad(*host, MonotonicNow());
+  return host;
+}
+
+void RequestStop(agent_host& aHost)
+{
+  PostMustEvent(aHost, stop_event{});
+}
+
+void WaitUntilStopped(agent_host& aHost)
+{
+  aHost.mStopped.WaitForNotification();
+  Close(aHost.mLink.mQueue);
+  Join(aHost.mControl);
+  AnswerRemaining(aHost);
+  StopServer(*aHost.mPeerServer);
+  StopTimer(aHost.mIo.mTimer);
+  Shutdown(aHost.mLoadPool);
+  StopIo(aHost.mIo);
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,110 @@
+// foxtailquayd: a router or an agent, by --role.
+//
+// Exit codes: 0 after a graceful stop, 1 if the process could not start, 2 if
+// a setting is refused.
+
+#include <cstdio>
+#include <filesystem>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+#include "daemon/agent_host.h"
+#include "daemon/router_host.h"
+#include "runtime/log.h"
+#include "runtime/settings.h"
+#include "runtime/signals.h"
+
+namespace foxtailquay {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitStartFailed = 1;
+constexpr int kExitSetting = 2;
+
+std::map<std::string, std::string> ReadEnvironment()
+{
+  std::map<std::string, std::string> variables;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    const std::string text = *entry;
+    const auto equals = text.find('=');
+    if (equals != std::string::npos) {
+      variables[text.substr(0, equals)] = text.substr(equals + 1);
+    }
+  }
+  return variables;
+}
+
+std::string ExecutableDir()
+{
+  std::error_code failure;
+  const auto path = std::filesystem::read_symlink("/proc/self/exe", failure);
+  return failure ? "." : path.parent_path().string();
+}
+
+int ReportStartFailure(const error& aError)
+{
+  std::fprintf(stderr, "foxtailquayd: %s: %s\n", aError.mField.c_str(),
+               aError.mDetail.c_str());
+  const bool isSetting = aError.mCode == error_code::InvalidSetting ||
+                         aError.mCode == error_code::InvalidChart;
+  return isSetting ? kExitSetting : kExitStartFailed;
+}
+
+template<typename Host>
+int RunHost(const daemon_settings& aSettings,
+            result<Host> (*aStart)(const daemon_settings&))
+{
+  auto started = aStart(aSettings);
+  if (!IsOk(started)) {
+    return ReportStartFailure(ErrorOf(started));
+  }
+  auto& host = *std::get<0>(started);
+  Log(log_component::Daemon, log_level::Info, log_event::ProcessStarted,
+      { { "role", std::string(NameOf(aSettings.mRole)) },
+        { "member", aSettings.mMember },
+        { "zone", aSettings.mZone },
+        { "peer_listen", ToString(aSettings.mPeerListen) } });
+  signal_thread signals;
+  auto watching = StartSignals(signals, [&host](int aSignal) {
+    Log(log_component::Daemon, log_level::Info, log_event::SignalReceived,
+        { { "signal", std::to_string(aSignal) } });
+    RequestStop(host);
+  });
+  if (!IsOk(watching)) {
+    RequestStop(host);
+  }
+  WaitUntilStopped(host);
+  StopSignals(signals);
+  Log(log_component::Daemon, log_level::Info, log_event::ProcessStopped,
+      { { "member", aSettings.mMember } });
+  return kExitOk;
+}
+
+int Main(const std::vector<std::string>& aArguments)
+{
+  if (aArguments.size() == 1 && aArguments[0] == "--help") {
+    std::fputs(SettingsHelp().c_str(), stdout);
+    return kExitOk;
+  }
+  BlockStopSignals();
+  auto settings =
+    ReadSettings(aArguments, ReadEnvironment(), ExecutableDir());
+  if (!IsOk(settings)) {
+    return ReportStartFailure(ErrorOf(settings));
+  }
+  StartLog(ValueOf(settings).mLog);
+  return ValueOf(settings).mRole == process_role::Router
+           ? RunHost<router_host_ptr>(ValueOf(settings), &StartRouter)
+           : RunHost<agent_host_ptr>(ValueOf(settings), &StartAgent);
+}
+
+} // namespace
+} // namespace foxtailquay
+
+int main(int argc, char** argv)
+{
+  return foxtailquay::Main(std::vector<std::string>(argv + 1, argv + argc));
+}
--- /dev/null
+++ b/src/daemon/node_io.cc
@@ -0,0 +1,131 @@
+#include "daemon/node_io.h"
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+#include "wire/key_check.h"
+
+namespace foxtailquay {
+
+namespace {
+
+store_reply PerformStoreCall(node_io& aIo, const store_request& aRequest)
+{
+  const absl::Time begin = MonotonicNow();
+  error problem;
+  store_reply reply = Call(*aIo.mStore, aRequest, &problem);
+  Count(aIo.mMetrics, counter::StoreCalls);
+  Observe(aIo.mMetrics, histogram::StoreCall, MonotonicNow() - begin);
+  const bool failed = reply.mStatus == store_status::Unavailable ||
+                      reply.mStatus == store_status::Unknown;
+  if (failed) {
+    Count(aIo.mMetrics, counter::StoreFailures);
+  }
+  Log(log_component::Store, failed ? log_level::Warn : log_level::Debug,
+      failed ? log_event::StoreFailed : log_event::StoreCalled,
+      { { "key", ToString(aRequest.mKey) },
+        { "write", aRequest.mWrite ? "true" : "false" },
+        { "status", std::string(NameOf(reply.mStatus)) },
+        { "problem", failed ? ToString(problem) : "none" } });
+  return reply;
+}
+
+error ChartsDirError(const std::string& aDir)
+{
+  return error{ error_code::InvalidSetting, ran::No, "--charts_dir",
+                absl::StrCat("\"", aDir, "\" is not valid: it must be the "
+                             "folder of the state charts"),
+                absl::ZeroDuration() };
+}
+
+} // namespace
+
+node_io::node_io(const daemon_settings& aSettings,
+                 const node_io_options& aOptions, metrics& aMetrics,
+                 std::function<void(const member_id&)> aOnUnreachable)
+  : mMetrics(aMetrics)
+  , mStore(MakeStoreClient(ToString(aSettings.mStore), aOptions.mStoreTimeout))
+  , mStorePool({ "store", aOptions.mStoreThreads, aOptions.mStoreQueue,
+                 absl::Seconds(10) })
+  , mSender(peer_sender_options{ { aSettings.mPeerKey, absl::Seconds(1),
+                                   absl::Seconds(3) },
+                                 16, 1024, 64, absl::Seconds(20) },
+            aMetrics, std::move(aOnUnreachable))
+{
+}
+
+void CallStore(node_io& aIo, store_request aRequest, store_callback aOnReply)
+{
+  store_reply refused;
+  refused.mKey = aRequest.mKey;
+  refused.mWasWrite = aRequest.mWrite.has_value();
+  refused.mStatus = store_status::Unavailable;
+  const bool submitted = TrySubmit(
+    aIo.mStorePool, [&aIo, request = std::move(aRequest), aOnReply] {
+      aOnReply(PerformStoreCall(aIo, request));
+    });
+  if (!submitted) {
+    aOnReply(std::move(refused));
+  }
+}
+
+void StopIo(node_io& aIo)
+{
+  StopTimer(aIo.mTimer);
+  Shutdown(aIo.mStorePool);
+  StopSender(aIo.mSender);
+}
+
+result<node_charts_ptr> LoadChartDir(
+  const std::string& aDir)
+{
+  std::error_code failure;
+  std::map<std::string, std::string> texts;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(aDir, failure)) {
+    if (entry.path().extension() == ".yaml") {
+      std::ifstream file(entry.path());
+      std::stringstream text;
+      text << file.rdbuf();
+      texts[entry.path().filename().string()] = text.str();
+    }
+  }
+  if (failure || texts.empty()) {
+    return ChartsDirError(aDir);
+  }
+  return LoadCharts(texts);
+}
+
+http_server_options PeerServerOptions(const daemon_settings& aSettings)
+{
+  http_server_options options;
+  options.mName = "peers";
+  options.mIp = aSettings.mPeerListen.mIp;
+  options.mPort = aSettings.mPeerListen.mPort;
+  options.mMaxConnections = aSettings.mMaxConnections;
+  // A dispatch holds a caller's body, which JSON escapes can lengthen; a
+  // member list or configuration is at most as large as a store value.
+  options.mMaxBodyBytes = 2 * aSettings.mMaxBodyBytes + (2 << 20);
+  // Each idle connection holds a thread, and most peers are met rarely.
+  options.mIdleTimeout = absl::Seconds(15);
+  return options;
+}
+
+node_settings MakeNodeSettings(const daemon_settings& aSettings)
+{
+  node_settings settings;
+  settings.mMember.mValue = aSettings.mMember;
+  settings.mZone.mValue = aSettings.mZone;
+  settings.mAddress = ToString(aSettings.mPeerListen);
+  settings.mNonce = RandomHex(16);
+  settings.mSeed = std::random_device{}();
+  return settings;
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/wire/caller_front.cc
@@ -0,0 +1,393 @@
+#include "wire/caller_front.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "runtime/log.h"
+#include "wire/document_codec.h"
+#include "wire/key_check.h"
+#include "wire/operator_http.h"
+#include "wire/probes.h"
+#include "wire/state_json.h"
+#include "xxhash.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr char kServices[] = "/v1/services/";
+
+// What a request is for. The names are the paths, "/..." for everything below.
+enum class front_route
+{
+  ChatCompletions,
+  Completions,
+  Models,
+  Services,
+  Admin,
+  DebugState,
+  Health,
+  Ready,
+  Metrics,
+};
+
+constexpr auto NameTable(front_route)
+{
+  using r = front_route;
+  return MakeNameTable<r>({ { r::ChatCompletions, "/v1/chat/completions" },
+                            { r::Completions, "/v1/completions" },
+                            { r::Models, "/v1/models" },
+                            { r::Services, kServices },
+                            { r::Admin, "/admin/" },
+                            { r::DebugState, "/debug/state" },
+                            { r::Health, "/healthz" },
+                            { r::Ready, "/readyz" },
+                            { r::Metrics, "/metrics" } });
+}
+
+std::optional<front_route> RouteOf(const std::string& aPath)
+{
+  for (const auto& entry : NameTable(front_route{})) {
+    const bool below = entry.mName.back() == '/';
+    if (below ? absl::StartsWith(aPath, entry.mName.data())
+              : aPath == entry.mName) {
+      return entry.mValue;
+    }
+  }
+  return std::nullopt;
+}
+
+error RequestError(std::string aField, std::string aDetail)
+{
+  return error{ error_code::InvalidRequest, ran::No, std::move(aField),
+                std::move(aDetail), absl::ZeroDuration() };
+}
+
+error NoSuchResource(const http_request& aRequest)
+{
+  return error{ error_code::NotFound, ran::No, "",
+                absl::StrCat("no ", aRequest.mMethod, " here"),
+                absl::ZeroDuration() };
+}
+
+// --- Common parts of callers' requests ----------------------------------------
+
+result<success> ReadPriority(const http_request& aRequest,
+                             caller_request_event& aEvent)
+{
+  const std::string text = HeaderOf(aRequest, "X-Priority");
+  if (!text.empty()) {
+    aEvent.mPriority = FromName<priority_class>(text);
+    if (!aEvent.mPriority) {
+      return RequestError("X-Priority",
+                          "must be interactive, standard or batch");
+    }
+  }
+  return success{};
+}
+
+result<success> ReadTimeout(const http_request& aRequest,
+                            caller_request_event& aEvent)
+{
+  const std::string text = HeaderOf(aRequest, "X-Timeout-Ms");
+  if (!text.empty()) {
+    constexpr std::int64_t kLongest = 24 * 3600 * 1000;
+    std::int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(text, &milliseconds) || milliseconds < 1 ||
+        milliseconds > kLongest) {
+      return RequestError("X-Timeout-Ms",
+                          absl::StrCat("must be from 1 to ", kLongest));
+    }
+    aEvent.mTimeout = absl::Milliseconds(milliseconds);
+  }
+  return success{};
+}
+
+result<success> ReadIdempotencyKey(const http_request& aRequest,
+                                   caller_request_event& aEvent)
+{
+  constexpr std::size_t kLongest = 255;
+  aEvent.mIdempotencyKey = HeaderOf(aRequest, "Idempotency-Key");
+  if (aEvent.mIdempotencyKey.size() > kLongest) {
+    return RequestError("Idempotency-Key",
+                        absl::StrCat("must have at most ", kLongest,
+                                     " characters"));
+  }
+  return success{};
+}
+
+std::uint64_t FingerprintOf(const caller_request_event& aEvent)
+{
+  // A zero byte occurs in neither method nor target, so the parts cannot run
+  // into each other.
+  std::string text = aEvent.mMethod;
+  text += '\0';
+  text += aEvent.mPath;
+  text += '\0';
+  text += aEvent.mBody;
+  return XXH64(text.data(), text.size(), 0);
+}
+
+// Everything but the target, which the path or the body names.
+result<caller_request_event> ReadCommon(const http_request& aRequest)
+{
+  caller_request_event event;
+  const std::string key = BearerOf(aRequest);
+  if (key.empty()) {
+    return error{ error_code::Unauthorized, ran::No, "Authorization",
+                  "must be Bearer and an API key", absl::ZeroDuration() };
+  }
+  event.mKeyHash = Sha256Hex(key);
+  event.mMethod = aRequest.mMethod;
+  event.mContentType = HeaderOf(aRequest, "Content-Type");
+  event.mBody = aRequest.mBody;
+  for (auto* read : { &ReadPriority, &ReadTimeout, &ReadIdempotencyKey }) {
+    auto outcome = read(aRequest, event);
+    if (!IsOk(outcome)) {
+      return ErrorOf(outcome);
+    }
+  }
+  return event;
+}
+
+// A path that a service might resolve to another one than the rules matched.
+bool IsPlainPath(const std::string& aDecoded)
+{
+  const std::vector<std::string> segments =
+    absl::StrSplit(absl::string_view(aDecoded).substr(1), '/');
+  for (std::size_t i = 0; i < segments.size(); ++i) {
+    const std::string& segment = segments[i];
+    const bool emptyInside = segment.empty() && i + 1 < segments.size();
+    if (emptyInside || segment == "." || segment == ".." ||
+        std::any_of(segment.begin(), segment.end(), [](unsigned char aChar) {
+          return aChar < ' ' || aChar == '\\' || aChar == 0x7f;
+        })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// --- Answers that need no run -------------------------------------------------
+
+struct allowed_models
+{
+  bool mKnownKey = false;
+  std::vector<std::string> mNames;
+};
+
+allowed_models AllowedModels(const config_document& aConfig,
+                             const std::string& aKeyHash)
+{
+  allowed_models models;
+  const auto* workspace = FindWorkspace(aConfig, aKeyHash);
+  models.mKnownKey = workspace != nullptr;
+  for (const auto& [id, model] : aConfig.mModels) {
+    if (models.mKnownKey && IsAllowed(workspace->second, id.mValue)) {
+      models.mNames.push_back(id.mValue);
+    }
+  }
+  return models;
+}
+
+http_reply ServeModels(caller_front& aFront, const http_request& aRequest)
+{
+  const std::string hash = Sha256Hex(BearerOf(aRequest));
+  auto models = QueryRouter<allowed_models>(
+    aFront.mLink, [&hash](const router_state& aState) {
+      return AllowedModels(ConfigOf(aState), hash);
+    });
+  if (!IsOk(models)) {
+    return ErrorReply(ErrorOf(models));
+  }
+  if (!ValueOf(models).mKnownKey) {
+    return ErrorReply({ error_code::Unauthorized, ran::No, "Authorization",
+                        "the API key is not known", absl::ZeroDuration() });
+  }
+  Json::Value json(Json::objectValue);
+  json["object"] = "list";
+  json["data"] = Json::Value(Json::arrayValue);
+  for (const std::string& name : ValueOf(models).mNames) {
+    Json::Value model(Json::objectValue);
+    model["id"] = name;
+    model["object"] = "model";
+    model["created"] = 0;
+    model["owned_by"] = "foxtailquay";
+    json["data"].append(model);
+  }
+  http_reply reply;
+  reply.mBody = ToText(json);
+  return reply;
+}
+
+http_reply ServeDebugState(caller_front& aFront, const http_request& aRequest)
+{
+  if (!IsOperator(aFront.mOperatorKey, aRequest)) {
+    return OperatorUnauthorized();
+  }
+  return RouterStateReply(aFront.mLink);
+}
+
+// --- Callers' requests --------------------------------------------------------
+
+// The caller's own X-Request-Id if it is usable in a log line, or a new one.
+std::string RequestIdFor(caller_front& aFront, const http_request& aRequest)
+{
+  constexpr std::size_t kLongest = 128;
+  const std::string given = HeaderOf(aRequest, "X-Request-Id");
+  const bool usable =
+    !given.empty() && given.size() <= kLongest &&
+    std::all_of(given.begin(), given.end(), [](unsigned char aChar) {
+      return absl::ascii_isalnum(aChar) || aChar == '-' || aChar == '_' ||
+             aChar == '.' || aChar == ':' || aChar == '/';
+    });
+  return usable ? given : absl::StrCat(aFront.mIdPrefix, "-", RandomHex(8));
+}
+
+std::optional<http_reply> Refuse(caller_front& aFront, const error& aError,
+                                 const std::string& aRequestId)
+{
+  Count(*aFront.mLink.mMetrics, counter::CallerErrors);
+  Log(log_component::Frontend, log_level::Info, log_event::RequestRefused,
+      { { "request", aRequestId }, { "error", ToString(aError) } });
+  http_reply reply = ErrorReply(aError);
+  reply.mHeaders.emplace_back("X-Request-Id", aRequestId);
+  return reply;
+}
+
+std::optional<http_reply> ServeRun(caller_front& aFront,
+                                   result<caller_request_event> aEvent,
+                                   completion_endpoint aEndpoint,
+                                   const http_request& aRequest,
+                                   http_connection& aConnection)
+{
+  const std::string requestId = RequestIdFor(aFront, aRequest);
+  if (!IsOk(aEvent)) {
+    return Refuse(aFront, ErrorOf(aEvent), requestId);
+  }
+  Log(log_component::Frontend, log_level::Debug, log_event::RequestReceived,
+      { { "request", requestId },
+        { "target", ValueOf(aEvent).mTarget },
+        { "method", aRequest.mMethod },
+        { "path", aRequest.mPath } });
+  return ServeCaller(aFront.mLink, aFront.mSession,
+                     ValueOf(std::move(aEvent)), aEndpoint, requestId,
+                     aConnection);
+}
+
+std::optional<http_reply> ServeCompletion(caller_front& aFront,
+                                          completion_endpoint aEndpoint,
+                                          const http_request& aRequest,
+                                          http_connection& aConnection)
+{
+  if (aRequest.mMethod != "POST") {
+    return ErrorReply(NoSuchResource(aRequest));
+  }
+  return ServeRun(aFront, ReadCompletionRequest(aEndpoint, aRequest),
+                  aEndpoint, aRequest, aConnection);
+}
+
+} // namespace
+
+result<caller_request_event> ReadCompletionRequest(
+  completion_endpoint aEndpoint, const http_request& aRequest)
+{
+  auto event = ReadCommon(aRequest);
+  if (!IsOk(event)) {
+    return event;
+  }
+  auto parsed = ParseCompletion(aEndpoint, aRequest.mBody);
+  if (!IsOk(parsed)) {
+    return ErrorOf(parsed);
+  }
+  const completion_request& completion = ValueOf(parsed);
+  caller_request_event request = ValueOf(std::move(event));
+  request.mKind = request_kind::Completion;
+  request.mTarget = completion.mModel;
+  request.mPromptTokensBound = completion.mPromptTokensBound;
+  request.mMaxTokens = completion.mMaxTokens;
+  request.mStream = completion.mStream;
+  request.mPrefixes = PrefixHashes(completion.mPrompt);
+  request.mPath = std::string(NameOf(aEndpoint));
+  request.mFingerprint = FingerprintOf(request);
+  return request;
+}
+
+result<caller_request_event> ReadServiceRequest(const http_request& aRequest)
+{
+  auto event = ReadCommon(aRequest);
+  if (!IsOk(event)) {
+    return event;
+  }
+  caller_request_event request = ValueOf(std::move(event));
+  const std::string decoded = aRequest.mPath.substr(sizeof(kServices) - 1);
+  const auto slash = decoded.find('/');
+  request.mKind = request_kind::ServiceCall;
+  request.mTarget = decoded.substr(0, slash);
+  const std::string prefix = kServices + request.mTarget;
+  // The service's name must not be escaped, so that the rest of the target as
+  // received is the path under the service's root.
+  if (request.mTarget.empty() ||
+      !absl::StartsWith(aRequest.mTarget, prefix) ||
+      !IsPlainPath(slash == std::string::npos ? "/"
+                                              : decoded.substr(slash))) {
+    return RequestError("path", "must be /v1/services/{service}/{path} "
+                                "without . or .. or empty segments");
+  }
+  request.mPath = aRequest.mTarget.substr(prefix.size());
+  if (!absl::StartsWith(request.mPath, "/")) {
+    request.mPath.insert(0, "/");
+  }
+  request.mFingerprint = FingerprintOf(request);
+  return request;
+}
+
+std::optional<http_reply> ServeFront(caller_front& aFront,
+                                     const http_request& aRequest,
+                                     http_connection& aConnection)
+{
+  const auto route = RouteOf(aRequest.mPath);
+  if (!route) {
+    return ErrorReply(NoSuchResource(aRequest));
+  }
+  switch (*route) {
+    case front_route::ChatCompletions:
+      return ServeCompletion(aFront, completion_endpoint::Chat, aRequest,
+                             aConnection);
+    case front_route::Completions:
+      return ServeCompletion(aFront, completion_endpoint::Text, aRequest,
+                             aConnection);
+    case front_route::Services:
+      return ServeRun(aFront, ReadServiceRequest(aRequest),
+                      completion_endpoint::Chat, aRequest, aConnection);
+    case front_route::Admin:
+      return ServeOperator(aFront.mLink, aFront.mOperatorKey, aRequest);
+    default:
+      break;
+  }
+  if (aRequest.mMethod != "GET" && aRequest.mMethod != "HEAD") {
+    return ErrorReply(NoSuchResource(aRequest));
+  }
+  switch (*route) {
+    case front_route::Models:
+      return ServeModels(aFront, aRequest);
+    case front_route::DebugState:
+      return ServeDebugState(aFront, aRequest);
+    case front_route::Health:
+      return HealthReply();
+    case front_route::Ready:
+      return RouterReadyReply(aFront.mLink);
+    case front_route::Metrics:
+      return RouterMetricsReply(aFront.mLink);
+    default:
+      return ErrorReply(NoSuchResource(aRequest));
+  }
+}
+
+} // namespace foxtailquay
--- a/src/wire/caller_session.cc
+++ b/src/wire/caller_session.cc
@@ -36,8 +36,9 @@
   completion_assembly mAssembly{};
   Json::Value mLastEvent{};
   bool mUsageSeen = false;
-  stored_answer mAnswer{};
   token_usage mUsage{};
+  // The engine's answer with another status than 200.
+  stored_answer mAnswer{};
 };
 
 http_headers AnswerHeaders(const caller_session& aSession, ran aRan)
@@ -112,84 +113,152 @@
   aSession.mLastToken = absl::InfinitePast();
 }
 
-run_observer ObserverFor(caller_session& aSession,
-                         const dispatch_action& aAction)
-{
-  run_observer observer;
-  observer.mOnAccepted = [&aSession, &aAction] {
-    (void)PostEvent(
-      aSession.mLink,
-      run_accepted_event{ aSession.mHandle, aAction.mRun.mRequest },
-      event_class::Conclusion);
-  };
-  observer.mOnHead = [&aSession](const run_frame& aHead) {
-    aSession.mStatus = aHead.mStatus;
-  };
-  observer.mOnData = [&aSession](const run_frame& aFrame,
-                                 const Json::Value& aEvent) {
-    RelayEvent(aSession, aFrame, aEvent);
-  };
-  return observer;
-}
-
 // --- Reports to the node ----------------------------------------------------
 
-void LogRun(const caller_session& aSession, log_level aLevel, log_event aEvent,
+// What is needed to report a run; outlives the caller's thread.
+struct run_context
+{
+  router_link& mLink;
+  std::string mRequestId;
+  request_handle mHandle = 0;
+};
+
+void LogRun(const run_context& aContext, log_level aLevel, log_event aEvent,
             const request_id& aRun, const std::string& aDetail)
 {
   Log(log_component::Dispatch, aLevel, aEvent,
-      { { "request", aSession.mRequestId },
+      { { "request", aContext.mRequestId },
         { "run", ToString(aRun) },
         { "detail", aDetail } });
 }
 
-router_event ReportEvent(caller_session& aSession, run_refused_event aEvent)
+void NoteReport(const run_context& aContext, const run_refused_event& aEvent)
 {
-  Count(*aSession.mLink.mMetrics, counter::RunsRefused);
-  LogRun(aSession, log_level::Info, log_event::RunRefused, aEvent.mRequest,
+  Count(*aContext.mLink.mMetrics, counter::RunsRefused);
+  LogRun(aContext, log_level::Info, log_event::RunRefused, aEvent.mRequest,
          ToString(aEvent.mError));
-  return aEvent;
 }
 
-router_event ReportEvent(caller_session& aSession, run_failed_event aEvent)
+void NoteReport(const run_context& aContext, const run_failed_event& aEvent)
 {
-  Count(*aSession.mLink.mMetrics, counter::RunsFailed);
-  LogRun(aSession, log_level::Warn, log_event::RunFailed, aEvent.mRequest,
+  Count(*aContext.mLink.mMetrics, counter::RunsFailed);
+  LogRun(aContext, log_level::Warn, log_event::RunFailed, aEvent.mRequest,
          ToString(aEvent.mError));
-  aEvent.mRelayed = aSession.mBegan;
-  return aEvent;
 }
 
-router_event ReportEvent(caller_session& aSession, run_finished_event aEvent)
+void NoteReport(const run_context& aContext, const run_finished_event& aEvent)
 {
-  metrics& metrics = *aSession.mLink.mMetrics;
+  metrics& metrics = *aContext.mLink.mMetrics;
   Count(metrics, counter::RunsFinished);
   Count(metrics, counter::PromptTokens,
         static_cast<std::uint64_t>(aEvent.mUsage.mPromptTokens));
   Count(metrics, counter::CompletionTokens,
         static_cast<std::uint64_t>(aEvent.mUsage.mCompletionTokens));
-  LogRun(aSession, log_level::Debug, log_event::RunFinished, aEvent.mRequest,
+  LogRun(aContext, log_level::Debug, log_event::RunFinished, aEvent.mRequest,
          absl::StrCat(aEvent.mUsage.mCompletionTokens, " tokens"));
-  aSession.mUsage = aEvent.mUsage;
-  aSession.mAnswer = aEvent.mAnswer;
-  return aEvent;
 }
 
-void Dispatch(caller_session& aSession, const dispatch_action& aAction)
+void PostReport(const run_context& aContext, run_report aReport)
 {
-  ResetAttempt(aSession);
-  Count(*aSession.mLink.mMetrics, counter::RunsDispatched);
-  LogRun(aSession, log_level::Debug, log_event::RunDispatched,
-         aAction.mRun.mRequest, aAction.mAgent.mValue);
-  run_report report =
-    PerformDispatch(aAction, aSession.mOptions.mDispatch, aSession.mExchange,
-                    ObserverFor(aSession, aAction));
   router_event event = std::visit(
-    [&aSession](auto& aReport) {
-      return ReportEvent(aSession, std::move(aReport));
+    [&aContext](auto& aTyped) {
+      NoteReport(aContext, aTyped);
+      return router_event(std::move(aTyped));
     },
-    report);
-  (void)PostEvent(aSession.mLink, std::move(event), event_class::Conclusion);
+    aReport);
+  (void)PostEvent(aContext.mLink, std::move(event), event_class::Conclusion);
+}
+
+std::function<void()> AcceptedReporter(const run_context& aContext,
+                                       const request_id& aRun)
+{
+  return [&aContext, aRun] {
+    (void)PostEvent(aContext.mLink,
+                    run_accepted_event{ aContext.mHandle, aRun },
+                    event_class::Conclusion);
+  };
+}
+
+// --- Dispatches ---------------------------------------------------------------
+
+// On the caller's thread: the answer is relayed as it arrives.
+void DispatchCompletion(caller_session& aSession, const run_context& aContext,
+                        const dispatch_order& aOrder)
+{
+  ResetAttempt(aSession);
+  run_observer observer;
+  observer.mOnAccepted =
+    AcceptedReporter(aContext, aOrder.mAction.mRun.mRequest);
+  observer.mOnHead = [&aSession](const run_frame& aHead) {
+    aSession.mStatus = aHead.mStatus;
+  };
+  observer.mOnData = [&aSession](const run_frame& aFrame,
+                                 const Json::Value& aEvent) {
+    RelayEvent(aSession, aFrame, aEvent);
+  };
+  run_report report =
+    PerformDispatch(aOrder.mAction, aSession.mOptions.mDispatch,
+                    *aOrder.mStopper, observer);
+  if (auto* finished = std::get_if<run_finished_event>(&report)) {
+    aSession.mUsage = finished->mUsage;
+    aSession.mAnswer = finished->mAnswer;
+  } else if (auto* failed = std::get_if<run_failed_event>(&report)) {
+    failed->mRelayed = aSession.mBegan;
+  }
+  PostReport(aContext, std::move(report));
+}
+
+// On a thread of the service pool.
+void RunServiceCall(const run_context& aContext,
+                    const dispatch_options& aOptions,
+                    const dispatch_order& aOrder)
+{
+  run_observer observer;
+  observer.mOnAccepted =
+    AcceptedReporter(aContext, aOrder.mAction.mRun.mRequest);
+  observer.mOnHead = [](const run_frame&) {};
+  observer.mOnData = [](const run_frame&, const Json::Value&) {};
+  run_report report = PerformDispatch(aOrder.mAction, aOptions,
+                                      *aOrder.mStopper, observer);
+  if (const auto* finished = std::get_if<run_finished_event>(&report)) {
+    WithOpen(aContext.mLink.mCallers, aContext.mHandle,
+             [finished](caller_exchange& aExchange) {
+               absl::MutexLock lock(&aExchange.mMutex);
+               aExchange.mAnswer = finished->mAnswer;
+               aExchange.mUsage = finished->mUsage;
+             });
+  }
+  PostReport(aContext, std::move(report));
+}
+
+void DispatchService(caller_session& aSession, const run_context& aContext,
+                     const dispatch_order& aOrder)
+{
+  const bool submitted = TrySubmit(
+    aSession.mLink.mServices,
+    [context = aContext, options = aSession.mOptions.mDispatch, aOrder] {
+      RunServiceCall(context, options, aOrder);
+    });
+  if (!submitted) {
+    PostReport(aContext,
+               run_refused_event{
+                 aContext.mHandle, aOrder.mAction.mRun.mRequest,
+                 error{ error_code::Overloaded, ran::No, "",
+                        "too many service calls", absl::Seconds(1) } });
+  }
+}
+
+void Dispatch(caller_session& aSession, const run_context& aContext,
+              const dispatch_order& aOrder)
+{
+  Count(*aSession.mLink.mMetrics, counter::RunsDispatched);
+  LogRun(aContext, log_level::Debug, log_event::RunDispatched,
+         aOrder.mAction.mRun.mRequest, aOrder.mAction.mAgent.mValue);
+  if (aSession.mKind == request_kind::ServiceCall) {
+    DispatchService(aSession, aContext, aOrder);
+  } else {
+    DispatchCompletion(aSession, aContext, aOrder);
+  }
 }
 
 // --- Answers ----------------------------------------------------------------
@@ -215,7 +284,9 @@
   http_reply reply;
   reply.mStatus = aAnswer.mStatus;
   reply.mContentType = aAnswer.mContentType;
-  reply.mHeaders = AnswerHeaders(aSession, ran::Yes);
+  // A backend server that reports an error may or may not have acted.
+  reply.mHeaders = AnswerHeaders(
+    aSession, aAnswer.mStatus < 400 ? ran::Yes : ran::Unknown);
   reply.mBody = aAnswer.mBody;
   return reply;
 }
@@ -223,6 +294,12 @@
 std::optional<http_reply> Conclude(caller_session& aSession,
                                    const answer_complete&)
 {
+  if (aSession.mKind == request_kind::ServiceCall) {
+    absl::MutexLock lock(&aSession.mExchange.mMutex);
+    aSession.mAnswer = std::move(aSession.mExchange.mAnswer);
+    aSession.mStatus = aSession.mAnswer.mStatus;
+    aSession.mUsage = aSession.mExchange.mUsage;
+  }
   LogAnswer(aSession, aSession.mStatus, "ok");
   if (aSession.mKind == request_kind::ServiceCall || aSession.mStatus != 200) {
     return ReplyWith(aSession, aSession.mAnswer);
@@ -294,6 +371,7 @@
   session.mAssembly.mEndpoint = aEndpoint;
   const handle_entry<caller_exchange> entry(aLink.mCallers, handle,
                                             session.mExchange);
+  const run_context context{ aLink, aRequestId, handle };
   Count(*aLink.mMetrics, counter::CallerRequests);
   auto posted =
     PostEvent(aLink, std::move(aEvent), event_class::NewWork);
@@ -311,8 +389,8 @@
   for (;;) {
     const auto decision =
       Take(session.mExchange.mDecisions, absl::InfiniteFuture());
-    if (const auto* dispatch = std::get_if<dispatch_action>(&*decision)) {
-      Dispatch(session, *dispatch);
+    if (const auto* order = std::get_if<dispatch_order>(&*decision)) {
+      Dispatch(session, context, *order);
       continue;
     }
     UnwatchClient(aConnection);
--- a/src/wire/dispatch_client.cc
+++ b/src/wire/dispatch_client.cc
@@ -1,5 +1,7 @@
 #include "wire/dispatch_client.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -200,31 +202,11 @@
   return call;
 }
 
-// Enters the run in the exchange, so that CancelRun finds it. Returns false if
-// it was cancelled before.
-bool Enter(caller_exchange& aExchange, const request_id& aRequest,
-           call_stopper& aStopper)
-{
-  absl::MutexLock lock(&aExchange.mMutex);
-  if (aExchange.mCancelled && *aExchange.mCancelled == aRequest) {
-    return false;
-  }
-  aExchange.mRunning = &aStopper;
-  aExchange.mRunningRequest = aRequest;
-  return true;
-}
-
-void Leave(caller_exchange& aExchange)
-{
-  absl::MutexLock lock(&aExchange.mMutex);
-  aExchange.mRunning = nullptr;
-}
-
 } // namespace
 
 run_report PerformDispatch(const dispatch_action& aAction,
                            const dispatch_options& aOptions,
-                           caller_exchange& aExchange,
+                           call_stopper& aStopper,
                            const run_observer& aObserver)
 {
   run_progress progress{ aAction, aOptions, aObserver, 0, {}, {}, {}, {},
@@ -232,13 +214,6 @@
   progress.mCheck.mRequest = ToString(aAction.mRun.mRequest);
   progress.mMeter.mLimits = { aAction.mRun.mMaxPromptTokens,
                               aAction.mRun.mMaxTokens };
-  call_stopper stopper;
-  if (!Enter(aExchange, aAction.mRun.mRequest, stopper)) {
-    return Failed(progress,
-                  RunError(error_code::CallerDisconnected, ran::No,
-                           "cancelled before the dispatch"),
-                  {});
-  }
   const call_outcome outcome = PerformCall(
     CallFor(aAction, aOptions),
     [&progress](int aStatus, const std::string&) {
@@ -251,8 +226,7 @@
     [&progress](std::string_view aBytes) {
       return TakeBytes(progress, aBytes);
     },
-    &stopper);
-  Leave(aExchange);
+    &aStopper);
   return Report(progress, outcome);
 }
 
--- a/src/wire/dispatch_client.h
+++ b/src/wire/dispatch_client.h
@@ -10,7 +10,7 @@
 
 #include "foxtailquay/router.h"
 #include "json/json.h"
-#include "wire/router_link.h"
+#include "wire/http_call.h"
 #include "wire/run_codec.h"
 
 namespace foxtailquay {
@@ -39,12 +39,12 @@
 using run_report =
   std::variant<run_refused_event, run_finished_event, run_failed_event>;
 
-// Blocks until the run has ended. The report's mRelayed is false; the caller
+// Blocks until the run has ended; Stop on aStopper ends it early. The report's mRelayed is false; the caller
 // knows what it passed on. The whole answer of a service or of a run with a
 // status other than 200 is in run_finished_event::mAnswer.
 run_report PerformDispatch(const dispatch_action& aAction,
                            const dispatch_options& aOptions,
-                           caller_exchange& aExchange,
+                           call_stopper& aStopper,
                            const run_observer& aObserver);
 
 } // namespace foxtailquay
--- /dev/null
+++ b/src/wire/engine_client.cc
@@ -0,0 +1,325 @@
+#include "wire/engine_client.h"
+
+#include <atomic>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "runtime/clock.h"
+#include "wire/completion.h"
+#include "wire/document_codec.h"
+#include "wire/sse.h"
+#include "wire/usage_meter.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// The state of one call on the backend server.
+struct backend_run
+{
+  const run_request& mRun;
+  const std::function<bool(run_frame)>& mEmit;
+  int mStatus = 0;
+  sse_parser mParser;
+  usage_meter mMeter;
+  Json::Value mLastEvent;
+  // The engine sent its end mark, or the cap was reached.
+  bool mDone = false;
+  bool mRouterGone = false;
+  std::optional<error> mFault;
+};
+
+error BackendError(std::string aDetail)
+{
+  return error{ error_code::BackendServerFailed, ran::Unknown, "",
+                std::move(aDetail), absl::ZeroDuration() };
+}
+
+bool IsEventStream(const backend_run& aRun)
+{
+  return aRun.mRun.mKind == backend_kind::Engine && aRun.mStatus == 200;
+}
+
+completion_endpoint EndpointOf(const run_request& aRun)
+{
+  return FromName<completion_endpoint>(aRun.mPath)
+    .value_or(completion_endpoint::Chat);
+}
+
+bool Emit(backend_run& aRun, run_frame aFrame)
+{
+  aRun.mRouterGone = aRun.mRouterGone || !aRun.mEmit(std::move(aFrame));
+  return !aRun.mRouterGone;
+}
+
+run_frame DataFrame(std::string aText)
+{
+  run_frame frame;
+  frame.mType = frame_type::Data;
+  frame.mText = std::move(aText);
+  return frame;
+}
+
+// An engine that is overloaded or fails gives no answer to pass on.
+bool IsEngineFailure(const backend_run& aRun)
+{
+  return aRun.mRun.mKind == backend_kind::Engine &&
+         (aRun.mStatus >= 500 || aRun.mStatus == 429);
+}
+
+bool TakeHead(backend_run& aRun, int aStatus, const std::string& aContentType)
+{
+  aRun.mStatus = aStatus;
+  if (IsEngineFailure(aRun)) {
+    aRun.mFault =
+      BackendError(absl::StrCat("the engine answered with status ", aStatus));
+    return false;
+  }
+  if (IsEventStream(aRun) &&
+      !absl::StartsWith(aContentType, "text/event-stream")) {
+    aRun.mFault = BackendError("the engine did not stream its answer");
+    return false;
+  }
+  run_frame head;
+  head.mType = frame_type::Head;
+  head.mRequest = ToString(aRun.mRun.mRequest);
+  head.mStatus = aStatus;
+  head.mContentType = aContentType;
+  return Emit(aRun, std::move(head));
+}
+
+// Takes one event of the engine's stream. Returns false to stop.
+bool TakeEvent(backend_run& aRun, std::string_view aPayload)
+{
+  if (aPayload == kSseDone) {
+    aRun.mDone = true;
+    return true;
+  }
+  auto parsed = ParseJson(aPayload);
+  if (!IsOk(parsed) || !ValueOf(parsed).isObject()) {
+    aRun.mFault = BackendError("an event of the engine's stream is not JSON");
+    return false;
+  }
+  const Json::Value& event = ValueOf(parsed);
+  if (event.isMember("error")) {
+    aRun.mFault = BackendError("the engine reported an error");
+    return false;
+  }
+  if (!Meter(aRun.mMeter, event)) {
+    // The engine ignores the cap: what it reserves, and is billed, ends here.
+    aRun.mDone = true;
+    Emit(aRun, DataFrame(SseEvent(ToText(
+                 LengthEvent(EndpointOf(aRun.mRun), aRun.mLastEvent)))));
+    return false;
+  }
+  aRun.mLastEvent = event;
+  return Emit(aRun, DataFrame(SseEvent(aPayload)));
+}
+
+bool TakeData(backend_run& aRun, std::string_view aBytes)
+{
+  if (!IsEventStream(aRun)) {
+    return Emit(aRun, DataFrame(std::string(aBytes)));
+  }
+  auto fed =
+    Feed(aRun.mParser, aBytes, [&aRun](std::string_view aPayload) {
+      return TakeEvent(aRun, aPayload);
+    });
+  if (!IsOk(fed)) {
+    aRun.mFault = ErrorOf(fed);
+    return false;
+  }
+  return ValueOf(fed);
+}
+
+result<http_call> CallFor(const engine_options& aOptions,
+                          const run_request& aRun)
+{
+  http_call call;
+  call.mAddress = aOptions.mAddress;
+  call.mMethod = aRun.mMethod;
+  call.mTarget = aRun.mPath;
+  call.mContentType = aRun.mContentType;
+  call.mBody = aRun.mBody;
+  call.mHeaders = { { "X-Request-Id", ToString(aRun.mRequest) } };
+  call.mConnectTimeout = std::min(aOptions.mConnectTimeout, aRun.mTimeout);
+  call.mReadTimeout = aRun.mTimeout;
+  if (aRun.mKind == backend_kind::Engine) {
+    auto body = EngineBody(aRun);
+    if (!IsOk(body)) {
+      return ErrorOf(body);
+    }
+    call.mBody = ValueOf(std::move(body));
+    call.mContentType = "application/json";
+  }
+  return call;
+}
+
+error FaultOf(const backend_run& aRun, call_outcome aOutcome, bool aTimedOut)
+{
+  if (aRun.mFault) {
+    return *aRun.mFault;
+  }
+  if (aTimedOut) {
+    return { error_code::DeadlineExceeded, ran::Unknown, "",
+             "the backend server did not finish in time",
+             absl::ZeroDuration() };
+  }
+  switch (aOutcome) {
+    case call_outcome::NotConnected:
+      return { error_code::BackendServerFailed, ran::No, "",
+               "the backend server cannot be reached", absl::ZeroDuration() };
+    case call_outcome::Stopped:
+      return { error_code::CallerDisconnected, ran::Unknown, "",
+               "the run was cancelled", absl::ZeroDuration() };
+    case call_outcome::Complete:
+    case call_outcome::Broken:
+      break;
+  }
+  return BackendError("the backend server's answer broke off");
+}
+
+run_outcome OutcomeOf(const backend_run& aRun, call_outcome aOutcome,
+                      bool aTimedOut)
+{
+  run_outcome outcome;
+  if (IsEventStream(aRun)) {
+    outcome.mUsage = UsageOf(aRun.mMeter);
+  }
+  const bool complete = IsEventStream(aRun)
+                          ? aRun.mDone
+                          : aOutcome == call_outcome::Complete;
+  outcome.mWhole = complete && !aRun.mRouterGone && !aRun.mFault;
+  outcome.mLast.mType =
+    outcome.mWhole ? frame_type::End : frame_type::Broken;
+  outcome.mLast.mUsage = outcome.mUsage;
+  if (!outcome.mWhole) {
+    outcome.mLast.mError = FaultOf(aRun, aOutcome, aTimedOut);
+  }
+  return outcome;
+}
+
+} // namespace
+
+run_outcome RunOnBackend(const engine_options& aOptions,
+                         const run_request& aRun, timer& aTimer,
+                         call_stopper& aStopper,
+                         const std::function<bool(run_frame)>& aEmit)
+{
+  backend_run run{ aRun, aEmit, 0, {}, {}, {}, false, false, {} };
+  run.mMeter.mLimits = { aRun.mMaxPromptTokens, aRun.mMaxTokens };
+  auto call = CallFor(aOptions, aRun);
+  if (!IsOk(call)) {
+    run.mFault = ErrorOf(call);
+    return OutcomeOf(run, call_outcome::NotConnected, false);
+  }
+  std::atomic<bool> timedOut{ false };
+  const timer_id deadline =
+    Schedule(aTimer, MonotonicNow() + aRun.mTimeout, [&] {
+      timedOut = true;
+      Stop(aStopper);
+    });
+  const call_outcome outcome = PerformCall(
+    ValueOf(call),
+    [&run](int aStatus, const std::string& aContentType) {
+      return TakeHead(run, aStatus, aContentType);
+    },
+    [&run](std::string_view aBytes) { return TakeData(run, aBytes); },
+    &aStopper);
+  Cancel(aTimer, deadline);
+  return OutcomeOf(run, outcome, timedOut);
+}
+
+result<backend_load_event> ParseLoad(std::string_view aBody)
+{
+  auto json = ParseJson(aBody);
+  if (!IsOk(json)) {
+    return ErrorOf(json);
+  }
+  const Json::Value& body = ValueOf(json);
+  if (!body.isObject() || !body["running"].isInt() ||
+      !body["queued"].isInt()) {
+    return error{ error_code::ProtocolViolation, ran::No, "load",
+                  "expected running and queued", absl::ZeroDuration() };
+  }
+  backend_load_event load;
+  load.mRunning = body["running"].asInt();
+  load.mQueued = body["queued"].asInt();
+  if (body["cached_prefixes"].isArray()) {
+    for (const Json::Value& hash : body["cached_prefixes"]) {
+      // A number, or its decimal digits: not all JSON libraries keep 64 bits.
+      std::uint64_t value = 0;
+      if (hash.isUInt64()) {
+        load.mCachedPrefixes.push_back(hash.asUInt64());
+      } else if (hash.isString() &&
+                 absl::SimpleAtoi(hash.asString(), &value)) {
+        load.mCachedPrefixes.push_back(value);
+      }
+    }
+  }
+  if (body["loaded_models"].isArray()) {
+    for (const Json::Value& model : body["loaded_models"]) {
+      if (model.isString()) {
+        load.mLoadedModels.push_back({ model.asString() });
+      }
+    }
+  }
+  return load;
+}
+
+std::optional<backend_load_event> ReadLoad(const engine_options& aOptions)
+{
+  constexpr std::size_t kMaxLoadBytes = 256 << 10;
+  http_call call;
+  call.mAddress = aOptions.mAddress;
+  call.mTarget = "/load";
+  call.mConnectTimeout = aOptions.mLoadTimeout;
+  call.mReadTimeout = aOptions.mLoadTimeout;
+  const whole_answer answer = PerformWholeCall(call, kMaxLoadBytes);
+  if (answer.mOutcome != call_outcome::Complete || answer.mStatus != 200) {
+    return std::nullopt;
+  }
+  auto load = ParseLoad(answer.mBody);
+  if (!IsOk(load)) {
+    return std::nullopt;
+  }
+  return ValueOf(std::move(load));
+}
+
+result<success> SendCommand(const engine_options& aOptions,
+                            std::uint64_t aFencingNumber,
+                            const std::string& aCommand)
+{
+  Json::Value body(Json::objectValue);
+  body["fencing_number"] = Json::UInt64(aFencingNumber);
+  body["command"] = aCommand;
+  http_call call;
+  call.mAddress = aOptions.mAddress;
+  call.mMethod = "POST";
+  call.mTarget = "/command";
+  call.mContentType = "application/json";
+  call.mBody = ToText(body);
+  call.mConnectTimeout = aOptions.mConnectTimeout;
+  call.mReadTimeout = aOptions.mCommandTimeout;
+  const whole_answer answer = PerformWholeCall(call, 64 << 10);
+  if (answer.mOutcome == call_outcome::Complete && answer.mStatus == 200) {
+    return success{};
+  }
+  if (answer.mOutcome == call_outcome::Complete && answer.mStatus == 409) {
+    return error{ error_code::StaleFence, ran::No, "fencing_number",
+                  "the backend server knows a newer fencing number",
+                  absl::ZeroDuration() };
+  }
+  return error{ error_code::BackendServerFailed,
+                answer.mOutcome == call_outcome::NotConnected ? ran::No
+                                                              : ran::Unknown,
+                "",
+                absl::StrCat("the backend server did not take the command; "
+                             "status ",
+                             answer.mStatus),
+                absl::ZeroDuration() };
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/wire/peer_front.cc
@@ -0,0 +1,92 @@
+#include "wire/peer_front.h"
+
+#include <utility>
+#include <vector>
+
+#include "runtime/log.h"
+#include "wire/error_codec.h"
+#include "wire/key_check.h"
+#include "wire/message_codec.h"
+
+namespace foxtailquay {
+
+namespace {
+
+constexpr char kDrain[] = "drain";
+
+std::vector<std::string> Methods()
+{
+  std::vector<std::string> methods{ kDrain };
+  for (const auto& entry : NameTable(message_kind{})) {
+    methods.emplace_back(entry.mName);
+  }
+  return methods;
+}
+
+bool HandleMessage(peer_front& aFront, const std::string& aMethod,
+                   const Json::Value& aParams, Json::Value& aResult)
+{
+  if (aMethod == kDrain) {
+    aFront.mOptions.mOnDrain();
+    return true;
+  }
+  const auto kind = FromName<message_kind>(aMethod);
+  auto decoded = kind ? EnvelopeFromJson(*kind, aParams)
+                      : result<envelope>(error{
+                          error_code::ProtocolViolation, ran::No, "method",
+                          "unknown method", absl::ZeroDuration() });
+  if (!IsOk(decoded)) {
+    Log(log_component::Peer, log_level::Warn, log_event::MessageInvalid,
+        { { "kind", aMethod }, { "error", ToString(ErrorOf(decoded)) } });
+    aResult = ToJson(ErrorOf(decoded));
+    return false;
+  }
+  Count(aFront.mMetrics, counter::MessagesReceived);
+  Log(log_component::Peer, log_level::Debug, log_event::MessageReceived,
+      { { "kind", aMethod },
+        { "from", ToString(ValueOf(decoded).mSender) } });
+  auto posted = aFront.mOptions.mOnMessage(ValueOf(std::move(decoded)));
+  if (!IsOk(posted)) {
+    Count(aFront.mMetrics, counter::EventsRefused);
+    aResult = ToJson(ErrorOf(posted));
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
+peer_front::peer_front(peer_front_options aOptions, metrics& aMetrics)
+  : mOptions(std::move(aOptions))
+  , mMetrics(aMetrics)
+  , mRpc(MakeRpcServer(Methods(), [this](const std::string& aMethod,
+                                         const Json::Value& aParams,
+                                         Json::Value& aResult) {
+    return HandleMessage(*this, aMethod, aParams, aResult);
+  }))
+{
+}
+
+bool IsPeer(const std::string& aPeerKey, const http_request& aRequest)
+{
+  return aPeerKey.empty() || SameKey(BearerOf(aRequest), aPeerKey);
+}
+
+http_reply PeerUnauthorized()
+{
+  return ErrorReply({ error_code::Unauthorized, ran::No, "Authorization",
+                      "must be Bearer and the peers' key",
+                      absl::ZeroDuration() });
+}
+
+http_reply ServeRpc(peer_front& aFront, const http_request& aRequest)
+{
+  if (!IsPeer(aFront.mOptions.mPeerKey, aRequest)) {
+    return PeerUnauthorized();
+  }
+  http_reply reply;
+  reply.mBody = HandleRpc(*aFront.mRpc, aRequest.mBody);
+  return reply;
+}
+
+} // namespace foxtailquay
--- a/src/wire/router_link.h
+++ b/src/wire/router_link.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -17,6 +18,7 @@
 #include "absl/synchronization/mutex.h"
 #include "foxtailquay/router.h"
 #include "runtime/control_queue.h"
+#include "runtime/elastic_pool.h"
 #include "runtime/mailbox.h"
 #include "runtime/metrics.h"
 #include "wire/http_call.h"
@@ -27,29 +29,43 @@
 using router_query = std::function<void(const router_state&)>;
 using router_item = std::variant<router_event, router_query>;
 
+// A dispatch for the thread that serves the caller. The stopper is shared
+// because the control thread may stop a run at any time of its life, and the
+// run may outlast the caller's thread.
+struct dispatch_order
+{
+  dispatch_action mAction;
+  std::shared_ptr<call_stopper> mStopper;
+};
+
 // What the control thread tells the thread of a caller's connection.
-using caller_decision = std::variant<dispatch_action, caller_answer>;
+using caller_decision = std::variant<dispatch_order, caller_answer>;
 
 struct caller_exchange
 {
   mailbox<caller_decision> mDecisions;
   absl::Mutex mMutex;
-  // The dispatch in progress.
-  call_stopper* mRunning = nullptr;
-  request_id mRunningRequest;
-  // Set if the cancellation came before the dispatch began.
-  std::optional<request_id> mCancelled;
+  // The answer of a service call, set before the run is reported.
+  stored_answer mAnswer;
+  token_usage mUsage;
 };
 
 using operator_box = mailbox<result<operator_done>>;
 
 struct router_link
 {
-  explicit router_link(control_queue_options aOptions) { mQueue.mOptions = aOptions; }
+  router_link(control_queue_options aQueue, elastic_pool_options aServices)
+    : mServices(std::move(aServices))
+  {
+    mQueue.mOptions = aQueue;
+  }
 
   control_queue<router_item> mQueue;
   handle_table<caller_exchange> mCallers;
   handle_table<operator_box> mOperators;
+  // Runs service calls: a call that may run only once is read to its end even
+  // if the caller was answered at its deadline or is gone.
+  elastic_pool mServices;
   metrics_ptr mMetrics = MakeMetrics();
   std::atomic<request_handle> mNextHandle{ 1 };
 };
@@ -79,9 +95,6 @@
   return std::move(*Take(box, absl::InfiniteFuture()));
 }
 
-// Control thread: stops the run of an exchange, or keeps it from starting.
-void CancelRun(caller_exchange& aExchange, const request_id& aRequest);
-
 } // namespace foxtailquay
 
 #endif
