--- a/standins/demo.cc
+++ b/standins/demo.cc
@@ -181,7 +181,8 @@
 {
   int cost = 0;
   for (const fleet_node& node : aFleet.mAgents) {
-    for (const Json::Value& run : Ran(node.mPort)["ran"]) {
+    const Json::Value ran = Ran(node.mPort);
+    for (const Json::Value& run : ran["ran"]) {
       cost += run.isMember("model") ? run["prompt_tokens"].asInt() +
                                         run["completion_tokens"].asInt()
                                     : 5;
--- a/standins/process_fleet.cc
+++ b/standins/process_fleet.cc
@@ -454,7 +454,8 @@
 {
   int tokens = 0;
   for (const fleet_node& node : aFleet.mAgents) {
-    for (const Json::Value& run : Ran(node.mPort)["ran"]) {
+    const Json::Value ran = Ran(node.mPort);
+    for (const Json::Value& run : ran["ran"]) {
       tokens += run.get("completion_tokens", 0).asInt();
     }
   }
