--- a/standins/process_fleet.cc
+++ b/standins/process_fleet.cc
@@ -248,6 +248,11 @@
       return Failure("the first top-up was refused: " + answer.mBody);
     }
   }
+  for (const fleet_node& node : aFleet.mRouters) {
+    if (!AwaitCondition([&node] { return ConfigVersion(node) == 1; })) {
+      return Failure(node.mMember + " does not get the configuration");
+    }
+  }
   return success{};
 }
 
@@ -323,8 +328,8 @@
   return AwaitCondition([&] {
     const http_answer answer = ReadBudget(aAsked, kBudget);
     bool found = answer.mStatus != 200;
-    for (const std::string& holder : answer.mJson["shares"].getMemberNames()) {
-      found = found || holder.rfind(aHolder.mMember + "/", 0) == 0;
+    for (const Json::Value& share : answer.mJson["shares"]) {
+      found = found || share["holder"].asString() == aHolder.mMember;
     }
     return !found;
   });
