--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -759,6 +759,19 @@
   BOOST_TEST(Has(refused.mErr, "c.yaml:"), refused.mErr);
 }
 
+// The page that developers read must show what the programs run.
+BOOST_AUTO_TEST_CASE(all_charts_of_the_project_are_rendered)
+{
+  const std::filesystem::path folder =
+    std::filesystem::path(FOXTAILQUAY_SOURCE_DIR) / "charts";
+  const run_outcome run = Run({ "charts", "--charts-dir=" + folder.string() });
+  BOOST_REQUIRE_MESSAGE(run.mExit == exit_code::Ok, run.mErr);
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    BOOST_TEST(Has(run.mOut, "\n## " + entry.path().stem().string() + "\n"),
+               entry.path().string());
+  }
+}
+
 // Names from a router must not send commands to the operator's terminal.
 BOOST_AUTO_TEST_CASE(tables_are_aligned_and_harmless)
 {
--- /dev/null
+++ b/tests/docs_test.cc
@@ -0,0 +1,183 @@
+// Guards against pages that fall behind the programs: an error code, setting,
+// log event or metric that an operator cannot look up, or that no longer
+// exists, and links and commands that lead nowhere.
+
+#define BOOST_TEST_MODULE docs
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "cli/command.h"
+#include "foxtailquay/error.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
+namespace foxtailquay {
+namespace {
+
+const std::filesystem::path kRoot = FOXTAILQUAY_SOURCE_DIR;
+
+std::string Read(const std::string& aPath)
+{
+  std::ifstream file(kRoot / aPath);
+  BOOST_REQUIRE_MESSAGE(file.good(), aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// The cells of the rows of the table under the heading aHeading, by the first
+// cell without its backquotes.
+std::map<std::string, std::vector<std::string>> TableUnder(
+  const std::string& aText, const std::string& aHeading)
+{
+  std::istringstream lines(aText);
+  std::map<std::string, std::vector<std::string>> rows;
+  bool inside = false;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.empty() && line[0] == '#') {
+      inside = line == aHeading;
+    }
+    if (!inside || line.rfind("| `", 0) != 0) {
+      continue;
+    }
+    std::vector<std::string> cells;
+    std::istringstream parts(line.substr(2));
+    for (std::string cell; std::getline(parts, cell, '|');) {
+      cells.push_back(std::regex_replace(cell, std::regex("^ +| +$"), ""));
+    }
+    const std::string name = cells[0].substr(1, cells[0].size() - 2);
+    BOOST_TEST(rows.emplace(name, cells).second, name + " stands twice");
+  }
+  return rows;
+}
+
+template<typename Rows>
+std::set<std::string> NamesIn(const Rows& aRows)
+{
+  std::set<std::string> names;
+  for (const auto& row : aRows) {
+    names.insert(row.first);
+  }
+  return names;
+}
+
+template<typename Enum>
+void AddNames(std::set<std::string>& aInto)
+{
+  for (const auto& entry : NameTable(Enum{})) {
+    aInto.emplace(entry.mName);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(every_error_code_stands_on_the_page_with_its_status)
+{
+  const auto rows = TableUnder(Read("docs/operations.md"), "## Error codes");
+  std::set<std::string> names;
+  AddNames<error_code>(names);
+  BOOST_TEST(NamesIn(rows) == names, boost::test_tools::per_element());
+  for (const auto& entry : NameTable(error_code{})) {
+    const auto row = rows.find(std::string(entry.mName));
+    BOOST_REQUIRE(row != rows.end());
+    BOOST_REQUIRE(row->second.size() == 4u);
+    BOOST_TEST(row->second[1] == std::to_string(HttpStatusOf(entry.mValue)),
+               entry.mName);
+    BOOST_TEST(!row->second[2].empty());
+    BOOST_TEST(!row->second[3].empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(every_log_event_and_metric_stands_on_the_page)
+{
+  const std::string page = Read("docs/operations.md");
+  std::set<std::string> events;
+  AddNames<log_event>(events);
+  BOOST_TEST(NamesIn(TableUnder(page, "## Logs")) == events,
+             boost::test_tools::per_element());
+  std::set<std::string> metrics;
+  AddNames<counter>(metrics);
+  AddNames<histogram>(metrics);
+  AddNames<gauge>(metrics);
+  BOOST_TEST(NamesIn(TableUnder(page, "## Metrics")) == metrics,
+             boost::test_tools::per_element());
+  for (const auto& component : NameTable(log_component{})) {
+    BOOST_TEST(page.find("`" + std::string(component.mName) + "`") !=
+                 std::string::npos,
+               component.mName);
+  }
+}
+
+// The flags are read from the source, since the flags of both programs cannot
+// be linked into one.
+BOOST_AUTO_TEST_CASE(every_setting_stands_on_the_page)
+{
+  const std::string source = Read("src/runtime/settings.cc");
+  const std::regex pattern(R"(DEFINE_\w+\((\w+),)");
+  std::set<std::string> flags;
+  for (std::sregex_iterator it(source.begin(), source.end(), pattern), end;
+       it != end; ++it) {
+    flags.insert("--" + (*it)[1].str());
+  }
+  BOOST_REQUIRE(!flags.empty());
+  const auto rows =
+    TableUnder(Read("docs/operations.md"), "## Settings of foxtailquayd");
+  BOOST_TEST(NamesIn(rows) == flags, boost::test_tools::per_element());
+  const std::string design = Read("docs/design.md");
+  for (const std::string& flag : flags) {
+    BOOST_TEST(design.find("`" + flag + "`") != std::string::npos, flag);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(every_exit_code_stands_on_the_page)
+{
+  const std::string page = Read("docs/operations.md");
+  for (const auto& entry : NameTable(exit_code{})) {
+    const std::string row = "| " +
+                            std::to_string(static_cast<int>(entry.mValue)) +
+                            " | `" + std::string(entry.mName) + "` |";
+    BOOST_TEST(page.find(row) != std::string::npos, row);
+  }
+}
+
+// A command line that people copy must be one that the program knows.
+BOOST_AUTO_TEST_CASE(command_lines_on_the_pages_exist)
+{
+  const std::regex pattern(R"(foxtailquayctl ([a-z][a-z-]*( [a-z][a-z-]*)?))");
+  for (const char* path : { "README.md", "docs/operations.md" }) {
+    const std::string page = Read(path);
+    for (std::sregex_iterator it(page.begin(), page.end(), pattern), end;
+         it != end; ++it) {
+      const std::string words = (*it)[1].str() + " ";
+      bool known = false;
+      for (const command& entry : Commands()) {
+        known = known || words.rfind(std::string(entry.mName) + " ", 0) == 0;
+      }
+      BOOST_TEST(known, std::string(path) + ": " + words);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(links_lead_to_files)
+{
+  const std::regex pattern(R"(\]\(([^)#:]+)(#[^)]*)?\))");
+  for (const char* path :
+       { "README.md", "docs/operations.md", "docs/glossary.md" }) {
+    const std::string page = Read(path);
+    const auto folder = (kRoot / path).parent_path();
+    for (std::sregex_iterator it(page.begin(), page.end(), pattern), end;
+         it != end; ++it) {
+      BOOST_TEST(std::filesystem::exists(folder / (*it)[1].str()),
+                 std::string(path) + ": " + (*it)[1].str());
+    }
+  }
+}
+
+} // namespace
+} // namespace foxtailquay
