--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -206,6 +206,7 @@
                        exit_code aExit, ran aRan)
 {
   std::vector<std::string> details;
+  details.reserve(aAttempts.size());
   for (const admin_attempt& attempt : aAttempts) {
     details.push_back(absl::StrCat(attempt.mError.mField,
                                    attempt.mError.mField.empty() ? "" : " ",
@@ -274,6 +275,7 @@
                              const admin_request& aRequest)
 {
   std::vector<admin_attempt> attempts;
+  attempts.reserve(aOptions.mAddresses.size());
   for (const std::string& address : aOptions.mAddresses) {
     attempts.push_back(TryOne(aOptions, aRequest, address));
     if (!MayTryNext(attempts.back(), aRequest.mEffect)) {
--- a/src/cli/chart_pages.cc
+++ b/src/cli/chart_pages.cc
@@ -32,7 +32,7 @@
   if (!aNode.IsScalar()) {
     return;
   }
-  const std::string text = aNode.Scalar();
+  const std::string& text = aNode.Scalar();
   if (std::find(aInto.begin(), aInto.end(), text) == aInto.end()) {
     aInto.push_back(aNames.mTexts.emplace_back(text));
   }
--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -138,7 +138,7 @@
 }
 
 // "foxtailquayctl help config show" is the same as "config show --help".
-std::string HelpFor(std::vector<std::string> aWords)
+std::string HelpFor(const std::vector<std::string>& aWords)
 {
   const command* found = FindCommand(aWords);
   return found != nullptr ? CommandHelp(*found) : ProgramHelp();
--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -53,6 +53,7 @@
   }
   for (const Json::Value& entry : aList) {
     std::vector<std::string> row;
+    row.reserve(members.size());
     for (const std::string& member : members) {
       row.push_back(CellOf(entry.isObject() ? entry[member] : Json::Value()));
     }
--- a/src/wire/config_file.cc
+++ b/src/wire/config_file.cc
@@ -165,7 +165,7 @@
     return FileError(document.mFile, line, aParent.mPath,
                      "a field name must be a plain text");
   }
-  const std::string name = aKey.Scalar();
+  const std::string& name = aKey.Scalar();
   const yaml_place place = Below(aParent, name);
   const duration_field* duration = FindDuration(aParent, name);
   const std::string stored =
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -78,7 +78,7 @@
 std::string Write(const scratch& aScratch, const std::string& aName,
                   const std::string& aText)
 {
-  const std::string path = (aScratch.mPath / aName).string();
+  std::string path = (aScratch.mPath / aName).string();
   std::ofstream(path) << aText;
   return path;
 }
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <limits>
+#include <set>
 
 #include "foxtailquay/config.h"
 #include "rapidcheck.h"
@@ -47,19 +48,23 @@
   using c = config_document;
   return {
     { "fleet.account_shards", "0 is not between 1 and 4096",
-      [](c& a) { a.mFleet.mAccountShards = 0; } },
+      [](c& aConfig) { aConfig.mFleet.mAccountShards = 0; } },
     { "fleet.account_shards", "4097 is not",
-      [](c& a) { a.mFleet.mAccountShards = 4097; } },
+      [](c& aConfig) { aConfig.mFleet.mAccountShards = 4097; } },
     { "fleet.claim_shards", "0 is not",
-      [](c& a) { a.mFleet.mClaimShards = 0; } },
+      [](c& aConfig) { aConfig.mFleet.mClaimShards = 0; } },
     { "fleet.request_timeout", "0 is not between 1ms and 24h",
-      [](c& a) { a.mFleet.mRequestTimeout = absl::ZeroDuration(); } },
+      [](c& aConfig) {
+        aConfig.mFleet.mRequestTimeout = absl::ZeroDuration();
+      } },
     { "fleet.request_timeout", "inf is not",
-      [](c& a) { a.mFleet.mRequestTimeout = absl::InfiniteDuration(); } },
+      [](c& aConfig) {
+        aConfig.mFleet.mRequestTimeout = absl::InfiniteDuration();
+      } },
     { "fleet.queue_timeout", "-1s is not",
-      [](c& a) { a.mFleet.mQueueTimeout = -absl::Seconds(1); } },
+      [](c& aConfig) { aConfig.mFleet.mQueueTimeout = -absl::Seconds(1); } },
     { "fleet.queue_length", "-1 is not between 0 and 100000",
-      [](c& a) { a.mFleet.mQueueLength = -1; } },
+      [](c& aConfig) { aConfig.mFleet.mQueueLength = -1; } },
   };
 }
 
@@ -68,41 +73,47 @@
   using c = config_document;
   return {
     { "models.a/b", "\"a/b\" must be 1 to 128",
-      [](c& a) { a.mModels[{ "a/b" }] = {}; } },
+      [](c& aConfig) { aConfig.mModels[{ "a/b" }] = {}; } },
     { "models.", "\"\" must be 1 to 128",
-      [](c& a) { a.mModels[{ "" }] = {}; } },
+      [](c& aConfig) { aConfig.mModels[{ "" }] = {}; } },
     { "models." + std::string(129, 'x'), "must be 1 to 128",
-      [](c& a) { a.mModels[{ std::string(129, 'x') }] = {}; } },
+      [](c& aConfig) { aConfig.mModels[{ std::string(129, 'x') }] = {}; } },
     { "models.m.prompt_price", "-1 is not between 0 and 1000000",
-      [](c& a) { a.mModels[{ "m" }].mPromptPrice = -1; } },
+      [](c& aConfig) { aConfig.mModels[{ "m" }].mPromptPrice = -1; } },
     { "models.m.completion_price", "1000001 is not",
-      [](c& a) { a.mModels[{ "m" }].mCompletionPrice = 1'000'001; } },
+      [](c& aConfig) {
+        aConfig.mModels[{ "m" }].mCompletionPrice = 1'000'001;
+      } },
     { "models.m.max_tokens", "0 is not between 1 and 10000000",
-      [](c& a) { a.mModels[{ "m" }].mMaxTokens = 0; } },
+      [](c& aConfig) { aConfig.mModels[{ "m" }].mMaxTokens = 0; } },
     { "models.m.default_max_tokens", "8193 is not between 1 and 8192",
-      [](c& a) { a.mModels[{ "m" }].mDefaultMaxTokens = 8193; } },
+      [](c& aConfig) { aConfig.mModels[{ "m" }].mDefaultMaxTokens = 8193; } },
     { "services.s.calls[0].method", "\"get\" is not GET, POST",
-      [](c& a) { a.mServices[{ "s" }].mCalls[0].mMethod = "get"; } },
+      [](c& aConfig) {
+        aConfig.mServices[{ "s" }].mCalls[0].mMethod = "get";
+      } },
     { "services.s.calls[0].path", "\"x\" does not start with /",
-      [](c& a) { a.mServices[{ "s" }].mCalls[0].mPathPrefix = "x"; } },
+      [](c& aConfig) {
+        aConfig.mServices[{ "s" }].mCalls[0].mPathPrefix = "x";
+      } },
     { "services.s.call_price", "-1 is not",
-      [](c& a) { a.mServices[{ "s" }].mCallPrice = -1; } },
+      [](c& aConfig) { aConfig.mServices[{ "s" }].mCallPrice = -1; } },
     { "services.s.timeout", "0 is not",
-      [](c& a) { a.mServices[{ "s" }].mTimeout = {}; } },
+      [](c& aConfig) { aConfig.mServices[{ "s" }].mTimeout = {}; } },
     { "backends.e1.models", "\"x\" is not a configured model",
-      [](c& a) { a.mBackends[{ "e1" }].mModels = { { "x" } }; } },
+      [](c& aConfig) { aConfig.mBackends[{ "e1" }].mModels = { { "x" } }; } },
     { "backends.s1.services", "\"x\" is not a configured service",
-      [](c& a) { a.mBackends[{ "s1" }].mServices = { { "x" } }; } },
+      [](c& aConfig) { aConfig.mBackends[{ "s1" }].mServices = { { "x" } }; } },
     { "backends.e1.kind", "engine needs models and no services",
-      [](c& a) { a.mBackends[{ "e1" }].mModels.clear(); } },
+      [](c& aConfig) { aConfig.mBackends[{ "e1" }].mModels.clear(); } },
     { "backends.e1.kind", "engine needs models and no services",
-      [](c& a) { a.mBackends[{ "e1" }].mServices = { { "s" } }; } },
+      [](c& aConfig) { aConfig.mBackends[{ "e1" }].mServices = { { "s" } }; } },
     { "backends.s1.kind", "service needs services and no models",
-      [](c& a) { a.mBackends[{ "s1" }].mModels = { { "m" } }; } },
+      [](c& aConfig) { aConfig.mBackends[{ "s1" }].mModels = { { "m" } }; } },
     { "backends.e1.zone", "\"\" must be 1 to 128",
-      [](c& a) { a.mBackends[{ "e1" }].mZone = {}; } },
+      [](c& aConfig) { aConfig.mBackends[{ "e1" }].mZone = {}; } },
     { "backends.e1.max_concurrency", "0 is not between 1 and 100000",
-      [](c& a) { a.mBackends[{ "e1" }].mMaxConcurrency = 0; } },
+      [](c& aConfig) { aConfig.mBackends[{ "e1" }].mMaxConcurrency = 0; } },
   };
 }
 
@@ -110,33 +121,34 @@
 {
   using c = config_document;
   const auto with = [](auto aSet) {
-    return [aSet](c& a) { aSet(a.mWorkspaces[{ "w" }]); };
+    return [aSet](c& aConfig) { aSet(aConfig.mWorkspaces[{ "w" }]); };
   };
   using w = workspace_config;
   return {
     { "workspaces.w.key_hashes", "64 lower-case hexadecimal",
-      with([](w& a) { a.mKeyHashes = { std::string(63, 'a') }; }) },
+      with([](w& aEntry) { aEntry.mKeyHashes = { std::string(63, 'a') }; }) },
     { "workspaces.w.key_hashes", "64 lower-case hexadecimal",
-      with([](w& a) { a.mKeyHashes = { std::string(64, 'A') }; }) },
+      with([](w& aEntry) { aEntry.mKeyHashes = { std::string(64, 'A') }; }) },
     { "workspaces.w.budgets", "at least one budget",
-      with([](w& a) { a.mBudgets.clear(); }) },
+      with([](w& aEntry) { aEntry.mBudgets.clear(); }) },
     { "workspaces.w.budgets.id", "\"a b\" must be",
-      with([](w& a) { a.mBudgets[0].mBudget = { "a b" }; }) },
+      with([](w& aEntry) { aEntry.mBudgets[0].mBudget = { "a b" }; }) },
     { "workspaces.w.rate_per_second", "-1 is not between 0 and",
-      with([](w& a) { a.mRatePerSecond = -1; }) },
-    { "workspaces.w.burst", "-1 is not", with([](w& a) { a.mBurst = -1; }) },
+      with([](w& aEntry) { aEntry.mRatePerSecond = -1; }) },
+    { "workspaces.w.burst", "-1 is not",
+      with([](w& aEntry) { aEntry.mBurst = -1; }) },
     { "workspaces.w.max_concurrency", "-1 is not",
-      with([](w& a) { a.mMaxConcurrency = -1; }) },
+      with([](w& aEntry) { aEntry.mMaxConcurrency = -1; }) },
     { "workspaces.w.share_horizon", "0 is not",
-      with([](w& a) { a.mShareHorizon = {}; }) },
+      with([](w& aEntry) { aEntry.mShareHorizon = {}; }) },
     { "workspaces.x", "budget \"b\" also belongs to workspace \"w\"",
-      [](c& a) {
-        a.mWorkspaces[{ "x" }].mBudgets = { { { "b" }, {} } };
+      [](c& aConfig) {
+        aConfig.mWorkspaces[{ "x" }].mBudgets = { { { "b" }, {} } };
       } },
     { "workspaces.x", "key hash aaaaaaaa... also belongs to workspace \"w\"",
-      [](c& a) {
-        a.mWorkspaces[{ "x" }].mKeyHashes = { kHash };
-        a.mWorkspaces[{ "x" }].mBudgets = { { { "b2" }, {} } };
+      [](c& aConfig) {
+        aConfig.mWorkspaces[{ "x" }].mKeyHashes = { kHash };
+        aConfig.mWorkspaces[{ "x" }].mBudgets = { { { "b2" }, {} } };
       } },
   };
 }
@@ -322,9 +334,9 @@
 bool SameContent(const config_document& aLeft, const config_document& aRight)
 {
   const auto keys = [](const auto& aMap) {
-    std::vector<std::string> names;
+    std::set<std::string> names;
     for (const auto& entry : aMap) {
-      names.push_back(entry.first.mValue);
+      names.insert(entry.first.mValue);
     }
     return names;
   };
