--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -92,7 +92,7 @@
 void StartLog(const log_options& aOptions)
 {
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
-    "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %p %c %m%n"));
+    "%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %p %c %m%n"));
   const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
     layout, log4cxx::ConsoleAppender::getSystemErr()));
   log4cxx::BasicConfigurator::resetConfiguration();
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -247,24 +247,35 @@
     "only routers read the list of VMs; remove it" },
 } };
 
+result<success> CheckRoleRule(const given_settings& aGiven,
+                              const role_rule& aRule)
+{
+  const std::string value = ValueText(aRule.mSetting);
+  const std::string role(NameOf(aRule.mRole));
+  if (aRule.mRequired && value.empty()) {
+    return SettingError(SourceOf(aGiven, aRule.mSetting),
+                        absl::StrCat("is empty, but --role=", role,
+                                     " needs it: ", aRule.mWhy));
+  }
+  if (!aRule.mRequired && !value.empty()) {
+    return SettingError(SourceOf(aGiven, aRule.mSetting),
+                        absl::StrCat("\"", value, "\" contradicts --role=",
+                                     role, ": ", aRule.mWhy));
+  }
+  return success{};
+}
+
 result<success> CheckRoleRules(const given_settings& aGiven, process_role aRole)
 {
-  for (const role_rule& rule : kRoleRules) {
-    if (rule.mRole != aRole) {
-      continue;
-    }
-    const std::string value = ValueText(rule.mSetting);
-    if (rule.mRequired && value.empty()) {
-      return SettingError(SourceOf(aGiven, rule.mSetting),
-                          absl::StrCat("is empty, but --role=",
-                                       std::string(NameOf(aRole)),
-                                       " needs it: ", rule.mWhy));
-    }
-    if (!rule.mRequired && !value.empty()) {
-      return SettingError(SourceOf(aGiven, rule.mSetting),
-                          absl::StrCat("\"", value, "\" contradicts --role=",
-                                       std::string(NameOf(aRole)), ": ",
-                                       rule.mWhy));
+  // Contradictions first: they explain more than a setting that is missing.
+  for (const bool required : { false, true }) {
+    for (const role_rule& rule : kRoleRules) {
+      auto checked = rule.mRole == aRole && rule.mRequired == required
+                       ? CheckRoleRule(aGiven, rule)
+                       : result<success>{};
+      if (!IsOk(checked)) {
+        return checked;
+      }
     }
   }
   return success{};
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -445,6 +445,8 @@
     setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
   });
   connector.set_tcp_nodelay(true);
+  // Only named to clients; Serve sets no limit.
+  connector.set_keep_alive_max_count(100'000);
   connector.set_keep_alive_timeout(
     absl::ToInt64Seconds(aServer.mOptions.mIdleTimeout));
   Route(aServer);
