--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -244,6 +244,12 @@
   // cpp-httplib would parse a multipart body and cut ranges out of replies.
   aConnection.mContentType = aRequest.get_header_value("Content-Type");
   aRequest.headers.erase("Content-Type");
+  // Without a length there is no body; cpp-httplib would read to the end of
+  // the connection.
+  if (!aRequest.has_header("Content-Length") &&
+      !aRequest.has_header("Transfer-Encoding")) {
+    aRequest.headers.emplace("Content-Length", "0");
+  }
   aRequest.ranges.clear();
 }
 
