--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -244,6 +244,12 @@
   // cpp-httplib would parse a multipart body and cut ranges out of replies.
   aConnection.mContentType = aRequest.get_header_value("Content-Type");
   aRequest.headers.erase("Content-Type");
+  // Without a length there is no body; cpp-httplib would read to the end of
+  // the connection.
+  if (!aRequest.has_header("Content-Length") &&
+      !aRequest.has_header("Transfer-Encoding")) {
+    aRequest.headers.emplace("Content-Length", "0");
+  }
   aRequest.ranges.clear();
 }
 
@@ -445,6 +451,8 @@
     setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
   });
   connector.set_tcp_nodelay(true);
+  // Only named to clients; Serve sets no limit.
+  connector.set_keep_alive_max_count(100'000);
   connector.set_keep_alive_timeout(
     absl::ToInt64Seconds(aServer.mOptions.mIdleTimeout));
   Route(aServer);
