--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -48,6 +48,7 @@
   }
   for (class_queue& each : aTarget.mClasses) {
     each.mDrained *= decay;
+    each.mWork *= decay;
   }
   aTarget.mDecayedAt = aNow;
 }
@@ -121,9 +122,6 @@
   Decay(target, aState.mOptions, std::max(aNow, target.mDecayedAt));
   class_queue& from = target.mClasses[IndexOf(request.mPriority)];
   RemoveItem(from.mWaiting, request.mWorkspace, request.mHandle);
-  if (from.mWaiting.mSize == 0) {
-    from.mCredit = 0;
-  }
   DropIfIdle(aState, request.mWorkspace);
 }
 
@@ -190,56 +188,48 @@
   return std::nullopt;
 }
 
-// True if the first request of the class may use one of aFreeSlots.
-bool MayTake(const admission_state& aState, const target_queue& aTarget,
-             std::size_t aClass, int aFreeSlots, absl::Time aNow)
+// True if the class has waited and is below its guaranteed part of the work.
+bool IsStarved(const admission_state& aState, const target_queue& aTarget,
+               std::size_t aClass, absl::Time aNow)
 {
-  const fair_item* head = HeadOf(aTarget.mClasses[aClass].mWaiting);
-  if (head == nullptr) {
-    return false;
-  }
-  if (aFreeSlots > ReservedSlots(aTarget, aClass, aState.mOptions, aNow)) {
-    return true;
+  const class_queue& own = aTarget.mClasses[aClass];
+  const fair_item* head = HeadOf(own.mWaiting);
+  double work = 0;
+  for (const class_queue& each : aTarget.mClasses) {
+    work += each.mWork;
   }
-  const queued_request& queued = aState.mQueued.at(head->mHandle);
-  return aNow - queued.mQueuedAt >=
-         (queued.mExpiry - queued.mQueuedAt) * aState.mOptions.mAgeingPart;
+  return head != nullptr &&
+         own.mWork < work * aState.mOptions.mGuaranteedPart[aClass] &&
+         aNow - aState.mQueued.at(head->mHandle).mQueuedAt >=
+           aState.mOptions.mGuaranteeWait;
 }
 
-// The class to take from: the lowest one with enough credit, else the highest
-// one that may use a slot. kPriorityClasses if there is none.
+// The class to take from: the lowest one that is starved, else the highest one
+// that may use a slot. kPriorityClasses if there is none.
 std::size_t NextClass(const admission_state& aState,
                       const target_queue& aTarget, int aFreeSlots,
                       absl::Time aNow)
 {
   for (std::size_t i = kPriorityClasses; i-- > 1;) {
-    const fair_item* head = HeadOf(aTarget.mClasses[i].mWaiting);
-    if (head != nullptr && aTarget.mClasses[i].mCredit >= head->mCost) {
+    if (IsStarved(aState, aTarget, i, aNow)) {
       return i;
     }
   }
   std::size_t next = 0;
   while (next < kPriorityClasses &&
-         !MayTake(aState, aTarget, next, aFreeSlots, aNow)) {
+         (aTarget.mClasses[next].mWaiting.mSize == 0 ||
+          aFreeSlots <= ReservedSlots(aTarget, next, aState.mOptions, aNow))) {
     ++next;
   }
   return next;
 }
 
-// Books aCost for the class: lower ones that wait earn their part of it.
-void NoteTaken(target_queue& aTarget, std::size_t aClass, double aCost,
-               const admission_options& aOptions)
+void NoteTaken(target_queue& aTarget, std::size_t aClass, double aCost)
 {
-  class_queue& taken = aTarget.mClasses[aClass];
-  taken.mDrained += 1;
-  taken.mCredit = std::max(0.0, taken.mCredit - aCost);
-  for (std::size_t i = aClass + 1; i < kPriorityClasses; ++i) {
-    class_queue& lower = aTarget.mClasses[i];
-    if (const fair_item* head = HeadOf(lower.mWaiting)) {
-      // No more is saved up than the next request needs.
-      lower.mCredit = std::min(
-        head->mCost, lower.mCredit + aCost * aOptions.mGuaranteedPart[i]);
-    }
+  aTarget.mClasses[aClass].mWork += aCost;
+  // Without a queue the rate would be that of arrivals, not of free slots.
+  if (!IsEmpty(aTarget)) {
+    aTarget.mClasses[aClass].mDrained += 1;
   }
 }
 
@@ -271,9 +261,7 @@
   } else if (WaitingBefore(target, own + 1) == 0 &&
              aFreeSlots > ReservedSlots(target, own, options, aNow)) {
     ++load.mInFlight;
-    if (!IsEmpty(target)) {
-      NoteTaken(target, own, CostOf(aRequest), options);
-    }
+    NoteTaken(target, own, CostOf(aRequest));
     decision.mOutcome = admission_outcome::Admitted;
   } else if (auto refused = Enqueue(aState, aRequest, aFleet, aNow)) {
     decision.mError = *std::move(refused);
@@ -306,11 +294,8 @@
     }
     class_queue& from = target.mClasses[next];
     const fair_item item = *HeadOf(from.mWaiting);
+    NoteTaken(target, next, item.mCost);
     TakeHead(from.mWaiting);
-    NoteTaken(target, next, item.mCost, aState.mOptions);
-    if (from.mWaiting.mSize == 0) {
-      from.mCredit = 0;
-    }
     const admission_request request = Forget(aState, item.mHandle);
     ++aState.mWorkspaces[request.mWorkspace].mInFlight;
     taken.push_back(item.mHandle);
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -54,18 +54,19 @@
 
 struct admission_options
 {
-  // Part of the work, by class, that a class gets while higher ones wait.
-  // Without it, batch work would starve under steady interactive load.
-  std::array<double, kPriorityClasses> mGuaranteedPart = { 0, 0.2, 0.1 };
+  // A class whose part of the recent work is below this goes before higher
+  // ones, and may use reserved slots, once its first request has waited for
+  // mGuaranteeWait. Without it, batch work would starve under steady
+  // interactive load.
+  std::array<double, kPriorityClasses> mGuaranteedPart = { 0, 0.1, 0.1 };
+  absl::Duration mGuaranteeWait = absl::Milliseconds(500);
   // Free slots that a class leaves to higher ones, so that these need not
   // wait for the end of a long run. They apply while higher classes are
   // active.
-  std::array<int, kPriorityClasses> mReservedSlots = { 0, 1, 2 };
+  std::array<int, kPriorityClasses> mReservedSlots = { 0, 2, 4 };
   // A class is active for this long after its last request.
   absl::Duration mActiveTime = absl::Seconds(1);
-  // Part of its longest wait after which a request ignores reserved slots.
-  double mAgeingPart = 0.5;
-  // Averaging time of the drain rate.
+  // Averaging time of the drain rate and of the parts of the work.
   absl::Duration mDrainWindow = absl::Seconds(5);
   // Requests taken from a queue before its drain rate is trusted.
   double mMinDrained = 3;
@@ -118,10 +119,10 @@
 struct class_queue
 {
   fair_queue mWaiting;
-  // Work that this class may take ahead of higher classes.
-  double mCredit = 0;
-  // Requests taken, with exponential decay over mDrainWindow.
+  // Requests taken from a queue, and the cost of all requests taken, both with
+  // exponential decay over mDrainWindow.
   double mDrained = 0;
+  double mWork = 0;
   absl::Time mLastRequest = absl::InfinitePast();
 };
 
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -1,19 +1,28 @@
 #include "fair_queue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailquay {
 
 namespace {
 
-// The flow with items and the earliest start; the first one by name if equal.
+// Precondition: both flows have items.
+bool StartsBefore(const fair_flow& aLeft, const fair_flow& aRight)
+{
+  return std::make_pair(aLeft.mStart, aLeft.mItems.front().mHandle) <
+         std::make_pair(aRight.mStart, aRight.mItems.front().mHandle);
+}
+
+// The flow with items and the earliest start; if equal, the one with the lower
+// handle, which is the older request.
 template<typename Flows>
 auto FirstFlow(Flows& aFlows)
 {
   auto first = aFlows.end();
   for (auto it = aFlows.begin(); it != aFlows.end(); ++it) {
     if (!it->second.mItems.empty() &&
-        (first == aFlows.end() || it->second.mStart < first->second.mStart)) {
+        (first == aFlows.end() || StartsBefore(it->second, first->second))) {
       first = it;
     }
   }
@@ -22,10 +31,6 @@
 
 void DropIdleFlows(fair_queue& aQueue)
 {
-  if (aQueue.mSize == 0) {
-    aQueue = {};
-    return;
-  }
   for (auto it = aQueue.mFlows.begin(); it != aQueue.mFlows.end();) {
     const bool idle =
       it->second.mItems.empty() && it->second.mStart <= aQueue.mVirtualTime;
@@ -84,11 +89,24 @@
 
 std::size_t AheadOf(const fair_queue& aQueue, const workspace_id& aWorkspace)
 {
-  const std::size_t own = LengthOf(aQueue, aWorkspace);
+  double start = aQueue.mVirtualTime;
+  const auto own = aQueue.mFlows.find(aWorkspace);
+  if (own != aQueue.mFlows.end()) {
+    start = std::max(start, own->second.mStart);
+    for (const fair_item& item : own->second.mItems) {
+      start += item.mCost / item.mWeight;
+    }
+  }
   std::size_t ahead = 0;
   for (const auto& [workspace, flow] : aQueue.mFlows) {
-    ahead +=
-      workspace == aWorkspace ? own : std::min(flow.mItems.size(), own + 1);
+    double at = flow.mStart;
+    for (const fair_item& item : flow.mItems) {
+      if (at >= start) {
+        break;
+      }
+      at += item.mCost / item.mWeight;
+      ++ahead;
+    }
   }
   return ahead;
 }
--- a/src/core/fair_queue.h
+++ b/src/core/fair_queue.h
@@ -2,13 +2,15 @@
 //
 // Each workspace with queued requests gets a part of the work in proportion
 // to its weight, whatever the number and size of its requests. A workspace
-// that was idle has no claim on the time before.
+// that was idle has no claim on the time before. The queue remembers who was
+// served last when it runs empty, because under overload it does so often.
 //
 //   PushItem(queue, workspace, { handle, cost, weight });
 //   while (const fair_item* next = HeadOf(queue)) { ... TakeHead(queue); }
 //
 // Each operation takes time proportional to the number of workspaces in the
-// queue; RemoveItem also to the length of one workspace's queue.
+// queue; RemoveItem also to the length of one workspace's queue, and AheadOf
+// to the length of the queue.
 
 #ifndef FOXTAILQUAY_CORE_FAIR_QUEUE_H
 #define FOXTAILQUAY_CORE_FAIR_QUEUE_H
@@ -60,8 +62,8 @@
 void RemoveItem(fair_queue& aQueue, const workspace_id& aWorkspace,
                 request_handle aHandle);
 
-// Items that will be taken before a further item of the workspace, if items
-// cost the same.
+// Items that will be taken before a further item of the workspace, if no other
+// item arrives.
 std::size_t AheadOf(const fair_queue& aQueue, const workspace_id& aWorkspace);
 
 // Number of queued items of the workspace.
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -275,14 +275,19 @@
   const fleet_part part =
     PartOf(aViews, aQuery.mKind, aQuery.mTarget, aOptions);
   double free = 0;
+  double net = 0;
   for (const candidate& each : PoolOf(part, aQuery, aNow)) {
     const backend_view& view = *each.mView;
     // Ejected servers are in the pool only if there are no others.
     const int limit = std::max(1, ConcurrencyLimit(view, aNow));
     const double load = EstimatedLoad(view, part.mPeers, aOptions, aNow);
-    free +=
-      std::max(0.0, std::min<double>(limit - view.mOutstanding, limit - load));
+    const double left = limit * (1 - aOptions.mSlotMargin) - load;
+    net += left;
+    free += std::max(0.0, std::min<double>(limit - view.mOutstanding, left));
   }
+  // Estimates err in both directions. Without the net sum, the errors would
+  // add up to free slots that do not exist.
+  free = std::min(free, std::max(0.0, net));
   return static_cast<int>(std::ceil(std::floor(free) / part.mPeers));
 }
 
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -61,7 +61,7 @@
   absl::Duration mReportLag = absl::Seconds(1);
   // Part of this router's net change since the report that each other router
   // is assumed to have made as well.
-  double mPeerWeight = 0.5;
+  double mPeerWeight = 1;
 
   // One-way delay between availability zones.
   absl::Duration mZoneDistance = absl::Microseconds(1500);
@@ -78,10 +78,14 @@
   // Part of the slots that batch work leaves to the other classes.
   double mBatchReserve = 0.1;
 
+  // Part of the slots that FreeSlots does not count, since the other routers'
+  // latest dispatches are not known yet.
+  double mSlotMargin = 0;
+
   // Prefixes remembered per backend server, from reports and own dispatches.
-  std::size_t mPrefixMemory = 256;
+  std::size_t mPrefixMemory = 1024;
   // Time after which a remembered prefix counts half.
-  absl::Duration mPrefixHalfLife = absl::Seconds(30);
+  absl::Duration mPrefixHalfLife = absl::Seconds(60);
 };
 
 // A change of this router's outstanding runs on one backend server.
