--- /dev/null
+++ b/tests/scenario/observer_store.cc
@@ -0,0 +1,133 @@
+// What the observer concludes from the documents in the store.
+
+#include "absl/strings/str_cat.h"
+#include "observer.h"
+#include "world.h"
+
+namespace foxtailquay::scenario {
+
+namespace {
+
+bool WasAsked(const world& aWorld, const budget_id& aBudget,
+              const std::string& aTopUp, token_count aAmount)
+{
+  for (const sim_operator_call& call : aWorld.mOperatorCalls) {
+    const auto* ask = std::get_if<top_up_request>(&call.mAsk);
+    if (ask != nullptr && ask->mBudget == aBudget &&
+        ask->mTopUpId == aTopUp && ask->mAmount == aAmount) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void CheckTopUps(world& aWorld, const budget_id& aBudget,
+                 const account& aAccount)
+{
+  token_count paid = 0;
+  for (const auto& [id, amount] : aAccount.mTopUps) {
+    paid += amount;
+    if (!WasAsked(aWorld, aBudget, id, amount)) {
+      Report(aWorld, check_kind::AccountSums,
+             absl::StrCat("nobody paid top-up ", id, " of ", amount));
+    }
+  }
+  if (paid != aAccount.mPaidIn) {
+    Report(aWorld, check_kind::AccountSums,
+           absl::StrCat("budget ", aBudget.mValue, " shows ",
+                        aAccount.mPaidIn, " paid in, its top-ups sum up to ",
+                        paid));
+  }
+  aWorld.mObserver.mTopUps[aBudget] = aAccount.mTopUps;
+}
+
+void CheckSums(world& aWorld, const budget_id& aBudget,
+               const account& aAccount)
+{
+  token_count granted = aAccount.mClosedSpent;
+  token_count spent = aAccount.mClosedSpent;
+  for (const auto& [holder, share] : aAccount.mShares) {
+    granted += share.mGranted;
+    spent += share.mSpent;
+    if (share.mSpent > share.mGranted) {
+      Report(aWorld, check_kind::AccountSums,
+             absl::StrCat("share ", aBudget.mValue, "/",
+                          holder.mMember.mValue, " has spent ", share.mSpent,
+                          " of ", share.mGranted));
+    }
+  }
+  if (granted > aAccount.mPaidIn) {
+    Report(aWorld, check_kind::AccountSums,
+           absl::StrCat("budget ", aBudget.mValue, " has given out ", granted,
+                        " of ", aAccount.mPaidIn));
+  }
+  aWorld.mObserver.mBilled[aBudget] = spent;
+  const token_count ran = aWorld.mObserver.mRan[aBudget];
+  if (spent > ran) {
+    Report(aWorld, check_kind::BilledOnce,
+           absl::StrCat("budget ", aBudget.mValue, " is billed ", spent,
+                        ", its runs cost ", ran));
+  }
+}
+
+// A share that was there and is not any more has been closed for good.
+void TrackShares(observer_state& aObserver, const budget_id& aBudget,
+                 const account& aAccount)
+{
+  for (auto it = aObserver.mOpenShares.begin();
+       it != aObserver.mOpenShares.end();) {
+    if (it->mBudget == aBudget && aAccount.mShares.count(it->mHolder) == 0) {
+      aObserver.mClosedShares.insert(*it);
+      it = aObserver.mOpenShares.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const auto& [holder, share] : aAccount.mShares) {
+    const share_id id{ aBudget, holder };
+    aObserver.mOpenShares.insert(id);
+    // The holder of a held share must not spend any more either.
+    if (share.mHeld) {
+      aObserver.mClosedShares.insert(id);
+    }
+  }
+}
+
+void ObserveAccounts(world& aWorld, const account_shard& aShard)
+{
+  for (const auto& [budget, account] : aShard.mAccounts) {
+    CheckTopUps(aWorld, budget, account);
+    CheckSums(aWorld, budget, account);
+    TrackShares(aWorld.mObserver, budget, account);
+  }
+}
+
+void ObserveConfig(world& aWorld, const config_document& aConfig)
+{
+  observer_state& observer = aWorld.mObserver;
+  const config_version newest =
+    observer.mConfigs.empty() ? 0 : observer.mConfigs.rbegin()->first;
+  if (aConfig.mVersion != newest + 1 && newest != 0) {
+    Report(aWorld, check_kind::ConfigNeverReverts,
+           absl::StrCat("the store goes from configuration version ", newest,
+                        " to ", aConfig.mVersion));
+    return;
+  }
+  observer.mConfigs[aConfig.mVersion] = aConfig;
+  observer.mConfigAt[aConfig.mVersion] = aWorld.mNow;
+  observer.mBehindSince.clear();
+}
+
+} // namespace
+
+void ObserveWrite(world& aWorld, const store_key& aKey,
+                  const store_document& aDocument)
+{
+  if (aKey.mArea == store_area::Accounts) {
+    ObserveAccounts(aWorld, std::get<account_shard>(aDocument));
+  } else if (aKey.mArea == store_area::Config) {
+    ObserveConfig(aWorld, std::get<config_document>(aDocument));
+  }
+}
+
+} // namespace foxtailquay::scenario
--- /dev/null
+++ b/tests/scenario/scenario_expect.cc
@@ -0,0 +1,196 @@
+// The expectations of a scenario, one function per subject.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "enum_text.h"
+#include "fake_store.h"
+#include "scenario.h"
+#include "sim_process.h"
+
+namespace foxtailquay::scenario {
+
+namespace {
+
+using outcome = result<success>;
+
+bool Matches(const sim_request& aRequest, const step_fields& aFields)
+{
+  return (!aFields.mOutcome || *aFields.mOutcome == aRequest.mOutcome) &&
+         (!aFields.mCode || *aFields.mCode == aRequest.mError.mCode) &&
+         (!aFields.mRan || *aFields.mRan == aRequest.mError.mRan);
+}
+
+// What became of the requests of one name, for messages.
+std::string Outcomes(const world& aWorld, const std::string& aName)
+{
+  std::map<std::string, int> counts;
+  for (const sim_request& request : aWorld.mRequests) {
+    if (request.mName == aName) {
+      std::string text(TextOf(request.mOutcome));
+      if (request.mOutcome == request_outcome::Refused ||
+          request.mOutcome == request_outcome::BrokenOff) {
+        absl::StrAppend(&text, "/", TextOf(request.mError.mCode), "/",
+                        TextOf(request.mError.mRan));
+      }
+      ++counts[text];
+    }
+  }
+  std::string all;
+  for (const auto& [text, count] : counts) {
+    absl::StrAppend(&all, " ", count, "x ", text);
+  }
+  return all;
+}
+
+outcome ExpectCount(const step& aStep, const std::string& aWhat, int aCount,
+                    int aDefault, const std::string& aSeen)
+{
+  const step_fields& fields = aStep.mFields;
+  const bool bounded = fields.mAtLeast || fields.mAtMost;
+  const bool ok =
+    bounded ? aCount >= fields.mAtLeast.value_or(0) &&
+                aCount <= fields.mAtMost.value_or(aCount)
+            : aCount == fields.mCount.value_or(aDefault);
+  if (!ok) {
+    return StepError(aStep, absl::StrCat(aWhat, " match ", aCount,
+                                         " times; seen:", aSeen));
+  }
+  return success{};
+}
+
+outcome ExpectRequest(const step& aStep, world& aWorld)
+{
+  const step_fields& fields = aStep.mFields;
+  int all = 0;
+  int matching = 0;
+  for (const sim_request& request : aWorld.mRequests) {
+    if (request.mName == fields.mRequest) {
+      ++all;
+      matching += Matches(request, fields) ? 1 : 0;
+    }
+  }
+  return ExpectCount(aStep, "requests " + fields.mRequest, matching, all,
+                     Outcomes(aWorld, fields.mRequest));
+}
+
+outcome ExpectOperator(const step& aStep, world& aWorld)
+{
+  const step_fields& fields = aStep.mFields;
+  int all = 0;
+  int matching = 0;
+  std::string seen;
+  for (const sim_operator_call& call : aWorld.mOperatorCalls) {
+    if (call.mName != fields.mOperator) {
+      continue;
+    }
+    ++all;
+    const bool answered = call.mAnswer.has_value();
+    const bool ok = answered && IsOk(*call.mAnswer);
+    const bool fits =
+      answered && (!fields.mOk || *fields.mOk == ok) &&
+      (!fields.mCode ||
+       (!ok && ErrorOf(*call.mAnswer).mCode == *fields.mCode));
+    matching += fits ? 1 : 0;
+    absl::StrAppend(&seen, " ",
+                    answered ? (ok ? "ok" : ToString(ErrorOf(*call.mAnswer)))
+                             : "no answer");
+  }
+  return ExpectCount(aStep, "operator requests " + fields.mOperator, matching,
+                     all, seen);
+}
+
+template<typename Value>
+outcome ExpectEqual(const step& aStep, const char* aWhat,
+                    const std::optional<Value>& aExpected, Value aSeen)
+{
+  if (aExpected && *aExpected != aSeen) {
+    return StepError(aStep, absl::StrCat(aWhat, " is ", aSeen, ", expected ",
+                                         *aExpected));
+  }
+  return success{};
+}
+
+outcome ExpectBudget(const step& aStep, world& aWorld)
+{
+  const step_fields& fields = aStep.mFields;
+  const account* found = AccountOf(aWorld.mStore, { fields.mBudget });
+  const account account = found == nullptr ? foxtailquay::account{} : *found;
+  token_count spent = account.mClosedSpent;
+  token_count free = account.mPaidIn - account.mClosedSpent;
+  for (const auto& [holder, share] : account.mShares) {
+    spent += share.mSpent;
+    free -= share.mGranted;
+  }
+  for (const auto& checked :
+       { ExpectEqual(aStep, "paid_in", fields.mPaidIn, account.mPaidIn),
+         ExpectEqual(aStep, "spent", fields.mSpent, spent),
+         ExpectEqual(aStep, "unallocated", fields.mUnallocated, free) }) {
+    if (!IsOk(checked)) {
+      return checked;
+    }
+  }
+  return success{};
+}
+
+outcome ExpectProcess(const step& aStep, world& aWorld)
+{
+  const step_fields& fields = aStep.mFields;
+  for (const std::string& name : fields.mProcesses) {
+    const auto found = aWorld.mProcesses.find(name);
+    if (found == aWorld.mProcesses.end()) {
+      return StepError(aStep, "no process is called " + name);
+    }
+    const sim_process& process = found->second;
+    if (fields.mStatus && *fields.mStatus != process.mStatus) {
+      return StepError(aStep,
+                       absl::StrCat(name, " is ", TextOf(process.mStatus)));
+    }
+    for (const auto& checked :
+         { ExpectEqual(aStep, "version", fields.mVersion,
+                       VersionOf(process)),
+           ExpectEqual(aStep, "ready", fields.mReady, IsReady(process)) }) {
+      if (!IsOk(checked)) {
+        return StepError(aStep,
+                         absl::StrCat(name, ": ", ErrorOf(checked).mDetail));
+      }
+    }
+  }
+  return success{};
+}
+
+// How often a call that may not be repeated has run.
+outcome ExpectCall(const step& aStep, world& aWorld)
+{
+  const step_fields& fields = aStep.mFields;
+  const auto& calls = aWorld.mObserver.mCalls;
+  const auto found =
+    calls.find(absl::StrCat(fields.mWorkspace, "/", fields.mKey));
+  return ExpectEqual(aStep, "number of runs", fields.mRuns,
+                     found == calls.end() ? 0 : found->second);
+}
+
+} // namespace
+
+result<success> RunExpect(const step& aStep, world& aWorld)
+{
+  const step_fields& fields = aStep.mFields;
+  if (!fields.mRequest.empty()) {
+    return ExpectRequest(aStep, aWorld);
+  }
+  if (!fields.mOperator.empty()) {
+    return ExpectOperator(aStep, aWorld);
+  }
+  if (!fields.mBudget.empty()) {
+    return ExpectBudget(aStep, aWorld);
+  }
+  if (!fields.mProcesses.empty()) {
+    return ExpectProcess(aStep, aWorld);
+  }
+  if (!fields.mKey.empty()) {
+    return ExpectCall(aStep, aWorld);
+  }
+  return StepError(aStep, "expect names no subject");
+}
+
+} // namespace foxtailquay::scenario
--- /dev/null
+++ b/tests/scenario/sim_caller.cc
@@ -0,0 +1,210 @@
+#include "sim_caller.h"
+
+#include "absl/strings/str_cat.h"
+#include "enum_text.h"
+#include "sim_process.h"
+#include "sim_stream.h"
+
+namespace foxtailquay::scenario {
+
+namespace {
+
+void End(world& aWorld, std::size_t aRequest, request_outcome aOutcome)
+{
+  sim_request& request = aWorld.mRequests[aRequest];
+  request.mOutcome = aOutcome;
+  request.mEndedAt = aWorld.mNow;
+  Trace(aWorld, absl::StrCat("caller of ", request.mName, ": ",
+                             TextOf(aOutcome), " ", ToString(request.mError)));
+  ObserveAnswer(aWorld, aRequest);
+}
+
+// The text of an answer that was not streamed is in its last stream.
+std::string BufferedText(const world& aWorld, std::size_t aRequest)
+{
+  for (std::size_t i = aWorld.mStreams.size(); i-- > 0;) {
+    const sim_stream& stream = aWorld.mStreams[i];
+    if (stream.mRequest == aRequest && stream.mArrivedWhole) {
+      return stream.mBuffer;
+    }
+  }
+  return "";
+}
+
+struct answer_visitor
+{
+  world& mWorld;
+  std::size_t mRequest;
+
+  void operator()(const answer_complete&) const
+  {
+    sim_request& request = mWorld.mRequests[mRequest];
+    if (!request.mAsk.mStream) {
+      request.mText = BufferedText(mWorld, mRequest);
+    }
+    End(mWorld, mRequest, request_outcome::Whole);
+  }
+  void operator()(const stored_answer& aAnswer) const
+  {
+    mWorld.mRequests[mRequest].mText = aAnswer.mBody;
+    End(mWorld, mRequest, request_outcome::Whole);
+  }
+  void operator()(const error& aError) const
+  {
+    sim_request& request = mWorld.mRequests[mRequest];
+    request.mError = aError;
+    if (HasFault(mWorld, injected_fault::DenyRan)) {
+      request.mError.mRan = ran::No;
+    }
+    End(mWorld, mRequest,
+        request.mText.empty() ? request_outcome::Refused
+                              : request_outcome::BrokenOff);
+  }
+};
+
+} // namespace
+
+std::string KeyHashOf(const std::string& aWorkspace)
+{
+  constexpr std::size_t kLength = 64;
+  std::string hash;
+  for (const char letter : aWorkspace) {
+    absl::StrAppend(&hash, absl::Hex(static_cast<unsigned char>(letter),
+                                     absl::kZeroPad2));
+  }
+  hash.resize(kLength, '0');
+  return hash;
+}
+
+std::string PieceOf(const std::string& aBody, token_count aIndex)
+{
+  return absl::StrCat("[", aBody, " ", aIndex, "]");
+}
+
+std::string ServiceAnswerTo(const std::string& aBody)
+{
+  return absl::StrCat("done: ", aBody);
+}
+
+std::size_t AddRequest(world& aWorld, sim_request aRequest, absl::Time aAt)
+{
+  const std::size_t index = aWorld.mRequests.size();
+  aRequest.mAsk.mHandle = index + 1;
+  aRequest.mSentAt = aAt;
+  aWorld.mRequests.push_back(std::move(aRequest));
+  Schedule(aWorld, aAt, { {}, caller_sends{ index } });
+  return index;
+}
+
+void Handle(world& aWorld, const process_ref&, const caller_sends& aSends)
+{
+  sim_request& request = aWorld.mRequests[aSends.mRequest];
+  if (request.mOutcome != request_outcome::Pending) {
+    return;
+  }
+  const std::string router = request.mRouter.mName;
+  if (aWorld.mProcesses.at(router).mStatus == process_status::Down) {
+    End(aWorld, aSends.mRequest, request_outcome::NotConnected);
+    return;
+  }
+  request.mRouter = RefOf(aWorld, router);
+  Schedule(aWorld, aWorld.mNow,
+           { request.mRouter, node_input{ router_event{ request.mAsk } } });
+}
+
+void Disconnect(world& aWorld, std::size_t aRequest)
+{
+  sim_request& request = aWorld.mRequests[aRequest];
+  if (request.mOutcome != request_outcome::Pending) {
+    return;
+  }
+  End(aWorld, aRequest, request_outcome::Disconnected);
+  if (request.mRouter.mGeneration != 0) {
+    const caller_gone_event event{ request.mAsk.mHandle };
+    Schedule(aWorld, aWorld.mNow,
+             { request.mRouter, node_input{ router_event{ event } } });
+  }
+}
+
+void DeliverText(world& aWorld, std::size_t aRequest, const std::string& aText)
+{
+  sim_request& request = aWorld.mRequests[aRequest];
+  if (request.mOutcome == request_outcome::Pending) {
+    request.mText += aText;
+    ObserveText(aWorld, aRequest);
+  }
+}
+
+void AnswerCaller(world& aWorld, const process_ref&,
+                  const answer_caller_action& aAnswer)
+{
+  const std::size_t index = aAnswer.mHandle - 1;
+  const request_outcome outcome = aWorld.mRequests.at(index).mOutcome;
+  if (outcome == request_outcome::Pending) {
+    std::visit(answer_visitor{ aWorld, index }, aAnswer.mAnswer);
+  } else if (outcome != request_outcome::Disconnected &&
+             outcome != request_outcome::ConnectionLost) {
+    Report(aWorld, check_kind::OwnWholeAnswer,
+           aWorld.mRequests[index].mName + " is answered a second time");
+  }
+}
+
+void AskOperator(world& aWorld, const std::string& aName,
+                 const std::string& aRouter, operator_request aAsk)
+{
+  sim_operator_call call;
+  call.mName = aName;
+  call.mRouter = RefOf(aWorld, aRouter);
+  call.mAsk = aAsk;
+  call.mLost =
+    aWorld.mProcesses.at(aRouter).mStatus == process_status::Down;
+  aWorld.mOperatorCalls.push_back(call);
+  if (!call.mLost) {
+    const operator_event event{ aWorld.mOperatorCalls.size(),
+                                std::move(aAsk) };
+    Schedule(aWorld, aWorld.mNow,
+             { call.mRouter, node_input{ router_event{ event } } });
+  }
+}
+
+void AnswerOperator(world& aWorld, const answer_operator_action& aAnswer)
+{
+  sim_operator_call& call = aWorld.mOperatorCalls.at(aAnswer.mHandle - 1);
+  call.mAnswer = aAnswer.mAnswer;
+  Trace(aWorld, absl::StrCat("operator ", call.mName, ": ",
+                             IsOk(aAnswer.mAnswer)
+                               ? "ok"
+                               : ToString(ErrorOf(aAnswer.mAnswer))));
+}
+
+void SendCommand(world& aWorld, const std::string& aAgent,
+                 std::uint64_t aFencing)
+{
+  aWorld.mCommands.push_back({ aAgent, aFencing, std::nullopt, false });
+  const command_event event{ aWorld.mCommands.size(), aFencing,
+                             "load model" };
+  Schedule(aWorld, aWorld.mNow,
+           { { aAgent, 0 }, node_input{ agent_event{ event } } });
+}
+
+void AnswerCommand(world& aWorld, const answer_command_action& aAnswer)
+{
+  sim_command& command = aWorld.mCommands.at(aAnswer.mHandle - 1);
+  command.mAnswer = aAnswer.mAnswer;
+  const config_document& config =
+    aWorld.mObserver.mConfigs.rbegin()->second;
+  const auto backend = config.mBackends.find({ command.mAgent });
+  const bool honours =
+    backend != config.mBackends.end() &&
+    backend->second.mFencing == fencing_support::Honours;
+  const bool stale =
+    command.mFencing < aWorld.mObserver.mHighestFencing[command.mAgent];
+  const bool passed = IsOk(aAnswer.mAnswer) ||
+                      HasFault(aWorld, injected_fault::PassCommands);
+  command.mExecuted = passed && !(honours && stale);
+  if (command.mExecuted) {
+    ObserveCommand(aWorld, command.mAgent, command.mFencing);
+  }
+}
+
+} // namespace foxtailquay::scenario
--- /dev/null
+++ b/tests/scenario/sim_charts.cc
@@ -0,0 +1,85 @@
+#include "sim_charts.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace foxtailquay::scenario {
+
+namespace {
+
+result<std::string> ReadText(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return error{ error_code::InvalidChart, ran::No,
+                  aPath.filename().string(), "cannot be read",
+                  absl::ZeroDuration() };
+  }
+  return text.str();
+}
+
+template<typename State, typename Event, typename Guard, typename Action>
+result<success> LoadInto(chart<State, Event, Guard, Action>& aChart,
+                         const std::filesystem::path& aPath)
+{
+  auto text = ReadText(aPath);
+  if (!IsOk(text)) {
+    return ErrorOf(text);
+  }
+  auto loaded = LoadChart<State, Event, Guard, Action>(
+    ValueOf(text), aPath.filename().string());
+  if (!IsOk(loaded)) {
+    return ErrorOf(loaded);
+  }
+  aChart = ValueOf(std::move(loaded));
+  return success{};
+}
+
+result<std::map<std::string, std::string>> ReadFolder(
+  const std::filesystem::path& aFolder)
+{
+  std::map<std::string, std::string> texts;
+  std::error_code failure;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(aFolder, failure)) {
+    if (entry.path().extension() == ".yaml") {
+      auto text = ReadText(entry.path());
+      if (!IsOk(text)) {
+        return ErrorOf(text);
+      }
+      texts[entry.path().filename().string()] = ValueOf(std::move(text));
+    }
+  }
+  return texts;
+}
+
+} // namespace
+
+result<sim_charts> LoadSimCharts(const std::string& aSourceDir)
+{
+  const std::filesystem::path root(aSourceDir);
+  const auto own = root / "tests" / "scenario" / "charts";
+  sim_charts charts;
+  for (const auto& loaded :
+       { LoadInto(charts.mProcess, own / "sim_process.yaml"),
+         LoadInto(charts.mRun, own / "sim_run.yaml") }) {
+    if (!IsOk(loaded)) {
+      return ErrorOf(loaded);
+    }
+  }
+  auto texts = ReadFolder(root / "charts");
+  if (!IsOk(texts)) {
+    return ErrorOf(texts);
+  }
+  auto nodes = LoadCharts(ValueOf(texts));
+  if (!IsOk(nodes)) {
+    return ErrorOf(nodes);
+  }
+  charts.mNodes = ValueOf(std::move(nodes));
+  return charts;
+}
+
+} // namespace foxtailquay::scenario
--- /dev/null
+++ b/tests/scenario/sim_network.cc
@@ -0,0 +1,128 @@
+#include "sim_network.h"
+
+#include "absl/strings/str_cat.h"
+#include "sim_process.h"
+#include "sim_stream.h"
+
+namespace foxtailquay::scenario {
+
+namespace {
+
+bool Chance(world& aWorld, int aPermille)
+{
+  return aPermille > 0 &&
+         std::uniform_int_distribution<int>(0, 999)(aWorld.mRandom) <
+           aPermille;
+}
+
+void ReportUnreachable(world& aWorld, const process_ref& aTo,
+                       const std::string& aPeer, absl::Duration aAfter)
+{
+  const sim_process& process = aWorld.mProcesses.at(aTo.mName);
+  const peer_unreachable_event event{ member_id{ aPeer } };
+  node_input input;
+  if (process.mRole == process_role::Router) {
+    input.mEvent = router_event{ event };
+  } else {
+    input.mEvent = agent_event{ event };
+  }
+  Schedule(aWorld, aWorld.mNow + aAfter, { aTo, std::move(input) });
+}
+
+// The mutation keeps the newer configuration from every router but the first.
+bool IsWithheld(const world& aWorld, const std::string& aTo,
+                const message& aMessage)
+{
+  return HasFault(aWorld, injected_fault::WithholdConfig) &&
+         aTo == aWorld.mProcesses.rbegin()->first &&
+         std::holds_alternative<config_message>(aMessage);
+}
+
+} // namespace
+
+bool IsCut(const world& aWorld, const std::string& aFrom,
+           const std::string& aTo)
+{
+  return aWorld.mNetwork.mCuts.count({ aFrom, aTo }) != 0;
+}
+
+void SetCut(world& aWorld, const std::string& aFrom, const std::string& aTo,
+            bool aCut)
+{
+  aWorld.mLastDisturbance = aWorld.mNow;
+  if (!aCut) {
+    aWorld.mNetwork.mCuts.erase({ aFrom, aTo });
+    return;
+  }
+  aWorld.mNetwork.mCuts.insert({ aFrom, aTo });
+  for (std::size_t i = 0; i < aWorld.mStreams.size(); ++i) {
+    const sim_stream& stream = aWorld.mStreams[i];
+    const std::string& router = stream.mRouter.mName;
+    const std::string& agent = stream.mAgent.mName;
+    if ((router == aFrom && agent == aTo) ||
+        (router == aTo && agent == aFrom)) {
+      BreakStream(aWorld, i);
+    }
+  }
+}
+
+absl::Duration NextDelay(world& aWorld)
+{
+  const auto jitter = absl::ToInt64Microseconds(aWorld.mNetwork.mJitter);
+  std::uniform_int_distribution<std::int64_t> extra(0, jitter);
+  return aWorld.mNetwork.mDelay + absl::Microseconds(extra(aWorld.mRandom));
+}
+
+void SendMessage(world& aWorld, const process_ref& aFrom,
+                 const send_action& aSend)
+{
+  const std::string& to = aSend.mAddress;
+  if (aWorld.mProcesses.count(to) == 0) {
+    ReportUnreachable(aWorld, aFrom, aSend.mTo.mValue, kConnectTimeout);
+    return;
+  }
+  if (IsWithheld(aWorld, to, aSend.mEnvelope.mBody)) {
+    return;
+  }
+  const bool lost = Chance(aWorld, aWorld.mNetwork.mLossPermille);
+  const bool answerLost = Chance(aWorld, aWorld.mNetwork.mLossPermille);
+  if (lost || answerLost) {
+    ReportUnreachable(aWorld, aFrom, to, kConnectTimeout);
+  }
+  if (lost) {
+    return;
+  }
+  const int copies =
+    Chance(aWorld, aWorld.mNetwork.mDuplicatePermille) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    Schedule(aWorld, aWorld.mNow + NextDelay(aWorld),
+             { { to, 0 }, message_arrival{ aFrom, aSend.mEnvelope } });
+  }
+}
+
+void Handle(world& aWorld, const process_ref& aTarget,
+            const message_arrival& aArrival)
+{
+  if (IsCut(aWorld, aArrival.mFrom.mName, aTarget.mName)) {
+    ReportUnreachable(aWorld, aArrival.mFrom, aTarget.mName, kConnectTimeout);
+    return;
+  }
+  if (IsCut(aWorld, aTarget.mName, aArrival.mFrom.mName)) {
+    // It arrives, but the sender does not learn that.
+    ReportUnreachable(aWorld, aArrival.mFrom, aTarget.mName, kConnectTimeout);
+  }
+  const message_event event{ aArrival.mEnvelope };
+  if (aWorld.mProcesses.at(aTarget.mName).mRouter) {
+    Feed(aWorld, aTarget.mName, router_event{ event });
+  } else {
+    Feed(aWorld, aTarget.mName, agent_event{ event });
+  }
+}
+
+void Lose(world& aWorld, const process_ref& aTarget,
+          const message_arrival& aArrival)
+{
+  ReportUnreachable(aWorld, aArrival.mFrom, aTarget.mName, NextDelay(aWorld));
+}
+
+} // namespace foxtailquay::scenario
