--- a/tests/scenario/injected_fault.h
+++ b/tests/scenario/injected_fault.h
@@ -41,6 +41,8 @@
   PassCommands,
   // Routers number their runs from the start again.
   ReuseRequestIds,
+  // Agents never learn that their usage records are committed.
+  DropUsageAcks,
 };
 
 constexpr auto NameTable(injected_fault)
@@ -62,6 +64,7 @@
     { f::WithholdConfig, "withhold_config" },
     { f::PassCommands, "pass_commands" },
     { f::ReuseRequestIds, "reuse_request_ids" },
+    { f::DropUsageAcks, "drop_usage_acks" },
   });
 }
 
--- a/tests/scenario/observer.cc
+++ b/tests/scenario/observer.cc
@@ -223,6 +223,10 @@
 
 void Report(world& aWorld, check_kind aCheck, std::string aText)
 {
+  const auto& only = aWorld.mObserver.mOnly;
+  if (!only.empty() && only.count(aCheck) == 0) {
+    return;
+  }
   Trace(aWorld, absl::StrCat("VIOLATION ", TextOf(aCheck), ": ", aText));
   aWorld.mObserver.mViolations.push_back(
     { aCheck, aWorld.mNow, std::move(aText) });
@@ -362,8 +366,8 @@
 void CheckQuiet(world& aWorld)
 {
   if (!IsQuiet(aWorld)) {
-    Report(aWorld, check_kind::ComesToRest, "the fleet does not come to rest");
-    return;
+    Report(aWorld, check_kind::ComesToRest,
+           "the fleet does not come to rest: " + OpenWork(aWorld));
   }
   CheckBilling(aWorld);
 }
--- a/tests/scenario/observer.h
+++ b/tests/scenario/observer.h
@@ -82,6 +82,8 @@
 struct observer_state
 {
   std::vector<violation> mViolations;
+  // Only these checks report; empty means all.
+  std::set<check_kind> mOnly;
   // Every version of the configuration that took effect, and when.
   std::map<config_version, config_document> mConfigs;
   std::map<config_version, absl::Time> mConfigAt;
@@ -140,6 +142,9 @@
 // True if no request, run or usage record is open.
 bool IsQuiet(const world& aWorld);
 
+// What is still open, for messages.
+std::string OpenWork(const world& aWorld);
+
 // Cost of the run by the observer's own arithmetic, with aTokens completion
 // tokens.
 token_count CostOf(const world& aWorld, std::size_t aStream,
--- a/tests/scenario/observer_fleet.cc
+++ b/tests/scenario/observer_fleet.cc
@@ -118,17 +118,24 @@
   }
 }
 
-bool IsAtRest(const sim_process& aProcess)
+std::string OpenWorkOf(const std::string& aName, const sim_process& aProcess)
 {
   if (aProcess.mRouter) {
     const router_dump dump = Dump(*aProcess.mRouter);
-    return dump.mRequests.empty() && dump.mPendingStoreOps == 0;
+    if (!dump.mRequests.empty() || dump.mPendingStoreOps != 0) {
+      return absl::StrCat(aName, " has ", dump.mRequests.size(),
+                          " requests and ", dump.mPendingStoreOps,
+                          " store operations; ");
+    }
   }
   if (aProcess.mAgent) {
     const agent_dump dump = Dump(*aProcess.mAgent);
-    return dump.mRuns.empty() && dump.mRecords == 0;
+    if (!dump.mRuns.empty() || dump.mRecords != 0) {
+      return absl::StrCat(aName, " has ", dump.mRuns.size(), " runs and ",
+                          dump.mRecords, " usage records; ");
+    }
   }
-  return true;
+  return "";
 }
 
 } // namespace
@@ -150,25 +157,29 @@
   CheckReach(aWorld);
 }
 
-bool IsQuiet(const world& aWorld)
+std::string OpenWork(const world& aWorld)
 {
+  std::string open;
   for (const sim_request& request : aWorld.mRequests) {
     if (request.mOutcome == request_outcome::Pending) {
-      return false;
+      absl::StrAppend(&open, "request ", request.mName, "; ");
     }
   }
   for (const sim_stream& stream : aWorld.mStreams) {
     if (stream.mStatus != run_status::Ended &&
         IsAlive(aWorld, stream.mAgent)) {
-      return false;
+      absl::StrAppend(&open, "run ", ToString(stream.mRun.mRequest), "; ");
     }
   }
   for (const auto& [name, process] : aWorld.mProcesses) {
-    if (!IsAtRest(process)) {
-      return false;
-    }
+    open += OpenWorkOf(name, process);
   }
-  return true;
+  return open;
+}
+
+bool IsQuiet(const world& aWorld)
+{
+  return OpenWork(aWorld).empty();
 }
 
 } // namespace foxtailquay::scenario
--- a/tests/scenario/scenario_host.cc
+++ b/tests/scenario/scenario_host.cc
@@ -15,11 +15,12 @@
 constexpr std::size_t kTraceLines = 120;
 
 run_report RunOnce(const sim_charts& aCharts, const scenario_file& aScenario,
-                   const std::set<injected_fault>& aFaults, bool aTracing)
+                   const run_options& aOptions)
 {
   world fleet(aCharts, aScenario.mSeed);
-  fleet.mFaults = aFaults;
-  fleet.mTracing = aTracing;
+  fleet.mFaults = aOptions.mFaults;
+  fleet.mObserver.mOnly = aOptions.mOnly;
+  fleet.mTracing = aOptions.mTracing;
   const auto done = RunScenario(aScenario, fleet);
   run_report report;
   report.mPassed = IsOk(done);
@@ -37,7 +38,7 @@
 
 run_report RunText(const sim_charts& aCharts, const std::string& aText,
                    const std::string& aFile,
-                   const std::set<injected_fault>& aFaults)
+                   const run_options& aOptions)
 {
   const auto parsed = ParseScenario(aText, aFile);
   if (!IsOk(parsed)) {
@@ -45,9 +46,11 @@
     report.mFailure = ToString(ErrorOf(parsed));
     return report;
   }
-  run_report report = RunOnce(aCharts, ValueOf(parsed), aFaults, false);
-  if (!report.mPassed && aFaults.empty()) {
-    report = RunOnce(aCharts, ValueOf(parsed), aFaults, true);
+  run_report report = RunOnce(aCharts, ValueOf(parsed), aOptions);
+  if (!report.mPassed && aOptions.mFaults.empty()) {
+    run_options traced = aOptions;
+    traced.mTracing = true;
+    report = RunOnce(aCharts, ValueOf(parsed), traced);
   }
   return report;
 }
--- a/tests/scenario/scenario_host.h
+++ b/tests/scenario/scenario_host.h
@@ -21,11 +21,19 @@
   std::string mTrace;
 };
 
-// Runs aText; a failed run is repeated with the trace on, which gives the
-// same sequence of events.
+struct run_options
+{
+  // Test-only faults, and the checks that report; none means all.
+  std::set<injected_fault> mFaults;
+  std::set<check_kind> mOnly;
+  bool mTracing = false;
+};
+
+// Runs aText. Without injected faults a failed run is repeated with the trace
+// on, which gives the same sequence of events.
 run_report RunText(const sim_charts& aCharts, const std::string& aText,
                    const std::string& aFile,
-                   const std::set<injected_fault>& aFaults = {});
+                   const run_options& aOptions = {});
 
 // Content of a file, or an empty text.
 std::string ReadFile(const std::string& aPath);
--- a/tests/scenario/sim_network.cc
+++ b/tests/scenario/sim_network.cc
@@ -29,13 +29,15 @@
   Schedule(aWorld, aWorld.mNow + aAfter, { aTo, std::move(input) });
 }
 
-// The mutation keeps the newer configuration from every router but the first.
+// Messages that a mutation takes away.
 bool IsWithheld(const world& aWorld, const std::string& aTo,
                 const message& aMessage)
 {
-  return HasFault(aWorld, injected_fault::WithholdConfig) &&
-         aTo == aWorld.mProcesses.rbegin()->first &&
-         std::holds_alternative<config_message>(aMessage);
+  const bool config = HasFault(aWorld, injected_fault::WithholdConfig) &&
+                      aTo == aWorld.mProcesses.rbegin()->first &&
+                      std::holds_alternative<config_message>(aMessage);
+  return config || (HasFault(aWorld, injected_fault::DropUsageAcks) &&
+                    std::holds_alternative<usage_ack_message>(aMessage));
 }
 
 } // namespace
