--- a/tests/scenario/observer.h
+++ b/tests/scenario/observer.h
@@ -101,6 +101,9 @@
   std::set<std::pair<std::string, int>> mKilled;
   // What the runs have cost so far, by budget.
   std::map<budget_id, token_count> mRan;
+  // The same plus service calls whose outcome may be unknown to the router:
+  // they are charged although they may not have started.
+  std::map<budget_id, token_count> mChargeable;
   // What the store has settled, by budget.
   std::map<budget_id, token_count> mBilled;
   // Top-ups that took effect.
@@ -115,6 +118,8 @@
 // A write took effect. Called by the fake store.
 void ObserveWrite(world& aWorld, const store_key& aKey,
                   const store_document& aDocument);
+// A router has dispatched a run.
+void ObserveDispatch(world& aWorld, std::size_t aStream);
 // A run is about to start on a backend server.
 void ObserveStart(world& aWorld, std::size_t aStream);
 // A run has relayed one more token.
--- a/tests/scenario/sim_stream.cc
+++ b/tests/scenario/sim_stream.cc
@@ -234,6 +234,7 @@
 {
   sim_stream& stream = aWorld.mStreams[aStream];
   stream.mRouterOpen = false;
+  stream.mOutcomeUnknown = true;
   FeedRouter(aWorld, stream,
              FailureOf(aWorld, stream, aUsage, std::move(aError)));
 }
@@ -268,6 +269,7 @@
   stream.mWork = aWorld.mWork[aDispatch.mRun.mBody];
   aWorld.mStreams.push_back(std::move(stream));
   const std::size_t index = aWorld.mStreams.size() - 1;
+  ObserveDispatch(aWorld, index);
   Trace(aWorld, absl::StrCat(aRouter.mName, " dispatches ",
                              ToString(aDispatch.mRun.mRequest), " for ",
                              aWorld.mRequests[aDispatch.mHandle - 1].mName,
@@ -296,6 +298,7 @@
       stream.mFaulted || aWorld.mRequests[stream.mRequest].mOutcome !=
                            request_outcome::Pending;
     stream.mRouterOpen = false;
+    stream.mOutcomeUnknown = true;
     const run_failed_event event =
       FailureOf(aWorld, stream, { 0, stream.mArrived },
                 StreamError("the router cancelled the run"));
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -166,6 +166,8 @@
   bool mCut = false;
   // True if an injected failure, a caller or a deadline touched the stream.
   bool mFaulted = false;
+  // The router cannot tell whether the run started.
+  bool mOutcomeUnknown = false;
   bool mStarted = false;
   absl::Time mStartedAt = absl::InfiniteFuture();
   absl::Time mEndedAt = absl::InfiniteFuture();
