--- a/tests/scenario/sim_charts.h
+++ b/tests/scenario/sim_charts.h
@@ -6,7 +6,6 @@
 #ifndef FOXTAILQUAY_TESTS_SCENARIO_SIM_CHARTS_H
 #define FOXTAILQUAY_TESTS_SCENARIO_SIM_CHARTS_H
 
-#include "core/node_charts.h"
 #include "foxtailquay/chart.h"
 #include "foxtailquay/router.h"
 
@@ -158,7 +157,7 @@
   process_chart mProcess;
   run_chart mRun;
   // Charts of the nodes under test.
-  std::unique_ptr<const node_charts> mNodes;
+  node_charts_ptr mNodes;
 };
 
 // Reads the charts below aSourceDir (tests/scenario/charts and charts).
