Ask for another grant when one did not cover later requests

Cause: requests that arrive while a grant is being written were refused with budget_exhausted as soon as that grant was committed, although the account had tokens. Change: after a grant that does not cover the waiting requests the share asks for another one while the account has unallocated tokens, and asks peers only after that.

--- a/src/core/node_charts.h
+++ b/src/core/node_charts.h
@@ -187,12 +187,15 @@
 {
   // The free part covers the waiting requests.
   CoversWaiting,
+  // The account as last committed has tokens that can be granted.
+  AccountHasMore,
 };
 
 constexpr auto NameTable(share_guard)
 {
   return MakeNameTable<share_guard>(
-    { { share_guard::CoversWaiting, "covers_waiting" } });
+    { { share_guard::CoversWaiting, "covers_waiting" },
+      { share_guard::AccountHasMore, "account_has_more" } });
 }
 
 enum class share_action
--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -55,9 +55,15 @@
   const share_state& mShare;
 };
 
-bool EvaluateGuard(share_guard, const share_context& aContext)
+bool EvaluateGuard(share_guard aGuard, const share_context& aContext)
 {
-  return MissingTokens(aContext.mState, aContext.mShare) == 0;
+  switch (aGuard) {
+    case share_guard::CoversWaiting:
+      return MissingTokens(aContext.mState, aContext.mShare) == 0;
+    case share_guard::AccountHasMore:
+      return aContext.mShare.mUnallocated > 0;
+  }
+  return false;
 }
 
 void RequestGrant(router_state& aState, share_state& aShare, absl::Time aNow)
