--- /dev/null
+++ b/tests/scenario/scenario_host.cc
@@ -0,0 +1,77 @@
+#include "scenario_host.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+
+namespace foxtailquay::scenario {
+
+namespace {
+
+// Enough to see what led to a failure without flooding the log.
+constexpr std::size_t kTraceLines = 120;
+
+run_report RunOnce(const sim_charts& aCharts, const scenario_file& aScenario,
+                   const run_options& aOptions)
+{
+  world fleet(aCharts, aScenario.mSeed);
+  fleet.mFaults = aOptions.mFaults;
+  fleet.mObserver.mOnly = aOptions.mOnly;
+  fleet.mTracing = aOptions.mTracing;
+  const auto done = RunScenario(aScenario, fleet);
+  run_report report;
+  report.mPassed = IsOk(done);
+  report.mFailure = report.mPassed ? "" : ToString(ErrorOf(done));
+  report.mViolations = fleet.mObserver.mViolations;
+  const std::size_t lines = fleet.mTrace.size();
+  for (std::size_t i = lines > kTraceLines ? lines - kTraceLines : 0;
+       i < lines; ++i) {
+    absl::StrAppend(&report.mTrace, fleet.mTrace[i], "\n");
+  }
+  return report;
+}
+
+} // namespace
+
+run_report RunText(const sim_charts& aCharts, const std::string& aText,
+                   const std::string& aFile,
+                   const run_options& aOptions)
+{
+  const auto parsed = ParseScenario(aText, aFile);
+  if (!IsOk(parsed)) {
+    run_report report;
+    report.mFailure = ToString(ErrorOf(parsed));
+    return report;
+  }
+  run_report report = RunOnce(aCharts, ValueOf(parsed), aOptions);
+  if (!report.mPassed && aOptions.mFaults.empty()) {
+    run_options traced = aOptions;
+    traced.mTracing = true;
+    report = RunOnce(aCharts, ValueOf(parsed), traced);
+  }
+  return report;
+}
+
+std::string ReadFile(const std::string& aPath)
+{
+  const std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+const sim_charts& ChartsForTests()
+{
+  static const result<sim_charts> kCharts =
+    LoadSimCharts(FOXTAILQUAY_SOURCE_DIR);
+  if (!IsOk(kCharts)) {
+    std::cerr << ToString(ErrorOf(kCharts)) << "\n";
+    std::abort();
+  }
+  return ValueOf(kCharts);
+}
+
+} // namespace foxtailquay::scenario
