--- a/bench/capacity/capacity.cc
+++ b/bench/capacity/capacity.cc
@@ -127,6 +127,15 @@
   }
 }
 
+void PrintKinds(const std::map<std::string, std::int64_t>& aBytes)
+{
+  std::cout << "\nBytes sent per second at the highest rate, by message:\n";
+  for (const auto& [kind, bytes] : aBytes) {
+    std::cout << absl::StrFormat("- %s: %d\n", kind,
+                                 bytes / std::max(1, FLAGS_seconds));
+  }
+}
+
 // Additional cost of each request.
 void MeasureRequests(const chart_texts& aCharts)
 {
@@ -134,6 +143,7 @@
                  "control bytes/s", "store writes/s", "store conflicts/s",
                  "refused" },
                {} };
+  std::map<std::string, std::int64_t> last;
   for (double rate : { 0.0, 30.0, 60.0, 120.0, 240.0 }) {
     fleet_size size;
     size.mRouters = 10;
@@ -145,6 +155,7 @@
     ResetCosts(measured);
     RunFor(measured, absl::Seconds(FLAGS_seconds));
     const double seconds = FLAGS_seconds;
+    last = measured.mBytesByKind;
     costs.mRows.push_back(
       { rate, 1e6 * measured.mRouterCost.mCpuSeconds / seconds,
         1e6 * measured.mAgentCost.mCpuSeconds / seconds,
@@ -154,6 +165,7 @@
         static_cast<double>(measured.mRefused) });
   }
   Print("Requests on 10 routers and 14 agents, 50 budgets, 4 shards", costs);
+  PrintKinds(last);
   for (std::size_t column = 1; column < 5; ++column) {
     PrintFit(costs, 0, column, 4900);
   }
--- a/bench/capacity/fleet.cc
+++ b/bench/capacity/fleet.cc
@@ -120,6 +120,8 @@
   role_cost& sender = CostOf(aFleet, aNode);
   ++sender.mMessages;
   sender.mBytes += size;
+  aFleet.mBytesByKind[std::string(NameOf(KindOf(aAction.mEnvelope.mBody)))] +=
+    size;
   if (found != aFleet.mByName.end()) {
     CostOf(aFleet, found->second).mBytes += size;
     PushCommon(aFleet, kMessageDelay, found->second,
@@ -365,6 +367,7 @@
   aFleet.mAnswered = 0;
   aFleet.mRefused = 0;
   aFleet.mRefusals.clear();
+  aFleet.mBytesByKind.clear();
 }
 
 void RestartAll(fleet& aFleet)
--- a/bench/capacity/fleet.h
+++ b/bench/capacity/fleet.h
@@ -106,6 +106,8 @@
   std::int64_t mAnswered = 0;
   std::int64_t mRefused = 0;
   std::map<std::string, std::int64_t> mRefusals;
+  // Bytes of routers' messages, sent, by kind.
+  std::map<std::string, std::int64_t> mBytesByKind;
 };
 
 // Starts all nodes, patches in a configuration and tops up all budgets.
--- a/src/core/router_commit.cc
+++ b/src/core/router_commit.cc
@@ -123,14 +123,16 @@
   }
 }
 
-// What a router needs of an account: its own share, those of the routers with
-// the most unspent tokens, and what is unallocated. The answer's size then
-// does not grow with the number of routers that draw on the budget.
+// What a router needs of an account: its own share, what is unallocated and,
+// if that is nothing, the shares with the most unspent tokens. The answer's
+// size then does not grow with the number of routers that draw on the budget.
 account TrimFor(const account& aAccount, const process_id& aRouter)
 {
+  // Peers are asked for tokens only when the account has none left.
+  const bool scarce = Unallocated(aAccount) <= 0;
   std::vector<std::pair<token_count, process_id>> holders;
   for (const auto& [holder, record] : aAccount.mShares) {
-    if (!(holder == aRouter) && !record.mHeld) {
+    if (scarce && !(holder == aRouter) && !record.mHeld) {
       holders.emplace_back(record.mSpent - record.mGranted, holder);
     }
   }
