--- a/bench/order_suite.cc
+++ b/bench/order_suite.cc
@@ -134,7 +134,7 @@
       }
       order_figures figures;
       for (int i = 0; i < scenarios; ++i) {
-        RunScenario(options, static_cast<std::uint64_t>(i + 1), figures);
+        RunScenario(options, static_cast<std::uint64_t>(i) + 1, figures);
       }
       const double unserved = figures.mUnserved / scenarios;
       bench_row row;
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -53,15 +53,22 @@
   aTarget.mDecayedAt = aNow;
 }
 
-int ReservedSlots(const target_queue& aTarget, std::size_t aClass,
-                  const admission_options& aOptions, absl::Time aNow)
+// True if the class may use one of the free slots without touching those that
+// are reserved for higher classes.
+bool MayUse(const target_queue& aTarget, std::size_t aClass,
+            const admission_options& aOptions, int aFreeSlots, int aSlots,
+            absl::Time aNow)
 {
+  bool active = false;
   for (std::size_t i = 0; i < aClass; ++i) {
-    if (aNow - aTarget.mClasses[i].mLastRequest <= aOptions.mActiveTime) {
-      return aOptions.mReservedSlots[aClass];
-    }
+    active =
+      active || aNow - aTarget.mClasses[i].mLastRequest <= aOptions.mActiveTime;
   }
-  return 0;
+  const double reserved =
+    active
+      ? std::ceil(aOptions.mReservedPart[aClass] * std::max(aSlots, aFreeSlots))
+      : 0;
+  return aFreeSlots > reserved;
 }
 
 error Refusal(error_code aCode, const char* aField, const char* aDetail,
@@ -207,7 +214,7 @@
 // The class to take from: the lowest one that is starved, else the highest one
 // that may use a slot. kPriorityClasses if there is none.
 std::size_t NextClass(const admission_state& aState,
-                      const target_queue& aTarget, int aFreeSlots,
+                      const target_queue& aTarget, int aFreeSlots, int aSlots,
                       absl::Time aNow)
 {
   for (std::size_t i = kPriorityClasses; i-- > 1;) {
@@ -218,7 +225,7 @@
   std::size_t next = 0;
   while (next < kPriorityClasses &&
          (aTarget.mClasses[next].mWaiting.mSize == 0 ||
-          aFreeSlots <= ReservedSlots(aTarget, next, aState.mOptions, aNow))) {
+          !MayUse(aTarget, next, aState.mOptions, aFreeSlots, aSlots, aNow))) {
     ++next;
   }
   return next;
@@ -239,7 +246,7 @@
                          const admission_request& aRequest,
                          const workspace_config& aWorkspace,
                          const fleet_config& aFleet, int aFreeSlots,
-                         absl::Time aNow)
+                         absl::Time aNow, int aSlots)
 {
   const admission_options& options = aState.mOptions;
   workspace_load& load = aState.mWorkspaces[aRequest.mWorkspace];
@@ -259,7 +266,7 @@
       Refusal(error_code::RateLimited, "rate_per_second",
               "the workspace sends too many requests", delay, options);
   } else if (WaitingBefore(target, own + 1) == 0 &&
-             aFreeSlots > ReservedSlots(target, own, options, aNow)) {
+             MayUse(target, own, options, aFreeSlots, aSlots, aNow)) {
     ++load.mInFlight;
     NoteTaken(target, own, CostOf(aRequest));
     decision.mOutcome = admission_outcome::Admitted;
@@ -278,7 +285,8 @@
 
 std::vector<request_handle> TakeAdmitted(admission_state& aState,
                                          const std::string& aTarget,
-                                         int aFreeSlots, absl::Time aNow)
+                                         int aFreeSlots, absl::Time aNow,
+                                         int aSlots)
 {
   std::vector<request_handle> taken;
   const auto found = aState.mTargets.find(aTarget);
@@ -288,7 +296,7 @@
   target_queue& target = found->second;
   Decay(target, aState.mOptions, aNow);
   for (int free = aFreeSlots; free > 0; --free) {
-    const std::size_t next = NextClass(aState, target, free, aNow);
+    const std::size_t next = NextClass(aState, target, free, aSlots, aNow);
     if (next == kPriorityClasses) {
       break;
     }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -60,10 +60,10 @@
   // interactive load.
   std::array<double, kPriorityClasses> mGuaranteedPart = { 0, 0.1, 0.1 };
   absl::Duration mGuaranteeWait = absl::Milliseconds(500);
-  // Free slots that a class leaves to higher ones, so that these need not
-  // wait for the end of a long run. They apply while higher classes are
-  // active.
-  std::array<int, kPriorityClasses> mReservedSlots = { 0, 2, 4 };
+  // Part of this router's slots that a class leaves free for higher ones, so
+  // that these need not wait for the end of a long run. It applies while higher
+  // classes are active.
+  std::array<double, kPriorityClasses> mReservedPart = { 0, 0.02, 0.04 };
   // A class is active for this long after its last request.
   absl::Duration mActiveTime = absl::Seconds(1);
   // Averaging time of the drain rate and of the parts of the work.
@@ -147,22 +147,25 @@
 };
 
 // Decides on a new request. aFreeSlots is how many requests for the target
-// the known backend servers can take now. An admitted request counts against
-// the workspace until NoteDone; a queued one does so once TakeAdmitted
-// returns it. A request counts against its rate limit unless it is refused.
-// Errors: ConcurrencyLimited, RateLimited, Overloaded, DeadlineExceeded, all
-// with ran::No; mRetryAfter is the expected time until a retry can succeed.
+// the known backend servers can take now, and aSlots how many if they were
+// idle; without aSlots, reserved parts refer to the free slots. An admitted
+// request counts against the workspace until NoteDone; a queued one does so
+// once TakeAdmitted returns it. A request counts against its rate limit unless
+// it is refused. Errors: ConcurrencyLimited, RateLimited, Overloaded,
+// DeadlineExceeded, all with ran::No; mRetryAfter is the expected time until a
+// retry can succeed.
 admission_decision Admit(admission_state& aState,
                          const admission_request& aRequest,
                          const workspace_config& aWorkspace,
                          const fleet_config& aFleet, int aFreeSlots,
-                         absl::Time aNow);
+                         absl::Time aNow, int aSlots = 0);
 
 // Removes and returns up to aFreeSlots queued requests of aTarget, in the
 // order in which they are to run.
 std::vector<request_handle> TakeAdmitted(admission_state& aState,
                                          const std::string& aTarget,
-                                         int aFreeSlots, absl::Time aNow);
+                                         int aFreeSlots, absl::Time aNow,
+                                         int aSlots = 0);
 
 // Removes and returns queued requests whose time in the queue is over, and
 // those that gave way to others since the last call.
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -183,6 +183,16 @@
   return std::max(0.0, aView.mPrefillBacklog - done);
 }
 
+// Expected positive part of a value that is known with an error: a smooth form
+// of max(0, aMean).
+double ExpectedExcess(double aMean, double aError)
+{
+  if (aError <= 0 || aMean > 20 * aError) {
+    return std::max(0.0, aMean);
+  }
+  return aError * std::log1p(std::exp(aMean / aError));
+}
+
 // Moves aCount candidates drawn at random to the front.
 void Draw(candidates& aPool, std::size_t aCount, random_engine& aRandom)
 {
@@ -219,12 +229,12 @@
   const std::size_t count = aOptions.mChoices > 0
                               ? static_cast<std::size_t>(aOptions.mChoices)
                               : aPool.size();
-  const std::size_t size = aPool.size();
-  // A draw that misses the few servers with the model loaded would cost a
-  // load, so these come first as long as one of them has room.
-  candidates ready = Filter(aPool, 0, size, [&](const candidate& aEach) {
-    return IsReady(*aEach.mView, aQuery, aNow);
-  });
+  // A draw of a few could miss the servers that have the model loaded, which
+  // would cost a load, so these are preferred while one of them has room.
+  candidates ready =
+    Filter(aPool, 0, aPool.size(), [&](const candidate& aEach) {
+      return IsReady(*aEach.mView, aQuery, aNow);
+    });
   const bool room =
     std::any_of(ready.begin(), ready.end(), [&](const candidate& aEach) {
       return EstimatedLoad(*aEach.mView, aPeers, aOptions, aNow) <
@@ -276,19 +286,36 @@
     PartOf(aViews, aQuery.mKind, aQuery.mTarget, aOptions);
   double free = 0;
   double net = 0;
+  double slots = 0;
   for (const candidate& each : PoolOf(part, aQuery, aNow)) {
     const backend_view& view = *each.mView;
     // Ejected servers are in the pool only if there are no others.
     const int limit = std::max(1, ConcurrencyLimit(view, aNow));
-    const double load = EstimatedLoad(view, part.mPeers, aOptions, aNow);
-    const double left = limit * (1 - aOptions.mSlotMargin) - load;
+    const double left =
+      limit - EstimatedLoad(view, part.mPeers, aOptions, aNow);
+    slots += limit;
     net += left;
     free += std::max(0.0, std::min<double>(limit - view.mOutstanding, left));
   }
   // Estimates err in both directions. Without the net sum, the errors would
-  // add up to free slots that do not exist.
-  free = std::min(free, std::max(0.0, net));
-  return static_cast<int>(std::ceil(std::floor(free) / part.mPeers));
+  // add up to free slots that do not exist. The margin is rounded down so that
+  // it never takes the only slot of a small fleet.
+  free = std::min(free, net - std::floor(aOptions.mSlotMargin * slots));
+  return static_cast<int>(
+    std::ceil(std::floor(std::max(0.0, free)) / part.mPeers));
+}
+
+int SlotsOf(const std::map<backend_id, backend_view>& aViews,
+            const routing_query& aQuery, const routing_options& aOptions,
+            absl::Time aNow)
+{
+  const fleet_part part =
+    PartOf(aViews, aQuery.mKind, aQuery.mTarget, aOptions);
+  double slots = 0;
+  for (const candidate& each : PoolOf(part, aQuery, aNow)) {
+    slots += std::max(1, ConcurrencyLimit(*each.mView, aNow));
+  }
+  return static_cast<int>(std::ceil(slots / part.mPeers));
 }
 
 std::set<backend_id> SubsetOf(const std::map<backend_id, backend_view>& aViews,
@@ -316,7 +343,8 @@
                                         aView.mReport.mQueued - (own - change));
   // Only additions are extrapolated: a slot that another router has freed is
   // most likely taken again by its own queue.
-  const double sent = std::max(0, change) * (aPeers - 1) * aOptions.mPeerWeight;
+  const double sent =
+    std::max(0, change) * std::min(aPeers - 1, aOptions.mPeersAssumed);
   return own + others + sent;
 }
 
@@ -362,7 +390,8 @@
     std::max(1.0, aView.mConfig.mMaxConcurrency * (1 - reserve));
   const double load = EstimatedLoad(aView, aPeers, aOptions, aNow);
   delay += aOptions.mFullLoadCost * (load / slots);
-  delay += aOptions.mRunTime * (std::max(0.0, load + 1 - slots) / slots);
+  delay += aOptions.mRunTime *
+           (ExpectedExcess(load + 1 - slots, aOptions.mLoadError) / slots);
   if (aQuery.mKind == backend_kind::Engine) {
     const double prompt = static_cast<double>(aQuery.mPromptTokens) *
                           (1 - CachedPart(aView, aQuery, aOptions, aNow));
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -56,12 +56,13 @@
   // Backend servers drawn at random and compared, besides those that probably
   // hold the prompt's prefix; 0 compares all. With all compared, routers that
   // see the same old report would choose the same server.
-  int mChoices = 3;
+  int mChoices = 2;
   // Age of a load report when it arrives.
   absl::Duration mReportLag = absl::Seconds(1);
-  // Part of this router's net change since the report that each other router
-  // is assumed to have made as well.
-  double mPeerWeight = 1;
+  // Other routers, at most, that are assumed to have made the same net change
+  // as this one since the report. One router's few dispatches are too rough a
+  // sample to stand for more.
+  double mPeersAssumed = 3;
 
   // One-way delay between availability zones.
   absl::Duration mZoneDistance = absl::Microseconds(1500);
@@ -69,9 +70,12 @@
   absl::Duration mModelLoadTime = absl::Seconds(20);
   // Typical time that a run holds a slot.
   absl::Duration mRunTime = absl::Seconds(5);
+  // Typical error of the estimated load, in runs: a server with fewer free
+  // slots than this may be full.
+  double mLoadError = 1.5;
   // Additional time to the first token on a server that is full but has no
   // queue.
-  absl::Duration mFullLoadCost = absl::Milliseconds(200);
+  absl::Duration mFullLoadCost = absl::Milliseconds(100);
   // Added for a suspect backend server.
   absl::Duration mSuspectCost = absl::Milliseconds(500);
   double mPrefillTokensPerSecond = 8000;
@@ -80,7 +84,7 @@
 
   // Part of the slots that FreeSlots does not count, since the other routers'
   // latest dispatches are not known yet.
-  double mSlotMargin = 0;
+  double mSlotMargin = 0.04;
 
   // Prefixes remembered per backend server, from reports and own dispatches.
   std::size_t mPrefixMemory = 1024;
@@ -162,6 +166,11 @@
               const routing_query& aQuery, const routing_options& aOptions,
               absl::Time aNow);
 
+// This router's part of all slots of the backend servers of the query.
+int SlotsOf(const std::map<backend_id, backend_view>& aViews,
+            const routing_query& aQuery, const routing_options& aOptions,
+            absl::Time aNow);
+
 // The subset of the backend servers of a target that this router uses,
 // chosen by rendezvous hashing: a change of one server or router changes few
 // subsets. All of them if there are no more than mSubsetSize.
