--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -378,17 +378,24 @@
          aCode == error_code::BackendServerLeaving;
 }
 
+struct target_slots
+{
+  int mFree = 0;
+  int mAll = 0;
+};
+
 // Slots for the queue of a target. Models and services have queues of their
 // own, unless both have the same name.
-int QueueSlots(const router_state& aState, const std::string& aTarget,
-               absl::Time aNow)
+target_slots QueueSlots(const router_state& aState, const std::string& aTarget,
+                        absl::Time aNow)
 {
-  int slots = 0;
+  target_slots slots;
   for (backend_kind kind : { backend_kind::Engine, backend_kind::Service }) {
     routing_query query;
     query.mKind = kind;
     query.mTarget = aTarget;
-    slots += FreeSlots(aState.mBackends, query, aState.mRouting, aNow);
+    slots.mFree += FreeSlots(aState.mBackends, query, aState.mRouting, aNow);
+    slots.mAll += SlotsOf(aState.mBackends, query, aState.mRouting, aNow);
   }
   return slots;
 }
@@ -460,12 +467,11 @@
                                  request.mPriority,
                                  request.mDeadline,
                                  request.mWorstCase };
-  const admission_decision decision =
-    Admit(aState.mAdmission, asked, config.mWorkspaces.at(request.mWorkspace),
-          config.mFleet,
-          FreeSlots(aState.mBackends, QueryOf(aState, request), aState.mRouting,
-                    aNow),
-          aNow);
+  const routing_query query = QueryOf(aState, request);
+  const admission_decision decision = Admit(
+    aState.mAdmission, asked, config.mWorkspaces.at(request.mWorkspace),
+    config.mFleet, FreeSlots(aState.mBackends, query, aState.mRouting, aNow),
+    aNow, SlotsOf(aState.mBackends, query, aState.mRouting, aNow));
   switch (decision.mOutcome) {
     case admission_outcome::Admitted:
       FireRequest(aState, request, request_event::Admitted, aNow);
@@ -483,9 +489,9 @@
 void AdmitQueued(router_state& aState, absl::Time aNow)
 {
   for (const std::string& target : QueuedTargets(aState.mAdmission)) {
-    const int slots = QueueSlots(aState, target, aNow);
-    for (request_handle handle :
-         TakeAdmitted(aState.mAdmission, target, slots, aNow)) {
+    const target_slots slots = QueueSlots(aState, target, aNow);
+    for (request_handle handle : TakeAdmitted(aState.mAdmission, target,
+                                              slots.mFree, aNow, slots.mAll)) {
       const auto found = aState.mRequests.find(handle);
       if (found != aState.mRequests.end()) {
         FireRequest(aState, found->second, request_event::Admitted, aNow);
