--- a/src/daemon/agent_host.cc
+++ b/src/daemon/agent_host.cc
@@ -54,7 +54,8 @@
   }
 }
 
-// --- Actions, on the control thread -------------------------------------------
+// --- Actions, on the control thread
+// -------------------------------------------
 
 void Decide(agent_host& aHost, request_handle aHandle, run_decision aDecision)
 {
@@ -83,10 +84,9 @@
 
 void Perform(agent_host& aHost, answer_command_action aAction)
 {
-  WithOpen(aHost.mLink.mCommands, aAction.mHandle,
-           [&aAction](command_box& aBox) {
-             Put(aBox, std::move(aAction.mAnswer));
-           });
+  WithOpen(
+    aHost.mLink.mCommands, aAction.mHandle,
+    [&aAction](command_box& aBox) { Put(aBox, std::move(aAction.mAnswer)); });
 }
 
 void Perform(agent_host& aHost, send_action aAction)
@@ -109,15 +109,16 @@
   }
 }
 
-// --- Events, on the control thread --------------------------------------------
+// --- Events, on the control thread
+// --------------------------------------------
 
 void HandleEvent(agent_host& aHost, agent_event aEvent)
 {
   const absl::Time begin = MonotonicNow();
   auto actions = Step(*aHost.mAgent, std::move(aEvent), begin);
   for (agent_action& action : actions) {
-    std::visit(
-      [&aHost](auto& aTyped) { Perform(aHost, std::move(aTyped)); }, action);
+    std::visit([&aHost](auto& aTyped) { Perform(aHost, std::move(aTyped)); },
+               action);
   }
   Count(*aHost.mLink.mMetrics, counter::EventsHandled);
   Observe(*aHost.mLink.mMetrics, histogram::ControlStep,
@@ -131,7 +132,7 @@
   } else if (auto* event = std::get_if<agent_event>(&*aItem)) {
     HandleEvent(aHost, std::move(*event));
   } else {
-    std::get<agent_query>(*aItem)(*aHost.mAgent);
+    std::get<agent_query> (*aItem)(*aHost.mAgent);
   }
 }
 
@@ -145,7 +146,8 @@
     [&aHost] { return NextWake(*aHost.mAgent); });
 }
 
-// --- Load ---------------------------------------------------------------------
+// --- Load
+// ---------------------------------------------------------------------
 
 void ScheduleLoad(agent_host& aHost, absl::Time aWhen);
 
@@ -175,7 +177,8 @@
   });
 }
 
-// --- Port ---------------------------------------------------------------------
+// --- Port
+// ---------------------------------------------------------------------
 
 std::optional<http_reply> ServeGet(agent_host& aHost,
                                    const http_request& aRequest)
@@ -282,19 +285,18 @@
   if (!IsOk(started)) {
     return ErrorOf(started);
   }
-  auto control =
-    StartThread("control", [&host = *host] { RunControl(host); });
+  auto control = StartThread("control", [&host = *host] { RunControl(host); });
   if (!IsOk(control)) {
     StopIo(host->mIo);
     return ErrorOf(control);
   }
   host->mControl = ValueOf(control);
-  host->mPeerServer = MakeHttpServer(
-    PeerServerOptions(aSettings),
-    [&host = *host](const http_request& aRequest,
-                    http_connection& aConnection) {
-      return ServePeerPort(host, aRequest, aConnection);
-    });
+  host->mPeerServer =
+    MakeHttpServer(PeerServerOptions(aSettings),
+                   [&host = *host](const http_request& aRequest,
+                                   http_connection& aConnection) {
+                     return ServePeerPort(host, aRequest, aConnection);
+                   });
   auto port = StartServer(*host->mPeerServer);
   if (!IsOk(port)) {
     host->mStopped.Notify();
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -90,8 +90,7 @@
     return kExitOk;
   }
   BlockStopSignals();
-  auto settings =
-    ReadSettings(aArguments, ReadEnvironment(), ExecutableDir());
+  auto settings = ReadSettings(aArguments, ReadEnvironment(), ExecutableDir());
   if (!IsOk(settings)) {
     return ReportStartFailure(ErrorOf(settings));
   }
--- a/src/daemon/node_io.cc
+++ b/src/daemon/node_io.cc
@@ -39,7 +39,8 @@
 error ChartsDirError(const std::string& aDir)
 {
   return error{ error_code::InvalidSetting, ran::No, "--charts_dir",
-                absl::StrCat("\"", aDir, "\" is not valid: it must be the "
+                absl::StrCat("\"", aDir,
+                             "\" is not valid: it must be the "
                              "folder of the state charts"),
                 absl::ZeroDuration() };
 }
@@ -55,10 +56,12 @@
                  absl::Seconds(10) })
   , mSender(peer_sender_options{ { aSettings.mPeerKey, absl::Seconds(1),
                                    absl::Seconds(3) },
-                                 16, 1024, 64, absl::Seconds(20) },
+                                 16,
+                                 1024,
+                                 64,
+                                 absl::Seconds(20) },
             aMetrics, std::move(aOnUnreachable))
-{
-}
+{}
 
 void CallStore(node_io& aIo, store_request aRequest, store_callback aOnReply)
 {
@@ -66,8 +69,8 @@
   refused.mKey = aRequest.mKey;
   refused.mWasWrite = aRequest.mWrite.has_value();
   refused.mStatus = store_status::Unavailable;
-  const bool submitted = TrySubmit(
-    aIo.mStorePool, [&aIo, request = std::move(aRequest), aOnReply] {
+  const bool submitted =
+    TrySubmit(aIo.mStorePool, [&aIo, request = std::move(aRequest), aOnReply] {
       aOnReply(PerformStoreCall(aIo, request));
     });
   if (!submitted) {
@@ -82,13 +85,11 @@
   StopSender(aIo.mSender);
 }
 
-result<node_charts_ptr> LoadChartDir(
-  const std::string& aDir)
+result<node_charts_ptr> LoadChartDir(const std::string& aDir)
 {
   std::error_code failure;
   std::map<std::string, std::string> texts;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(aDir, failure)) {
+  for (const auto& entry : std::filesystem::directory_iterator(aDir, failure)) {
     if (entry.path().extension() == ".yaml") {
       std::ifstream file(entry.path());
       std::stringstream text;
--- a/src/daemon/node_io.h
+++ b/src/daemon/node_io.h
@@ -51,8 +51,7 @@
 void StopIo(node_io& aIo);
 
 // Reads the charts in aDir. Errors: InvalidSetting, InvalidChart.
-result<node_charts_ptr> LoadChartDir(
-  const std::string& aDir);
+result<node_charts_ptr> LoadChartDir(const std::string& aDir);
 
 // The peer port of either role.
 http_server_options PeerServerOptions(const daemon_settings& aSettings);
--- a/src/daemon/router_host.cc
+++ b/src/daemon/router_host.cc
@@ -63,7 +63,8 @@
   }
 }
 
-// --- Actions, on the control thread -------------------------------------------
+// --- Actions, on the control thread
+// -------------------------------------------
 
 void Perform(router_host& aHost, dispatch_action aAction)
 {
@@ -76,11 +77,11 @@
       Put(aCaller.mDecisions, caller_decision(std::move(order)));
     });
   if (!open) {
-    PostMustEvent(aHost, run_refused_event{
-                           handle, request,
-                           error{ error_code::CallerDisconnected, ran::No, "",
-                                  "the caller's connection has ended",
-                                  absl::ZeroDuration() } });
+    PostMustEvent(
+      aHost, run_refused_event{ handle, request,
+                                error{ error_code::CallerDisconnected, ran::No,
+                                       "", "the caller's connection has ended",
+                                       absl::ZeroDuration() } });
   }
 }
 
@@ -119,10 +120,9 @@
 
 void Perform(router_host& aHost, answer_operator_action aAction)
 {
-  WithOpen(aHost.mLink.mOperators, aAction.mHandle,
-           [&aAction](operator_box& aBox) {
-             Put(aBox, std::move(aAction.mAnswer));
-           });
+  WithOpen(
+    aHost.mLink.mOperators, aAction.mHandle,
+    [&aAction](operator_box& aBox) { Put(aBox, std::move(aAction.mAnswer)); });
 }
 
 void Perform(router_host& aHost, stopped_action)
@@ -132,14 +132,14 @@
   }
 }
 
-// --- Events, on the control thread --------------------------------------------
+// --- Events, on the control thread
+// --------------------------------------------
 
 template<typename Event>
 void ForgetRun(router_host& aHost, const Event& aEvent)
 {
   const auto found = aHost.mRuns.find(aEvent.mHandle);
-  if (found != aHost.mRuns.end() &&
-      found->second.mRequest == aEvent.mRequest) {
+  if (found != aHost.mRuns.end() && found->second.mRequest == aEvent.mRequest) {
     aHost.mRuns.erase(found);
   }
 }
@@ -161,8 +161,8 @@
   const absl::Time begin = MonotonicNow();
   auto actions = Step(*aHost.mRouter, std::move(aEvent), begin);
   for (router_action& action : actions) {
-    std::visit(
-      [&aHost](auto& aTyped) { Perform(aHost, std::move(aTyped)); }, action);
+    std::visit([&aHost](auto& aTyped) { Perform(aHost, std::move(aTyped)); },
+               action);
   }
   Count(*aHost.mLink.mMetrics, counter::EventsHandled);
   Observe(*aHost.mLink.mMetrics, histogram::ControlStep,
@@ -176,7 +176,7 @@
   } else if (auto* event = std::get_if<router_event>(&*aItem)) {
     HandleEvent(aHost, std::move(*event));
   } else {
-    std::get<router_query>(*aItem)(*aHost.mRouter);
+    std::get<router_query> (*aItem)(*aHost.mRouter);
   }
 }
 
@@ -190,7 +190,8 @@
     [&aHost] { return NextWake(*aHost.mRouter); });
 }
 
-// --- Ports --------------------------------------------------------------------
+// --- Ports
+// --------------------------------------------------------------------
 
 std::optional<http_reply> ServePeerPort(router_host& aHost,
                                         const http_request& aRequest)
@@ -239,11 +240,11 @@
     [&aHost](const http_request& aRequest, http_connection& aConnection) {
       return ServeFront(aHost.mFront, aRequest, aConnection);
     });
-  aHost.mPeerServer = MakeHttpServer(
-    PeerServerOptions(aHost.mSettings),
-    [&aHost](const http_request& aRequest, http_connection&) {
-      return ServePeerPort(aHost, aRequest);
-    });
+  aHost.mPeerServer =
+    MakeHttpServer(PeerServerOptions(aHost.mSettings),
+                   [&aHost](const http_request& aRequest, http_connection&) {
+                     return ServePeerPort(aHost, aRequest);
+                   });
   for (http_server* server :
        { aHost.mPeerServer.get(), aHost.mCallerServer.get() }) {
     auto port = StartServer(*server);
@@ -254,7 +255,8 @@
   return success{};
 }
 
-// --- The platform's list of VMs -----------------------------------------------
+// --- The platform's list of VMs
+// -----------------------------------------------
 
 void ScheduleVmList(router_host& aHost);
 
@@ -338,8 +340,7 @@
   if (!IsOk(started)) {
     return ErrorOf(started);
   }
-  auto control =
-    StartThread("control", [&host = *host] { RunControl(host); });
+  auto control = StartThread("control", [&host = *host] { RunControl(host); });
   if (!IsOk(control)) {
     StopIo(host->mIo);
     return ErrorOf(control);
--- a/src/runtime/elastic_pool.h
+++ b/src/runtime/elastic_pool.h
@@ -38,8 +38,7 @@
 {
   explicit elastic_pool(elastic_pool_options aOptions)
     : mOptions(std::move(aOptions))
-  {
-  }
+  {}
 
   const elastic_pool_options mOptions;
   absl::Mutex mMutex;
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -91,8 +91,8 @@
 
 void StartLog(const log_options& aOptions)
 {
-  const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
-    "%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %p %c %m%n"));
+  const log4cxx::LayoutPtr layout(
+    new log4cxx::PatternLayout("%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %p %c %m%n"));
   const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
     layout, log4cxx::ConsoleAppender::getSystemErr()));
   log4cxx::BasicConfigurator::resetConfiguration();
@@ -100,8 +100,8 @@
   for (const auto& entry : NameTable(log_component{})) {
     const auto own = aOptions.mLevels.find(entry.mValue);
     LoggerOf(entry.mValue)
-      ->setLevel(LevelOf(own == aOptions.mLevels.end() ? aOptions.mLevel
-                                                       : own->second));
+      ->setLevel(
+        LevelOf(own == aOptions.mLevels.end() ? aOptions.mLevel : own->second));
   }
 }
 
@@ -144,12 +144,11 @@
   if (aText.empty()) {
     return levels;
   }
-  for (const std::string& part : std::vector<std::string>(absl::StrSplit(
-         absl::string_view(aText.data(), aText.size()), ','))) {
+  for (const std::string& part : std::vector<std::string>(
+         absl::StrSplit(absl::string_view(aText.data(), aText.size()), ','))) {
     const std::vector<std::string> pair = absl::StrSplit(part, '=');
     if (pair.size() != 2) {
-      return LevelsError(
-        absl::StrCat("\"", part, "\" is not component=level"));
+      return LevelsError(absl::StrCat("\"", part, "\" is not component=level"));
     }
     const auto component = FromName<log_component>(pair[0]);
     if (!component) {
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -43,8 +43,8 @@
   // Index -1 is the underflow bin, below the first bucket's lower bound.
   for (int i = -1; i < axis.size(); ++i) {
     count += aLatency.mBuckets.at(i);
-    absl::StrAppend(&aText, aName, "_bucket{le=\"", axis.bin(i).upper(),
-                    "\"} ", count, "\n");
+    absl::StrAppend(&aText, aName, "_bucket{le=\"", axis.bin(i).upper(), "\"} ",
+                    count, "\n");
   }
   count += aLatency.mBuckets.at(axis.size());
   absl::StrAppend(&aText, aName, "_bucket{le=\"+Inf\"} ", count, "\n", aName,
@@ -106,13 +106,13 @@
   }
   for (const gauge_value& value : aGauges) {
     const std::string name = FullName(NameOf(value.mGauge));
-    absl::StrAppend(&text, "# TYPE ", name, " gauge\n", name, " ",
-                    value.mValue, "\n");
+    absl::StrAppend(&text, "# TYPE ", name, " gauge\n", name, " ", value.mValue,
+                    "\n");
   }
   for (const auto& entry : NameTable(histogram{})) {
-    AppendHistogram(text, FullName(entry.mName),
-                    aMetrics.mLatencies[static_cast<std::size_t>(
-                      entry.mValue)]);
+    AppendHistogram(
+      text, FullName(entry.mName),
+      aMetrics.mLatencies[static_cast<std::size_t>(entry.mValue)]);
   }
   return text;
 }
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -37,8 +37,7 @@
 DEFINE_string(log_level, "info", "debug, info, warn or error");
 DEFINE_string(log_levels, "", "levels of single components: name=level,...");
 DEFINE_int32(max_connections, 1024, "connections per port, 1 to 100000");
-DEFINE_int32(max_body_bytes, 4194304,
-             "largest request body, 1024 to 67108864");
+DEFINE_int32(max_body_bytes, 4194304, "largest request body, 1024 to 67108864");
 DEFINE_string(vm_list, "",
               "IP:port/path of the platform's list of VMs; routers only");
 
@@ -152,15 +151,14 @@
     if (!absl::StartsWith(name, kEnvironmentPrefix.data())) {
       continue;
     }
-    const auto found =
-      FromName<setting>(absl::AsciiStrToLower(
-        name.substr(kEnvironmentPrefix.size())));
+    const auto found = FromName<setting>(
+      absl::AsciiStrToLower(name.substr(kEnvironmentPrefix.size())));
     if (!found || EnvironmentName(NameOf(*found)) != name) {
-      return SettingError(name, absl::StrCat("unknown setting with value \"",
-                                             value, "\"; the settings are ",
-                                             AllFlags(),
-                                             " in upper case with this "
-                                             "prefix"));
+      return SettingError(name,
+                          absl::StrCat("unknown setting with value \"", value,
+                                       "\"; the settings are ", AllFlags(),
+                                       " in upper case with this "
+                                       "prefix"));
     }
     auto set = SetOne(aGiven, *found, name, value);
     if (!IsOk(set)) {
@@ -194,9 +192,8 @@
     if (equals == std::string::npos && i + 1 == aArguments.size()) {
       return SettingError(Flag(*found), "has no value; give --name=value");
     }
-    const std::string value = equals == std::string::npos
-                                ? aArguments[++i]
-                                : body.substr(equals + 1);
+    const std::string value =
+      equals == std::string::npos ? aArguments[++i] : body.substr(equals + 1);
     if (!seen.insert(*found).second) {
       return SettingError(Flag(*found),
                           absl::StrCat("given twice, the second time as \"",
@@ -253,9 +250,9 @@
   const std::string value = ValueText(aRule.mSetting);
   const std::string role(NameOf(aRule.mRole));
   if (aRule.mRequired && value.empty()) {
-    return SettingError(SourceOf(aGiven, aRule.mSetting),
-                        absl::StrCat("is empty, but --role=", role,
-                                     " needs it: ", aRule.mWhy));
+    return SettingError(
+      SourceOf(aGiven, aRule.mSetting),
+      absl::StrCat("is empty, but --role=", role, " needs it: ", aRule.mWhy));
   }
   if (!aRule.mRequired && !value.empty()) {
     return SettingError(SourceOf(aGiven, aRule.mSetting),
@@ -295,7 +292,8 @@
   constexpr std::size_t kMinKeyLength = 16;
   if (!file || key.size() < kMinKeyLength) {
     return SettingError(SourceOf(aGiven, aSetting),
-                        absl::StrCat("\"", path, "\" is not valid: it must be "
+                        absl::StrCat("\"", path,
+                                     "\" is not valid: it must be "
                                      "a readable file with a key of at least ",
                                      kMinKeyLength, " characters"));
   }
@@ -362,8 +360,10 @@
 {
   if (aValue < aMin || aValue > aMax) {
     return SettingError(SourceOf(aGiven, aSetting),
-                        absl::StrCat("\"", aValue, "\" is not valid: it must "
-                                     "be from ", aMin, " to ", aMax));
+                        absl::StrCat("\"", aValue,
+                                     "\" is not valid: it must "
+                                     "be from ",
+                                     aMin, " to ", aMax));
   }
   aTarget = static_cast<std::size_t>(aValue);
   return success{};
@@ -381,7 +381,8 @@
     });
   if (!valid) {
     return SettingError(SourceOf(aGiven, aSetting),
-                        absl::StrCat("\"", value, "\" is not valid: it must "
+                        absl::StrCat("\"", value,
+                                     "\" is not valid: it must "
                                      "have at most 64 letters, digits, '-', "
                                      "'_' or '.'"));
   }
@@ -392,15 +393,13 @@
                         daemon_settings& aSettings)
 {
   if (FLAGS_tls_cert_file.empty() != FLAGS_tls_key_file.empty()) {
-    const setting missing = FLAGS_tls_cert_file.empty()
-                              ? setting::TlsCertFile
-                              : setting::TlsKeyFile;
+    const setting missing =
+      FLAGS_tls_cert_file.empty() ? setting::TlsCertFile : setting::TlsKeyFile;
     return SettingError(SourceOf(aGiven, missing),
                         "is empty: --tls_cert_file and --tls_key_file must be "
                         "given together");
   }
-  if (!FLAGS_tls_cert_file.empty() &&
-      aSettings.mRole == process_role::Agent) {
+  if (!FLAGS_tls_cert_file.empty() && aSettings.mRole == process_role::Agent) {
     return SettingError(SourceOf(aGiven, setting::TlsCertFile),
                         absl::StrCat("\"", FLAGS_tls_cert_file,
                                      "\" contradicts --role=agent: only the "
@@ -432,7 +431,8 @@
   const auto role = FromName<process_role>(FLAGS_role);
   if (!role) {
     return SettingError(SourceOf(aGiven, setting::Role),
-                        absl::StrCat("\"", FLAGS_role, "\" is not valid: it "
+                        absl::StrCat("\"", FLAGS_role,
+                                     "\" is not valid: it "
                                      "must be router or agent"));
   }
   aSettings.mRole = *role;
@@ -452,8 +452,8 @@
     ReadAddress(aGiven, setting::Backend, aSettings.mBackend),
     ReadVmList(aGiven, aSettings),
     ReadLogSettings(aGiven, aSettings),
-    ReadLimit(aGiven, setting::MaxConnections, FLAGS_max_connections, 1,
-              100000, aSettings.mMaxConnections),
+    ReadLimit(aGiven, setting::MaxConnections, FLAGS_max_connections, 1, 100000,
+              aSettings.mMaxConnections),
     ReadLimit(aGiven, setting::MaxBodyBytes, FLAGS_max_body_bytes, 1024,
               64 << 20, aSettings.mMaxBodyBytes),
     ReadFiles(aGiven, aSettings),
@@ -463,6 +463,12 @@
       return step;
     }
   }
+  if (aSettings.mPeerListen.mIp == "0.0.0.0") {
+    return SettingError(SourceOf(aGiven, setting::PeerListen),
+                        absl::StrCat("\"", FLAGS_peer_listen,
+                                     "\" is not valid: it must be an address "
+                                     "at which peers reach this process"));
+  }
   if (aSettings.mRole == process_role::Router &&
       ToString(aSettings.mListen) == ToString(aSettings.mPeerListen)) {
     return SettingError(SourceOf(aGiven, setting::PeerListen),
@@ -530,7 +536,8 @@
     address.mPort > 0 && address.mPort < 65536;
   if (!valid) {
     return SettingError(aField,
-                        absl::StrCat("\"", aText, "\" is not valid: it must "
+                        absl::StrCat("\"", aText,
+                                     "\" is not valid: it must "
                                      "be IP:port, for example 10.0.0.5:8080"));
   }
   address.mIp = aText.substr(0, colon);
--- a/src/runtime/signals.cc
+++ b/src/runtime/signals.cc
@@ -47,9 +47,8 @@
 result<success> StartSignals(signal_thread& aSignals,
                              std::function<void(int)> aOnStop)
 {
-  auto thread = StartThread("signals", [onStop = std::move(aOnStop)] {
-    WaitForSignals(onStop);
-  });
+  auto thread = StartThread(
+    "signals", [onStop = std::move(aOnStop)] { WaitForSignals(onStop); });
   if (!IsOk(thread)) {
     return ErrorOf(thread);
   }
--- a/src/runtime/thread.cc
+++ b/src/runtime/thread.cc
@@ -15,8 +15,7 @@
 
 void* RunBody(void* aStart)
 {
-  const std::unique_ptr<thread_start> start(
-    static_cast<thread_start*>(aStart));
+  const std::unique_ptr<thread_start> start(static_cast<thread_start*>(aStart));
   pthread_setname_np(pthread_self(), start->mName.c_str());
   start->mBody();
   return nullptr;
--- a/src/runtime/timer.h
+++ b/src/runtime/timer.h
@@ -2,9 +2,8 @@
 //
 //   timer timer;
 //   StartTimer(timer);
-//   timer_id id = Schedule(timer, MonotonicNow() + timeout, [&] { Stop(call); });
-//   Cancel(timer, id);
-//   StopTimer(timer);
+//   timer_id id = Schedule(timer, MonotonicNow() + timeout, [&] { Stop(call);
+//   }); Cancel(timer, id); StopTimer(timer);
 //
 // Callbacks must be short: they delay each other.
 
--- a/src/wire/agent_front.cc
+++ b/src/wire/agent_front.cc
@@ -34,8 +34,7 @@
 
 void LogRun(const run_request& aRun, const run_outcome& aOutcome)
 {
-  Log(log_component::Agent,
-      aOutcome.mWhole ? log_level::Info : log_level::Warn,
+  Log(log_component::Agent, aOutcome.mWhole ? log_level::Info : log_level::Warn,
       aOutcome.mWhole ? log_event::RunFinished : log_event::RunFailed,
       { { "run", ToString(aRun.mRequest) },
         { "target", aRun.mTarget },
@@ -63,11 +62,11 @@
   if (!BeginStream(aConnection, 200, "application/x-ndjson", {})) {
     Stop(aRun.mStopper);
   }
-  const run_outcome outcome = RunOnBackend(
-    aFront.mEngine, aAction.mRun, aFront.mTimer, aRun.mStopper,
-    [&aConnection, &number](run_frame aFrame) {
-      return EmitFrame(aConnection, number, std::move(aFrame));
-    });
+  const run_outcome outcome =
+    RunOnBackend(aFront.mEngine, aAction.mRun, aFront.mTimer, aRun.mStopper,
+                 [&aConnection, &number](run_frame aFrame) {
+                   return EmitFrame(aConnection, number, std::move(aFrame));
+                 });
   LogRun(aAction.mRun, outcome);
   CountRun(*aFront.mLink.mMetrics, outcome);
   // Before the last frame: the router may acknowledge the usage as soon as it
@@ -80,7 +79,6 @@
   EndStream(aConnection);
 }
 
-
 } // namespace
 
 std::optional<http_reply> ServeRun(agent_front& aFront,
@@ -99,10 +97,10 @@
   const handle_entry<agent_run> entry(aFront.mLink.mRuns, handle, run);
   run_dispatch& asked = std::get<run_dispatch>(dispatch);
   const bool isEngine = asked.mRun.mKind == backend_kind::Engine;
-  auto posted = PostEvent(aFront.mLink,
-                          run_asked_event{ handle, std::move(asked.mHeader),
-                                           std::move(asked.mRun) },
-                          event_class::NewWork);
+  auto posted = PostEvent(
+    aFront.mLink,
+    run_asked_event{ handle, std::move(asked.mHeader), std::move(asked.mRun) },
+    event_class::NewWork);
   if (!IsOk(posted)) {
     Count(*aFront.mLink.mMetrics, counter::EventsRefused);
     return ErrorReply(ErrorOf(posted));
@@ -132,27 +130,24 @@
     return PeerUnauthorized();
   }
   auto json = ParseJson(aRequest.mBody);
-  auto body = IsOk(json)
-                ? DecodeAs<command_body>(ValueOf(json),
-                                         error_code::InvalidRequest)
-                : result<command_body>(ErrorOf(json));
+  auto body = IsOk(json) ? DecodeAs<command_body>(ValueOf(json),
+                                                  error_code::InvalidRequest)
+                         : result<command_body>(ErrorOf(json));
   if (!IsOk(body)) {
     return ErrorReply(ErrorOf(body));
   }
   const request_handle handle = aFront.mLink.mNextHandle++;
   command_box box;
   const handle_entry<command_box> entry(aFront.mLink.mCommands, handle, box);
-  auto posted =
-    PostEvent(aFront.mLink,
-              command_event{ handle, ValueOf(body).mFencingNumber,
-                             ValueOf(body).mCommand },
-              event_class::NewWork);
+  auto posted = PostEvent(aFront.mLink,
+                          command_event{ handle, ValueOf(body).mFencingNumber,
+                                         ValueOf(body).mCommand },
+                          event_class::NewWork);
   auto allowed = IsOk(posted) ? *Take(box, absl::InfiniteFuture()) : posted;
   if (IsOk(allowed)) {
     Log(log_component::Engine, log_level::Info, log_event::CommandForwarded,
         { { "command", ValueOf(body).mCommand },
-          { "fencing_number",
-            std::to_string(ValueOf(body).mFencingNumber) } });
+          { "fencing_number", std::to_string(ValueOf(body).mFencingNumber) } });
     allowed = SendCommand(aFront.mEngine, ValueOf(body).mFencingNumber,
                           ValueOf(body).mCommand);
   }
--- a/src/wire/agent_link.h
+++ b/src/wire/agent_link.h
@@ -34,7 +34,10 @@
 
 struct agent_link
 {
-  explicit agent_link(control_queue_options aOptions) { mQueue.mOptions = aOptions; }
+  explicit agent_link(control_queue_options aOptions)
+  {
+    mQueue.mOptions = aOptions;
+  }
 
   control_queue<agent_item> mQueue;
   handle_table<agent_run> mRuns;
@@ -55,11 +58,11 @@
 result<T> QueryAgent(agent_link& aLink, Read aRead)
 {
   mailbox<T> box;
-  auto posted = Post(aLink.mQueue,
-                     agent_item(agent_query([&](const agent_state& aState) {
-                       Put(box, T(aRead(aState)));
-                     })),
-                     event_class::NewWork);
+  auto posted =
+    Post(aLink.mQueue, agent_item(agent_query([&](const agent_state& aState) {
+           Put(box, T(aRead(aState)));
+         })),
+         event_class::NewWork);
   if (!IsOk(posted)) {
     return ErrorOf(posted);
   }
--- a/src/wire/caller_front.cc
+++ b/src/wire/caller_front.cc
@@ -76,7 +76,8 @@
                 absl::ZeroDuration() };
 }
 
-// --- Common parts of callers' requests ----------------------------------------
+// --- Common parts of callers' requests
+// ----------------------------------------
 
 result<success> ReadPriority(const http_request& aRequest,
                              caller_request_event& aEvent)
@@ -115,9 +116,9 @@
   constexpr std::size_t kLongest = 255;
   aEvent.mIdempotencyKey = HeaderOf(aRequest, "Idempotency-Key");
   if (aEvent.mIdempotencyKey.size() > kLongest) {
-    return RequestError("Idempotency-Key",
-                        absl::StrCat("must have at most ", kLongest,
-                                     " characters"));
+    return RequestError(
+      "Idempotency-Key",
+      absl::StrCat("must have at most ", kLongest, " characters"));
   }
   return success{};
 }
@@ -174,7 +175,8 @@
   return true;
 }
 
-// --- Answers that need no run -------------------------------------------------
+// --- Answers that need no run
+// -------------------------------------------------
 
 struct allowed_models
 {
@@ -234,7 +236,8 @@
   return RouterStateReply(aFront.mLink);
 }
 
-// --- Callers' requests --------------------------------------------------------
+// --- Callers' requests
+// --------------------------------------------------------
 
 // The caller's own X-Request-Id if it is usable in a log line, or a new one.
 std::string RequestIdFor(caller_front& aFront, const http_request& aRequest)
@@ -276,9 +279,8 @@
         { "target", ValueOf(aEvent).mTarget },
         { "method", aRequest.mMethod },
         { "path", aRequest.mPath } });
-  return ServeCaller(aFront.mLink, aFront.mSession,
-                     ValueOf(std::move(aEvent)), aEndpoint, requestId,
-                     aConnection);
+  return ServeCaller(aFront.mLink, aFront.mSession, ValueOf(std::move(aEvent)),
+                     aEndpoint, requestId, aConnection);
 }
 
 std::optional<http_reply> ServeCompletion(caller_front& aFront,
@@ -289,8 +291,8 @@
   if (aRequest.mMethod != "POST") {
     return ErrorReply(NoSuchResource(aRequest));
   }
-  return ServeRun(aFront, ReadCompletionRequest(aEndpoint, aRequest),
-                  aEndpoint, aRequest, aConnection);
+  return ServeRun(aFront, ReadCompletionRequest(aEndpoint, aRequest), aEndpoint,
+                  aRequest, aConnection);
 }
 
 } // namespace
@@ -333,10 +335,8 @@
   const std::string prefix = kServices + request.mTarget;
   // The service's name must not be escaped, so that the rest of the target as
   // received is the path under the service's root.
-  if (request.mTarget.empty() ||
-      !absl::StartsWith(aRequest.mTarget, prefix) ||
-      !IsPlainPath(slash == std::string::npos ? "/"
-                                              : decoded.substr(slash))) {
+  if (request.mTarget.empty() || !absl::StartsWith(aRequest.mTarget, prefix) ||
+      !IsPlainPath(slash == std::string::npos ? "/" : decoded.substr(slash))) {
     return RequestError("path", "must be /v1/services/{service}/{path} "
                                 "without . or .. or empty segments");
   }
--- a/src/wire/caller_session.cc
+++ b/src/wire/caller_session.cc
@@ -105,9 +105,9 @@
 void ResetAttempt(caller_session& aSession)
 {
   aSession.mStatus = 200;
-  aSession.mAssembly =
-    completion_assembly{ aSession.mAssembly.mEndpoint, {}, {}, {}, "assistant",
-                         {}, {} };
+  aSession.mAssembly = completion_assembly{
+    aSession.mAssembly.mEndpoint, {}, {}, {}, "assistant", {}, {}
+  };
   aSession.mLastEvent = Json::Value();
   aSession.mUsageSeen = false;
   aSession.mLastToken = absl::InfinitePast();
@@ -179,7 +179,8 @@
   };
 }
 
-// --- Dispatches ---------------------------------------------------------------
+// --- Dispatches
+// ---------------------------------------------------------------
 
 // On the caller's thread: the answer is relayed as it arrives.
 void DispatchCompletion(caller_session& aSession, const run_context& aContext,
@@ -196,9 +197,8 @@
                                  const Json::Value& aEvent) {
     RelayEvent(aSession, aFrame, aEvent);
   };
-  run_report report =
-    PerformDispatch(aOrder.mAction, aSession.mOptions.mDispatch,
-                    *aOrder.mStopper, observer);
+  run_report report = PerformDispatch(
+    aOrder.mAction, aSession.mOptions.mDispatch, *aOrder.mStopper, observer);
   if (auto* finished = std::get_if<run_finished_event>(&report)) {
     aSession.mUsage = finished->mUsage;
     aSession.mAnswer = finished->mAnswer;
@@ -218,8 +218,8 @@
     AcceptedReporter(aContext, aOrder.mAction.mRun.mRequest);
   observer.mOnHead = [](const run_frame&) {};
   observer.mOnData = [](const run_frame&, const Json::Value&) {};
-  run_report report = PerformDispatch(aOrder.mAction, aOptions,
-                                      *aOrder.mStopper, observer);
+  run_report report =
+    PerformDispatch(aOrder.mAction, aOptions, *aOrder.mStopper, observer);
   if (const auto* finished = std::get_if<run_finished_event>(&report)) {
     WithOpen(aContext.mLink.mCallers, aContext.mHandle,
              [finished](caller_exchange& aExchange) {
@@ -234,17 +234,16 @@
 void DispatchService(caller_session& aSession, const run_context& aContext,
                      const dispatch_order& aOrder)
 {
-  const bool submitted = TrySubmit(
-    aSession.mLink.mServices,
-    [context = aContext, options = aSession.mOptions.mDispatch, aOrder] {
-      RunServiceCall(context, options, aOrder);
-    });
+  const bool submitted =
+    TrySubmit(aSession.mLink.mServices,
+              [context = aContext, options = aSession.mOptions.mDispatch,
+               aOrder] { RunServiceCall(context, options, aOrder); });
   if (!submitted) {
-    PostReport(aContext,
-               run_refused_event{
-                 aContext.mHandle, aOrder.mAction.mRun.mRequest,
-                 error{ error_code::Overloaded, ran::No, "",
-                        "too many service calls", absl::Seconds(1) } });
+    PostReport(
+      aContext,
+      run_refused_event{ aContext.mHandle, aOrder.mAction.mRun.mRequest,
+                         error{ error_code::Overloaded, ran::No, "",
+                                "too many service calls", absl::Seconds(1) } });
   }
 }
 
@@ -268,14 +267,14 @@
 {
   const absl::Duration elapsed = MonotonicNow() - aSession.mStarted;
   Observe(*aSession.mLink.mMetrics, histogram::CallerRequest, elapsed);
-  Log(log_component::Frontend, log_level::Info, log_event::RequestAnswered,
-      { { "request", aSession.mRequestId },
-        { "status", absl::StrCat(aStatus) },
-        { "code", aCode },
-        { "prompt_tokens", absl::StrCat(aSession.mUsage.mPromptTokens) },
-        { "completion_tokens",
-          absl::StrCat(aSession.mUsage.mCompletionTokens) },
-        { "ms", absl::StrCat(absl::ToInt64Milliseconds(elapsed)) } });
+  Log(
+    log_component::Frontend, log_level::Info, log_event::RequestAnswered,
+    { { "request", aSession.mRequestId },
+      { "status", absl::StrCat(aStatus) },
+      { "code", aCode },
+      { "prompt_tokens", absl::StrCat(aSession.mUsage.mPromptTokens) },
+      { "completion_tokens", absl::StrCat(aSession.mUsage.mCompletionTokens) },
+      { "ms", absl::StrCat(absl::ToInt64Milliseconds(elapsed)) } });
 }
 
 http_reply ReplyWith(const caller_session& aSession,
@@ -285,8 +284,8 @@
   reply.mStatus = aAnswer.mStatus;
   reply.mContentType = aAnswer.mContentType;
   // A backend server that reports an error may or may not have acted.
-  reply.mHeaders = AnswerHeaders(
-    aSession, aAnswer.mStatus < 400 ? ran::Yes : ran::Unknown);
+  reply.mHeaders =
+    AnswerHeaders(aSession, aAnswer.mStatus < 400 ? ran::Yes : ran::Unknown);
   reply.mBody = aAnswer.mBody;
   return reply;
 }
@@ -373,8 +372,7 @@
                                             session.mExchange);
   const run_context context{ aLink, aRequestId, handle };
   Count(*aLink.mMetrics, counter::CallerRequests);
-  auto posted =
-    PostEvent(aLink, std::move(aEvent), event_class::NewWork);
+  auto posted = PostEvent(aLink, std::move(aEvent), event_class::NewWork);
   if (!IsOk(posted)) {
     Count(*aLink.mMetrics, counter::EventsRefused);
     return Conclude(session, ErrorOf(posted));
--- a/src/wire/completion.cc
+++ b/src/wire/completion.cc
@@ -65,8 +65,8 @@
     aRequest.mPromptTokensBound +=
       kTemplateTokensPerMessage +
       static_cast<token_count>(message["role"].asString().size());
-    auto content = AppendContent(message["content"], path + ".content",
-                                 aRequest.mPrompt);
+    auto content =
+      AppendContent(message["content"], path + ".content", aRequest.mPrompt);
     if (!IsOk(content)) {
       return content;
     }
@@ -164,7 +164,8 @@
   if (!aPiece.isObject()) {
     return;
   }
-  const unsigned index = aPiece["index"].isUInt() ? aPiece["index"].asUInt() : 0;
+  const unsigned index =
+    aPiece["index"].isUInt() ? aPiece["index"].asUInt() : 0;
   if (index >= kMaxToolCalls) {
     return;
   }
@@ -258,8 +259,7 @@
 {
   auto json = ParseJson(aBody);
   if (!IsOk(json)) {
-    return FieldFault("body", absl::StrCat("the body ",
-                                           ErrorOf(json).mDetail));
+    return FieldFault("body", absl::StrCat("the body ", ErrorOf(json).mDetail));
   }
   const Json::Value& body = ValueOf(json);
   if (!body.isObject()) {
--- a/src/wire/dispatch_client.cc
+++ b/src/wire/dispatch_client.cc
@@ -72,9 +72,8 @@
 bool TakeFrame(run_progress& aProgress, std::string_view aLine)
 {
   auto decoded = DecodeFrame(aLine);
-  auto checked = IsOk(decoded)
-                   ? CheckFrame(aProgress.mCheck, ValueOf(decoded))
-                   : result<success>(ErrorOf(decoded));
+  auto checked = IsOk(decoded) ? CheckFrame(aProgress.mCheck, ValueOf(decoded))
+                               : result<success>(ErrorOf(decoded));
   if (!IsOk(checked)) {
     aProgress.mFault = ErrorOf(checked);
     aProgress.mFault->mRan = ran::Unknown;
@@ -166,8 +165,7 @@
   const dispatch_action& action = aProgress.mAction;
   if (aProgress.mCheck.mPhase == frame_phase::Ended && !aProgress.mFault) {
     if (aProgress.mLast.mType == frame_type::Broken) {
-      return Failed(aProgress, aProgress.mLast.mError,
-                    aProgress.mLast.mUsage);
+      return Failed(aProgress, aProgress.mLast.mError, aProgress.mLast.mUsage);
     }
     return run_finished_event{ action.mHandle, action.mRun.mRequest,
                                aProgress.mLast.mUsage,
@@ -209,8 +207,8 @@
                            call_stopper& aStopper,
                            const run_observer& aObserver)
 {
-  run_progress progress{ aAction, aOptions, aObserver, 0, {}, {}, {}, {},
-                         {},      {},       {},        {} };
+  run_progress progress{ aAction, aOptions, aObserver, 0,  {}, {},
+                         {},      {},       {},        {}, {}, {} };
   progress.mCheck.mRequest = ToString(aAction.mRun.mRequest);
   progress.mMeter.mLimits = { aAction.mRun.mMaxPromptTokens,
                               aAction.mRun.mMaxTokens };
--- a/src/wire/dispatch_client.h
+++ b/src/wire/dispatch_client.h
@@ -9,9 +9,9 @@
 #include <variant>
 
 #include "foxtailquay/router.h"
-#include "json/json.h"
 #include "wire/http_call.h"
 #include "wire/run_codec.h"
+#include "json/json.h"
 
 namespace foxtailquay {
 
@@ -39,9 +39,10 @@
 using run_report =
   std::variant<run_refused_event, run_finished_event, run_failed_event>;
 
-// Blocks until the run has ended; Stop on aStopper ends it early. The report's mRelayed is false; the caller
-// knows what it passed on. The whole answer of a service or of a run with a
-// status other than 200 is in run_finished_event::mAnswer.
+// Blocks until the run has ended; Stop on aStopper ends it early. The report's
+// mRelayed is false; the caller knows what it passed on. The whole answer of a
+// service or of a run with a status other than 200 is in
+// run_finished_event::mAnswer.
 run_report PerformDispatch(const dispatch_action& aAction,
                            const dispatch_options& aOptions,
                            call_stopper& aStopper,
--- a/src/wire/engine_client.cc
+++ b/src/wire/engine_client.cc
@@ -110,8 +110,8 @@
   if (!Meter(aRun.mMeter, event)) {
     // The engine ignores the cap: what it reserves, and is billed, ends here.
     aRun.mDone = true;
-    Emit(aRun, DataFrame(SseEvent(ToText(
-                 LengthEvent(EndpointOf(aRun.mRun), aRun.mLastEvent)))));
+    Emit(aRun, DataFrame(SseEvent(
+                 ToText(LengthEvent(EndpointOf(aRun.mRun), aRun.mLastEvent)))));
     return false;
   }
   aRun.mLastEvent = event;
@@ -123,10 +123,9 @@
   if (!IsEventStream(aRun)) {
     return Emit(aRun, DataFrame(std::string(aBytes)));
   }
-  auto fed =
-    Feed(aRun.mParser, aBytes, [&aRun](std::string_view aPayload) {
-      return TakeEvent(aRun, aPayload);
-    });
+  auto fed = Feed(aRun.mParser, aBytes, [&aRun](std::string_view aPayload) {
+    return TakeEvent(aRun, aPayload);
+  });
   if (!IsOk(fed)) {
     aRun.mFault = ErrorOf(fed);
     return false;
@@ -188,12 +187,10 @@
   if (IsEventStream(aRun)) {
     outcome.mUsage = UsageOf(aRun.mMeter);
   }
-  const bool complete = IsEventStream(aRun)
-                          ? aRun.mDone
-                          : aOutcome == call_outcome::Complete;
+  const bool complete =
+    IsEventStream(aRun) ? aRun.mDone : aOutcome == call_outcome::Complete;
   outcome.mWhole = complete && !aRun.mRouterGone && !aRun.mFault;
-  outcome.mLast.mType =
-    outcome.mWhole ? frame_type::End : frame_type::Broken;
+  outcome.mLast.mType = outcome.mWhole ? frame_type::End : frame_type::Broken;
   outcome.mLast.mUsage = outcome.mUsage;
   if (!outcome.mWhole) {
     outcome.mLast.mError = FaultOf(aRun, aOutcome, aTimedOut);
@@ -239,8 +236,7 @@
     return ErrorOf(json);
   }
   const Json::Value& body = ValueOf(json);
-  if (!body.isObject() || !body["running"].isInt() ||
-      !body["queued"].isInt()) {
+  if (!body.isObject() || !body["running"].isInt() || !body["queued"].isInt()) {
     return error{ error_code::ProtocolViolation, ran::No, "load",
                   "expected running and queued", absl::ZeroDuration() };
   }
@@ -253,8 +249,7 @@
       std::uint64_t value = 0;
       if (hash.isUInt64()) {
         load.mCachedPrefixes.push_back(hash.asUInt64());
-      } else if (hash.isString() &&
-                 absl::SimpleAtoi(hash.asString(), &value)) {
+      } else if (hash.isString() && absl::SimpleAtoi(hash.asString(), &value)) {
         load.mCachedPrefixes.push_back(value);
       }
     }
--- a/src/wire/error_codec.cc
+++ b/src/wire/error_codec.cc
@@ -26,8 +26,8 @@
 Json::Value ToJson(const error& aError)
 {
   Json::Value body(Json::objectValue);
-  body["message"] = aError.mDetail.empty() ? std::string(NameOf(aError.mCode))
-                                           : aError.mDetail;
+  body["message"] =
+    aError.mDetail.empty() ? std::string(NameOf(aError.mCode)) : aError.mDetail;
   body["type"] = std::string(NameOf(TypeOf(aError.mCode)));
   body["code"] = std::string(NameOf(aError.mCode));
   body["param"] =
--- a/src/wire/frame_check.cc
+++ b/src/wire/frame_check.cc
@@ -27,13 +27,11 @@
   // A run that breaks before the backend server answers has no head.
   const bool isBroken = aFrame.mType == frame_type::Broken;
   const bool inOrder =
-    aCheck.mPhase == frame_phase::BeforeHead ? isHead || isBroken
-                                             : !isHead;
+    aCheck.mPhase == frame_phase::BeforeHead ? isHead || isBroken : !isHead;
   if (aCheck.mPhase == frame_phase::Ended || !inOrder) {
-    return Violation("type", absl::StrCat("frame ",
-                                          std::string(NameOf(aFrame.mType)),
-                                          " in phase ",
-                                          std::string(NameOf(aCheck.mPhase))));
+    return Violation(
+      "type", absl::StrCat("frame ", std::string(NameOf(aFrame.mType)),
+                           " in phase ", std::string(NameOf(aCheck.mPhase))));
   }
   if (isHead && aFrame.mRequest != aCheck.mRequest) {
     return Violation("request", absl::StrCat("answer to ", aFrame.mRequest,
--- a/src/wire/frame_check.h
+++ b/src/wire/frame_check.h
@@ -24,9 +24,10 @@
 
 constexpr auto NameTable(frame_phase)
 {
-  return MakeNameTable<frame_phase>({ { frame_phase::BeforeHead, "before_head" },
-                                      { frame_phase::InData, "in_data" },
-                                      { frame_phase::Ended, "ended" } });
+  return MakeNameTable<frame_phase>(
+    { { frame_phase::BeforeHead, "before_head" },
+      { frame_phase::InData, "in_data" },
+      { frame_phase::Ended, "ended" } });
 }
 
 struct frame_check
--- a/src/wire/http_call.cc
+++ b/src/wire/http_call.cc
@@ -61,16 +61,15 @@
   }
   request.response_handler = [&aOnHead,
                               &aRefused](const httplib::Response& aResponse) {
-    aRefused = !aOnHead(aResponse.status,
-                        aResponse.get_header_value("Content-Type"));
-    return !aRefused;
-  };
-  request.content_receiver = [&aOnData, &aRefused](const char* aData,
-                                                   size_t aSize, uint64_t,
-                                                   uint64_t) {
-    aRefused = !aOnData(std::string_view(aData, aSize));
+    aRefused =
+      !aOnHead(aResponse.status, aResponse.get_header_value("Content-Type"));
     return !aRefused;
   };
+  request.content_receiver =
+    [&aOnData, &aRefused](const char* aData, size_t aSize, uint64_t, uint64_t) {
+      aRefused = !aOnData(std::string_view(aData, aSize));
+      return !aRefused;
+    };
   return request;
 }
 
@@ -124,8 +123,7 @@
   httplib::Client client(aCall.mAddress.substr(0, colon), port);
   Configure(client, aCall, aStopper);
   bool refused = false;
-  const httplib::Request request =
-    ToRequest(aCall, aOnHead, aOnData, refused);
+  const httplib::Request request = ToRequest(aCall, aOnHead, aOnData, refused);
   const httplib::Result answer = client.send(request);
   const call_outcome outcome =
     OutcomeOf(answer.error() == httplib::Error::Success, answer.error());
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -26,8 +26,7 @@
   http_connection(http_server& aServer, socket_stream& aStream)
     : mServer(aServer)
     , mStream(aStream)
-  {
-  }
+  {}
 
   http_server& mServer;
   socket_stream& mStream;
@@ -76,16 +75,15 @@
 result<success> CheckFraming(const httplib::Request& aRequest,
                              std::size_t aMaxBody)
 {
-  const std::size_t lengths =
-    aRequest.get_header_value_count("Content-Length");
+  const std::size_t lengths = aRequest.get_header_value_count("Content-Length");
   const std::size_t encodings =
     aRequest.get_header_value_count("Transfer-Encoding");
   if (lengths + encodings > 1) {
     return BadFraming("more than one Content-Length or Transfer-Encoding");
   }
-  if (encodings == 1 && !absl::EqualsIgnoreCase(
-                          aRequest.get_header_value("Transfer-Encoding"),
-                          "chunked")) {
+  if (encodings == 1 &&
+      !absl::EqualsIgnoreCase(aRequest.get_header_value("Transfer-Encoding"),
+                              "chunked")) {
     return BadFraming("Transfer-Encoding must be chunked");
   }
   std::uint64_t length = 0;
@@ -98,8 +96,7 @@
   }
   if (length > aMaxBody) {
     return error{ error_code::BodyTooLarge, ran::No, "",
-                  absl::StrCat("the body must not exceed ", aMaxBody,
-                               " bytes"),
+                  absl::StrCat("the body must not exceed ", aMaxBody, " bytes"),
                   absl::ZeroDuration() };
   }
   return success{};
@@ -119,8 +116,7 @@
 public:
   explicit pool_queue(elastic_pool& aPool)
     : mPool(aPool)
-  {
-  }
+  {}
 
   // A connection that the pool refuses is handled on the accepting thread,
   // where Serve turns it away.
@@ -142,8 +138,7 @@
 public:
   explicit server_connector(http_server& aServer)
     : mServer(aServer)
-  {
-  }
+  {}
 
   int ListeningSocket() const { return svr_sock_; }
 
@@ -178,8 +173,7 @@
     , mHandler(std::move(aHandler))
     , mPool({ mOptions.mName, mOptions.mMaxConnections, 0, absl::Seconds(10) })
     , mConnector(*this)
-  {
-  }
+  {}
 
   const http_server_options mOptions;
   const http_handler mHandler;
@@ -207,9 +201,8 @@
 {
   ++aServer.mRefused;
   if (!aServer.mTls) {
-    http_reply reply = ErrorReply(
-      { error_code::Overloaded, ran::No, "", "too many connections",
-        absl::Seconds(1) });
+    http_reply reply = ErrorReply({ error_code::Overloaded, ran::No, "",
+                                    "too many connections", absl::Seconds(1) });
     std::string text = "HTTP/1.1 503 Service Unavailable\r\n"
                        "Connection: close\r\n"
                        "Content-Type: application/json\r\n";
@@ -265,12 +258,16 @@
     stream.BeginRequest(deadline, options.mMaxHeaderBytes);
     aConnection.mStreamed = false;
     bool closed = false;
+    // Stays false if the request line or the headers are malformed; where the
+    // next request would begin is then unknown.
+    bool parsed = false;
     const bool handled = aServer.mConnector.Handle(
       stream, aServer.mStopping, closed, [&](httplib::Request& aRequest) {
+        parsed = true;
         PrepareRequest(aConnection, aRequest, deadline);
       });
     UnwatchClient(aConnection);
-    if (!handled || closed) {
+    if (!handled || closed || !parsed) {
       return;
     }
   }
@@ -309,8 +306,8 @@
                               const httplib::Request& aRequest)
 {
   absl::MutexLock lock(&aServer.mMutex);
-  const auto found = aServer.mOpen.find(
-    ClientKey(aRequest.remote_addr, aRequest.remote_port));
+  const auto found =
+    aServer.mOpen.find(ClientKey(aRequest.remote_addr, aRequest.remote_port));
   return found == aServer.mOpen.end() ? nullptr : found->second;
 }
 
@@ -371,18 +368,16 @@
   SetReply(aResponse,
            ErrorReply(tooLarge
                         ? error{ error_code::BodyTooLarge, ran::No, "",
-                                 "the body is too large",
-                                 absl::ZeroDuration() }
+                                 "the body is too large", absl::ZeroDuration() }
                         : BadFraming("the body did not arrive in time")));
 }
 
-httplib::Server::HandlerResponse BeforeRouting(
-  http_server& aServer, const httplib::Request& aRequest,
-  httplib::Response& aResponse)
+httplib::Server::HandlerResponse BeforeRouting(http_server& aServer,
+                                               const httplib::Request& aRequest,
+                                               httplib::Response& aResponse)
 {
   static const std::set<std::string> kWithoutBody{ "GET", "HEAD", "OPTIONS" };
-  const auto framing =
-    CheckFraming(aRequest, aServer.mOptions.mMaxBodyBytes);
+  const auto framing = CheckFraming(aRequest, aServer.mOptions.mMaxBodyBytes);
   http_connection* connection = ConnectionOf(aServer, aRequest);
   const bool unreadBody =
     HasBody(aRequest) &&
@@ -424,18 +419,17 @@
       return BeforeRouting(aServer, aRequest, aResponse);
     });
   // Faults that cpp-httplib finds itself get the same error object.
-  connector.set_error_handler(
-    [](const httplib::Request&, httplib::Response& aResponse) {
-      if (aResponse.body.empty()) {
-        const int status = aResponse.status;
-        SetReply(aResponse,
-                 ErrorReply(status == 404
-                              ? error{ error_code::NotFound, ran::No, "",
-                                       "no such resource",
-                                       absl::ZeroDuration() }
-                              : BadFraming("not a valid HTTP request")));
-      }
-    });
+  connector.set_error_handler([](const httplib::Request&,
+                                 httplib::Response& aResponse) {
+    if (aResponse.body.empty()) {
+      const int status = aResponse.status;
+      SetReply(aResponse,
+               ErrorReply(status == 404
+                            ? error{ error_code::NotFound, ran::No, "",
+                                     "no such resource", absl::ZeroDuration() }
+                            : BadFraming("not a valid HTTP request")));
+    }
+  });
 }
 
 void ConfigureConnector(http_server& aServer)
@@ -479,8 +473,7 @@
   if (!absl::StartsWithIgnoreCase(value, kScheme)) {
     return "";
   }
-  return std::string(
-    absl::StripAsciiWhitespace(value.substr(kScheme.size())));
+  return std::string(absl::StripAsciiWhitespace(value.substr(kScheme.size())));
 }
 
 http_reply ErrorReply(const error& aError)
@@ -525,8 +518,9 @@
   }
   // An HTTP/1.0 client knows no chunks; the end of the connection ends the
   // reply.
-  absl::StrAppend(&text, aConnection.mChunked ? "Transfer-Encoding: chunked"
-                                              : "Connection: close",
+  absl::StrAppend(&text,
+                  aConnection.mChunked ? "Transfer-Encoding: chunked"
+                                       : "Connection: close",
                   "\r\n\r\n");
   aConnection.mClose = true;
   return aConnection.mStream.write(text.data(), text.size()) >= 0;
@@ -583,10 +577,10 @@
   }
   ConfigureConnector(aServer);
   server_connector& connector = aServer.mConnector;
-  const int port =
-    options.mPort == 0 ? connector.bind_to_any_port(options.mIp)
-    : connector.bind_to_port(options.mIp, options.mPort) ? options.mPort
-                                                         : -1;
+  const int port = options.mPort == 0 ? connector.bind_to_any_port(options.mIp)
+                   : connector.bind_to_port(options.mIp, options.mPort)
+                     ? options.mPort
+                     : -1;
   if (port < 0 || listen(connector.ListeningSocket(), kListenBacklog) != 0) {
     return error{ error_code::InvalidSetting, ran::No, options.mName,
                   absl::StrCat("\"", options.mIp, ":", options.mPort,
--- a/src/wire/json_rpc.cc
+++ b/src/wire/json_rpc.cc
@@ -36,16 +36,15 @@
 public:
   explicit http_client_connector(const rpc_transport& aTransport)
     : mTransport(aTransport)
-  {
-  }
+  {}
 
   void SendRPCMessage(const std::string& aMessage, std::string& aResult) throw(
     jsonrpc::JsonRpcException) override
   {
     mAnswered = mTransport(aMessage, aResult);
     if (!mAnswered) {
-      throw jsonrpc::JsonRpcException(
-        jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, "no answer");
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
+                                      "no answer");
     }
   }
 
@@ -86,8 +85,7 @@
   }
 
   void HandleNotificationCall(jsonrpc::Procedure&, const Json::Value&) override
-  {
-  }
+  {}
 
   rpc_handler mHandler;
   std::unique_ptr<jsonrpc::IProtocolHandler> mProtocol;
--- a/src/wire/json_rpc.h
+++ b/src/wire/json_rpc.h
@@ -19,8 +19,9 @@
 
 // Handles one call; returns its result. A failure is reported by returning
 // false with aResult as the error's data.
-using rpc_handler = std::function<bool(
-  const std::string& aMethod, const Json::Value& aParams, Json::Value& aResult)>;
+using rpc_handler =
+  std::function<bool(const std::string& aMethod, const Json::Value& aParams,
+                     Json::Value& aResult)>;
 
 struct rpc_server;
 
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -63,8 +63,7 @@
 
 Json::Value ToJson(const envelope& aEnvelope);
 // Errors: ProtocolViolation with the path of the field.
-result<envelope> EnvelopeFromJson(message_kind aKind,
-                                  const Json::Value& aJson);
+result<envelope> EnvelopeFromJson(message_kind aKind, const Json::Value& aJson);
 
 } // namespace foxtailquay
 
--- a/src/wire/operator_http.cc
+++ b/src/wire/operator_http.cc
@@ -15,7 +15,8 @@
 
 namespace {
 
-// --- Bodies -------------------------------------------------------------------
+// --- Bodies
+// -------------------------------------------------------------------
 
 struct top_up_body
 {
@@ -66,7 +67,8 @@
   return DecodeAs<T>(ValueOf(json), error_code::InvalidRequest);
 }
 
-// --- Requests -----------------------------------------------------------------
+// --- Requests
+// -----------------------------------------------------------------
 
 enum class admin_resource
 {
@@ -210,7 +212,8 @@
                 absl::ZeroDuration() };
 }
 
-// --- Answers ------------------------------------------------------------------
+// --- Answers
+// ------------------------------------------------------------------
 
 http_reply JsonReply(const Json::Value& aJson)
 {
@@ -246,8 +249,7 @@
   const auto answer = Take(box, MonotonicNow() + kOperatorTimeout);
   if (!answer) {
     return ErrorReply({ error_code::StoreOutcomeUnknown, ran::Unknown, "",
-                        "the store did not answer in time",
-                        absl::Seconds(5) });
+                        "the store did not answer in time", absl::Seconds(5) });
   }
   return IsOk(*answer) ? ReplyFor(aPath, ValueOf(*answer))
                        : ErrorReply(ErrorOf(*answer));
@@ -257,8 +259,8 @@
 std::optional<http_reply> ReadConfig(router_link& aLink,
                                      const admin_path& aPath)
 {
-  auto json = QueryRouter<Json::Value>(
-    aLink, [&aPath](const router_state& aState) {
+  auto json =
+    QueryRouter<Json::Value>(aLink, [&aPath](const router_state& aState) {
       return aPath.mResource == admin_resource::Config
                ? ToJson(ConfigOf(aState))
                : WorkspaceList(ConfigOf(aState));
--- a/src/wire/peer_client.cc
+++ b/src/wire/peer_client.cc
@@ -19,8 +19,7 @@
 
 void Connect(peer_client& aClient)
 {
-  aClient.mHttp =
-    std::make_unique<httplib::Client>(aClient.mIp, aClient.mPort);
+  aClient.mHttp = std::make_unique<httplib::Client>(aClient.mIp, aClient.mPort);
   aClient.mHttp->set_keep_alive(true);
   aClient.mHttp->set_tcp_nodelay(true);
   aClient.mHttp->set_connection_timeout(
--- a/src/wire/peer_front.cc
+++ b/src/wire/peer_front.cc
@@ -43,8 +43,7 @@
   }
   Count(aFront.mMetrics, counter::MessagesReceived);
   Log(log_component::Peer, log_level::Debug, log_event::MessageReceived,
-      { { "kind", aMethod },
-        { "from", ToString(ValueOf(decoded).mSender) } });
+      { { "kind", aMethod }, { "from", ToString(ValueOf(decoded).mSender) } });
   auto posted = aFront.mOptions.mOnMessage(ValueOf(std::move(decoded)));
   if (!IsOk(posted)) {
     Count(aFront.mMetrics, counter::EventsRefused);
@@ -64,8 +63,7 @@
                                          Json::Value& aResult) {
     return HandleMessage(*this, aMethod, aParams, aResult);
   }))
-{
-}
+{}
 
 bool IsPeer(const std::string& aPeerKey, const http_request& aRequest)
 {
--- a/src/wire/peer_sender.cc
+++ b/src/wire/peer_sender.cc
@@ -83,8 +83,7 @@
 
 // Forgets channels that were not used lately, at most once a second.
 // Precondition: mMutex is held.
-void CleanUp(peer_sender& aSender)
-  ABSL_EXCLUSIVE_LOCKS_REQUIRED(aSender.mMutex)
+void CleanUp(peer_sender& aSender) ABSL_EXCLUSIVE_LOCKS_REQUIRED(aSender.mMutex)
 {
   const absl::Time now = MonotonicNow();
   if (now < aSender.mNextCleanUp) {
@@ -108,8 +107,7 @@
   , mOnUnreachable(std::move(aOnUnreachable))
   , mPool({ "peers", mOptions.mMaxThreads, mOptions.mMaxQueuedPeers,
             absl::Seconds(10) })
-{
-}
+{}
 
 void SendToPeer(peer_sender& aSender, send_action aAction)
 {
@@ -128,9 +126,8 @@
   if (channel.mSending) {
     return;
   }
-  channel.mSending = TrySubmit(aSender.mPool, [&aSender, &channel] {
-    RunChannel(aSender, channel);
-  });
+  channel.mSending = TrySubmit(
+    aSender.mPool, [&aSender, &channel] { RunChannel(aSender, channel); });
   if (!channel.mSending) {
     NoteDropped(aSender, channel.mQueue.back(), "all threads busy");
     channel.mQueue.pop_back();
--- a/src/wire/probes.cc
+++ b/src/wire/probes.cc
@@ -52,9 +52,8 @@
   };
   if (IsOk(aFigures)) {
     gauges.push_back({ gauge::Ready, ValueOf(aFigures).mReady ? 1.0 : 0.0 });
-    gauges.push_back(
-      { gauge::ConfigVersion,
-        static_cast<double>(ValueOf(aFigures).mConfigVersion) });
+    gauges.push_back({ gauge::ConfigVersion,
+                       static_cast<double>(ValueOf(aFigures).mConfigVersion) });
   }
   return gauges;
 }
@@ -86,9 +85,8 @@
     QueryRouter<node_figures>(aLink, [](const router_state& aState) {
       return node_figures{ IsReady(aState), ConfigOf(aState).mVersion };
     });
-  return MetricsReply(
-    *aLink.mMetrics,
-    GaugesOf(figures, SizeOf(aLink.mCallers), SizeOf(aLink.mQueue)));
+  return MetricsReply(*aLink.mMetrics, GaugesOf(figures, SizeOf(aLink.mCallers),
+                                                SizeOf(aLink.mQueue)));
 }
 
 http_reply AgentMetricsReply(agent_link& aLink)
@@ -97,16 +95,16 @@
     QueryAgent<node_figures>(aLink, [](const agent_state& aState) {
       return node_figures{ IsReady(aState), Dump(aState).mConfigVersion };
     });
-  return MetricsReply(
-    *aLink.mMetrics,
-    GaugesOf(figures, SizeOf(aLink.mRuns), SizeOf(aLink.mQueue)));
+  return MetricsReply(*aLink.mMetrics, GaugesOf(figures, SizeOf(aLink.mRuns),
+                                                SizeOf(aLink.mQueue)));
 }
 
 http_reply RouterStateReply(router_link& aLink)
 {
-  return JsonReply(QueryRouter<Json::Value>(
-    aLink,
-    [](const router_state& aState) { return DumpToJson(Dump(aState)); }));
+  return JsonReply(
+    QueryRouter<Json::Value>(aLink, [](const router_state& aState) {
+      return DumpToJson(Dump(aState));
+    }));
 }
 
 http_reply AgentStateReply(agent_link& aLink)
--- a/src/wire/run_codec.cc
+++ b/src/wire/run_codec.cc
@@ -182,9 +182,9 @@
   Json::Value json;
   switch (aFrame.mType) {
     case frame_type::Head:
-      json = EncodeValue(head_json{ aFrame.mNumber, aFrame.mType,
-                                    aFrame.mRequest, aFrame.mStatus,
-                                    aFrame.mContentType });
+      json =
+        EncodeValue(head_json{ aFrame.mNumber, aFrame.mType, aFrame.mRequest,
+                               aFrame.mStatus, aFrame.mContentType });
       break;
     case frame_type::Data:
       json = EncodeValue(data_json{ aFrame.mNumber, aFrame.mType });
@@ -213,8 +213,8 @@
   run_frame frame;
   auto outcome = CheckObject(ValueOf(json), root);
   if (IsOk(outcome)) {
-    outcome = DecodeEnum(ValueOf(json)["type"], Below(root, "type"),
-                         frame.mType);
+    outcome =
+      DecodeEnum(ValueOf(json)["type"], Below(root, "type"), frame.mType);
   }
   if (IsOk(outcome)) {
     outcome = DecodeTyped(ValueOf(json), frame);
--- a/src/wire/socket_stream.cc
+++ b/src/wire/socket_stream.cc
@@ -107,8 +107,7 @@
 {
   for (;;) {
     if (mTls) {
-      const int count =
-        SSL_read(mTls.get(), aInto, static_cast<int>(aSize));
+      const int count = SSL_read(mTls.get(), aInto, static_cast<int>(aSize));
       if (count > 0) {
         return count;
       }
@@ -127,9 +126,8 @@
     if (count >= 0) {
       return count;
     }
-    if (errno != EINTR &&
-        ((errno != EAGAIN && errno != EWOULDBLOCK) ||
-         !Wait(POLLIN, aDeadline))) {
+    if (errno != EINTR && ((errno != EAGAIN && errno != EWOULDBLOCK) ||
+                           !Wait(POLLIN, aDeadline))) {
       return -1;
     }
   }
@@ -160,8 +158,7 @@
 {
   for (;;) {
     if (mTls) {
-      const int count =
-        SSL_write(mTls.get(), aData, static_cast<int>(aSize));
+      const int count = SSL_write(mTls.get(), aData, static_cast<int>(aSize));
       if (count > 0) {
         return count;
       }
@@ -177,9 +174,8 @@
     if (count >= 0) {
       return count;
     }
-    if (errno != EINTR &&
-        ((errno != EAGAIN && errno != EWOULDBLOCK) ||
-         !Wait(POLLOUT, aDeadline))) {
+    if (errno != EINTR && ((errno != EAGAIN && errno != EWOULDBLOCK) ||
+                           !Wait(POLLOUT, aDeadline))) {
       return -1;
     }
   }
--- a/src/wire/state_json.cc
+++ b/src/wire/state_json.cc
@@ -5,7 +5,8 @@
 
 namespace foxtailquay {
 
-// --- Tables of the dumps' fields ----------------------------------------------
+// --- Tables of the dumps' fields
+// ----------------------------------------------
 
 constexpr auto FieldsOf(const share_dump*)
 {
@@ -132,8 +133,9 @@
 
 Json::Value AccountSummary(const budget_id& aBudget, const account& aAccount)
 {
-  account_summary summary{ aBudget, aAccount.mPaidIn, Spent(aAccount),
-                           Unallocated(aAccount), {} };
+  account_summary summary{
+    aBudget, aAccount.mPaidIn, Spent(aAccount), Unallocated(aAccount), {}
+  };
   for (const auto& [holder, share] : aAccount.mShares) {
     summary.mShares.push_back({ holder.mMember, holder.mIncarnation,
                                 share.mGranted, share.mSpent, share.mHeld });
--- a/src/wire/usage_meter.cc
+++ b/src/wire/usage_meter.cc
@@ -65,9 +65,9 @@
     usage.mCompletionTokens =
       std::max(usage.mCompletionTokens, aMeter.mContentEvents);
   } else if (aMeter.mContentEvents > 0) {
-    usage.mPromptTokens = (limits.mMaxPromptTokens + kEstimatedBytesPerToken -
-                           1) /
-                          kEstimatedBytesPerToken;
+    usage.mPromptTokens =
+      (limits.mMaxPromptTokens + kEstimatedBytesPerToken - 1) /
+      kEstimatedBytesPerToken;
     usage.mCompletionTokens = aMeter.mContentEvents;
   }
   usage.mPromptTokens = std::min(usage.mPromptTokens, limits.mMaxPromptTokens);
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,163 @@
+// Guards against a process that starts with a setting its operator did not
+// mean: unknown, contradictory, missing or out of range.
+
+#define BOOST_TEST_MODULE settings
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+#include "gflags/gflags.h"
+#include "runtime/settings.h"
+
+namespace foxtailquay {
+namespace {
+
+using arguments = std::vector<std::string>;
+using environment = std::map<std::string, std::string>;
+
+const arguments kRouter{ "--role=router",
+                         "--member=r1",
+                         "--zone=z1",
+                         "--listen=127.0.0.1:80",
+                         "--peer_listen=127.0.0.1:81",
+                         "--store=127.0.0.1:82" };
+const arguments kAgent{ "--role=agent",
+                        "--member=e1",
+                        "--zone=z1",
+                        "--peer_listen=127.0.0.1:81",
+                        "--store=127.0.0.1:82",
+                        "--backend=127.0.0.1:83" };
+
+result<daemon_settings> ReadFresh(const arguments& aArguments,
+                                  const environment& aEnvironment = {})
+{
+  const gflags::FlagSaver restore;
+  return ReadSettings(aArguments, aEnvironment, "/opt/bin");
+}
+
+// aExtra replaces the setting of the same name, or is added.
+arguments With(arguments aBase, const std::string& aExtra)
+{
+  const std::string name = aExtra.substr(0, aExtra.find('=')) + "=";
+  for (std::string& argument : aBase) {
+    if (argument.rfind(name, 0) == 0) {
+      argument.clear();
+    }
+  }
+  aBase.erase(std::remove(aBase.begin(), aBase.end(), ""), aBase.end());
+  aBase.push_back(aExtra);
+  return aBase;
+}
+
+BOOST_AUTO_TEST_CASE(reads_both_roles)
+{
+  const auto router = ReadFresh(kRouter);
+  BOOST_REQUIRE(IsOk(router));
+  BOOST_TEST((ValueOf(router).mRole == process_role::Router));
+  BOOST_TEST(ToString(ValueOf(router).mListen) == "127.0.0.1:80");
+  BOOST_TEST(ValueOf(router).mChartsDir ==
+             "/opt/bin/../share/foxtailquay/charts");
+  const auto agent = ReadFresh(kAgent);
+  BOOST_REQUIRE(IsOk(agent));
+  BOOST_TEST(ToString(ValueOf(agent).mBackend) == "127.0.0.1:83");
+}
+
+struct refused_setting
+{
+  const arguments& mBase;
+  const char* mExtra;
+  const char* mField;
+  const char* mDetail;
+};
+
+BOOST_AUTO_TEST_CASE(refuses_with_name_value_and_remedy)
+{
+  const refused_setting cases[] = {
+    { kRouter, "--rolle=router", "--rolle", "the settings are" },
+    { kRouter, "--role=proxy", "--role", "\"proxy\"" },
+    { kRouter, "--role=", "--role", "router or agent" },
+    { kRouter, "--backend=127.0.0.1:83", "--backend", "use --role=agent" },
+    { kAgent, "--listen=127.0.0.1:80", "--listen", "use --role=router" },
+    { kAgent, "--operator_key_file=k", "--operator_key_file", "only routers" },
+    { kAgent, "--vm_list=127.0.0.1:9/v", "--vm_list", "only routers" },
+    { kAgent, "--tls_cert_file=c", "--tls_key_file", "together" },
+    { kRouter, "--tls_key_file=c", "--tls_cert_file", "together" },
+    { kRouter, "--member=", "--member", "needs it" },
+    { kRouter, "--member=a/b", "--member", "\"a/b\"" },
+    { kRouter, "--listen=localhost:80", "--listen", "IP:port" },
+    { kRouter, "--listen=127.0.0.1:0", "--listen", "IP:port" },
+    { kRouter, "--listen=127.0.0.1:81", "--peer_listen", "differ" },
+    { kRouter, "--peer_listen=0.0.0.0:81", "--peer_listen", "reach" },
+    { kRouter, "--max_connections=0", "--max_connections", "from 1 to" },
+    { kRouter, "--max_connections=x", "--max_connections", "whole number" },
+    { kRouter, "--max_body_bytes=9", "--max_body_bytes", "from 1024" },
+    { kRouter, "--log_level=loud", "--log_level", "debug, info" },
+    { kRouter, "--log_levels=peer", "--log_levels", "component=level" },
+    { kRouter, "--log_levels=pear=info", "--log_levels", "one of daemon" },
+    { kRouter, "--log_levels=peer=loud", "--log_levels", "one of debug" },
+    { kRouter, "--vm_list=127.0.0.1:9", "--vm_list", "IP:port/path" },
+    { kRouter, "--operator_key_file=/nonexistent", "--operator_key_file",
+      "readable file" },
+    { kRouter, "stray", "stray", "unexpected argument" },
+    { kRouter, "--store", "--store", "no value" },
+  };
+  for (const refused_setting& refused : cases) {
+    const auto read = ReadFresh(With(refused.mBase, refused.mExtra));
+    BOOST_REQUIRE_MESSAGE(!IsOk(read), "accepted: " << refused.mExtra);
+    BOOST_TEST((ErrorOf(read).mCode == error_code::InvalidSetting));
+    BOOST_TEST(ErrorOf(read).mField == refused.mField);
+    BOOST_TEST(ErrorOf(read).mDetail.find(refused.mDetail) != std::string::npos,
+               refused.mExtra << ": " << ErrorOf(read).mDetail);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refuses_a_setting_given_twice)
+{
+  arguments twice = kRouter;
+  twice.emplace_back("--zone=z2");
+  const auto read = ReadFresh(twice);
+  BOOST_REQUIRE(!IsOk(read));
+  BOOST_TEST(ErrorOf(read).mField == "--zone");
+}
+
+BOOST_AUTO_TEST_CASE(a_flag_wins_over_the_environment)
+{
+  arguments without = kRouter;
+  without.erase(without.begin() + 2);
+  const auto fromEnvironment =
+    ReadFresh(without, { { "FOXTAILQUAY_ZONE", "z7" }, { "PATH", "/bin" } });
+  BOOST_REQUIRE(IsOk(fromEnvironment));
+  BOOST_TEST(ValueOf(fromEnvironment).mZone == "z7");
+  const auto both = ReadFresh(kRouter, { { "FOXTAILQUAY_ZONE", "z7" } });
+  BOOST_REQUIRE(IsOk(both));
+  BOOST_TEST(ValueOf(both).mZone == "z1");
+}
+
+BOOST_AUTO_TEST_CASE(names_the_variable_at_fault)
+{
+  const auto unknown = ReadFresh(kRouter, { { "FOXTAILQUAY_ZONES", "z" } });
+  BOOST_REQUIRE(!IsOk(unknown));
+  BOOST_TEST(ErrorOf(unknown).mField == "FOXTAILQUAY_ZONES");
+  const auto contradictory =
+    ReadFresh(kAgent, { { "FOXTAILQUAY_LISTEN", "127.0.0.1:1" } });
+  BOOST_REQUIRE(!IsOk(contradictory));
+  BOOST_TEST(ErrorOf(contradictory).mField == "FOXTAILQUAY_LISTEN");
+}
+
+BOOST_AUTO_TEST_CASE(reads_keys_and_refuses_short_ones)
+{
+  const std::string path = "settings_test_key";
+  std::ofstream(path) << "0123456789abcdef\n";
+  const auto good = ReadFresh(With(kRouter, "--operator_key_file=" + path));
+  BOOST_REQUIRE(IsOk(good));
+  BOOST_TEST(ValueOf(good).mOperatorKey == "0123456789abcdef");
+  std::ofstream(path) << "short\n";
+  const auto bad = ReadFresh(With(kRouter, "--operator_key_file=" + path));
+  BOOST_REQUIRE(!IsOk(bad));
+  // The key itself must not show up in the message.
+  BOOST_TEST(ErrorOf(bad).mDetail.find("short") == std::string::npos);
+}
+
+} // namespace
+} // namespace foxtailquay
