--- a/src/daemon/node_io.cc
+++ b/src/daemon/node_io.cc
@@ -63,7 +63,8 @@
             aMetrics, std::move(aOnUnreachable))
 {}
 
-void CallStore(node_io& aIo, store_request aRequest, store_callback aOnReply)
+void CallStore(node_io& aIo, store_request aRequest,
+               const store_callback& aOnReply)
 {
   store_reply refused;
   refused.mKey = aRequest.mKey;
--- a/src/daemon/node_io.h
+++ b/src/daemon/node_io.h
@@ -45,7 +45,8 @@
 
 // Any thread; does not block. aOnReply is called on a pool thread, or at once
 // with Unavailable if too many calls wait.
-void CallStore(node_io& aIo, store_request aRequest, store_callback aOnReply);
+void CallStore(node_io& aIo, store_request aRequest,
+               const store_callback& aOnReply);
 
 // Ends all threads; calls that wait are made first.
 void StopIo(node_io& aIo);
--- a/src/wire/engine_client.cc
+++ b/src/wire/engine_client.cc
@@ -144,7 +144,8 @@
   call.mBody = aRun.mBody;
   call.mHeaders = { { "X-Request-Id", ToString(aRun.mRequest) } };
   call.mConnectTimeout = std::min(aOptions.mConnectTimeout, aRun.mTimeout);
-  call.mReadTimeout = aRun.mTimeout;
+  // The timer ends the run; a read timeout at the same moment would hide why.
+  call.mReadTimeout = aRun.mTimeout + absl::Seconds(5);
   if (aRun.mKind == backend_kind::Engine) {
     auto body = EngineBody(aRun);
     if (!IsOk(body)) {
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -6,16 +6,12 @@
 #include <netinet/tcp.h>
 #include <pthread.h>
 
-#include "absl/strings/ascii.h"
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "httplib.h"
 #include "runtime/clock.h"
 #include "runtime/elastic_pool.h"
 #include "wire/connection_watch.h"
-#include "wire/document_codec.h"
-#include "wire/error_codec.h"
+#include "wire/http_framing.h"
 #include "wire/socket_stream.h"
 #include "wire/tls.h"
 
@@ -46,6 +42,12 @@
 // a burst of new connections overruns.
 constexpr int kListenBacklog = 1024;
 
+// How long, and for how much, the rest of a refused request is read before
+// its connection is closed: closing with unread bytes resets the connection,
+// and the client may lose the reply.
+constexpr absl::Duration kDrainTime = absl::Milliseconds(500);
+constexpr std::size_t kDrainBytes = 16 << 20;
+
 // Text that cannot end a header line.
 std::string HeaderText(std::string aText)
 {
@@ -57,51 +59,6 @@
   return aText;
 }
 
-bool HasBody(const httplib::Request& aRequest)
-{
-  const std::string length = aRequest.get_header_value("Content-Length");
-  return aRequest.has_header("Transfer-Encoding") ||
-         (!length.empty() && length != "0");
-}
-
-error BadFraming(std::string aDetail)
-{
-  return error{ error_code::InvalidRequest, ran::No, "", std::move(aDetail),
-                absl::ZeroDuration() };
-}
-
-// Rejects requests whose end could be understood in two ways: what follows
-// them on the connection may be taken for another caller's request.
-result<success> CheckFraming(const httplib::Request& aRequest,
-                             std::size_t aMaxBody)
-{
-  const std::size_t lengths = aRequest.get_header_value_count("Content-Length");
-  const std::size_t encodings =
-    aRequest.get_header_value_count("Transfer-Encoding");
-  if (lengths + encodings > 1) {
-    return BadFraming("more than one Content-Length or Transfer-Encoding");
-  }
-  if (encodings == 1 &&
-      !absl::EqualsIgnoreCase(aRequest.get_header_value("Transfer-Encoding"),
-                              "chunked")) {
-    return BadFraming("Transfer-Encoding must be chunked");
-  }
-  std::uint64_t length = 0;
-  if (lengths == 1) {
-    const std::string text = aRequest.get_header_value("Content-Length");
-    if (text.empty() || !absl::ascii_isdigit(text[0]) ||
-        !absl::SimpleAtoi(text, &length)) {
-      return BadFraming("Content-Length is not a number");
-    }
-  }
-  if (length > aMaxBody) {
-    return error{ error_code::BodyTooLarge, ran::No, "",
-                  absl::StrCat("the body must not exceed ", aMaxBody, " bytes"),
-                  absl::ZeroDuration() };
-  }
-  return success{};
-}
-
 void SetReply(httplib::Response& aResponse, const http_reply& aReply)
 {
   aResponse.status = aReply.mStatus;
@@ -297,6 +254,9 @@
     mServer.mOpen[key] = &connection;
   }
   Serve(mServer, connection);
+  if (connection.mClose) {
+    stream.Drain(MonotonicNow() + kDrainTime, kDrainBytes);
+  }
   absl::MutexLock lock(&mServer.mMutex);
   mServer.mOpen.erase(key);
   return true;
@@ -454,41 +414,6 @@
 
 } // namespace
 
-bool case_insensitive_less::operator()(const std::string& aLeft,
-                                       const std::string& aRight) const
-{
-  return httplib::detail::ci()(aLeft, aRight);
-}
-
-std::string HeaderOf(const http_request& aRequest, const std::string& aName)
-{
-  const auto found = aRequest.mHeaders.find(aName);
-  return found == aRequest.mHeaders.end() ? "" : found->second;
-}
-
-std::string BearerOf(const http_request& aRequest)
-{
-  const std::string value = HeaderOf(aRequest, "Authorization");
-  constexpr absl::string_view kScheme = "Bearer ";
-  if (!absl::StartsWithIgnoreCase(value, kScheme)) {
-    return "";
-  }
-  return std::string(absl::StripAsciiWhitespace(value.substr(kScheme.size())));
-}
-
-http_reply ErrorReply(const error& aError)
-{
-  http_reply reply;
-  reply.mStatus = HttpStatusOf(aError.mCode);
-  reply.mHeaders.emplace_back("X-Foxtailquay-Ran",
-                              std::string(NameOf(aError.mRan)));
-  if (const int seconds = RetryAfterSeconds(aError); seconds > 0) {
-    reply.mHeaders.emplace_back("Retry-After", absl::StrCat(seconds));
-  }
-  reply.mBody = ToText(ToJson(aError));
-  return reply;
-}
-
 void WatchClient(http_connection& aConnection, std::function<void()> aCallback)
 {
   UnwatchClient(aConnection);
--- a/src/wire/http_server.h
+++ b/src/wire/http_server.h
@@ -20,16 +20,14 @@
 
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 #include "absl/time/time.h"
 #include "foxtailquay/result.h"
+#include "wire/http_message.h"
 
 namespace foxtailquay {
 
@@ -55,42 +53,6 @@
   std::string mTlsKeyFile;
 };
 
-struct case_insensitive_less
-{
-  bool operator()(const std::string& aLeft, const std::string& aRight) const;
-};
-
-struct http_request
-{
-  std::string mMethod;
-  // Decoded, without the query.
-  std::string mPath;
-  // As received, with the query.
-  std::string mTarget;
-  std::map<std::string, std::string, case_insensitive_less> mHeaders;
-  std::string mBody;
-  std::string mRemote;
-};
-
-// The header's value, empty if it is absent.
-std::string HeaderOf(const http_request& aRequest, const std::string& aName);
-
-// The token of "Authorization: Bearer <token>", empty if there is none.
-std::string BearerOf(const http_request& aRequest);
-
-using http_headers = std::vector<std::pair<std::string, std::string>>;
-
-struct http_reply
-{
-  int mStatus = 200;
-  std::string mContentType = "application/json";
-  http_headers mHeaders;
-  std::string mBody;
-};
-
-// The JSON error object with status, Retry-After and X-Foxtailquay-Ran.
-http_reply ErrorReply(const error& aError);
-
 struct http_connection;
 
 // Calls aCallback once, on another thread, when the client closes the
--- a/src/wire/socket_stream.cc
+++ b/src/wire/socket_stream.cc
@@ -103,6 +103,22 @@
   mDiscard = false;
 }
 
+void socket_stream::Drain(absl::Time aDeadline, std::size_t aMaxBytes)
+{
+  if (mTls) {
+    SSL_shutdown(mTls.get());
+  }
+  shutdown(mSocket, SHUT_WR);
+  std::size_t drained = 0;
+  while (drained < aMaxBytes) {
+    const ssize_t count = Receive(mBuffer.data(), mBuffer.size(), aDeadline);
+    if (count <= 0) {
+      return;
+    }
+    drained += static_cast<std::size_t>(count);
+  }
+}
+
 ssize_t socket_stream::Receive(char* aInto, size_t aSize, absl::Time aDeadline)
 {
   for (;;) {
--- a/src/wire/socket_stream.h
+++ b/src/wire/socket_stream.h
@@ -35,6 +35,10 @@
   // Reads fail after the deadline or after aMaxBytes more bytes.
   void BeginRequest(absl::Time aDeadline, std::size_t aMaxBytes);
 
+  // Ends sending and discards what the client still sends, until it closes or
+  // a bound is reached.
+  void Drain(absl::Time aDeadline, std::size_t aMaxBytes);
+
   // Drops what is written from now on: the reply was already sent.
   void DiscardWrites(bool aDiscard) { mDiscard = aDiscard; }
 
