--- a/src/daemon/router_host.cc
+++ b/src/daemon/router_host.cc
@@ -85,7 +85,7 @@
   }
 }
 
-void Perform(router_host& aHost, cancel_run_action aAction)
+void Perform(router_host& aHost, const cancel_run_action& aAction)
 {
   const auto found = aHost.mRuns.find(aAction.mHandle);
   if (found != aHost.mRuns.end() &&
--- a/src/wire/caller_front.cc
+++ b/src/wire/caller_front.cc
@@ -98,7 +98,7 @@
 {
   const std::string text = HeaderOf(aRequest, "X-Timeout-Ms");
   if (!text.empty()) {
-    constexpr std::int64_t kLongest = 24 * 3600 * 1000;
+    constexpr std::int64_t kLongest = 86'400'000;
     std::int64_t milliseconds = 0;
     if (!absl::SimpleAtoi(text, &milliseconds) || milliseconds < 1 ||
         milliseconds > kLongest) {
