--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -54,18 +54,19 @@
 
 struct admission_options
 {
-  // Part of the work, by class, that a class gets while higher ones wait.
-  // Without it, batch work would starve under steady interactive load.
-  std::array<double, kPriorityClasses> mGuaranteedPart = { 0, 0.2, 0.1 };
-  // Free slots that a class leaves to higher ones, so that these need not
-  // wait for the end of a long run. They apply while higher classes are
-  // active.
-  std::array<int, kPriorityClasses> mReservedSlots = { 0, 1, 2 };
+  // A class whose part of the recent work is below this goes before higher
+  // ones, and may use reserved slots, once its first request has waited for
+  // mGuaranteeWait. Without it, batch work would starve under steady
+  // interactive load.
+  std::array<double, kPriorityClasses> mGuaranteedPart = { 0, 0.1, 0.1 };
+  absl::Duration mGuaranteeWait = absl::Milliseconds(500);
+  // Part of this router's slots that a class leaves free for higher ones, so
+  // that these need not wait for the end of a long run. It applies while higher
+  // classes are active.
+  std::array<double, kPriorityClasses> mReservedPart = { 0, 0.02, 0.04 };
   // A class is active for this long after its last request.
   absl::Duration mActiveTime = absl::Seconds(1);
-  // Part of its longest wait after which a request ignores reserved slots.
-  double mAgeingPart = 0.5;
-  // Averaging time of the drain rate.
+  // Averaging time of the drain rate and of the parts of the work.
   absl::Duration mDrainWindow = absl::Seconds(5);
   // Requests taken from a queue before its drain rate is trusted.
   double mMinDrained = 3;
@@ -118,10 +119,10 @@
 struct class_queue
 {
   fair_queue mWaiting;
-  // Work that this class may take ahead of higher classes.
-  double mCredit = 0;
-  // Requests taken, with exponential decay over mDrainWindow.
+  // Requests taken from a queue, and the cost of all requests taken, both with
+  // exponential decay over mDrainWindow.
   double mDrained = 0;
+  double mWork = 0;
   absl::Time mLastRequest = absl::InfinitePast();
 };
 
@@ -146,22 +147,25 @@
 };
 
 // Decides on a new request. aFreeSlots is how many requests for the target
-// the known backend servers can take now. An admitted request counts against
-// the workspace until NoteDone; a queued one does so once TakeAdmitted
-// returns it. A request counts against its rate limit unless it is refused.
-// Errors: ConcurrencyLimited, RateLimited, Overloaded, DeadlineExceeded, all
-// with ran::No; mRetryAfter is the expected time until a retry can succeed.
+// the known backend servers can take now, and aSlots how many if they were
+// idle; without aSlots, reserved parts refer to the free slots. An admitted
+// request counts against the workspace until NoteDone; a queued one does so
+// once TakeAdmitted returns it. A request counts against its rate limit unless
+// it is refused. Errors: ConcurrencyLimited, RateLimited, Overloaded,
+// DeadlineExceeded, all with ran::No; mRetryAfter is the expected time until a
+// retry can succeed.
 admission_decision Admit(admission_state& aState,
                          const admission_request& aRequest,
                          const workspace_config& aWorkspace,
                          const fleet_config& aFleet, int aFreeSlots,
-                         absl::Time aNow);
+                         absl::Time aNow, int aSlots = 0);
 
 // Removes and returns up to aFreeSlots queued requests of aTarget, in the
 // order in which they are to run.
 std::vector<request_handle> TakeAdmitted(admission_state& aState,
                                          const std::string& aTarget,
-                                         int aFreeSlots, absl::Time aNow);
+                                         int aFreeSlots, absl::Time aNow,
+                                         int aSlots = 0);
 
 // Removes and returns queued requests whose time in the queue is over, and
 // those that gave way to others since the last call.
