--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -6,16 +6,12 @@
 #include <netinet/tcp.h>
 #include <pthread.h>
 
-#include "absl/strings/ascii.h"
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "httplib.h"
 #include "runtime/clock.h"
 #include "runtime/elastic_pool.h"
 #include "wire/connection_watch.h"
-#include "wire/document_codec.h"
-#include "wire/error_codec.h"
+#include "wire/http_framing.h"
 #include "wire/socket_stream.h"
 #include "wire/tls.h"
 
@@ -26,8 +22,7 @@
   http_connection(http_server& aServer, socket_stream& aStream)
     : mServer(aServer)
     , mStream(aStream)
-  {
-  }
+  {}
 
   http_server& mServer;
   socket_stream& mStream;
@@ -47,6 +42,12 @@
 // a burst of new connections overruns.
 constexpr int kListenBacklog = 1024;
 
+// How long, and for how much, the rest of a refused request is read before
+// its connection is closed: closing with unread bytes resets the connection,
+// and the client may lose the reply.
+constexpr absl::Duration kDrainTime = absl::Milliseconds(500);
+constexpr std::size_t kDrainBytes = 16 << 20;
+
 // Text that cannot end a header line.
 std::string HeaderText(std::string aText)
 {
@@ -58,53 +59,6 @@
   return aText;
 }
 
-bool HasBody(const httplib::Request& aRequest)
-{
-  const std::string length = aRequest.get_header_value("Content-Length");
-  return aRequest.has_header("Transfer-Encoding") ||
-         (!length.empty() && length != "0");
-}
-
-error BadFraming(std::string aDetail)
-{
-  return error{ error_code::InvalidRequest, ran::No, "", std::move(aDetail),
-                absl::ZeroDuration() };
-}
-
-// Rejects requests whose end could be understood in two ways: what follows
-// them on the connection may be taken for another caller's request.
-result<success> CheckFraming(const httplib::Request& aRequest,
-                             std::size_t aMaxBody)
-{
-  const std::size_t lengths =
-    aRequest.get_header_value_count("Content-Length");
-  const std::size_t encodings =
-    aRequest.get_header_value_count("Transfer-Encoding");
-  if (lengths + encodings > 1) {
-    return BadFraming("more than one Content-Length or Transfer-Encoding");
-  }
-  if (encodings == 1 && !absl::EqualsIgnoreCase(
-                          aRequest.get_header_value("Transfer-Encoding"),
-                          "chunked")) {
-    return BadFraming("Transfer-Encoding must be chunked");
-  }
-  std::uint64_t length = 0;
-  if (lengths == 1) {
-    const std::string text = aRequest.get_header_value("Content-Length");
-    if (text.empty() || !absl::ascii_isdigit(text[0]) ||
-        !absl::SimpleAtoi(text, &length)) {
-      return BadFraming("Content-Length is not a number");
-    }
-  }
-  if (length > aMaxBody) {
-    return error{ error_code::BodyTooLarge, ran::No, "",
-                  absl::StrCat("the body must not exceed ", aMaxBody,
-                               " bytes"),
-                  absl::ZeroDuration() };
-  }
-  return success{};
-}
-
 void SetReply(httplib::Response& aResponse, const http_reply& aReply)
 {
   aResponse.status = aReply.mStatus;
@@ -119,8 +73,7 @@
 public:
   explicit pool_queue(elastic_pool& aPool)
     : mPool(aPool)
-  {
-  }
+  {}
 
   // A connection that the pool refuses is handled on the accepting thread,
   // where Serve turns it away.
@@ -142,8 +95,7 @@
 public:
   explicit server_connector(http_server& aServer)
     : mServer(aServer)
-  {
-  }
+  {}
 
   int ListeningSocket() const { return svr_sock_; }
 
@@ -178,8 +130,7 @@
     , mHandler(std::move(aHandler))
     , mPool({ mOptions.mName, mOptions.mMaxConnections, 0, absl::Seconds(10) })
     , mConnector(*this)
-  {
-  }
+  {}
 
   const http_server_options mOptions;
   const http_handler mHandler;
@@ -207,9 +158,8 @@
 {
   ++aServer.mRefused;
   if (!aServer.mTls) {
-    http_reply reply = ErrorReply(
-      { error_code::Overloaded, ran::No, "", "too many connections",
-        absl::Seconds(1) });
+    http_reply reply = ErrorReply({ error_code::Overloaded, ran::No, "",
+                                    "too many connections", absl::Seconds(1) });
     std::string text = "HTTP/1.1 503 Service Unavailable\r\n"
                        "Connection: close\r\n"
                        "Content-Type: application/json\r\n";
@@ -265,12 +215,16 @@
     stream.BeginRequest(deadline, options.mMaxHeaderBytes);
     aConnection.mStreamed = false;
     bool closed = false;
+    // Stays false if the request line or the headers are malformed; where the
+    // next request would begin is then unknown.
+    bool parsed = false;
     const bool handled = aServer.mConnector.Handle(
       stream, aServer.mStopping, closed, [&](httplib::Request& aRequest) {
+        parsed = true;
         PrepareRequest(aConnection, aRequest, deadline);
       });
     UnwatchClient(aConnection);
-    if (!handled || closed) {
+    if (!handled || closed || !parsed) {
       return;
     }
   }
@@ -300,6 +254,9 @@
     mServer.mOpen[key] = &connection;
   }
   Serve(mServer, connection);
+  if (connection.mClose) {
+    stream.Drain(MonotonicNow() + kDrainTime, kDrainBytes);
+  }
   absl::MutexLock lock(&mServer.mMutex);
   mServer.mOpen.erase(key);
   return true;
@@ -309,8 +266,8 @@
                               const httplib::Request& aRequest)
 {
   absl::MutexLock lock(&aServer.mMutex);
-  const auto found = aServer.mOpen.find(
-    ClientKey(aRequest.remote_addr, aRequest.remote_port));
+  const auto found =
+    aServer.mOpen.find(ClientKey(aRequest.remote_addr, aRequest.remote_port));
   return found == aServer.mOpen.end() ? nullptr : found->second;
 }
 
@@ -371,18 +328,16 @@
   SetReply(aResponse,
            ErrorReply(tooLarge
                         ? error{ error_code::BodyTooLarge, ran::No, "",
-                                 "the body is too large",
-                                 absl::ZeroDuration() }
+                                 "the body is too large", absl::ZeroDuration() }
                         : BadFraming("the body did not arrive in time")));
 }
 
-httplib::Server::HandlerResponse BeforeRouting(
-  http_server& aServer, const httplib::Request& aRequest,
-  httplib::Response& aResponse)
+httplib::Server::HandlerResponse BeforeRouting(http_server& aServer,
+                                               const httplib::Request& aRequest,
+                                               httplib::Response& aResponse)
 {
   static const std::set<std::string> kWithoutBody{ "GET", "HEAD", "OPTIONS" };
-  const auto framing =
-    CheckFraming(aRequest, aServer.mOptions.mMaxBodyBytes);
+  const auto framing = CheckFraming(aRequest, aServer.mOptions.mMaxBodyBytes);
   http_connection* connection = ConnectionOf(aServer, aRequest);
   const bool unreadBody =
     HasBody(aRequest) &&
@@ -424,18 +379,17 @@
       return BeforeRouting(aServer, aRequest, aResponse);
     });
   // Faults that cpp-httplib finds itself get the same error object.
-  connector.set_error_handler(
-    [](const httplib::Request&, httplib::Response& aResponse) {
-      if (aResponse.body.empty()) {
-        const int status = aResponse.status;
-        SetReply(aResponse,
-                 ErrorReply(status == 404
-                              ? error{ error_code::NotFound, ran::No, "",
-                                       "no such resource",
-                                       absl::ZeroDuration() }
-                              : BadFraming("not a valid HTTP request")));
-      }
-    });
+  connector.set_error_handler([](const httplib::Request&,
+                                 httplib::Response& aResponse) {
+    if (aResponse.body.empty()) {
+      const int status = aResponse.status;
+      SetReply(aResponse,
+               ErrorReply(status == 404
+                            ? error{ error_code::NotFound, ran::No, "",
+                                     "no such resource", absl::ZeroDuration() }
+                            : BadFraming("not a valid HTTP request")));
+    }
+  });
 }
 
 void ConfigureConnector(http_server& aServer)
@@ -460,42 +414,6 @@
 
 } // namespace
 
-bool case_insensitive_less::operator()(const std::string& aLeft,
-                                       const std::string& aRight) const
-{
-  return httplib::detail::ci()(aLeft, aRight);
-}
-
-std::string HeaderOf(const http_request& aRequest, const std::string& aName)
-{
-  const auto found = aRequest.mHeaders.find(aName);
-  return found == aRequest.mHeaders.end() ? "" : found->second;
-}
-
-std::string BearerOf(const http_request& aRequest)
-{
-  const std::string value = HeaderOf(aRequest, "Authorization");
-  constexpr absl::string_view kScheme = "Bearer ";
-  if (!absl::StartsWithIgnoreCase(value, kScheme)) {
-    return "";
-  }
-  return std::string(
-    absl::StripAsciiWhitespace(value.substr(kScheme.size())));
-}
-
-http_reply ErrorReply(const error& aError)
-{
-  http_reply reply;
-  reply.mStatus = HttpStatusOf(aError.mCode);
-  reply.mHeaders.emplace_back("X-Foxtailquay-Ran",
-                              std::string(NameOf(aError.mRan)));
-  if (const int seconds = RetryAfterSeconds(aError); seconds > 0) {
-    reply.mHeaders.emplace_back("Retry-After", absl::StrCat(seconds));
-  }
-  reply.mBody = ToText(ToJson(aError));
-  return reply;
-}
-
 void WatchClient(http_connection& aConnection, std::function<void()> aCallback)
 {
   UnwatchClient(aConnection);
@@ -525,8 +443,9 @@
   }
   // An HTTP/1.0 client knows no chunks; the end of the connection ends the
   // reply.
-  absl::StrAppend(&text, aConnection.mChunked ? "Transfer-Encoding: chunked"
-                                              : "Connection: close",
+  absl::StrAppend(&text,
+                  aConnection.mChunked ? "Transfer-Encoding: chunked"
+                                       : "Connection: close",
                   "\r\n\r\n");
   aConnection.mClose = true;
   return aConnection.mStream.write(text.data(), text.size()) >= 0;
@@ -583,10 +502,10 @@
   }
   ConfigureConnector(aServer);
   server_connector& connector = aServer.mConnector;
-  const int port =
-    options.mPort == 0 ? connector.bind_to_any_port(options.mIp)
-    : connector.bind_to_port(options.mIp, options.mPort) ? options.mPort
-                                                         : -1;
+  const int port = options.mPort == 0 ? connector.bind_to_any_port(options.mIp)
+                   : connector.bind_to_port(options.mIp, options.mPort)
+                     ? options.mPort
+                     : -1;
   if (port < 0 || listen(connector.ListeningSocket(), kListenBacklog) != 0) {
     return error{ error_code::InvalidSetting, ran::No, options.mName,
                   absl::StrCat("\"", options.mIp, ":", options.mPort,
