Run foxtailquayctl against a fleet of real processes

The account that routers print has its shares as a list. A release prints the account afterwards, since a misspelt holder counts as released.

--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -162,8 +162,8 @@
   httplib::Request request;
   request.method = std::string(NameOf(aRequest.mMethod));
   request.path = aRequest.mPath;
-  if (!aOptions.mOperatorKey.empty()) {
-    request.set_header("Authorization", "Bearer " + aOptions.mOperatorKey);
+  if (!aOptions.mKey.empty()) {
+    request.set_header("Authorization", "Bearer " + aOptions.mKey);
   }
   if (aRequest.mBody) {
     request.body = ToText(*aRequest.mBody);
--- a/src/cli/admin_client.h
+++ b/src/cli/admin_client.h
@@ -100,7 +100,8 @@
 {
   // "IP:port" each. Precondition: not empty.
   std::vector<std::string> mAddresses;
-  std::string mOperatorKey;
+  // Shown as a bearer token unless it is empty.
+  std::string mKey;
   std::string mTlsCaFile;
   absl::Duration mTimeout = absl::Seconds(10);
 };
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -18,7 +18,8 @@
     flags.insert(flags.end(), aMore);
     return flags;
   };
-  const std::vector<cli_flag> host(remote.begin() + 1, remote.end());
+  const std::vector<cli_flag> host = { flag::OperatorKeyFile, flag::PeerKeyFile,
+                                       flag::TlsCaFile, flag::Timeout };
   return {
     { "config show", "", 0, 0, "print the configuration in force",
       "Prints the configuration document of the router that answers, as a "
@@ -96,21 +97,27 @@
       "Returns the unspent rest of a held share to BUDGET. Requests whose "
       "usage records were lost are then not billed: do this only once you "
       "know from other sources what they cost, or accept the loss.\n\n"
-      "The command carries no identifier. After exit code 5, look at "
-      "\"workspace usage\" first: the share is gone if the release took "
-      "effect.",
+      "Prints the account afterwards. A share that does not exist counts as "
+      "released, so look for one that is still held under another name. After "
+      "exit code 5, look at \"workspace usage\" before you repeat the "
+      "command.",
       "  foxtailquayctl workspace release pleatdesk-main router-2 17\n", remote,
       &WorkspaceRelease },
     { "state", "HOST", 1, 1, "dump the state of one process",
       "Prints the state of the router or agent at HOST (IP:port): its "
       "identity and versions, shares, backend servers, requests in flight. "
-      "Routers answer on their caller port, agents on their peer port.",
+      "Routers answer on their caller port with the operator key. Agents, and "
+      "routers too, answer on their peer port with the peer key.",
       "  foxtailquayctl state 192.0.2.7:8080\n", host, &ShowState },
     { "drain", "HOST", 1, 1, "stop one process gracefully",
       "Asks the process at HOST (IP:port) to stop: it takes no new work, "
       "finishes what is in flight, settles, hands over its shares and "
-      "exits. Draining a process that is stopping already changes nothing.",
-      "  foxtailquayctl drain 192.0.2.7:8080\n", host, &DrainProcess },
+      "exits. Draining a process that is stopping already changes nothing. "
+      "HOST is the caller port of a router, or with --peer_key_file the peer "
+      "port of a router or agent.",
+      "  foxtailquayctl drain 192.0.2.7:8080\n"
+      "  foxtailquayctl drain 192.0.2.31:9090 --peer_key_file=peer.key\n",
+      host, &DrainProcess },
     { "charts",
       "",
       0,
--- a/src/cli/output.cc
+++ b/src/cli/output.cc
@@ -61,7 +61,7 @@
   std::string text = absl::StrCat(std::string(NameOf(aFailure.mExit)), ": ",
                                   ToString(aFailure.mError));
   if (aFailure.mError.mCode == error_code::Unauthorized) {
-    absl::StrAppend(&text, " (is --operator_key_file the router's key?)");
+    absl::StrAppend(&text, " (check the key file)");
   }
   if (aFailure.mError.mRetryAfter > absl::ZeroDuration()) {
     absl::StrAppend(&text, " (retry after ",
--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <ostream>
 
 #include "absl/strings/str_cat.h"
@@ -11,6 +12,7 @@
 
 namespace {
 
+// With a peer key, the process is asked at its peer port.
 cli_result<Json::Value> CallHost(const command_context& aContext,
                                  const admin_request& aRequest)
 {
@@ -20,9 +22,42 @@
     return ErrorOf(checked);
   }
   const cli_settings& settings = aContext.mSettings;
-  return Call(
-    { { host }, settings.mOperatorKey, settings.mTlsCaFile, settings.mTimeout },
-    aRequest);
+  const std::string& key =
+    settings.mPeerKey.empty() ? settings.mOperatorKey : settings.mPeerKey;
+  return Call({ { host }, key, settings.mTlsCaFile, settings.mTimeout },
+              aRequest);
+}
+
+// The peers' form of a drain, which agents have too.
+cli_result<Json::Value> CallPeerDrain(const command_context& aContext)
+{
+  Json::Value body;
+  body["jsonrpc"] = "2.0";
+  body["id"] = 1;
+  body["method"] = "drain";
+  body["params"] = Json::Value(Json::objectValue);
+  auto answer = CallHost(
+    aContext, { http_method::Post, "/rpc", body, request_effect::Once });
+  if (IsOk(answer) &&
+      (!ValueOf(answer).isObject() || !ValueOf(answer).isMember("result"))) {
+    return BadAnswer("result", "result of the drain");
+  }
+  return answer;
+}
+
+cli_result<Json::Value> CallDrain(const command_context& aContext)
+{
+  if (!aContext.mSettings.mPeerKey.empty()) {
+    return CallPeerDrain(aContext);
+  }
+  auto answer = CallHost(aContext, { http_method::Post, "/admin/drain",
+                                     Json::Value(Json::objectValue),
+                                     request_effect::Once });
+  // A peer port has no operator interface; without a peer key it is open.
+  const bool isPeerPort = !IsOk(answer) &&
+                          ErrorOf(answer).mExit == exit_code::Refused &&
+                          ErrorOf(answer).mError.mCode == error_code::NotFound;
+  return isPeerPort ? CallPeerDrain(aContext) : answer;
 }
 
 std::string CellOf(const Json::Value& aValue)
@@ -37,48 +72,79 @@
   return !aValue.isObject() && !aValue.isArray();
 }
 
-// A list of objects as a table of their scalar members.
-std::string ListTable(const std::string& aName, const Json::Value& aList)
+// True if aValue has members and all of them are objects.
+bool HoldsObjects(const Json::Value& aValue)
+{
+  return !aValue.empty() && std::all_of(aValue.begin(), aValue.end(),
+                                        [](const Json::Value& aEntry) {
+                                          return aEntry.isObject();
+                                        });
+}
+
+// A list or map of objects as a table of their scalar members; the keys of a
+// map are the first column.
+std::string EntryTable(const std::string& aName, const Json::Value& aEntries)
 {
   text_table table;
+  if (aEntries.isObject()) {
+    table.mHeader.emplace_back("name");
+  }
+  const Json::Value& first = *aEntries.begin();
   std::vector<std::string> members;
-  for (const std::string& member : aList[0].getMemberNames()) {
-    if (IsScalar(aList[0][member])) {
+  for (const std::string& member : first.getMemberNames()) {
+    if (IsScalar(first[member])) {
+      if (first[member].isNumeric()) {
+        table.mRight.insert(table.mHeader.size());
+      }
       members.push_back(member);
       table.mHeader.push_back(member);
-      if (aList[0][member].isNumeric()) {
-        table.mRight.insert(members.size() - 1);
-      }
     }
   }
-  for (const Json::Value& entry : aList) {
+  for (auto entry = aEntries.begin(); entry != aEntries.end(); ++entry) {
     std::vector<std::string> row;
-    row.reserve(members.size());
+    row.reserve(table.mHeader.size());
+    if (aEntries.isObject()) {
+      row.push_back(entry.name());
+    }
     for (const std::string& member : members) {
-      row.push_back(CellOf(entry.isObject() ? entry[member] : Json::Value()));
+      row.push_back(CellOf((*entry)[member]));
     }
     table.mRows.push_back(std::move(row));
   }
   return absl::StrCat("\n", aName, "\n", Render(table));
 }
 
-// Scalars first, then one table for each list. The dump is for people and
-// grows with the router, so that its members are shown as they come.
+// Sorts aValue into the table of scalars or the further tables behind it.
+void AddState(const std::string& aName, const Json::Value& aValue,
+              text_table& aScalars, std::string& aTables)
+{
+  if (IsScalar(aValue)) {
+    aScalars.mRows.push_back({ aName, CellOf(aValue) });
+  } else if (HoldsObjects(aValue)) {
+    aTables += EntryTable(aName, aValue);
+  } else if (aValue.isObject()) {
+    for (const std::string& name : aValue.getMemberNames()) {
+      AddState(absl::StrCat(aName, ".", name), aValue[name], aScalars, aTables);
+    }
+  } else {
+    std::string cells;
+    for (const Json::Value& element : aValue) {
+      absl::StrAppend(&cells, cells.empty() ? "" : " ", CellOf(element));
+    }
+    aScalars.mRows.push_back({ aName, cells });
+  }
+}
+
+// The dump is for people and grows with the programs, so that its members are
+// shown as they come: scalars first, then one table for each list.
 std::string StateText(const Json::Value& aState)
 {
   text_table scalars{ { "FIELD", "VALUE" }, {}, {} };
-  std::string lists;
+  std::string tables;
   for (const std::string& name : aState.getMemberNames()) {
-    const Json::Value& value = aState[name];
-    if (IsScalar(value)) {
-      scalars.mRows.push_back({ name, CellOf(value) });
-    } else if (value.isArray() && !value.empty() && value[0].isObject()) {
-      lists += ListTable(name, value);
-    } else if (!value.empty()) {
-      absl::StrAppend(&lists, "\n", name, "\n", ToPrettyText(value), "\n");
-    }
+    AddState(name, aState[name], scalars, tables);
   }
-  return Render(scalars) + lists;
+  return Render(scalars) + tables;
 }
 
 } // namespace
@@ -101,9 +167,7 @@
 
 cli_result<success> DrainProcess(const command_context& aContext)
 {
-  auto answer = CallHost(aContext, { http_method::Post, "/admin/drain",
-                                     Json::Value(Json::objectValue),
-                                     request_effect::Once });
+  auto answer = CallDrain(aContext);
   if (!IsOk(answer)) {
     return ErrorOf(answer);
   }
--- a/src/cli/settings.cc
+++ b/src/cli/settings.cc
@@ -21,6 +21,9 @@
               "repeat.");
 DEFINE_string(operator_key_file, "",
               "File that holds the operator key, on one line.");
+DEFINE_string(peer_key_file, "",
+              "File that holds the key that foxtailquay processes show each "
+              "other. If given, HOST is a peer port, as agents have.");
 DEFINE_string(tls_ca_file, "",
               "File of certificate authorities (PEM). If given, routers are "
               "reached with TLS and their certificates are checked.");
@@ -115,8 +118,12 @@
   return SetFlag(*flag, aArguments[++aIndex]);
 }
 
-cli_result<std::string> ReadKey(const std::string& aPath)
+// The key in the file that aFlag names, or an empty text without the flag.
+cli_result<std::string> ReadKey(cli_flag aFlag, const std::string& aPath)
 {
+  if (aPath.empty()) {
+    return std::string();
+  }
   auto text = ReadFile(aPath, kMaxKeyBytes);
   if (!IsOk(text)) {
     return text;
@@ -127,7 +134,7 @@
       return absl::ascii_isgraph(static_cast<unsigned char>(aLetter));
     });
   if (!valid) {
-    return UsageError("--operator_key_file",
+    return UsageError(FlagText(aFlag),
                       absl::StrCat("\"", aPath,
                                    "\" must hold one line of printable "
                                    "characters without spaces"));
@@ -249,13 +256,16 @@
     return ErrorOf(routers);
   }
   settings.mRouters = ValueOf(std::move(routers));
-  if (!FLAGS_operator_key_file.empty()) {
-    auto key = ReadKey(FLAGS_operator_key_file);
-    if (!IsOk(key)) {
-      return ErrorOf(key);
-    }
-    settings.mOperatorKey = ValueOf(std::move(key));
+  auto key = ReadKey(cli_flag::OperatorKeyFile, FLAGS_operator_key_file);
+  if (!IsOk(key)) {
+    return ErrorOf(key);
+  }
+  settings.mOperatorKey = ValueOf(std::move(key));
+  auto peerKey = ReadKey(cli_flag::PeerKeyFile, FLAGS_peer_key_file);
+  if (!IsOk(peerKey)) {
+    return ErrorOf(peerKey);
   }
+  settings.mPeerKey = ValueOf(std::move(peerKey));
   settings.mTlsCaFile = FLAGS_tls_ca_file;
   const auto output = FromName<output_format>(FLAGS_output);
   if (!output) {
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -41,6 +41,7 @@
 {
   Router,
   OperatorKeyFile,
+  PeerKeyFile,
   TlsCaFile,
   Output,
   Timeout,
@@ -57,6 +58,7 @@
   return MakeNameTable<cli_flag>(
     { { cli_flag::Router, "router" },
       { cli_flag::OperatorKeyFile, "operator_key_file" },
+      { cli_flag::PeerKeyFile, "peer_key_file" },
       { cli_flag::TlsCaFile, "tls_ca_file" },
       { cli_flag::Output, "output" },
       { cli_flag::Timeout, "timeout" },
@@ -82,6 +84,8 @@
   std::vector<std::string> mRouters;
   // Content of --operator_key_file; empty if the flag is not given.
   std::string mOperatorKey;
+  // The same for --peer_key_file.
+  std::string mPeerKey;
   // Set to connect with TLS.
   std::string mTlsCaFile;
   output_format mOutput = output_format::Text;
@@ -110,7 +114,7 @@
 cli_result<parsed_line> ParseLine(const std::vector<std::string>& aArguments,
                                   const environment& aEnvironment);
 
-// Reads the gflags that ParseLine has set, and the operator key file. Errors:
+// Reads the gflags that ParseLine has set, and the key files. Errors:
 // usage error with the flag's name, its value and what would be right.
 cli_result<cli_settings> LoadSettings();
 
--- a/src/cli/workspace_commands.cc
+++ b/src/cli/workspace_commands.cc
@@ -1,3 +1,4 @@
+#include <initializer_list>
 #include <limits>
 #include <ostream>
 
@@ -8,8 +9,7 @@
 #include "cli/commands.h"
 #include "cli/output.h"
 #include "cli/text_table.h"
-#include "foxtailquay/account.h"
-#include "wire/document_codec.h"
+#include "foxtailquay/types.h"
 
 namespace foxtailquay {
 
@@ -36,54 +36,69 @@
   return Call(ValueOf(options), aRequest);
 }
 
-// Reads the account out of an answer that also has its sums.
-cli_result<account> AccountOf(Json::Value aAnswer)
+// Integers of aObject as the cells of a row, behind aFirst.
+cli_result<std::vector<std::string>> RowOf(
+  const Json::Value& aObject, std::string aFirst,
+  std::initializer_list<std::string_view> aNames)
 {
-  if (!aAnswer.isObject()) {
-    return BadAnswer("account", "object");
-  }
-  aAnswer.removeMember("spent");
-  aAnswer.removeMember("unallocated");
-  auto decoded = AccountFromJson(aAnswer);
-  if (!IsOk(decoded)) {
-    return BadAnswer(ErrorOf(decoded).mField, "account field");
+  std::vector<std::string> row{ std::move(aFirst) };
+  for (const std::string_view name : aNames) {
+    auto value = IntegerOf(aObject, name);
+    if (!IsOk(value)) {
+      return ErrorOf(value);
+    }
+    row.push_back(absl::StrCat(ValueOf(value)));
   }
-  return ValueOf(std::move(decoded));
+  return row;
 }
 
-std::string ShareTable(const account& aAccount)
+cli_result<std::string> ShareTable(const Json::Value& aShares)
 {
+  if (!aShares.isArray()) {
+    return BadAnswer("shares", "array");
+  }
   text_table table{ { "HOLDER", "INCARNATION", "GRANTED", "SPENT", "STATUS" },
                     { 1, 2, 3 },
                     {} };
-  for (const auto& [holder, share] : aAccount.mShares) {
-    table.mRows.push_back(
-      { holder.mMember.mValue, absl::StrCat(holder.mIncarnation),
-        absl::StrCat(share.mGranted), absl::StrCat(share.mSpent),
-        share.mHeld ? "held" : "open" });
+  for (const Json::Value& share : aShares) {
+    auto holder = StringOf(share, "holder");
+    if (!IsOk(holder)) {
+      return ErrorOf(holder);
+    }
+    auto row =
+      RowOf(share, ValueOf(holder), { "incarnation", "granted", "spent" });
+    if (!IsOk(row)) {
+      return ErrorOf(row);
+    }
+    if (!share["held"].isBool()) {
+      return BadAnswer("shares.held", "boolean");
+    }
+    table.mRows.push_back(ValueOf(std::move(row)));
+    table.mRows.back().emplace_back(share["held"].asBool() ? "held" : "open");
   }
-  return table.mRows.empty() ? "" : "\n" + Render(table);
+  return table.mRows.empty() ? std::string() : "\n" + Render(table);
 }
 
 cli_result<success> PrintAccount(const command_context& aContext,
                                  const std::string& aBudget,
                                  const Json::Value& aAnswer)
 {
-  auto decoded = AccountOf(aAnswer);
-  if (!IsOk(decoded)) {
-    return ErrorOf(decoded);
+  auto sums = RowOf(aAnswer, aBudget, { "paid_in", "spent", "unallocated" });
+  if (!IsOk(sums)) {
+    return ErrorOf(sums);
+  }
+  auto shares = ShareTable(aAnswer["shares"]);
+  if (!IsOk(shares)) {
+    return ErrorOf(shares);
   }
   if (IsJson(aContext)) {
     aContext.mStreams.mOut << ToPrettyText(aAnswer) << "\n";
     return success{};
   }
-  const account& shown = ValueOf(decoded);
-  const text_table sums{ { "BUDGET", "PAID IN", "SPENT", "UNALLOCATED" },
-                         { 1, 2, 3 },
-                         { { aBudget, absl::StrCat(shown.mPaidIn),
-                             absl::StrCat(Spent(shown)),
-                             absl::StrCat(Unallocated(shown)) } } };
-  aContext.mStreams.mOut << Render(sums) << ShareTable(shown);
+  const text_table table{ { "BUDGET", "PAID IN", "SPENT", "UNALLOCATED" },
+                          { 1, 2, 3 },
+                          { ValueOf(sums) } };
+  aContext.mStreams.mOut << Render(table) << ValueOf(shares);
   return success{};
 }
 
@@ -212,14 +227,14 @@
   if (!IsOk(answer)) {
     return ErrorOf(answer);
   }
-  if (IsJson(aContext)) {
-    aContext.mStreams.mOut << ToPrettyText(ValueOf(answer)) << "\n";
-    return success{};
+  // A share that does not exist counts as released; the account shows one
+  // that is still held because of a misspelt name.
+  if (!IsJson(aContext)) {
+    aContext.mStreams.mOut << "budget " << budget << " holds no share of "
+                           << aContext.mArguments[1] << "/" << incarnation
+                           << "\n\n";
   }
-  aContext.mStreams.mOut << "released the share of " << aContext.mArguments[1]
-                         << "/" << incarnation << " in budget " << budget
-                         << "\n";
-  return success{};
+  return AfterWrite(PrintAccount(aContext, budget, ValueOf(answer)));
 }
 
 } // namespace foxtailquay
