--- a/tests/cli_remote_test.cc
+++ b/tests/cli_remote_test.cc
@@ -4,8 +4,13 @@
 #define BOOST_TEST_MODULE cli_remote
 #include <boost/test/unit_test.hpp>
 
+#include <cstdio>
 #include <set>
 
+#include <openssl/ec.h>
+#include <openssl/pem.h>
+#include <openssl/x509v3.h>
+
 #include "cli/admin_client.h"
 #include "cli_run.h"
 #include "fake_router.h"
@@ -314,6 +319,77 @@
   }
 }
 
+// A certificate for 127.0.0.1 that signs itself.
+struct certificate
+{
+  EVP_PKEY* mKey = EVP_EC_gen("P-256");
+  X509* mCertificate = X509_new();
+
+  certificate()
+  {
+    X509_set_version(mCertificate, 2);
+    X509_gmtime_adj(X509_getm_notBefore(mCertificate), -3600);
+    X509_gmtime_adj(X509_getm_notAfter(mCertificate), 3600);
+    X509_set_pubkey(mCertificate, mKey);
+    X509_EXTENSION* name = X509V3_EXT_conf_nid(
+      nullptr, nullptr, NID_subject_alt_name, "IP:127.0.0.1");
+    X509_add_ext(mCertificate, name, -1);
+    X509_EXTENSION_free(name);
+    X509_sign(mCertificate, mKey, EVP_sha256());
+  }
+  certificate(const certificate&) = delete;
+  certificate& operator=(const certificate&) = delete;
+  ~certificate()
+  {
+    X509_free(mCertificate);
+    EVP_PKEY_free(mKey);
+  }
+};
+
+std::string Write(const scratch& aScratch, const std::string& aName,
+                  const certificate& aCertificate)
+{
+  std::string path = (aScratch.mPath / aName).string();
+  FILE* file = std::fopen(path.c_str(), "w");
+  BOOST_REQUIRE(file != nullptr);
+  PEM_write_X509(file, aCertificate.mCertificate);
+  std::fclose(file);
+  return path;
+}
+
+// The operator key must reach nobody but a router with the right certificate.
+BOOST_AUTO_TEST_CASE(tls_certificates_are_checked)
+{
+  const scratch folder;
+  const certificate own;
+  const certificate other;
+  int served = 0;
+  httplib::SSLServer server(own.mCertificate, own.mKey);
+  server.Get("/debug/state",
+             [&served](const httplib::Request&, httplib::Response& aResponse) {
+               ++served;
+               aResponse.set_content("{}", "application/json");
+             });
+  const std::string address =
+    "127.0.0.1:" + std::to_string(server.bind_to_any_port("127.0.0.1"));
+  std::thread thread([&server] { server.listen_after_bind(); });
+  const std::string right = Write(folder, "right.pem", own);
+  const run_outcome trusted =
+    Run({ "state", address, "--tls-ca-file=" + right });
+  const run_outcome wrong =
+    Run({ "state", address, "--tls-ca-file=" + Write(folder, "x.pem", other) });
+  const run_outcome plain = Run({ "state", address, "--timeout=1s" });
+  const run_outcome missing =
+    Run({ "state", address, "--tls-ca-file=/no/such/file" });
+  server.stop();
+  thread.join();
+  BOOST_TEST(NameOf(trusted.mExit) == "ok", trusted.mErr);
+  BOOST_TEST(NameOf(wrong.mExit) == "unreachable", wrong.mErr);
+  BOOST_TEST(NameOf(plain.mExit) != "ok");
+  BOOST_TEST(NameOf(missing.mExit) != "ok", missing.mErr);
+  BOOST_TEST(served == 1);
+}
+
 // All sequences of up to three attempts, for each effect: the exit code must
 // follow from what may have happened, never from the last answer alone.
 void CheckSequences(std::vector<admin_attempt>& aAttempts,
--- a/tests/docs_test.cc
+++ b/tests/docs_test.cc
@@ -119,19 +119,23 @@
 BOOST_AUTO_TEST_CASE(every_setting_stands_on_the_page)
 {
   const std::string source = Read("src/runtime/settings.cc");
-  const std::regex pattern(R"(DEFINE_\w+\((\w+),)");
-  std::set<std::string> flags;
+  // Name and default value, with or without quotes.
+  const std::regex pattern(R"re(DEFINE_\w+\((\w+),\s*"?([^",]*)"?,)re");
+  std::map<std::string, std::string> flags;
   for (std::sregex_iterator it(source.begin(), source.end(), pattern), end;
        it != end; ++it) {
-    flags.insert("--" + (*it)[1].str());
+    flags["--" + (*it)[1].str()] = (*it)[2].str();
   }
   BOOST_REQUIRE(!flags.empty());
   const auto rows =
     TableUnder(Read("docs/operations.md"), "## Settings of foxtailquayd");
-  BOOST_TEST(NamesIn(rows) == flags, boost::test_tools::per_element());
+  BOOST_TEST(NamesIn(rows) == NamesIn(flags), boost::test_tools::per_element());
   const std::string design = Read("docs/design.md");
-  for (const std::string& flag : flags) {
+  for (const auto& [flag, value] : flags) {
     BOOST_TEST(design.find("`" + flag + "`") != std::string::npos, flag);
+    BOOST_REQUIRE(rows.count(flag) == 1u);
+    BOOST_TEST(rows.at(flag)[2] == (value.empty() ? "" : "`" + value + "`"),
+               flag);
   }
 }
 
