Back off after conflicts; leave the store to committers during an outage

Change: random, growing waits after a conflict; routers whose committer cannot reach the store wait instead of trying themselves, and look for themselves every 30 s. The default share horizon is 10 min, so that shares outlast a store outage, and an idle share covers two of the largest reservations.

--- a/include/foxtailquay/config.h
+++ b/include/foxtailquay/config.h
@@ -112,7 +112,7 @@
   // How many seconds of expected spending a router keeps ready in its share.
   // Longer: fewer false refusals in a partition. Shorter: fewer tokens tied
   // up on routers that do not need them.
-  absl::Duration mShareHorizon = absl::Seconds(20);
+  absl::Duration mShareHorizon = absl::Minutes(10);
   // Models and services that this workspace may use; empty means all.
   std::vector<std::string> mAllowed;
 };
--- a/include/foxtailquay/messages.h
+++ b/include/foxtailquay/messages.h
@@ -158,13 +158,15 @@
   std::vector<std::pair<std::uint64_t, account_op>> mOps;
 };
 
-// All operations of a commit_ops_message are decided. No outcomes: the
-// receiver does not commit for the sender.
+// All operations of a commit_ops_message are decided. No outcomes: the sender
+// of this message does not commit for its receiver.
 struct commit_result_message
 {
   store_key mKey;
   std::uint64_t mNumber = 0;
   store_version mVersion = 0;
+  // With no outcomes: the store is unavailable to the committer, try again.
+  bool mRetryLater = false;
   std::vector<std::pair<std::uint64_t, op_outcome>> mOutcomes;
   // Accounts that the operations touched, as committed.
   std::map<budget_id, account> mAccounts;
--- a/src/core/commit.h
+++ b/src/core/commit.h
@@ -24,6 +24,7 @@
 
 #include "absl/time/time.h"
 #include "foxtailquay/store.h"
+#include "xxhash.h"
 
 namespace foxtailquay {
 
@@ -89,6 +90,10 @@
   std::uint64_t mNextId = 1;
   absl::Time mNotBefore = absl::InfinitePast();
   int mFailures = 0;
+  // Conflicts in a row, and what makes this process's waits differ from those
+  // of others.
+  int mConflicts = 0;
+  std::uint64_t mSeed = 0;
   // Set to read the document again although no operation is waiting.
   bool mRefresh = false;
   // Expected version of the last write without an answer. The write may still
@@ -115,6 +120,27 @@
   return std::min(wait, aOptions.mMaxBackoff);
 }
 
+// Wait before the next try after a conflict: random, and up to twice as long
+// after each further one. Without it all writers of a contended key collide
+// again at each round.
+template<typename Document, typename Op>
+absl::Duration ConflictWait(const commit_queue<Document, Op>& aQueue,
+                            const commit_options& aOptions)
+{
+  absl::Duration longest = aOptions.mMinInterval;
+  for (int i = 1; i < aQueue.mConflicts && longest < aOptions.mMaxBackoff;
+       ++i) {
+    longest *= 2;
+  }
+  const std::uint64_t input[] = {
+    aQueue.mSeed, aQueue.mVersion, static_cast<std::uint64_t>(aQueue.mConflicts)
+  };
+  const double part =
+    static_cast<double>(XXH64(input, sizeof(input), 0) >> 11U) /
+    static_cast<double>(std::uint64_t{ 1 } << 53U);
+  return std::min(longest, aOptions.mMaxBackoff) * part;
+}
+
 // Earliest time at which NextRequest would return a request;
 // InfiniteFuture if it waits for a reply or has nothing to do.
 template<typename Document, typename Op>
@@ -232,8 +258,11 @@
   if (aReply.mStatus == store_status::Conflict) {
     aQueue.mKnown = false;
     aQueue.mInFlight = 0;
+    ++aQueue.mConflicts;
+    aQueue.mNotBefore = aNow + ConflictWait(aQueue, aOptions);
     return {};
   }
+  aQueue.mConflicts = 0;
   aQueue.mVersion = aReply.mVersion;
   aQueue.mDoubtVersion.reset();
   aQueue.mCommitted = std::move(aQueue.mWriting);
--- a/src/core/node_core.cc
+++ b/src/core/node_core.cc
@@ -23,6 +23,8 @@
   node.mCommit.mMinInterval = aMinInterval;
   node.mRandom.seed(aSettings.mSeed);
   node.mSelf.mMember = aSettings.mMember;
+  node.mMembersQueue.mSeed = aSettings.mSeed;
+  node.mConfigQueue.mSeed = aSettings.mSeed;
   node.mMembersQueue.mKey = { store_area::Members, 0 };
   node.mConfigQueue.mKey = { store_area::Config, 0 };
   return node;
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -29,6 +29,9 @@
       }
       break;
     case store_area::Members:
+      if (aReply.mStatus == store_status::Ok) {
+        OnStoreReached(aState, aNow);
+      }
       for (const auto& done : OnMembersReply(aState.mNode, aReply, aNow)) {
         const auto* leave = std::get_if<leave_op>(&done.mOp);
         if (leave != nullptr && leave->mProcess == aState.mNode.mSelf) {
--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -229,7 +229,9 @@
   const bool idle = aShare.mLastUsed + aState.mOptions.mIdleAfter <= aNow;
   const token_count target = TargetTokens(
     aShare, HorizonOf(aState, aShare.mId.mBudget), aState.mOptions.mMinGrant);
-  token_count keep = idle ? aState.mOptions.mMinGrant : target;
+  token_count keep =
+    idle ? TargetTokens(aShare, absl::ZeroDuration(), aState.mOptions.mMinGrant)
+         : target;
   // What is left of an almost spent account must not rest on idle routers.
   if (idle && aShare.mUnallocated < aState.mOptions.mMinGrant) {
     keep = 0;
@@ -278,6 +280,7 @@
   const std::uint32_t shard = ShardOf(aState, aBudget);
   account_queue& queue = aState.mAccounts[shard];
   queue.mKey = { store_area::Accounts, shard };
+  queue.mSeed = aState.mNode.mSettings.mSeed;
   return queue;
 }
 
--- a/src/core/router_claim.cc
+++ b/src/core/router_claim.cc
@@ -16,6 +16,7 @@
     ShardOf(aKey, aState.mNode.mConfig.mFleet.mClaimShards);
   claim_queue& queue = aState.mClaims[shard];
   queue.mKey = { store_area::Claims, shard };
+  queue.mSeed = aState.mNode.mSettings.mSeed;
   return queue;
 }
 
--- a/src/core/router_commit.cc
+++ b/src/core/router_commit.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kHoldersInAnswer = 2;
 // Answers that take longer lead to a commit by the router itself.
 constexpr absl::Duration kForwardPatience = absl::Seconds(1);
+// Failures in a row after which a router that reaches the store stops
+// relying on the committer.
+constexpr int kFailuresBeforeDirect = 4;
 // How long a router commits for itself after a committer failed it.
 constexpr absl::Duration kDirectTime = absl::Seconds(5);
 
@@ -326,9 +329,11 @@
   const bool known =
     aMessage.mKey.mArea == store_area::Accounts &&
     aMessage.mKey.mShard < aState.mNode.mConfig.mFleet.mAccountShards;
+  const bool healthy = IsStoreHealthy(aState);
   if (!known || aMessage.mOps.empty() ||
       aState.mNode.mStatus != process_status::Ready ||
-      IsRefused(aState.mNode, aFrom) || !IsStoreHealthy(aState)) {
+      IsRefused(aState.mNode, aFrom) || !healthy) {
+    result.mRetryLater = known && !healthy;
     Send(aState.mNode, aFrom.mMember, std::move(result));
     return;
   }
@@ -358,13 +363,24 @@
       progress->second.mNumber != aMessage.mNumber) {
     return;
   }
+  account_queue& queue = aState.mAccounts[shard];
+  if (aMessage.mRetryLater) {
+    // If every router tried the store itself, an outage would end under a
+    // load that grows with the fleet.
+    aState.mForwards.erase(progress);
+    queue.mPhase = commit_phase::Idle;
+    ++queue.mFailures;
+    queue.mNotBefore =
+      aNow + BackoffAfter(queue.mFailures, aState.mAccountCommit);
+    return;
+  }
   if (aMessage.mOutcomes.empty()) {
     GiveUpForward(aState, shard, aNow);
     return;
   }
   aState.mForwards.erase(progress);
-  account_queue& queue = aState.mAccounts[shard];
   queue.mPhase = commit_phase::Idle;
+  queue.mFailures = 0;
   queue.mNotBefore = aNow + aState.mAccountCommit.mMinInterval;
   std::map<std::uint64_t, op_outcome> outcomes(aMessage.mOutcomes.begin(),
                                                aMessage.mOutcomes.end());
@@ -405,6 +421,16 @@
   }
 }
 
+void OnStoreReached(router_state& aState, absl::Time aNow)
+{
+  for (auto& [shard, queue] : aState.mAccounts) {
+    if (queue.mFailures >= kFailuresBeforeDirect &&
+        queue.mPhase == commit_phase::Idle) {
+      aState.mDirectUntil[shard] = aNow + kDirectTime;
+    }
+  }
+}
+
 void AdvanceAccountQueues(router_state& aState, absl::Time aNow)
 {
   std::vector<std::uint32_t> late;
--- a/src/core/router_members.cc
+++ b/src/core/router_members.cc
@@ -24,6 +24,9 @@
 // committer carries several.
 constexpr absl::Duration kSettleDelayPerRouter = absl::Milliseconds(10);
 constexpr absl::Duration kMaxSettleDelay = absl::Seconds(5);
+// Routers that do not poll the store try it this often while their committers
+// report it as unavailable.
+constexpr absl::Duration kProbeInterval = absl::Seconds(30);
 // Witnesses of a fence are asked again at this interval.
 constexpr absl::Duration kFenceQueryInterval = absl::Seconds(1);
 
@@ -477,7 +480,12 @@
       ++rank;
     }
   }
-  if (rank < aState.mOptions.mStorePollers || alone) {
+  // A router that only its committers keep from the store looks for itself.
+  const bool probe = !IsStoreHealthy(aState) && aState.mNextProbe <= aNow;
+  if (probe) {
+    aState.mNextProbe = aNow + kProbeInterval;
+  }
+  if (rank < aState.mOptions.mStorePollers || alone || probe) {
     aState.mNode.mMembersQueue.mRefresh = true;
     aState.mNode.mConfigQueue.mRefresh = true;
   }
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -185,6 +185,7 @@
   std::uint64_t mNotedLossEpoch = 0;
   absl::Time mNextGossip = absl::InfinitePast();
   absl::Time mNextStorePoll = absl::InfinitePast();
+  absl::Time mNextProbe = absl::InfinitePast();
   absl::Time mNextReview = absl::InfinitePast();
   absl::Time mLastReview = absl::InfinitePast();
 
@@ -267,6 +268,9 @@
                     const commit_result_message& aMessage, absl::Time aNow);
 void OnCommitterUnreachable(router_state& aState, const member_id& aPeer,
                             absl::Time aNow);
+// This router has reached the store: it commits for itself the shards whose
+// committers have not.
+void OnStoreReached(router_state& aState, absl::Time aNow);
 // Sends due operations to the store or to the committer of their shard.
 void AdvanceAccountQueues(router_state& aState, absl::Time aNow);
 absl::Time NextForwardWake(const router_state& aState);
--- a/src/core/share.cc
+++ b/src/core/share.cc
@@ -40,6 +40,7 @@
   }
   const std::uint64_t number = aShare.mNextNumber++;
   aShare.mOpen[number] = aAmount;
+  aShare.mLargest = std::max(aShare.mLargest, aAmount);
   aShare.mLastUsed = aNow;
   return number;
 }
@@ -155,7 +156,8 @@
                          token_count aLeast)
 {
   const double expected = aShare.mRate * absl::ToDoubleSeconds(aHorizon);
-  return std::max(aLeast, static_cast<token_count>(expected));
+  return std::max(
+    { aLeast, 2 * aShare.mLargest, static_cast<token_count>(expected) });
 }
 
 } // namespace foxtailquay
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -53,6 +53,8 @@
 
   // Spending rate in tokens per second, exponentially weighted.
   double mRate = 0;
+  // Largest reservation so far; a share kept for an idle budget covers it.
+  token_count mLargest = 0;
   token_count mSpentSinceReview = 0;
   absl::Time mLastUsed = absl::InfinitePast();
 };
@@ -93,7 +95,8 @@
 // Folds the spending since the last review, aElapsed ago, into the rate.
 void UpdateRate(share_state& aShare, absl::Duration aElapsed);
 
-// Tokens that cover the expected spending over aHorizon, at least aLeast.
+// Tokens that cover the expected spending over aHorizon and two reservations
+// of the largest size, at least aLeast.
 token_count TargetTokens(const share_state& aShare, absl::Duration aHorizon,
                          token_count aLeast);
 
--- a/src/wire/message_fields.h
+++ b/src/wire/message_fields.h
@@ -139,6 +139,7 @@
     Required("key", &commit_result_message::mKey),
     Required("number", &commit_result_message::mNumber),
     Required("version", &commit_result_message::mVersion),
+    Optional("retry_later", &commit_result_message::mRetryLater),
     Required("outcomes", &commit_result_message::mOutcomes),
     Required("accounts", &commit_result_message::mAccounts));
 }
--- a/tests/message_codec_test.cc
+++ b/tests/message_codec_test.cc
@@ -64,7 +64,7 @@
 SAME_2(hand_over_message)
 SAME_0(hand_over_ack_message)
 SAME_3(commit_ops_message)
-SAME_5(commit_result_message)
+SAME_6(commit_result_message)
 
 namespace {
 
@@ -154,12 +154,15 @@
                                    return std::make_pair(AnyNumber(), AnyOp());
                                  }) };
     case message_kind::CommitResult:
-      return commit_result_message{
-        AnyKey(), AnyNumber(), AnyNumber(), AnyVector([] {
-          return std::make_pair(AnyNumber(), AnyEnum<op_outcome>());
-        }),
-        AnyMap(&AnyIdOf<budget_id>, &AnyAccount)
-      };
+      return commit_result_message{ AnyKey(),
+                                    AnyNumber(),
+                                    AnyNumber(),
+                                    AnyBool(),
+                                    AnyVector([] {
+                                      return std::make_pair(
+                                        AnyNumber(), AnyEnum<op_outcome>());
+                                    }),
+                                    AnyMap(&AnyIdOf<budget_id>, &AnyAccount) };
   }
   return {};
 }
