--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -227,6 +227,26 @@
              kPaidIn + kRounds * 100);
 }
 
+// A settlement whose answer is lost is committed again and must count once.
+BOOST_FIXTURE_TEST_CASE(settlement_with_lost_answer_is_billed_once, fixture)
+{
+  StartWith(SmallFleet(10'000));
+  UseAllRouters();
+  for (int round = 0; round < 4; ++round) {
+    BOOST_TEST(AwaitBill(0));
+    // Nothing is open now, so the next writes are those of these requests.
+    SetFault(mFleet.mPlatformPort, Fault("lose_answers", 2));
+    for (int i = 0; i < 3; ++i) {
+      BOOST_TEST(Chat(i, 8).mStatus == 200);
+    }
+  }
+  BOOST_TEST(AwaitBill(0));
+  // All answers that were to be lost were lost.
+  const http_answer faults =
+    SetFault(mFleet.mPlatformPort, Json::Value(Json::objectValue));
+  BOOST_TEST(faults.mJson["lose_answers"].asInt() == 0);
+}
+
 // Three routers that get the same order at once must not place it twice.
 BOOST_FIXTURE_TEST_CASE(same_order_at_all_routers_runs_once, fixture)
 {
