--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -322,6 +322,9 @@
       Answer(aState, aRequest, aRequest.mAnswer);
       break;
     case request_action::AnswerError:
+      if (aRequest.mMayHaveRun && aRequest.mError.mRan == ran::No) {
+        aRequest.mError.mRan = ran::Unknown;
+      }
       Answer(aState, aRequest, aRequest.mError);
       break;
   }
@@ -620,6 +623,7 @@
   request->mUsage = aEvent.mUsage;
   request->mRelayed = request->mRelayed || aEvent.mRelayed;
   request->mAnswer.mComplete = false;
+  request->mMayHaveRun = true;
   error reason = aEvent.mError;
   // The run was sent; only an agent's refusal proves that it did not start.
   if (reason.mRan == ran::No) {
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -53,6 +53,9 @@
   std::set<backend_id> mTried;
   token_usage mUsage;
   bool mRelayed = false;
+  // An attempt has failed after it was sent: the request may have run, so no
+  // later refusal may say that it did not.
+  bool mMayHaveRun = false;
 
   claim_key mClaimKey;
   std::uint64_t mClaimNumber = 0;
--- a/tests/scenario/sim_network.h
+++ b/tests/scenario/sim_network.h
@@ -22,6 +22,9 @@
 // The message found no running process.
 void Lose(world& aWorld, const process_ref& aTarget,
           const message_arrival& aArrival);
+// The message waits in a paused process; its sender gives up in the end.
+void Stall(world& aWorld, const process_ref& aTarget,
+           const message_arrival& aArrival);
 
 } // namespace foxtailquay::scenario
 
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -20,6 +20,12 @@
 {
 }
 
+// Events that may wait in a paused process without further effect.
+template<typename Body>
+void Stall(world&, const process_ref&, const Body&)
+{
+}
+
 void Process(world& aWorld, sim_event aEvent)
 {
   const process_ref target = aEvent.mTarget;
@@ -34,6 +40,8 @@
       return;
     }
     if (process.mStatus == process_status::Paused) {
+      std::visit([&](const auto& aBody) { Stall(aWorld, target, aBody); },
+                 aEvent.mBody);
       process.mInbox.push_back(std::move(aEvent));
       return;
     }
