--- a/tests/scenario/observer.h
+++ b/tests/scenario/observer.h
@@ -91,6 +91,8 @@
   std::map<std::string, config_version> mHighest;
   // Since when a process could have had the newest version but has not.
   std::map<std::string, absl::Time> mBehindSince;
+  // Runs whose settlement was seen in the store, for messages.
+  std::set<request_id> mSettled;
   std::set<share_id> mOpenShares;
   std::set<share_id> mClosedShares;
   std::set<request_id> mStarted;
