--- a/src/wire/socket_stream.cc
+++ b/src/wire/socket_stream.cc
@@ -103,12 +103,27 @@
   mDiscard = false;
 }
 
+void socket_stream::Drain(absl::Time aDeadline, std::size_t aMaxBytes)
+{
+  if (mTls) {
+    SSL_shutdown(mTls.get());
+  }
+  shutdown(mSocket, SHUT_WR);
+  std::size_t drained = 0;
+  while (drained < aMaxBytes) {
+    const ssize_t count = Receive(mBuffer.data(), mBuffer.size(), aDeadline);
+    if (count <= 0) {
+      return;
+    }
+    drained += static_cast<std::size_t>(count);
+  }
+}
+
 ssize_t socket_stream::Receive(char* aInto, size_t aSize, absl::Time aDeadline)
 {
   for (;;) {
     if (mTls) {
-      const int count =
-        SSL_read(mTls.get(), aInto, static_cast<int>(aSize));
+      const int count = SSL_read(mTls.get(), aInto, static_cast<int>(aSize));
       if (count > 0) {
         return count;
       }
@@ -127,9 +142,8 @@
     if (count >= 0) {
       return count;
     }
-    if (errno != EINTR &&
-        ((errno != EAGAIN && errno != EWOULDBLOCK) ||
-         !Wait(POLLIN, aDeadline))) {
+    if (errno != EINTR && ((errno != EAGAIN && errno != EWOULDBLOCK) ||
+                           !Wait(POLLIN, aDeadline))) {
       return -1;
     }
   }
@@ -160,8 +174,7 @@
 {
   for (;;) {
     if (mTls) {
-      const int count =
-        SSL_write(mTls.get(), aData, static_cast<int>(aSize));
+      const int count = SSL_write(mTls.get(), aData, static_cast<int>(aSize));
       if (count > 0) {
         return count;
       }
@@ -177,9 +190,8 @@
     if (count >= 0) {
       return count;
     }
-    if (errno != EINTR &&
-        ((errno != EAGAIN && errno != EWOULDBLOCK) ||
-         !Wait(POLLOUT, aDeadline))) {
+    if (errno != EINTR && ((errno != EAGAIN && errno != EWOULDBLOCK) ||
+                           !Wait(POLLOUT, aDeadline))) {
       return -1;
     }
   }
