Close the shares of all open fences together

Cause: with two routers fenced one after the other, the second fence does not wait for the first router. A transfer between them that neither had posted let the giver's remainder return to the budget while the receiver could still spend it. Seen as a share that had spent more than was granted to it in false_refusal_test, 10-minute partition, horizons 2 s and 5 s. Change: shares are closed once the witnesses of all open fences have acknowledged.

--- a/src/core/router_members.cc
+++ b/src/core/router_members.cc
@@ -283,10 +283,9 @@
     progress.mNextQuery = aNow + kFenceQueryInterval;
   }
   // Shares are closed only after the records that witnesses handed over.
-  if (!awaited &&
-      (progress.mTickets.empty() || !progress.mShardsAsked.empty())) {
-    FinishFence(aState, aFence, progress, lost, aNow);
-  }
+  progress.mCollected =
+    progress.mCollected || (!awaited && progress.mTickets.empty());
+  progress.mLostWitness = progress.mLostWitness || lost;
 }
 
 void RaiseFences(router_state& aState, absl::Time aNow)
@@ -501,12 +500,28 @@
                                   });
     it = open ? std::next(it) : aState.mFences.erase(it);
   }
-  if (aState.mNode.mStatus != process_status::Ready || !IsCoordinator(aState)) {
+  if (fences.empty() || aState.mNode.mStatus != process_status::Ready ||
+      !IsCoordinator(aState)) {
     return;
   }
+  bool collected = true;
   for (const fence_record& fence : fences) {
     if (!(fence.mFenced == aState.mNode.mSelf)) {
       AdvanceFence(aState, fence, aNow);
+      collected = collected && aState.mFences[fence.mFenced].mCollected;
+    }
+  }
+  // A fenced router may have given tokens to another fenced router without
+  // either having reached the store. Its remainder must not return while the
+  // receiver can still spend it, so all open fences close their shares
+  // together.
+  if (!collected) {
+    return;
+  }
+  for (const fence_record& fence : fences) {
+    if (!(fence.mFenced == aState.mNode.mSelf)) {
+      fence_progress& progress = aState.mFences[fence.mFenced];
+      FinishFence(aState, fence, progress, progress.mLostWitness, aNow);
     }
   }
 }
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -110,6 +110,10 @@
   std::map<std::uint32_t, std::uint64_t> mShardsAsked;
   // Operations submitted for the fence and not committed yet.
   std::set<std::uint64_t> mTickets;
+  // All witnesses have acknowledged or are lost, and what they handed over is
+  // committed.
+  bool mCollected = false;
+  bool mLostWitness = false;
   bool mFinishing = false;
   absl::Time mNextQuery = absl::InfinitePast();
 };
