--- a/tests/false_refusal_test.cc
+++ b/tests/false_refusal_test.cc
@@ -170,8 +170,7 @@
     std::poisson_distribution<int> arrivals(
       kRequestsPerSecond * absl::ToDoubleSeconds(aStep) * WeightOf(i) / total);
     for (int n = arrivals(aFleet.mRandom); n > 0; --n) {
-      SendOne(aFleet, i,
-              RouterName(DrawRouter(aFleet.mRandom, i) % aRouters));
+      SendOne(aFleet, i, RouterName(DrawRouter(aFleet.mRandom, i) % aRouters));
     }
   }
   RunUntil(aFleet, aFleet.mNow + aStep);
@@ -180,8 +179,8 @@
 // Adds the requests that ended since the last call. A refusal is false if
 // aCouldPay says so of its workspace.
 template<typename CouldPay>
-void Count(world& aFleet, std::set<std::size_t>& aOpen,
-           std::size_t& aSeen, refusal_count& aCount, CouldPay aCouldPay)
+void Count(world& aFleet, std::set<std::size_t>& aOpen, std::size_t& aSeen,
+           refusal_count& aCount, CouldPay aCouldPay)
 {
   for (; aSeen < aFleet.mRequests.size(); ++aSeen) {
     aOpen.insert(aSeen);
@@ -222,8 +221,7 @@
   // Less than one request's worst case cannot be spent in any case.
   const token_count left =
     std::max<token_count>(0, Unspent(aFleet, aWorkspace) - kWorstCase);
-  return static_cast<double>(left) /
-         static_cast<double>(PaidInto(aWorkspace));
+  return static_cast<double>(left) / static_cast<double>(PaidInto(aWorkspace));
 }
 
 const int kHorizonSeconds[] = { 2, 5, 20, 60 };
@@ -304,8 +302,8 @@
   return side;
 }
 
-BOOST_DATA_TEST_CASE(false_refusals_in_a_partition,
-                     data::make(kHorizonSeconds), horizon)
+BOOST_DATA_TEST_CASE(false_refusals_in_a_partition, data::make(kHorizonSeconds),
+                     horizon)
 {
   world fleet(ChartsForTests(), 11);
   StartFleet(fleet, absl::Seconds(horizon));
@@ -337,8 +335,7 @@
       const token_count left =
         (granted == side.mGranted.end() ? 0 : granted->second) -
         RunOn(fleet, "r1", BudgetOf(aWorkspace)) -
-        RunOn(fleet, "r2", BudgetOf(aWorkspace)) -
-        Reserved(fleet, aWorkspace);
+        RunOn(fleet, "r2", BudgetOf(aWorkspace)) - Reserved(fleet, aWorkspace);
       return known[aWorkspace] = left >= kWorstCase;
     });
   }
--- a/tests/message_codec_test.cc
+++ b/tests/message_codec_test.cc
@@ -63,8 +63,8 @@
 SAME_1(transfer_message)
 SAME_2(hand_over_message)
 SAME_0(hand_over_ack_message)
-SAME_2(commit_ops_message)
-SAME_4(commit_result_message)
+SAME_3(commit_ops_message)
+SAME_5(commit_result_message)
 
 namespace {
 
@@ -150,15 +150,16 @@
     case message_kind::HandOverAck:
       return hand_over_ack_message{};
     case message_kind::CommitOps:
-      return commit_ops_message{ AnyKey(), AnyVector([] {
+      return commit_ops_message{ AnyKey(), AnyNumber(), AnyVector([] {
                                    return std::make_pair(AnyNumber(), AnyOp());
                                  }) };
     case message_kind::CommitResult:
-      return commit_result_message{ AnyKey(), AnyNumber(), AnyVector([] {
-                                      return std::make_pair(
-                                        AnyNumber(), AnyEnum<op_outcome>());
-                                    }),
-                                    AnyMap(&AnyIdOf<budget_id>, &AnyAccount) };
+      return commit_result_message{
+        AnyKey(), AnyNumber(), AnyNumber(), AnyVector([] {
+          return std::make_pair(AnyNumber(), AnyEnum<op_outcome>());
+        }),
+        AnyMap(&AnyIdOf<budget_id>, &AnyAccount)
+      };
   }
   return {};
 }
--- a/tests/mutation_test.cc
+++ b/tests/mutation_test.cc
@@ -24,8 +24,7 @@
 
 std::ostream& operator<<(std::ostream& aOut, const mutation& aMutation)
 {
-  return aOut << NameOf(aMutation.mFault) << " -> "
-              << NameOf(aMutation.mCheck);
+  return aOut << NameOf(aMutation.mFault) << " -> " << NameOf(aMutation.mCheck);
 }
 
 namespace {
--- a/tests/scenario/fake_store.cc
+++ b/tests/scenario/fake_store.cc
@@ -30,8 +30,7 @@
 
 void HideGrants(store_document& aDocument, const std::string& aReader)
 {
-  for (auto& [budget, account] :
-       std::get<account_shard>(aDocument).mAccounts) {
+  for (auto& [budget, account] : std::get<account_shard>(aDocument).mAccounts) {
     for (auto share = account.mShares.begin();
          share != account.mShares.end();) {
       share = share->first.mMember.mValue == aReader
@@ -91,14 +90,13 @@
     return aNew;
   }
   const account_shard empty;
-  const account_shard& old =
-    aOld ? std::get<account_shard>(*aOld) : empty;
+  const account_shard& old = aOld ? std::get<account_shard>(*aOld) : empty;
   for (auto& [budget, account] : std::get<account_shard>(aNew).mAccounts) {
     const auto before = old.mAccounts.find(budget);
-    ChangeWrittenAccount(
-      aWorld, before == old.mAccounts.end() ? foxtailquay::account{}
-                                            : before->second,
-      account);
+    ChangeWrittenAccount(aWorld,
+                         before == old.mAccounts.end() ? foxtailquay::account{}
+                                                       : before->second,
+                         account);
   }
   return aNew;
 }
@@ -154,8 +152,7 @@
   aWorld.mStoreCalls[call] = { aFrom, aRequest };
   Schedule(aWorld, aWorld.mNow + NextDelay(aWorld),
            { {}, store_arrival{ call } });
-  Answer(aWorld, call, ReplyTo(aRequest, store_status::Unknown),
-         kStoreTimeout);
+  Answer(aWorld, call, ReplyTo(aRequest, store_status::Unknown), kStoreTimeout);
 }
 
 void Handle(world& aWorld, const process_ref&, const store_arrival& aArrival)
--- a/tests/scenario/observer.cc
+++ b/tests/scenario/observer.cc
@@ -17,8 +17,7 @@
 const config_document* ConfigOfRun(const world& aWorld, std::size_t aStream)
 {
   const auto& configs = aWorld.mObserver.mConfigs;
-  const auto found =
-    configs.find(aWorld.mStreams[aStream].mRun.mConfigVersion);
+  const auto found = configs.find(aWorld.mStreams[aStream].mRun.mConfigVersion);
   return found == configs.end() ? nullptr : &found->second;
 }
 
@@ -111,9 +110,8 @@
                         stream.mRun.mConfigVersion, ", which never was"));
     return;
   }
-  const std::string payer =
-    PayerOf(*config, aWorld.mRequests[stream.mRequest].mWorkspace,
-            stream.mRun.mTarget);
+  const std::string payer = PayerOf(
+    *config, aWorld.mRequests[stream.mRequest].mWorkspace, stream.mRun.mTarget);
   if (payer != stream.mRun.mRequest.mShare.mBudget.mValue) {
     Report(aWorld, check_kind::BilledOnce,
            absl::StrCat("run ", ToString(stream.mRun.mRequest),
@@ -151,8 +149,7 @@
   if (config == aWorld.mObserver.mConfigs.end()) {
     return;
   }
-  const auto backend =
-    config->second.mBackends.find({ aStream.mAgent.mName });
+  const auto backend = config->second.mBackends.find({ aStream.mAgent.mName });
   if (backend != config->second.mBackends.end() && backend->second.mDrain &&
       aWorld.mObserver.mConfigAt.at(version) + kGrace < aWorld.mNow) {
     Report(aWorld, check_kind::NothingOnLeaving,
@@ -250,8 +247,7 @@
   }
   if (stream.mRun.mKind == backend_kind::Service) {
     const auto service = config->mServices.find({ stream.mRun.mTarget });
-    return service == config->mServices.end() ? 0
-                                              : service->second.mCallPrice;
+    return service == config->mServices.end() ? 0 : service->second.mCallPrice;
   }
   const auto model = config->mModels.find({ stream.mRun.mTarget });
   return model == config->mModels.end()
@@ -297,9 +293,8 @@
 void ObserveBreak(world& aWorld, std::size_t aStream)
 {
   const sim_stream& stream = aWorld.mStreams[aStream];
-  const bool stopping =
-    aWorld.mProcesses.at(stream.mRouter.mName).mStopAsked ||
-    aWorld.mProcesses.at(stream.mAgent.mName).mStopAsked;
+  const bool stopping = aWorld.mProcesses.at(stream.mRouter.mName).mStopAsked ||
+                        aWorld.mProcesses.at(stream.mAgent.mName).mStopAsked;
   if (stream.mStarted && stopping && !stream.mFaulted) {
     Report(aWorld, check_kind::NoStreamCutByStop,
            absl::StrCat("run ", ToString(stream.mRun.mRequest),
@@ -320,9 +315,9 @@
         request.mRouter.mName == aName &&
         request.mRouter.mGeneration == process.mGeneration &&
         request.mSentAt < aWorld.mNow) {
-      Report(aWorld, check_kind::NoStreamCutByStop,
-             absl::StrCat(aName, " exits before it has answered ",
-                          request.mName));
+      Report(
+        aWorld, check_kind::NoStreamCutByStop,
+        absl::StrCat(aName, " exits before it has answered ", request.mName));
     }
   }
 }
@@ -344,8 +339,7 @@
   if (request.mOutcome == request_outcome::Whole &&
       request.mText != ExpectedText(aWorld, aRequest)) {
     Report(aWorld, check_kind::OwnWholeAnswer,
-           absl::StrCat(request.mName, " gets \"",
-                        request.mText.substr(0, 80),
+           absl::StrCat(request.mName, " gets \"", request.mText.substr(0, 80),
                         "\" as its whole answer"));
   }
   const bool refused = request.mOutcome == request_outcome::Refused ||
--- a/tests/scenario/observer_store.cc
+++ b/tests/scenario/observer_store.cc
@@ -13,8 +13,8 @@
 {
   for (const sim_operator_call& call : aWorld.mOperatorCalls) {
     const auto* ask = std::get_if<top_up_request>(&call.mAsk);
-    if (ask != nullptr && ask->mBudget == aBudget &&
-        ask->mTopUpId == aTopUp && ask->mAmount == aAmount) {
+    if (ask != nullptr && ask->mBudget == aBudget && ask->mTopUpId == aTopUp &&
+        ask->mAmount == aAmount) {
       return true;
     }
   }
@@ -34,15 +34,13 @@
   }
   if (paid != aAccount.mPaidIn) {
     Report(aWorld, check_kind::AccountSums,
-           absl::StrCat("budget ", aBudget.mValue, " shows ",
-                        aAccount.mPaidIn, " paid in, its top-ups sum up to ",
-                        paid));
+           absl::StrCat("budget ", aBudget.mValue, " shows ", aAccount.mPaidIn,
+                        " paid in, its top-ups sum up to ", paid));
   }
   aWorld.mObserver.mTopUps[aBudget] = aAccount.mTopUps;
 }
 
-void CheckSums(world& aWorld, const budget_id& aBudget,
-               const account& aAccount)
+void CheckSums(world& aWorld, const budget_id& aBudget, const account& aAccount)
 {
   token_count granted = aAccount.mClosedSpent;
   token_count spent = aAccount.mClosedSpent;
@@ -51,9 +49,8 @@
     spent += share.mSpent;
     if (share.mSpent > share.mGranted) {
       Report(aWorld, check_kind::AccountSums,
-             absl::StrCat("share ", aBudget.mValue, "/",
-                          holder.mMember.mValue, " has spent ", share.mSpent,
-                          " of ", share.mGranted));
+             absl::StrCat("share ", aBudget.mValue, "/", holder.mMember.mValue,
+                          " has spent ", share.mSpent, " of ", share.mGranted));
     }
   }
   if (granted > aAccount.mPaidIn) {
--- a/tests/scenario/scenario_host.cc
+++ b/tests/scenario/scenario_host.cc
@@ -27,8 +27,8 @@
   report.mFailure = report.mPassed ? "" : ToString(ErrorOf(done));
   report.mViolations = fleet.mObserver.mViolations;
   const std::size_t lines = fleet.mTrace.size();
-  for (std::size_t i = lines > kTraceLines ? lines - kTraceLines : 0;
-       i < lines; ++i) {
+  for (std::size_t i = lines > kTraceLines ? lines - kTraceLines : 0; i < lines;
+       ++i) {
     absl::StrAppend(&report.mTrace, fleet.mTrace[i], "\n");
   }
   return report;
@@ -37,8 +37,7 @@
 } // namespace
 
 run_report RunText(const sim_charts& aCharts, const std::string& aText,
-                   const std::string& aFile,
-                   const run_options& aOptions)
+                   const std::string& aFile, const run_options& aOptions)
 {
   const auto parsed = ParseScenario(aText, aFile);
   if (!IsOk(parsed)) {
--- a/tests/scenario/sim_network.cc
+++ b/tests/scenario/sim_network.cc
@@ -11,8 +11,7 @@
 bool Chance(world& aWorld, int aPermille)
 {
   return aPermille > 0 &&
-         std::uniform_int_distribution<int>(0, 999)(aWorld.mRandom) <
-           aPermille;
+         std::uniform_int_distribution<int>(0, 999)(aWorld.mRandom) < aPermille;
 }
 
 void ReportUnreachable(world& aWorld, const process_ref& aTo,
@@ -94,8 +93,7 @@
   if (lost) {
     return;
   }
-  const int copies =
-    Chance(aWorld, aWorld.mNetwork.mDuplicatePermille) ? 2 : 1;
+  const int copies = Chance(aWorld, aWorld.mNetwork.mDuplicatePermille) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     Schedule(aWorld, aWorld.mNow + NextDelay(aWorld),
              { { to, 0 }, message_arrival{ aFrom, aSend.mEnvelope } });
--- a/tests/scenario_test.cc
+++ b/tests/scenario_test.cc
@@ -29,13 +29,12 @@
   return files;
 }
 
-BOOST_DATA_TEST_CASE(scenario_keeps_the_invariants,
-                     data::make(ScenarioFiles()), path)
+BOOST_DATA_TEST_CASE(scenario_keeps_the_invariants, data::make(ScenarioFiles()),
+                     path)
 {
   const std::string name = std::filesystem::path(path).filename().string();
   const run_report report = RunText(ChartsForTests(), ReadFile(path), name);
-  BOOST_CHECK_MESSAGE(report.mPassed,
-                      report.mFailure << "\n" << report.mTrace);
+  BOOST_CHECK_MESSAGE(report.mPassed, report.mFailure << "\n" << report.mTrace);
 }
 
 struct bad_scenario
@@ -56,8 +55,7 @@
     { "- expect: {request: q, outcome: fine}", "bad.yaml:4", "unknown word" },
     { "- send: {at: r1, as: q, workspace: w, tokens: many}", "bad.yaml:4",
       "wrong type" },
-    { "- config: {models: {m: {colour: red}}}", "bad.yaml:4",
-      "unknown word" },
+    { "- config: {models: {m: {colour: red}}}", "bad.yaml:4", "unknown word" },
     { "- [", "bad.yaml:5", "" },
   };
   for (const bad_scenario& bad : cases) {
@@ -66,8 +64,7 @@
       "bad.yaml");
     BOOST_REQUIRE_MESSAGE(!IsOk(parsed), "accepted: " << bad.mStep);
     BOOST_TEST(ErrorOf(parsed).mField == bad.mField);
-    BOOST_TEST(ErrorOf(parsed).mDetail.find(bad.mDetail) !=
-               std::string::npos);
+    BOOST_TEST(ErrorOf(parsed).mDetail.find(bad.mDetail) != std::string::npos);
   }
 }
 
