Answer every caller exchange, and never call a tried run unrun

Cause: a caller that left got no final answer from the node, so the thread that serves its connection waited for ever; and a completion whose first attempt broke off was answered 'ran: no' when the retry found no other backend server. Change: caller_gone no longer counts as the answer; FinishRequest gives the missing one; AnswerError reports 'unknown' after an attempt that may have run. Both have a test in node_test that fails without the change.

--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -49,7 +49,7 @@
 {
   const auto found = aState.mRequests.find(aEvent.mHandle);
   if (found != aState.mRequests.end()) {
-    found->second.mAnswered = true;
+    found->second.mCallerGone = true;
     FireRequest(aState, found->second, request_event::CallerGone, aNow);
   }
 }
--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -178,7 +178,7 @@
   const request_state& request = aContext.mRequest;
   const bool safe = request.mError.mRan == ran::No ||
                     (request.mRepeatable && !request.mRelayed);
-  return safe && !request.mAnswered &&
+  return safe && !request.mAnswered && !request.mCallerGone &&
          MayRetry(aContext.mState.mRetries, request.mAttempts,
                   request.mDeadline, aContext.mNow,
                   aContext.mState.mRetryOptions);
@@ -278,6 +278,17 @@
     answer_caller_action{ aRequest.mHandle, std::move(aAnswer) });
 }
 
+// The last error says nothing about the attempts before it: a retry that finds
+// no backend server did not run, but the attempt that failed may have.
+void AnswerError(router_state& aState, request_state& aRequest)
+{
+  error answer = aRequest.mError;
+  if (aRequest.mMayHaveRun && answer.mRan == ran::No) {
+    answer.mRan = ran::Unknown;
+  }
+  Answer(aState, aRequest, std::move(answer));
+}
+
 void RunAction(router_state& aState, request_state& aRequest,
                request_action aAction, absl::Time aNow)
 {
@@ -322,7 +333,7 @@
       Answer(aState, aRequest, aRequest.mAnswer);
       break;
     case request_action::AnswerError:
-      Answer(aState, aRequest, aRequest.mError);
+      AnswerError(aState, aRequest);
       break;
   }
 }
@@ -627,6 +638,7 @@
   request->mRelayed = request->mRelayed || aEvent.mRelayed;
   request->mAnswer.mComplete = false;
   error reason = aEvent.mError;
+  request->mMayHaveRun = true;
   // The run was sent; only an agent's refusal proves that it did not start.
   if (reason.mRan == ran::No) {
     reason.mRan = ran::Unknown;
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -62,6 +62,10 @@
 
   absl::Time mFundBy;
   bool mAdmitted = false;
+  // The caller's connection is closed; the answer only ends the exchange.
+  bool mCallerGone = false;
+  // An attempt failed after it was sent.
+  bool mMayHaveRun = false;
   bool mAnswered = false;
   bool mFinished = false;
   stored_answer mAnswer;
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -46,6 +46,8 @@
   router_ptr mRouter;
   agent_ptr mAgent;
   std::vector<router_action> mSeen;
+  // Runs break after some tokens instead of finishing.
+  bool mBreakRuns = false;
 
   small_fleet()
   {
@@ -94,6 +96,17 @@
     } else if (auto* start = std::get_if<start_run_action>(&action)) {
       const request_id id = start->mRun.mRequest;
       StepRouter(aFleet, run_accepted_event{ start->mHandle, id });
+      if (aFleet.mBreakRuns) {
+        StepAgent(aFleet, run_ended_event{ start->mHandle, { 10, 2 }, false });
+        StepRouter(aFleet, run_failed_event{ start->mHandle,
+                                             id,
+                                             { 10, 2 },
+                                             false,
+                                             { error_code::BackendServerFailed,
+                                               ran::Unknown, "", "broke off",
+                                               absl::ZeroDuration() } });
+        continue;
+      }
       StepAgent(aFleet, run_ended_event{ start->mHandle, { 10, 20 }, true });
       StepRouter(aFleet,
                  run_finished_event{ start->mHandle, id, { 10, 20 }, {} });
@@ -182,6 +195,68 @@
   BOOST_TEST(Dump(*fleet.mAgent).mRecords == 0u);
 }
 
+// A ready fleet that has a budget.
+void Prepare(small_fleet& aFleet)
+{
+  Run(aFleet, absl::Seconds(2));
+  StepRouter(aFleet, operator_event{ 1, patch_request{ FirstPatch() } });
+  StepRouter(aFleet,
+             operator_event{ 2, top_up_request{ { "b1" }, "t1", 5000 } });
+  Run(aFleet, absl::Seconds(1));
+}
+
+caller_request_event Ask(request_handle aHandle)
+{
+  caller_request_event ask;
+  ask.mHandle = aHandle;
+  ask.mKeyHash = std::string(64, 'a');
+  ask.mTarget = "m1";
+  ask.mPromptTokensBound = 100;
+  ask.mMaxTokens = 200;
+  return ask;
+}
+
+std::vector<error> ErrorsTo(const small_fleet& aFleet, request_handle aHandle)
+{
+  std::vector<error> errors;
+  for (const router_action& action : aFleet.mSeen) {
+    const auto* answer = std::get_if<answer_caller_action>(&action);
+    if (answer != nullptr && answer->mHandle == aHandle) {
+      const auto* refused = std::get_if<error>(&answer->mAnswer);
+      errors.push_back(refused != nullptr ? *refused : error{});
+    }
+  }
+  return errors;
+}
+
+// Guards against "did not run" for a completion whose first attempt broke off
+// and whose retry found no other backend server.
+BOOST_AUTO_TEST_CASE(a_broken_attempt_is_not_answered_as_unrun)
+{
+  small_fleet fleet;
+  Prepare(fleet);
+  fleet.mBreakRuns = true;
+  StepRouter(fleet, Ask(7));
+  Run(fleet, absl::Seconds(10));
+  const auto errors = ErrorsTo(fleet, 7);
+  BOOST_REQUIRE(errors.size() == 1u);
+  BOOST_TEST((errors[0].mRan == ran::Unknown));
+}
+
+// The thread that serves a connection waits for the final answer, so that a
+// request that ends without one would hold it for ever.
+BOOST_AUTO_TEST_CASE(a_caller_that_left_is_answered_once)
+{
+  small_fleet fleet;
+  Prepare(fleet);
+  fleet.mBreakRuns = true;
+  StepRouter(fleet, Ask(7));
+  // While the broken attempt waits for its retry.
+  StepRouter(fleet, caller_gone_event{ 7 });
+  Run(fleet, absl::Seconds(10));
+  BOOST_TEST(ErrorsTo(fleet, 7).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(graceful_stop_returns_the_share)
 {
   small_fleet fleet;
