--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -278,17 +278,6 @@
     answer_caller_action{ aRequest.mHandle, std::move(aAnswer) });
 }
 
-// The last error says nothing about the attempts before it: a retry that finds
-// no backend server did not run, but the attempt that failed may have.
-void AnswerError(router_state& aState, request_state& aRequest)
-{
-  error answer = aRequest.mError;
-  if (aRequest.mMayHaveRun && answer.mRan == ran::No) {
-    answer.mRan = ran::Unknown;
-  }
-  Answer(aState, aRequest, std::move(answer));
-}
-
 void RunAction(router_state& aState, request_state& aRequest,
                request_action aAction, absl::Time aNow)
 {
@@ -333,7 +322,10 @@
       Answer(aState, aRequest, aRequest.mAnswer);
       break;
     case request_action::AnswerError:
-      AnswerError(aState, aRequest);
+      if (aRequest.mMayHaveRun && aRequest.mError.mRan == ran::No) {
+        aRequest.mError.mRan = ran::Unknown;
+      }
+      Answer(aState, aRequest, aRequest.mError);
       break;
   }
 }
@@ -637,8 +629,8 @@
   request->mUsage = aEvent.mUsage;
   request->mRelayed = request->mRelayed || aEvent.mRelayed;
   request->mAnswer.mComplete = false;
-  error reason = aEvent.mError;
   request->mMayHaveRun = true;
+  error reason = aEvent.mError;
   // The run was sent; only an agent's refusal proves that it did not start.
   if (reason.mRan == ran::No) {
     reason.mRan = ran::Unknown;
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -53,6 +53,9 @@
   std::set<backend_id> mTried;
   token_usage mUsage;
   bool mRelayed = false;
+  // An attempt has failed after it was sent: the request may have run, so no
+  // later refusal may say that it did not.
+  bool mMayHaveRun = false;
 
   claim_key mClaimKey;
   std::uint64_t mClaimNumber = 0;
@@ -64,8 +67,6 @@
   bool mAdmitted = false;
   // The caller's connection is closed; the answer only ends the exchange.
   bool mCallerGone = false;
-  // An attempt failed after it was sent.
-  bool mMayHaveRun = false;
   bool mAnswered = false;
   bool mFinished = false;
   stored_answer mAnswer;
@@ -189,6 +190,7 @@
   std::uint64_t mNotedLossEpoch = 0;
   absl::Time mNextGossip = absl::InfinitePast();
   absl::Time mNextStorePoll = absl::InfinitePast();
+  absl::Time mNextProbe = absl::InfinitePast();
   absl::Time mNextReview = absl::InfinitePast();
   absl::Time mLastReview = absl::InfinitePast();
 
@@ -271,6 +273,9 @@
                     const commit_result_message& aMessage, absl::Time aNow);
 void OnCommitterUnreachable(router_state& aState, const member_id& aPeer,
                             absl::Time aNow);
+// This router has reached the store: it commits for itself the shards whose
+// committers have not.
+void OnStoreReached(router_state& aState, absl::Time aNow);
 // Sends due operations to the store or to the committer of their shard.
 void AdvanceAccountQueues(router_state& aState, absl::Time aNow);
 absl::Time NextForwardWake(const router_state& aState);
--- a/src/daemon/agent_host.cc
+++ b/src/daemon/agent_host.cc
@@ -54,8 +54,7 @@
   }
 }
 
-// --- Actions, on the control thread
-// -------------------------------------------
+// --- Actions, on the control thread -----------------------------------------
 
 void Decide(agent_host& aHost, request_handle aHandle, run_decision aDecision)
 {
@@ -109,8 +108,7 @@
   }
 }
 
-// --- Events, on the control thread
-// --------------------------------------------
+// --- Events, on the control thread ------------------------------------------
 
 void HandleEvent(agent_host& aHost, agent_event aEvent)
 {
@@ -146,8 +144,7 @@
     [&aHost] { return NextWake(*aHost.mAgent); });
 }
 
-// --- Load
-// ---------------------------------------------------------------------
+// --- Load -------------------------------------------------------------------
 
 void ScheduleLoad(agent_host& aHost, absl::Time aWhen);
 
@@ -177,8 +174,7 @@
   });
 }
 
-// --- Port
-// ---------------------------------------------------------------------
+// --- Port -------------------------------------------------------------------
 
 std::optional<http_reply> ServeGet(agent_host& aHost,
                                    const http_request& aRequest)
--- a/src/wire/state_json.cc
+++ b/src/wire/state_json.cc
@@ -5,8 +5,7 @@
 
 namespace foxtailquay {
 
-// --- Tables of the dumps' fields
-// ----------------------------------------------
+// --- Tables of the dumps' fields --------------------------------------------
 
 constexpr auto FieldsOf(const share_dump*)
 {
--- a/tests/completion_test.cc
+++ b/tests/completion_test.cc
@@ -21,8 +21,7 @@
   return ValueOf(json);
 }
 
-// --- Server-sent events
-// ---------------------------------------------------------
+// --- Server-sent events -----------------------------------------------------
 
 std::vector<std::string> FeedInPieces(const std::string& aBytes,
                                       std::size_t aPiece)
@@ -68,8 +67,7 @@
   BOOST_TEST(!IsOk(Feed(parser, bytes, [](std::string_view) { return true; })));
 }
 
-// --- Requests
-// -------------------------------------------------------------------
+// --- Requests ---------------------------------------------------------------
 
 struct refused_body
 {
@@ -159,8 +157,7 @@
   BOOST_TEST(!IsOk(EngineBody(run)));
 }
 
-// --- Answers
-// --------------------------------------------------------------------
+// --- Answers ----------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(chat_events_are_assembled)
 {
@@ -220,8 +217,7 @@
   }
 }
 
-// --- Usage
-// ----------------------------------------------------------------------
+// --- Usage ------------------------------------------------------------------
 
 const char* const kToken = R"({"choices":[{"delta":{"content":"x"}}]})";
 
