--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -65,6 +65,8 @@
 
   absl::Time mFundBy;
   bool mAdmitted = false;
+  // The caller's connection is closed; the answer only ends the exchange.
+  bool mCallerGone = false;
   bool mAnswered = false;
   bool mFinished = false;
   stored_answer mAnswer;
--- a/src/daemon/router_host.cc
+++ b/src/daemon/router_host.cc
@@ -63,8 +63,7 @@
   }
 }
 
-// --- Actions, on the control thread
-// -------------------------------------------
+// --- Actions, on the control thread -----------------------------------------
 
 void Perform(router_host& aHost, dispatch_action aAction)
 {
@@ -132,8 +131,7 @@
   }
 }
 
-// --- Events, on the control thread
-// --------------------------------------------
+// --- Events, on the control thread ------------------------------------------
 
 template<typename Event>
 void ForgetRun(router_host& aHost, const Event& aEvent)
@@ -190,8 +188,7 @@
     [&aHost] { return NextWake(*aHost.mRouter); });
 }
 
-// --- Ports
-// --------------------------------------------------------------------
+// --- Ports ------------------------------------------------------------------
 
 std::optional<http_reply> ServePeerPort(router_host& aHost,
                                         const http_request& aRequest)
@@ -255,8 +252,7 @@
   return success{};
 }
 
-// --- The platform's list of VMs
-// -----------------------------------------------
+// --- The platform's list of VMs ---------------------------------------------
 
 void ScheduleVmList(router_host& aHost);
 
--- a/src/wire/operator_http.cc
+++ b/src/wire/operator_http.cc
@@ -15,8 +15,7 @@
 
 namespace {
 
-// --- Bodies
-// -------------------------------------------------------------------
+// --- Bodies -----------------------------------------------------------------
 
 struct top_up_body
 {
@@ -67,8 +66,7 @@
   return DecodeAs<T>(ValueOf(json), error_code::InvalidRequest);
 }
 
-// --- Requests
-// -----------------------------------------------------------------
+// --- Requests ---------------------------------------------------------------
 
 enum class admin_resource
 {
@@ -212,8 +210,7 @@
                 absl::ZeroDuration() };
 }
 
-// --- Answers
-// ------------------------------------------------------------------
+// --- Answers ----------------------------------------------------------------
 
 http_reply JsonReply(const Json::Value& aJson)
 {
--- a/tests/runtime_test.cc
+++ b/tests/runtime_test.cc
@@ -18,8 +18,7 @@
 namespace foxtailquay {
 namespace {
 
-// --- Control queue
-// ------------------------------------------------------------
+// --- Control queue ----------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(a_full_queue_refuses_new_work_only)
 {
@@ -75,8 +74,7 @@
   BOOST_TEST(ticks == 2);
 }
 
-// --- Elastic pool
-// -------------------------------------------------------------
+// --- Elastic pool -----------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(pool_is_bounded_and_refuses_the_rest)
 {
@@ -118,20 +116,20 @@
 
 BOOST_AUTO_TEST_CASE(pool_runs_many_tasks_from_many_threads_once_each)
 {
-  constexpr int kThreads = 4;
-  constexpr int kTasks = 2000;
+  constexpr std::size_t kThreads = 4;
+  constexpr std::size_t kTasks = 2000;
   elastic_pool pool({ "test", 3, kThreads * kTasks, absl::Milliseconds(1) });
-  std::atomic<int> ran{ 0 };
+  std::atomic<std::size_t> ran{ 0 };
   std::atomic<int> refused{ 0 };
-  std::vector<posix_thread> threads;
-  for (int i = 0; i < kThreads; ++i) {
-    threads.push_back(std::get<posix_thread>(StartThread("submit", [&] {
-      for (int task = 0; task < kTasks; ++task) {
+  std::vector<posix_thread> threads(kThreads);
+  for (posix_thread& thread : threads) {
+    thread = std::get<posix_thread>(StartThread("submit", [&] {
+      for (std::size_t task = 0; task < kTasks; ++task) {
         if (!TrySubmit(pool, [&ran] { ++ran; })) {
           ++refused;
         }
       }
-    })));
+    }));
   }
   for (posix_thread& thread : threads) {
     Join(thread);
@@ -141,8 +139,7 @@
   BOOST_TEST(ran == kThreads * kTasks);
 }
 
-// --- Timer
-// --------------------------------------------------------------------
+// --- Timer ------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(timer_runs_in_order_of_time_and_cancels)
 {
@@ -182,8 +179,7 @@
   StopTimer(timer);
 }
 
-// --- Mailbox
-// ------------------------------------------------------------------
+// --- Mailbox ----------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(a_closed_handle_gets_no_delivery)
 {
@@ -203,8 +199,7 @@
   BOOST_TEST(!Take(box, MonotonicNow()).has_value());
 }
 
-// --- Log and metrics
-// ----------------------------------------------------------
+// --- Log and metrics --------------------------------------------------------
 
 // A caller-chosen value must not be able to forge a field or a line.
 BOOST_AUTO_TEST_CASE(log_values_cannot_forge_fields)
@@ -225,7 +220,7 @@
   const std::string text =
     RenderMetrics(*metrics, { { gauge::OpenRequests, 5 } });
   for (const char* line :
-       { "# TYPE foxtailquay_caller_requests_total counter\n"
+       { "# TYPE foxtailquay_caller_requests_total counter\n",
          "foxtailquay_caller_requests_total 3\n",
          "foxtailquay_open_requests 5\n",
          // Values below and above all buckets are counted too.
