Keep shares of rarely used budgets; measure latency on loopback

Cause: in a 10-minute store outage most requests were refused although the budgets were nearly unspent: a share without use for 10 s was given back, and the spending rate forgot a request after 10 s, while a budget saw one request in 20 s per router. Change: a share is idle only after the share horizon, and the rate is averaged over a quarter of it.

--- /dev/null
+++ b/bench/latency/latency.cc
@@ -0,0 +1,230 @@
+// Measures on loopback what a router and an agent add to a call: the same
+// completions go directly to the stand-in engine and through the fleet, in
+// turns, in one run. Also processor time per request and memory per open
+// stream of the router.
+//
+// Each request is started at its planned time whether or not earlier ones
+// have ended, and its latency counts from that time, so that a stall is not
+// hidden.
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "gflags/gflags.h"
+#include "process_fleet.h"
+
+DEFINE_int32(seconds, 5, "seconds per rate and path");
+DEFINE_int32(streams, 200, "open streams of the last measurement");
+
+namespace foxtailquay {
+namespace {
+
+// The stated target for what the fleet adds.
+constexpr double kTargetP50Ms = 1;
+constexpr double kTargetP99Ms = 5;
+// Connections that send the requests of one rate in turn.
+constexpr int kSenders = 40;
+
+struct latency_result
+{
+  std::vector<double> mMilliseconds;
+  int mFailed = 0;
+};
+
+double Percentile(std::vector<double> aValues, double aPart)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto index =
+    static_cast<std::size_t>(aPart * static_cast<double>(aValues.size() - 1));
+  return aValues[index];
+}
+
+// Sends every kSenders'th request, starting with aFirst.
+latency_result Send(int aPort, int aFirst, int aCount, absl::Duration aGap,
+                    absl::Time aStart)
+{
+  latency_result result;
+  httplib::Client client("127.0.0.1", aPort);
+  client.set_keep_alive(true);
+  client.set_tcp_nodelay(true);
+  const std::string body = ChatBody("how many folds", 1).toStyledString();
+  const absl::Notification never;
+  for (int i = aFirst; i < aCount; i += kSenders) {
+    const absl::Time planned = aStart + i * aGap;
+    never.WaitForNotificationWithDeadline(planned);
+    const auto answer = client.Post("/v1/chat/completions", CallerHeaders(),
+                                    body, "application/json");
+    if (answer && answer->status == 200) {
+      result.mMilliseconds.push_back(
+        absl::ToDoubleMilliseconds(absl::Now() - planned));
+    } else {
+      ++result.mFailed;
+    }
+  }
+  return result;
+}
+
+latency_result Measure(int aPort, double aRate)
+{
+  const int count = static_cast<int>(aRate * FLAGS_seconds);
+  const absl::Time start = absl::Now() + absl::Milliseconds(50);
+  std::vector<latency_result> parts(kSenders);
+  std::vector<std::thread> senders;
+  for (int i = 0; i < kSenders; ++i) {
+    senders.emplace_back([&parts, aPort, i, count, aRate, start] {
+      parts[static_cast<std::size_t>(i)] =
+        Send(aPort, i, count, absl::Seconds(1 / aRate), start);
+    });
+  }
+  latency_result all;
+  for (int i = 0; i < kSenders; ++i) {
+    senders[static_cast<std::size_t>(i)].join();
+    latency_result& part = parts[static_cast<std::size_t>(i)];
+    all.mFailed += part.mFailed;
+    all.mMilliseconds.insert(all.mMilliseconds.end(),
+                             part.mMilliseconds.begin(),
+                             part.mMilliseconds.end());
+  }
+  return all;
+}
+
+// Field of /proc/PID/status in kB.
+double StatusField(int aProcess, const std::string& aName)
+{
+  std::ifstream file(absl::StrCat("/proc/", aProcess, "/status"));
+  std::string name;
+  double value = 0;
+  while (file >> name) {
+    if (name == aName + ":") {
+      file >> value;
+      return value;
+    }
+    file.ignore(1 << 16, '\n');
+  }
+  return 0;
+}
+
+// User and system time of a process in seconds.
+double CpuSeconds(int aProcess)
+{
+  std::ifstream file(absl::StrCat("/proc/", aProcess, "/stat"));
+  std::string text;
+  std::getline(file, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string field;
+  // utime and stime are the 12th and 13th fields after the name.
+  double ticks = 0;
+  for (int i = 1; i <= 13 && fields >> field; ++i) {
+    if (i >= 12) {
+      ticks += std::stod(field);
+    }
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+// Prints one row; returns whether the target is met.
+bool Compare(const process_fleet& aFleet, double aRate)
+{
+  const int engine = aFleet.mAgents[0].mPort;
+  const fleet_node& router = aFleet.mRouters[0];
+  const latency_result direct = Measure(engine, aRate);
+  const double before = CpuSeconds(router.mProcess.mPid);
+  const latency_result routed = Measure(router.mPort, aRate);
+  const double spent = CpuSeconds(router.mProcess.mPid) - before;
+  const double p50 = Percentile(routed.mMilliseconds, 0.5) -
+                     Percentile(direct.mMilliseconds, 0.5);
+  const double p99 = Percentile(routed.mMilliseconds, 0.99) -
+                     Percentile(direct.mMilliseconds, 0.99);
+  std::cout << absl::StrFormat(
+    "| %.0f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | %d | %.0f |\n", aRate,
+    Percentile(direct.mMilliseconds, 0.5),
+    Percentile(direct.mMilliseconds, 0.99),
+    Percentile(routed.mMilliseconds, 0.5),
+    Percentile(routed.mMilliseconds, 0.99), p50, p99,
+    direct.mFailed + routed.mFailed,
+    1e6 * spent /
+      std::max<double>(1, static_cast<double>(routed.mMilliseconds.size())));
+  return p50 <= kTargetP50Ms && p99 <= kTargetP99Ms &&
+         direct.mFailed + routed.mFailed == 0;
+}
+
+// Memory and threads of the router with many open streams.
+void MeasureStreams(process_fleet& aFleet)
+{
+  const fleet_node& router = aFleet.mRouters[0];
+  const int process = router.mProcess.mPid;
+  const double memory = StatusField(process, "VmRSS");
+  const double threads = StatusField(process, "Threads");
+  SetEngineFault(aFleet, "hold_after_tokens", 2);
+  std::vector<std::unique_ptr<open_answer>> streams;
+  for (int i = 0; i < FLAGS_streams; ++i) {
+    streams.push_back(AskAsync(router.mPort, "POST", "/v1/chat/completions",
+                               CallerHeaders(),
+                               ChatBody("a long brief", 20, true)));
+  }
+  int open = 0;
+  for (auto& stream : streams) {
+    open += AwaitText(*stream, "data:") ? 1 : 0;
+  }
+  const double count = std::max(1, open);
+  std::cout << absl::StrFormat(
+    "\n%d of %d streams open at the router: %.0f kB and %.2f threads per "
+    "stream (VmRSS %.0f to %.0f kB)\n",
+    open, FLAGS_streams, (StatusField(process, "VmRSS") - memory) / count,
+    (StatusField(process, "Threads") - threads) / count, memory,
+    StatusField(process, "VmRSS"));
+  SetEngineFault(aFleet, "hold_after_tokens", 0);
+  for (auto& stream : streams) {
+    AwaitEnd(*stream);
+  }
+}
+
+int Run()
+{
+  process_fleet fleet;
+  fleet_options options;
+  options.mRouters = 1;
+  options.mEngines = 1;
+  options.mServices = 0;
+  options.mPaidIn = 50'000'000;
+  options.mEngineFlags = { "--slots=512", "--token_delay_ms=0" };
+  const auto started = StartFleet(fleet, options);
+  if (!IsOk(started)) {
+    std::cerr << ToString(ErrorOf(started)) << "\n" << LogTails(fleet);
+    return 1;
+  }
+  std::cout << "| requests/s | direct p50 ms | direct p99 | routed p50 | "
+               "routed p99 | added p50 | added p99 | failed | router CPU us "
+               "per request |\n|---:|---:|---:|---:|---:|---:|---:|---:|"
+               "---:|\n";
+  bool met = true;
+  for (double rate : { 1.0, 50.0, 200.0 }) {
+    met = Compare(fleet, rate) && met;
+  }
+  MeasureStreams(fleet);
+  std::cout << absl::StrFormat("target (added %.0f ms p50, %.0f ms p99): %s\n",
+                               kTargetP50Ms, kTargetP99Ms,
+                               met ? "met" : "missed");
+  return met ? 0 : 1;
+}
+
+} // namespace
+} // namespace foxtailquay
+
+int main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  return foxtailquay::Run();
+}
--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -36,6 +36,13 @@
   return aState.mNode.mConfig.mWorkspaces.at(owner->second).mShareHorizon;
 }
 
+// A share counts as idle after this time without use; a budget that is used
+// rarely must not lose its share between two requests.
+absl::Duration IdleTimeOf(const router_state& aState, const budget_id& aBudget)
+{
+  return std::max(aState.mOptions.mIdleAfter, HorizonOf(aState, aBudget));
+}
+
 // Tokens that waiting requests lack.
 token_count MissingTokens(const router_state& aState, const share_state& aShare)
 {
@@ -226,7 +233,8 @@
     return;
   }
   const token_count free = FreeTokens(aShare);
-  const bool idle = aShare.mLastUsed + aState.mOptions.mIdleAfter <= aNow;
+  const bool idle =
+    aShare.mLastUsed + IdleTimeOf(aState, aShare.mId.mBudget) <= aNow;
   const token_count target = TargetTokens(
     aShare, HorizonOf(aState, aShare.mId.mBudget), aState.mOptions.mMinGrant);
   token_count keep =
@@ -367,8 +375,8 @@
     if (share.mStatus != share_status::Open) {
       continue;
     }
-    UpdateRate(share, elapsed);
-    const bool active = share.mLastUsed + aState.mOptions.mIdleAfter > aNow;
+    UpdateRate(share, elapsed, HorizonOf(aState, budget));
+    const bool active = share.mLastUsed + IdleTimeOf(aState, budget) > aNow;
     const token_count target =
       TargetTokens(share, HorizonOf(aState, budget), aState.mOptions.mMinGrant);
     if (active && FreeTokens(share) < target / 2 && share.mUnallocated > 0) {
--- a/src/core/share.cc
+++ b/src/core/share.cc
@@ -7,9 +7,10 @@
 
 namespace {
 
-// Weight of the newest second in the spending rate: about ten seconds of
-// memory, longer than a burst and shorter than a share horizon.
-constexpr double kRateWeightPerSecond = 0.1;
+// The spending rate is averaged over a quarter of the share horizon, within
+// these limits: longer than a burst, and short enough to follow the day.
+constexpr absl::Duration kMinRateMemory = absl::Seconds(10);
+constexpr absl::Duration kMaxRateMemory = absl::Seconds(150);
 
 } // namespace
 
@@ -140,14 +141,17 @@
            in.end());
 }
 
-void UpdateRate(share_state& aShare, absl::Duration aElapsed)
+void UpdateRate(share_state& aShare, absl::Duration aElapsed,
+                absl::Duration aHorizon)
 {
   const double seconds = absl::ToDoubleSeconds(aElapsed);
   if (seconds <= 0) {
     return;
   }
   const double newest = static_cast<double>(aShare.mSpentSinceReview) / seconds;
-  const double weight = 1 - std::pow(1 - kRateWeightPerSecond, seconds);
+  const absl::Duration memory =
+    std::clamp(aHorizon / 4, kMinRateMemory, kMaxRateMemory);
+  const double weight = 1 - std::exp(-absl::FDivDuration(aElapsed, memory));
   aShare.mRate += (newest - aShare.mRate) * weight;
   aShare.mSpentSinceReview = 0;
 }
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -92,8 +92,10 @@
 bool IsSettledIn(const account& aAccount, const process_id& aOwner,
                  std::uint64_t aNumber);
 
-// Folds the spending since the last review, aElapsed ago, into the rate.
-void UpdateRate(share_state& aShare, absl::Duration aElapsed);
+// Folds the spending since the last review, aElapsed ago, into the rate, which
+// is averaged over a part of the horizon.
+void UpdateRate(share_state& aShare, absl::Duration aElapsed,
+                absl::Duration aHorizon);
 
 // Tokens that cover the expected spending over aHorizon and two reservations
 // of the largest size, at least aLeast.
