--- a/bench/capacity/fleet.cc
+++ b/bench/capacity/fleet.cc
@@ -249,7 +249,9 @@
     settings.mSeed = static_cast<std::uint64_t>(i) + 1;
     fleet_node node;
     if (router) {
-      node.mRouter = MakeRouter(settings, router_options{}, *aFleet.mCharts);
+      router_options options;
+      options.mSettleDelay = aFleet.mSize.mSettleDelay;
+      node.mRouter = MakeRouter(settings, options, *aFleet.mCharts);
     } else {
       node.mAgent = MakeAgent(settings, agent_options{}, *aFleet.mCharts);
     }
--- a/bench/capacity/fleet.h
+++ b/bench/capacity/fleet.h
@@ -31,6 +31,7 @@
   std::uint32_t mShards = 4;
   // Requests a second over all routers.
   double mRequestsPerSecond = 0;
+  absl::Duration mSettleDelay = router_options{}.mSettleDelay;
 };
 
 // Counted over all nodes of one role.
