--- a/src/core/account.cc
+++ b/src/core/account.cc
@@ -82,9 +82,17 @@
 op_outcome Apply(account_shard& aShard, const settle_op& aOp)
 {
   share_record* share = FindShare(aShard, aOp.mRequest.mShare);
-  // A share is closed only after all its usage records were settled, so a
-  // record for a missing share has been counted.
-  if (share == nullptr || !Insert(share->mSettled, aOp.mRequest.mNumber)) {
+  if (share == nullptr) {
+    // A share is closed only after all its usage records were settled. One
+    // that has never been open received its tokens by a transfer that is not
+    // committed yet.
+    account& payer = aShard.mAccounts[aOp.mRequest.mShare.mBudget];
+    if (!MayOpen(payer, aOp.mRequest.mShare.mHolder)) {
+      return op_outcome::AlreadyApplied;
+    }
+    share = &payer.mShares[aOp.mRequest.mShare.mHolder];
+  }
+  if (!Insert(share->mSettled, aOp.mRequest.mNumber)) {
     return op_outcome::AlreadyApplied;
   }
   share->mSpent += aOp.mCost;
@@ -220,7 +228,8 @@
 {
   token_count allocated = aAccount.mClosedSpent;
   for (const auto& [holder, share] : aAccount.mShares) {
-    allocated += share.mGranted;
+    // A holder may have spent tokens of a transfer that is not committed.
+    allocated += std::max(share.mGranted, share.mSpent);
   }
   return aAccount.mPaidIn - allocated;
 }
--- a/tests/scenario/observer_store.cc
+++ b/tests/scenario/observer_store.cc
@@ -55,6 +55,10 @@
            absl::StrCat("budget ", aBudget.mValue, " has given out ", granted,
                         " of ", aAccount.mPaidIn));
   }
+  Trace(aWorld, absl::StrCat("budget ", aBudget.mValue, ": paid in ",
+                             aAccount.mPaidIn, ", granted ", granted,
+                             ", spent ", spent, ", closed ",
+                             aAccount.mClosedSpent));
   aWorld.mObserver.mBilled[aBudget] = spent;
   const token_count ran = aWorld.mObserver.mChargeable[aBudget];
   if (spent > ran) {
