--- a/tests/scenario/sim_caller.cc
+++ b/tests/scenario/sim_caller.cc
@@ -159,6 +159,10 @@
   call.mLost =
     aWorld.mProcesses.at(aRouter).mStatus == process_status::Down;
   aWorld.mOperatorCalls.push_back(call);
+  auto* topUp = std::get_if<top_up_request>(&aAsk);
+  if (topUp != nullptr && HasFault(aWorld, injected_fault::DoubleTopUp)) {
+    topUp->mAmount *= 2;
+  }
   if (!call.mLost) {
     const operator_event event{ aWorld.mOperatorCalls.size(),
                                 std::move(aAsk) };
--- a/tests/scenario/sim_stream.cc
+++ b/tests/scenario/sim_stream.cc
@@ -203,6 +203,7 @@
   sim_stream& stream = aWorld.mStreams[aStream];
   if (!IsService(stream)) {
     ++stream.mArrived;
+    ObserveArrival(aWorld, aStream);
   }
   if (HasFault(aWorld, injected_fault::CrossAnswers)) {
     aText = PieceOf("the request of somebody else", stream.mArrived - 1);
