--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -21,7 +21,7 @@
 {
   explicit test_peer(const std::string& aKey = "", std::size_t aLimit = 1000)
     : mFront({ aKey,
-               [this, aLimit](envelope aEnvelope) {
+               [this, aLimit](const envelope& aEnvelope) {
                  if (aEnvelope.mConfigVersion >= aLimit) {
                    return result<success>(error{ error_code::Overloaded,
                                                  ran::No, "", "",
