Ask for grants only above the smallest one; judge the store per shard

A share below its target asked for a part of a remainder of less than 1,000 tokens every second and got nothing; and two routers that commit for one another could each wait for the other. Change: remainders below the smallest grant are left for requests that need them; a committer refuses only for failures on the shard asked for.

--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -379,7 +379,10 @@
     const bool active = share.mLastUsed + IdleTimeOf(aState, budget) > aNow;
     const token_count target =
       TargetTokens(share, HorizonOf(aState, budget), aState.mOptions.mMinGrant);
-    if (active && FreeTokens(share) < target / 2 && share.mUnallocated > 0) {
+    // A remainder below the smallest grant is left for requests that need it;
+    // asking for a part of it would write every second to no effect.
+    if (active && FreeTokens(share) < target / 2 &&
+        share.mUnallocated >= aState.mOptions.mMinGrant) {
       FireShare(aState, share, share_event::Demand, aNow);
     } else {
       GiveBackSurplus(aState, share, aNow);
--- a/src/core/router_commit.cc
+++ b/src/core/router_commit.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kHoldersInAnswer = 2;
 // Answers that take longer lead to a commit by the router itself.
 constexpr absl::Duration kForwardPatience = absl::Seconds(1);
+// Failures in a row after which a committer asks its peers to wait.
+constexpr int kFailuresBeforeRefusal = 2;
 // Failures in a row after which a router that reaches the store stops
 // relying on the committer.
 constexpr int kFailuresBeforeDirect = 4;
@@ -329,7 +331,11 @@
   const bool known =
     aMessage.mKey.mArea == store_area::Accounts &&
     aMessage.mKey.mShard < aState.mNode.mConfig.mFleet.mAccountShards;
-  const bool healthy = IsStoreHealthy(aState);
+  // Only failures on this shard count: two routers that each wait for the
+  // other's shard would otherwise refuse one another for ever.
+  const auto own = aState.mAccounts.find(aMessage.mKey.mShard);
+  const bool healthy = own == aState.mAccounts.end() ||
+                       own->second.mFailures < kFailuresBeforeRefusal;
   if (!known || aMessage.mOps.empty() ||
       aState.mNode.mStatus != process_status::Ready ||
       IsRefused(aState.mNode, aFrom) || !healthy) {
--- a/tests/scenario/fake_store.cc
+++ b/tests/scenario/fake_store.cc
@@ -71,14 +71,13 @@
     return aNew;
   }
   const account_shard empty;
-  const account_shard& old =
-    aOld ? std::get<account_shard>(*aOld) : empty;
+  const account_shard& old = aOld ? std::get<account_shard>(*aOld) : empty;
   for (auto& [budget, account] : std::get<account_shard>(aNew).mAccounts) {
     const auto before = old.mAccounts.find(budget);
-    ChangeWrittenAccount(
-      aWorld, before == old.mAccounts.end() ? foxtailquay::account{}
-                                            : before->second,
-      account);
+    ChangeWrittenAccount(aWorld,
+                         before == old.mAccounts.end() ? foxtailquay::account{}
+                                                       : before->second,
+                         account);
   }
   return aNew;
 }
@@ -134,8 +133,7 @@
   aWorld.mStoreCalls[call] = { aFrom, aRequest };
   Schedule(aWorld, aWorld.mNow + NextDelay(aWorld),
            { {}, store_arrival{ call } });
-  Answer(aWorld, call, ReplyTo(aRequest, store_status::Unknown),
-         kStoreTimeout);
+  Answer(aWorld, call, ReplyTo(aRequest, store_status::Unknown), kStoreTimeout);
 }
 
 void Handle(world& aWorld, const process_ref&, const store_arrival& aArrival)
--- a/tests/scenario/observer.cc
+++ b/tests/scenario/observer.cc
@@ -18,8 +18,7 @@
 const config_document* ConfigOfRun(const world& aWorld, std::size_t aStream)
 {
   const auto& configs = aWorld.mObserver.mConfigs;
-  const auto found =
-    configs.find(aWorld.mStreams[aStream].mRun.mConfigVersion);
+  const auto found = configs.find(aWorld.mStreams[aStream].mRun.mConfigVersion);
   return found == configs.end() ? nullptr : &found->second;
 }
 
@@ -119,9 +118,8 @@
                         stream.mRun.mConfigVersion, ", which never was"));
     return;
   }
-  const std::string payer =
-    PayerOf(*config, aWorld.mRequests[stream.mRequest].mWorkspace,
-            stream.mRun.mTarget);
+  const std::string payer = PayerOf(
+    *config, aWorld.mRequests[stream.mRequest].mWorkspace, stream.mRun.mTarget);
   if (payer != stream.mRun.mRequest.mShare.mBudget.mValue) {
     Report(aWorld, check_kind::BilledOnce,
            absl::StrCat("run ", ToString(stream.mRun.mRequest),
@@ -159,8 +157,7 @@
   if (config == aWorld.mObserver.mConfigs.end()) {
     return;
   }
-  const auto backend =
-    config->second.mBackends.find({ aStream.mAgent.mName });
+  const auto backend = config->second.mBackends.find({ aStream.mAgent.mName });
   if (backend != config->second.mBackends.end() && backend->second.mDrain &&
       aWorld.mObserver.mConfigAt.at(version) + kGrace < aWorld.mNow) {
     Report(aWorld, check_kind::NothingOnLeaving,
@@ -235,9 +232,9 @@
   std::map<budget_id, cost_range> ranges;
   for (std::size_t i = 0; i < aWorld.mStreams.size(); ++i) {
     const cost_range range = RangeOf(aWorld, i);
-    Trace(aWorld, absl::StrCat("run ",
-                               ToString(aWorld.mStreams[i].mRun.mRequest),
-                               " costs ", range.mLeast, " to ", range.mMost));
+    Trace(aWorld,
+          absl::StrCat("run ", ToString(aWorld.mStreams[i].mRun.mRequest),
+                       " costs ", range.mLeast, " to ", range.mMost));
     cost_range& sum = ranges[aWorld.mStreams[i].mRun.mRequest.mShare.mBudget];
     sum.mLeast += range.mLeast;
     sum.mMost += range.mMost;
@@ -247,11 +244,11 @@
     const token_count billed =
       found == aWorld.mObserver.mBilled.end() ? 0 : found->second;
     if (billed < range.mLeast || billed > range.mMost) {
-      Report(aWorld, check_kind::BilledOnce,
-             absl::StrCat("budget ", budget.mValue, " is billed ", billed,
-                          ", the runs cost ", range.mLeast, " to ",
-                          range.mMost, "; not seen settled:",
-                          UnsettledRuns(aWorld, budget)));
+      Report(
+        aWorld, check_kind::BilledOnce,
+        absl::StrCat("budget ", budget.mValue, " is billed ", billed,
+                     ", the runs cost ", range.mLeast, " to ", range.mMost,
+                     "; not seen settled:", UnsettledRuns(aWorld, budget)));
     }
   }
 }
@@ -299,8 +296,7 @@
   }
   if (stream.mRun.mKind == backend_kind::Service) {
     const auto service = config->mServices.find({ stream.mRun.mTarget });
-    return service == config->mServices.end() ? 0
-                                              : service->second.mCallPrice;
+    return service == config->mServices.end() ? 0 : service->second.mCallPrice;
   }
   const auto model = config->mModels.find({ stream.mRun.mTarget });
   return model == config->mModels.end()
@@ -352,9 +348,8 @@
 void ObserveBreak(world& aWorld, std::size_t aStream)
 {
   const sim_stream& stream = aWorld.mStreams[aStream];
-  const bool stopping =
-    aWorld.mProcesses.at(stream.mRouter.mName).mStopAsked ||
-    aWorld.mProcesses.at(stream.mAgent.mName).mStopAsked;
+  const bool stopping = aWorld.mProcesses.at(stream.mRouter.mName).mStopAsked ||
+                        aWorld.mProcesses.at(stream.mAgent.mName).mStopAsked;
   if (stream.mStarted && stopping && !stream.mFaulted) {
     Report(aWorld, check_kind::NoStreamCutByStop,
            absl::StrCat("run ", ToString(stream.mRun.mRequest),
@@ -375,9 +370,9 @@
         request.mRouter.mName == aName &&
         request.mRouter.mGeneration == process.mGeneration &&
         request.mSentAt < aWorld.mNow) {
-      Report(aWorld, check_kind::NoStreamCutByStop,
-             absl::StrCat(aName, " exits before it has answered ",
-                          request.mName));
+      Report(
+        aWorld, check_kind::NoStreamCutByStop,
+        absl::StrCat(aName, " exits before it has answered ", request.mName));
     }
   }
 }
@@ -399,8 +394,7 @@
   if (request.mOutcome == request_outcome::Whole &&
       request.mText != ExpectedText(aWorld, aRequest)) {
     Report(aWorld, check_kind::OwnWholeAnswer,
-           absl::StrCat(request.mName, " gets \"",
-                        request.mText.substr(0, 80),
+           absl::StrCat(request.mName, " gets \"", request.mText.substr(0, 80),
                         "\" as its whole answer"));
   }
   const bool refused = request.mOutcome == request_outcome::Refused ||
--- a/tests/scenario/observer_fleet.cc
+++ b/tests/scenario/observer_fleet.cc
@@ -168,8 +168,7 @@
     }
   }
   for (const sim_stream& stream : aWorld.mStreams) {
-    if (stream.mStatus != run_status::Ended &&
-        IsAlive(aWorld, stream.mAgent)) {
+    if (stream.mStatus != run_status::Ended && IsAlive(aWorld, stream.mAgent)) {
       absl::StrAppend(&open, "run ", ToString(stream.mRun.mRequest), "; ");
     }
   }
--- a/tests/scenario/observer_store.cc
+++ b/tests/scenario/observer_store.cc
@@ -14,8 +14,7 @@
 {
   for (const sim_operator_call& call : aWorld.mOperatorCalls) {
     const auto* ask = std::get_if<top_up_request>(&call.mAsk);
-    if (ask != nullptr && ask->mBudget == aBudget &&
-        ask->mTopUpId == aTopUp) {
+    if (ask != nullptr && ask->mBudget == aBudget && ask->mTopUpId == aTopUp) {
       return ask->mAmount;
     }
   }
@@ -39,15 +38,13 @@
   }
   if (booked != aAccount.mPaidIn) {
     Report(aWorld, check_kind::AccountSums,
-           absl::StrCat("budget ", aBudget.mValue, " shows ",
-                        aAccount.mPaidIn, " paid in, its top-ups sum up to ",
-                        booked));
+           absl::StrCat("budget ", aBudget.mValue, " shows ", aAccount.mPaidIn,
+                        " paid in, its top-ups sum up to ", booked));
   }
   aWorld.mObserver.mPaid[aBudget] = paid;
 }
 
-void CheckSums(world& aWorld, const budget_id& aBudget,
-               const account& aAccount)
+void CheckSums(world& aWorld, const budget_id& aBudget, const account& aAccount)
 {
   token_count granted = aAccount.mClosedSpent;
   token_count spent = aAccount.mClosedSpent;
@@ -60,10 +57,10 @@
            absl::StrCat("budget ", aBudget.mValue, " has given out ", granted,
                         " of ", aAccount.mPaidIn));
   }
-  Trace(aWorld, absl::StrCat("budget ", aBudget.mValue, ": paid in ",
-                             aAccount.mPaidIn, ", granted ", granted,
-                             ", spent ", spent, ", closed ",
-                             aAccount.mClosedSpent));
+  Trace(aWorld,
+        absl::StrCat("budget ", aBudget.mValue, ": paid in ", aAccount.mPaidIn,
+                     ", granted ", granted, ", spent ", spent, ", closed ",
+                     aAccount.mClosedSpent));
   aWorld.mObserver.mBilled[aBudget] = spent;
   if (spent > aWorld.mObserver.mPaid[aBudget]) {
     Report(aWorld, check_kind::SpendWithinPaid,
--- a/tests/scenario/random_schedule.cc
+++ b/tests/scenario/random_schedule.cc
@@ -55,8 +55,8 @@
     "send: {at: [r1, r2, r3], as: load", aState.mNumber,
     large ? ", workspace: w, model: m, prompt: 60, tokens: 250, max_tokens: 250"
           : ", workspace: v, model: m, prompt: 20, tokens: 40, max_tokens: 60",
-    ", count: ", 10 + 5 * (aStep.mFirst % 8), ", every: ",
-    20 + 40 * (aStep.mSecond % 5), "ms}");
+    ", count: ", 10 + 5 * (aStep.mFirst % 8),
+    ", every: ", 20 + 40 * (aStep.mSecond % 5), "ms}");
 }
 
 std::string Order(const schedule_step& aStep, render_state& aState)
@@ -121,12 +121,11 @@
 
 std::string SplitFleet(const schedule_step& aStep, render_state&)
 {
-  return absl::StrCat("cut: {between: [", RouterName(aStep.mFirst), ", ",
-                      AgentName(aStep.mSecond), "], and: [",
-                      RouterName(aStep.mFirst + 1), ", ",
-                      RouterName(aStep.mFirst + 2), ", ",
-                      AgentName(aStep.mSecond + 1), ", ",
-                      AgentName(aStep.mSecond + 2), ", store]}");
+  return absl::StrCat(
+    "cut: {between: [", RouterName(aStep.mFirst), ", ",
+    AgentName(aStep.mSecond), "], and: [", RouterName(aStep.mFirst + 1), ", ",
+    RouterName(aStep.mFirst + 2), ", ", AgentName(aStep.mSecond + 1), ", ",
+    AgentName(aStep.mSecond + 2), ", store]}");
 }
 
 std::string Heal(const schedule_step&, render_state&)
@@ -186,8 +185,8 @@
 
 std::string StoreSlow(const schedule_step& aStep, render_state&)
 {
-  return absl::StrCat("store: {mode: up, delay: ",
-                      100 + 300 * (aStep.mFirst % 8), "ms}");
+  return absl::StrCat(
+    "store: {mode: up, delay: ", 100 + 300 * (aStep.mFirst % 8), "ms}");
 }
 
 std::string StoreUp(const schedule_step&, render_state&)
@@ -218,16 +217,15 @@
 std::string Patch(const schedule_step& aStep, render_state& aState)
 {
   return absl::StrCat("patch: {at: ", RouterName(aStep.mFirst), ", as: patch",
-                      aState.mNumber, ", if_version: ",
-                      1 + aStep.mSecond % 4,
+                      aState.mNumber, ", if_version: ", 1 + aStep.mSecond % 4,
                       ", patch: {models: {x", aState.mNumber, ": {}}}}");
 }
 
 std::string TopUp(const schedule_step& aStep, render_state& aState)
 {
-  return absl::StrCat("top_up: {at: ", RouterName(aStep.mFirst),
-                      ", as: top", aState.mTopUps++, ", budget: ",
-                      aStep.mSecond % 2 == 0 ? "b" : "c", ", amount: 3000}");
+  return absl::StrCat(
+    "top_up: {at: ", RouterName(aStep.mFirst), ", as: top", aState.mTopUps++,
+    ", budget: ", aStep.mSecond % 2 == 0 ? "b" : "c", ", amount: 3000}");
 }
 
 std::string TopUpAgain(const schedule_step& aStep, render_state& aState)
@@ -321,10 +319,10 @@
 
 std::string ScenarioText(const schedule& aSchedule, std::uint64_t aSeed)
 {
-  std::string text = absl::StrCat(
-    "scenario: random_", aSeed,
-    "\nguards: Found by random_fault_test.\nseed: ", aSeed, "\nsteps:\n",
-    kHeader);
+  std::string text =
+    absl::StrCat("scenario: random_", aSeed,
+                 "\nguards: Found by random_fault_test.\nseed: ", aSeed,
+                 "\nsteps:\n", kHeader);
   render_state state;
   for (const schedule_step& step : aSchedule) {
     const auto index = static_cast<std::size_t>(step.mKind);
--- a/tests/scenario/scenario_expect.cc
+++ b/tests/scenario/scenario_expect.cc
@@ -48,13 +48,12 @@
 {
   const step_fields& fields = aStep.mFields;
   const bool bounded = fields.mAtLeast || fields.mAtMost;
-  const bool ok =
-    bounded ? aCount >= fields.mAtLeast.value_or(0) &&
-                aCount <= fields.mAtMost.value_or(aCount)
-            : aCount == fields.mCount.value_or(aDefault);
+  const bool ok = bounded ? aCount >= fields.mAtLeast.value_or(0) &&
+                              aCount <= fields.mAtMost.value_or(aCount)
+                          : aCount == fields.mCount.value_or(aDefault);
   if (!ok) {
-    return StepError(aStep, absl::StrCat(aWhat, " match ", aCount,
-                                         " times; seen:", aSeen));
+    return StepError(
+      aStep, absl::StrCat(aWhat, " match ", aCount, " times; seen:", aSeen));
   }
   return success{};
 }
@@ -89,8 +88,7 @@
     const bool ok = answered && IsOk(*call.mAnswer);
     const bool fits =
       answered && (!fields.mOk || *fields.mOk == ok) &&
-      (!fields.mCode ||
-       (!ok && ErrorOf(*call.mAnswer).mCode == *fields.mCode));
+      (!fields.mCode || (!ok && ErrorOf(*call.mAnswer).mCode == *fields.mCode));
     matching += fits ? 1 : 0;
     absl::StrAppend(&seen, " ",
                     answered ? (ok ? "ok" : ToString(ErrorOf(*call.mAnswer)))
@@ -105,8 +103,8 @@
                     const std::optional<Value>& aExpected, Value aSeen)
 {
   if (aExpected && *aExpected != aSeen) {
-    return StepError(aStep, absl::StrCat(aWhat, " is ", aSeen, ", expected ",
-                                         *aExpected));
+    return StepError(
+      aStep, absl::StrCat(aWhat, " is ", aSeen, ", expected ", *aExpected));
   }
   return success{};
 }
@@ -147,8 +145,7 @@
                        absl::StrCat(name, " is ", TextOf(process.mStatus)));
     }
     for (const auto& checked :
-         { ExpectEqual(aStep, "version", fields.mVersion,
-                       VersionOf(process)),
+         { ExpectEqual(aStep, "version", fields.mVersion, VersionOf(process)),
            ExpectEqual(aStep, "ready", fields.mReady, IsReady(process)) }) {
       if (!IsOk(checked)) {
         return StepError(aStep,
--- a/tests/scenario/scenario_host.cc
+++ b/tests/scenario/scenario_host.cc
@@ -35,8 +35,8 @@
       file << line << "\n";
     }
   }
-  for (std::size_t i = lines > kTraceLines ? lines - kTraceLines : 0;
-       i < lines; ++i) {
+  for (std::size_t i = lines > kTraceLines ? lines - kTraceLines : 0; i < lines;
+       ++i) {
     absl::StrAppend(&report.mTrace, fleet.mTrace[i], "\n");
   }
   return report;
@@ -45,8 +45,7 @@
 } // namespace
 
 run_report RunText(const sim_charts& aCharts, const std::string& aText,
-                   const std::string& aFile,
-                   const run_options& aOptions)
+                   const std::string& aFile, const run_options& aOptions)
 {
   const auto parsed = ParseScenario(aText, aFile);
   if (!IsOk(parsed)) {
--- a/tests/scenario/scenario_host.h
+++ b/tests/scenario/scenario_host.h
@@ -32,8 +32,7 @@
 // Runs aText. Without injected faults a failed run is repeated with the trace
 // on, which gives the same sequence of events.
 run_report RunText(const sim_charts& aCharts, const std::string& aText,
-                   const std::string& aFile,
-                   const run_options& aOptions = {});
+                   const std::string& aFile, const run_options& aOptions = {});
 
 // Content of a file, or an empty text.
 std::string ReadFile(const std::string& aPath);
--- a/tests/scenario/scenario_parse.cc
+++ b/tests/scenario/scenario_parse.cc
@@ -162,10 +162,7 @@
     { k::Disconnect, "request", { "request" }, {} },
     { k::Cut, "", { "between", "and" }, { "one_way" } },
     { k::Heal, "as", {}, { "as", "between", "and", "one_way" } },
-    { k::Network,
-      "",
-      {},
-      { "network_delay", "jitter", "loss", "duplicate" } },
+    { k::Network, "", {}, { "network_delay", "jitter", "loss", "duplicate" } },
     { k::Kill, "process", { "process" }, {} },
     { k::Restart, "process", { "process" }, {} },
     { k::Pause, "process", { "process" }, {} },
@@ -175,12 +172,11 @@
     { k::Store, "mode", {}, { "mode", "delay" } },
     { k::LoseAnswers, "count", { "count" }, { "area" } },
     { k::Command, "", { "process", "fencing" }, {} },
-    { k::Expect,
-      "",
-      {},
-      { "request", "outcome", "code", "ran", "count", "at_least", "at_most",
-        "budget", "paid_in", "spent", "unallocated", "process", "version",
-        "ready", "status", "operator", "ok", "key", "workspace", "runs" } },
+    { k::Expect, "", {}, { "request", "outcome",  "code",        "ran",
+                           "count",   "at_least", "at_most",     "budget",
+                           "paid_in", "spent",    "unallocated", "process",
+                           "version", "ready",    "status",      "operator",
+                           "ok",      "key",      "workspace",   "runs" } },
   };
   return kForms;
 }
@@ -239,8 +235,7 @@
   step parsed;
   parsed.mKind = AsEnum<step_kind>(entry.first, aFile);
   parsed.mPlace = YamlError(aFile, entry.first, "").mField;
-  parsed.mFields =
-    ReadStepFields(FormOf(parsed.mKind), entry.second, aFile);
+  parsed.mFields = ReadStepFields(FormOf(parsed.mKind), entry.second, aFile);
   return parsed;
 }
 
--- a/tests/scenario/scenario_run.cc
+++ b/tests/scenario/scenario_run.cc
@@ -97,8 +97,7 @@
 outcome RunRelease(const step& aStep, world& aWorld)
 {
   const step_fields& fields = aStep.mFields;
-  const process_id holder{ { fields.mProcesses.front() },
-                           fields.mIncarnation };
+  const process_id holder{ { fields.mProcesses.front() }, fields.mIncarnation };
   return Ask(aStep, aWorld,
              release_held_request{ { { fields.mBudget }, holder } });
 }
@@ -167,9 +166,8 @@
 
 outcome RunStop(const step& aStep, world& aWorld)
 {
-  return ForEachProcess(aStep, aWorld, [&](const std::string& aName) {
-    AskToStop(aWorld, aName);
-  });
+  return ForEachProcess(
+    aStep, aWorld, [&](const std::string& aName) { AskToStop(aWorld, aName); });
 }
 
 outcome RunVmGone(const step& aStep, world& aWorld)
@@ -185,8 +183,7 @@
   return success{};
 }
 
-caller_request_event AskOf(const step_fields& aFields,
-                           const std::string& aBody)
+caller_request_event AskOf(const step_fields& aFields, const std::string& aBody)
 {
   caller_request_event ask;
   ask.mKeyHash = KeyHashOf(aFields.mWorkspace);
@@ -243,9 +240,9 @@
     }
     sim_request request;
     request.mName = fields.mAs;
-    request.mRouter = { fields.mAt[static_cast<std::size_t>(i) %
-                                   fields.mAt.size()],
-                        0 };
+    request.mRouter = {
+      fields.mAt[static_cast<std::size_t>(i) % fields.mAt.size()], 0
+    };
     request.mWorkspace = fields.mWorkspace;
     request.mAsk = AskOf(fields, body);
     request.mRepeatable = MayRepeat(aWorld, fields);
@@ -412,8 +409,8 @@
 
 error StepError(const step& aStep, std::string aDetail)
 {
-  return error{ error_code::Internal, ran::No, aStep.mPlace,
-                std::move(aDetail), absl::ZeroDuration() };
+  return error{ error_code::Internal, ran::No, aStep.mPlace, std::move(aDetail),
+                absl::ZeroDuration() };
 }
 
 void Settle(world& aWorld)
@@ -445,8 +442,7 @@
 result<success> RunStep(const step& aStep, world& aWorld)
 {
   const auto index = static_cast<std::size_t>(aStep.mKind);
-  Trace(aWorld,
-        absl::StrCat("--- ", aStep.mPlace, " ", TextOf(aStep.mKind)));
+  Trace(aWorld, absl::StrCat("--- ", aStep.mPlace, " ", TextOf(aStep.mKind)));
   auto done = kRunners[index].mRun(aStep, aWorld);
   if (!IsOk(done)) {
     return done;
--- a/tests/scenario/sim_caller.cc
+++ b/tests/scenario/sim_caller.cc
@@ -69,8 +69,8 @@
   constexpr std::size_t kLength = 64;
   std::string hash;
   for (const char letter : aWorkspace) {
-    absl::StrAppend(&hash, absl::Hex(static_cast<unsigned char>(letter),
-                                     absl::kZeroPad2));
+    absl::StrAppend(
+      &hash, absl::Hex(static_cast<unsigned char>(letter), absl::kZeroPad2));
   }
   hash.resize(kLength, '0');
   return hash;
@@ -156,16 +156,14 @@
   call.mName = aName;
   call.mRouter = RefOf(aWorld, aRouter);
   call.mAsk = aAsk;
-  call.mLost =
-    aWorld.mProcesses.at(aRouter).mStatus == process_status::Down;
+  call.mLost = aWorld.mProcesses.at(aRouter).mStatus == process_status::Down;
   aWorld.mOperatorCalls.push_back(call);
   auto* topUp = std::get_if<top_up_request>(&aAsk);
   if (topUp != nullptr && HasFault(aWorld, injected_fault::DoubleTopUp)) {
     topUp->mAmount *= 2;
   }
   if (!call.mLost) {
-    const operator_event event{ aWorld.mOperatorCalls.size(),
-                                std::move(aAsk) };
+    const operator_event event{ aWorld.mOperatorCalls.size(), std::move(aAsk) };
     Schedule(aWorld, aWorld.mNow,
              { call.mRouter, node_input{ router_event{ event } } });
   }
@@ -185,8 +183,7 @@
                  std::uint64_t aFencing)
 {
   aWorld.mCommands.push_back({ aAgent, aFencing, std::nullopt, false });
-  const command_event event{ aWorld.mCommands.size(), aFencing,
-                             "load model" };
+  const command_event event{ aWorld.mCommands.size(), aFencing, "load model" };
   Schedule(aWorld, aWorld.mNow,
            { { aAgent, 0 }, node_input{ agent_event{ event } } });
 }
@@ -195,16 +192,14 @@
 {
   sim_command& command = aWorld.mCommands.at(aAnswer.mHandle - 1);
   command.mAnswer = aAnswer.mAnswer;
-  const config_document& config =
-    aWorld.mObserver.mConfigs.rbegin()->second;
+  const config_document& config = aWorld.mObserver.mConfigs.rbegin()->second;
   const auto backend = config.mBackends.find({ command.mAgent });
-  const bool honours =
-    backend != config.mBackends.end() &&
-    backend->second.mFencing == fencing_support::Honours;
+  const bool honours = backend != config.mBackends.end() &&
+                       backend->second.mFencing == fencing_support::Honours;
   const bool stale =
     command.mFencing < aWorld.mObserver.mHighestFencing[command.mAgent];
-  const bool passed = IsOk(aAnswer.mAnswer) ||
-                      HasFault(aWorld, injected_fault::PassCommands);
+  const bool passed =
+    IsOk(aAnswer.mAnswer) || HasFault(aWorld, injected_fault::PassCommands);
   command.mExecuted = passed && !(honours && stale);
   if (command.mExecuted) {
     ObserveCommand(aWorld, command.mAgent, command.mFencing);
--- a/tests/scenario/sim_charts.cc
+++ b/tests/scenario/sim_charts.cc
@@ -14,9 +14,8 @@
   std::ostringstream text;
   text << file.rdbuf();
   if (!file) {
-    return error{ error_code::InvalidChart, ran::No,
-                  aPath.filename().string(), "cannot be read",
-                  absl::ZeroDuration() };
+    return error{ error_code::InvalidChart, ran::No, aPath.filename().string(),
+                  "cannot be read", absl::ZeroDuration() };
   }
   return text.str();
 }
--- a/tests/scenario/sim_charts.h
+++ b/tests/scenario/sim_charts.h
@@ -64,13 +64,12 @@
 constexpr auto NameTable(process_action)
 {
   using a = process_action;
-  return MakeNameTable<a>(
-    { { a::CreateNode, "create_node" },
-      { a::DropNode, "drop_node" },
-      { a::CloseConnections, "close_connections" },
-      { a::MarkStreamsFaulted, "mark_streams_faulted" },
-      { a::DeliverInbox, "deliver_inbox" },
-      { a::ReportUnaskedExit, "report_unasked_exit" } });
+  return MakeNameTable<a>({ { a::CreateNode, "create_node" },
+                            { a::DropNode, "drop_node" },
+                            { a::CloseConnections, "close_connections" },
+                            { a::MarkStreamsFaulted, "mark_streams_faulted" },
+                            { a::DeliverInbox, "deliver_inbox" },
+                            { a::ReportUnaskedExit, "report_unasked_exit" } });
 }
 
 enum class run_status
--- a/tests/scenario/sim_config.cc
+++ b/tests/scenario/sim_config.cc
@@ -93,10 +93,8 @@
       [](b& aTo, const node& aFrom, const text& aFile) {
         aTo.mFencing = AsEnum<fencing_support>(aFrom, aFile);
       } },
-    { "drain",
-      [](b& aTo, const node& aFrom, const text& aFile) {
-        aTo.mDrain = As<bool>(aFrom, aFile);
-      } },
+    { "drain", [](b& aTo, const node& aFrom,
+                  const text& aFile) { aTo.mDrain = As<bool>(aFrom, aFile); } },
   };
   return kReaders;
 }
@@ -115,10 +113,8 @@
       [](w& aTo, const node& aFrom, const text& aFile) {
         aTo.mRatePerSecond = As<double>(aFrom, aFile);
       } },
-    { "burst",
-      [](w& aTo, const node& aFrom, const text& aFile) {
-        aTo.mBurst = As<int>(aFrom, aFile);
-      } },
+    { "burst", [](w& aTo, const node& aFrom,
+                  const text& aFile) { aTo.mBurst = As<int>(aFrom, aFile); } },
     { "max_concurrency",
       [](w& aTo, const node& aFrom, const text& aFile) {
         aTo.mMaxConcurrency = As<int>(aFrom, aFile);
--- a/tests/scenario/sim_network.cc
+++ b/tests/scenario/sim_network.cc
@@ -11,8 +11,7 @@
 bool Chance(world& aWorld, int aPermille)
 {
   return aPermille > 0 &&
-         std::uniform_int_distribution<int>(0, 999)(aWorld.mRandom) <
-           aPermille;
+         std::uniform_int_distribution<int>(0, 999)(aWorld.mRandom) < aPermille;
 }
 
 void ReportUnreachable(world& aWorld, const process_ref& aTo,
@@ -44,8 +43,7 @@
 envelope ChangeMessage(const world& aWorld, envelope aEnvelope)
 {
   auto* gossip = std::get_if<gossip_message>(&aEnvelope.mBody);
-  if (gossip != nullptr &&
-      HasFault(aWorld, injected_fault::WorkWhileLeaving)) {
+  if (gossip != nullptr && HasFault(aWorld, injected_fault::WorkWhileLeaving)) {
     for (load_report& report : gossip->mLoad) {
       report.mLeaving = false;
     }
@@ -107,12 +105,12 @@
   if (lost) {
     return;
   }
-  const int copies =
-    Chance(aWorld, aWorld.mNetwork.mDuplicatePermille) ? 2 : 1;
+  const int copies = Chance(aWorld, aWorld.mNetwork.mDuplicatePermille) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    Schedule(aWorld, aWorld.mNow + NextDelay(aWorld),
-             { { to, 0 }, message_arrival{ aFrom,
-                                 ChangeMessage(aWorld, aSend.mEnvelope) } });
+    Schedule(
+      aWorld, aWorld.mNow + NextDelay(aWorld),
+      { { to, 0 },
+        message_arrival{ aFrom, ChangeMessage(aWorld, aSend.mEnvelope) } });
   }
 }
 
@@ -127,6 +125,11 @@
     // It arrives, but the sender does not learn that.
     ReportUnreachable(aWorld, aArrival.mFrom, aTarget.mName, kConnectTimeout);
   }
+  Trace(aWorld, absl::StrCat(aTarget.mName, " gets message ",
+                             aArrival.mEnvelope.mBody.index(), " from ",
+                             ToString(aArrival.mEnvelope.mSender),
+                             " with configuration ",
+                             aArrival.mEnvelope.mConfigVersion));
   const message_event event{ aArrival.mEnvelope };
   if (aWorld.mProcesses.at(aTarget.mName).mRouter) {
     Feed(aWorld, aTarget.mName, router_event{ event });
--- a/tests/scenario/sim_process.cc
+++ b/tests/scenario/sim_process.cc
@@ -26,13 +26,12 @@
 void PlanWake(world& aWorld, const std::string& aName)
 {
   sim_process& process = aWorld.mProcesses.at(aName);
-  const absl::Time due = process.mRouter ? NextWake(*process.mRouter)
-                                         : NextWake(*process.mAgent);
+  const absl::Time due =
+    process.mRouter ? NextWake(*process.mRouter) : NextWake(*process.mAgent);
   const absl::Time at = std::max(due, aWorld.mNow);
   if (at != process.mWakeAt && at != absl::InfiniteFuture()) {
     process.mWakeAt = at;
-    Schedule(aWorld, at,
-             { { aName, process.mGeneration }, wake_up{ at } });
+    Schedule(aWorld, at, { { aName, process.mGeneration }, wake_up{ at } });
   }
 }
 
@@ -79,8 +78,7 @@
   ChangeProcess(aWorld, aFrom.mName, process_event::Exit);
 }
 
-void Perform(world& aWorld, const process_ref&,
-             const start_run_action& aAction)
+void Perform(world& aWorld, const process_ref&, const start_run_action& aAction)
 {
   FireRun(aWorld, aAction.mHandle - 1, run_event::Started);
 }
@@ -98,8 +96,7 @@
           aAction.mError);
 }
 
-void Perform(world& aWorld, const process_ref&,
-             const abort_run_action& aAction)
+void Perform(world& aWorld, const process_ref&, const abort_run_action& aAction)
 {
   FireRun(aWorld, aAction.mHandle - 1, run_event::Aborted);
 }
@@ -117,8 +114,8 @@
   const process_ref self = RefOf(aWorld, aName);
   const auto actions = Step(aNode, std::move(aEvent), aWorld.mNow);
   for (const auto& action : actions) {
-    std::visit(
-      [&](const auto& aTyped) { Perform(aWorld, self, aTyped); }, action);
+    std::visit([&](const auto& aTyped) { Perform(aWorld, self, aTyped); },
+               action);
   }
   if (IsAlive(aWorld, self)) {
     PlanWake(aWorld, aName);
@@ -148,8 +145,8 @@
   process.mWakeAt = absl::InfiniteFuture();
   const node_settings settings = SettingsOf(aWorld, aName, process);
   if (process.mRole == process_role::Router) {
-    process.mRouter = MakeRouter(settings, aWorld.mRouterOptions,
-                                 *aWorld.mCharts.mNodes);
+    process.mRouter =
+      MakeRouter(settings, aWorld.mRouterOptions, *aWorld.mCharts.mNodes);
   } else {
     process.mAgent =
       MakeAgent(settings, aWorld.mAgentOptions, *aWorld.mCharts.mNodes);
@@ -318,12 +315,10 @@
   StepNode(aWorld, aName, *process.mAgent, std::move(aEvent));
 }
 
-void Handle(world& aWorld, const process_ref& aTarget,
-            const node_input& aInput)
+void Handle(world& aWorld, const process_ref& aTarget, const node_input& aInput)
 {
-  std::visit(
-    [&](const auto& aEvent) { Feed(aWorld, aTarget.mName, aEvent); },
-    aInput.mEvent);
+  std::visit([&](const auto& aEvent) { Feed(aWorld, aTarget.mName, aEvent); },
+             aInput.mEvent);
 }
 
 void Handle(world& aWorld, const process_ref& aTarget, const wake_up& aWake)
--- a/tests/scenario/sim_stream.cc
+++ b/tests/scenario/sim_stream.cc
@@ -245,12 +245,10 @@
   sim_stream& stream = aWorld.mStreams[aStream];
   stream.mRouterOpen = false;
   stream.mStatus = run_status::Ended;
-  const run_refused_event event{
-    stream.mHandle,
-    stream.mRun.mRequest,
-    { error_code::PeerUnreachable, ran::No, "", "cannot connect",
-      absl::ZeroDuration() }
-  };
+  const run_refused_event event{ stream.mHandle,
+                                 stream.mRun.mRequest,
+                                 { error_code::PeerUnreachable, ran::No, "",
+                                   "cannot connect", absl::ZeroDuration() } };
   Schedule(aWorld, aWorld.mNow + aAfter,
            { stream.mRouter, node_input{ router_event{ event } } });
 }
@@ -296,8 +294,8 @@
     }
     // A caller that is gone or has its final error wants no answer.
     stream.mFaulted =
-      stream.mFaulted || aWorld.mRequests[stream.mRequest].mOutcome !=
-                           request_outcome::Pending;
+      stream.mFaulted ||
+      aWorld.mRequests[stream.mRequest].mOutcome != request_outcome::Pending;
     stream.mRouterOpen = false;
     stream.mOutcomeUnknown = true;
     const run_failed_event event =
@@ -315,8 +313,8 @@
   sim_stream& stream = aWorld.mStreams[aStream];
   if (stream.mRouterOpen) {
     stream.mRouterOpen = false;
-    ResetAgent(aWorld, aStream, stream.mCut ? kBreakDetection
-                                            : NextDelay(aWorld));
+    ResetAgent(aWorld, aStream,
+               stream.mCut ? kBreakDetection : NextDelay(aWorld));
   }
 }
 
@@ -349,8 +347,8 @@
     stream.mFaulted = stream.mFaulted ||
                       aWorld.mLastDisturbance + absl::Minutes(1) > aWorld.mNow;
   }
-  for (const run_action action : Fire(aWorld.mCharts.mRun, stream.mStatus,
-                                      aEvent, stream, &Evaluate)) {
+  for (const run_action action :
+       Fire(aWorld.mCharts.mRun, stream.mStatus, aEvent, stream, &Evaluate)) {
     Perform(aWorld, aStream, action, aError);
   }
 }
--- a/tests/scenario/world.cc
+++ b/tests/scenario/world.cc
@@ -17,14 +17,12 @@
 // Events that need no more than to be dropped when their process is gone.
 template<typename Body>
 void Lose(world&, const process_ref&, const Body&)
-{
-}
+{}
 
 // Events that may wait in a paused process without further effect.
 template<typename Body>
 void Stall(world&, const process_ref&, const Body&)
-{
-}
+{}
 
 void Process(world& aWorld, sim_event aEvent)
 {
@@ -57,8 +55,7 @@
   : mCharts(aCharts)
   , mRandom(aSeed)
   , mNow(absl::FromUnixSeconds(kEpochSeconds))
-{
-}
+{}
 
 bool HasFault(const world& aWorld, injected_fault aFault)
 {
@@ -96,9 +93,9 @@
 void Trace(world& aWorld, const std::string& aText)
 {
   if (aWorld.mTracing) {
-    aWorld.mTrace.push_back(
-      absl::StrCat(absl::FormatTime("%M:%E6S", aWorld.mNow, absl::UTCTimeZone()),
-                   " ", aText));
+    aWorld.mTrace.push_back(absl::StrCat(
+      absl::FormatTime("%M:%E6S", aWorld.mNow, absl::UTCTimeZone()), " ",
+      aText));
   }
 }
 
--- a/tests/scenario/yaml_fields.h
+++ b/tests/scenario/yaml_fields.h
@@ -78,8 +78,8 @@
 
 template<typename Struct>
 using field_readers =
-  std::map<std::string, std::function<void(Struct&, const YAML::Node&,
-                                           const std::string&)>>;
+  std::map<std::string,
+           std::function<void(Struct&, const YAML::Node&, const std::string&)>>;
 
 // Reads every field of aNode with its reader.
 template<typename Struct>
