--- a/tests/scenario/sim_network.cc
+++ b/tests/scenario/sim_network.cc
@@ -43,13 +43,19 @@
 // The mutation hides from routers that an agent is leaving.
 envelope ChangeMessage(const world& aWorld, envelope aEnvelope)
 {
-  auto* gossip = std::get_if<gossip_message>(&aEnvelope.mBody);
-  if (gossip != nullptr &&
-      HasFault(aWorld, injected_fault::WorkWhileLeaving)) {
+  if (!HasFault(aWorld, injected_fault::WorkWhileLeaving)) {
+    return aEnvelope;
+  }
+  if (auto* gossip = std::get_if<gossip_message>(&aEnvelope.mBody)) {
     for (load_report& report : gossip->mLoad) {
       report.mLeaving = false;
     }
   }
+  if (auto* members = std::get_if<members_message>(&aEnvelope.mBody)) {
+    for (auto& [id, member] : members->mMembers.mMembers) {
+      member.mStatus = member_status::Active;
+    }
+  }
   return aEnvelope;
 }
 
