--- a/src/core/router_request.cc
+++ b/src/core/router_request.cc
@@ -178,7 +178,7 @@
   const request_state& request = aContext.mRequest;
   const bool safe = request.mError.mRan == ran::No ||
                     (request.mRepeatable && !request.mRelayed);
-  return safe && !request.mAnswered &&
+  return safe && !request.mAnswered && !request.mCallerGone &&
          MayRetry(aContext.mState.mRetries, request.mAttempts,
                   request.mDeadline, aContext.mNow,
                   aContext.mState.mRetryOptions);
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -65,6 +65,8 @@
 
   absl::Time mFundBy;
   bool mAdmitted = false;
+  // The caller's connection is closed; the answer only ends the exchange.
+  bool mCallerGone = false;
   bool mAnswered = false;
   bool mFinished = false;
   stored_answer mAnswer;
@@ -110,6 +112,10 @@
   std::map<std::uint32_t, std::uint64_t> mShardsAsked;
   // Operations submitted for the fence and not committed yet.
   std::set<std::uint64_t> mTickets;
+  // All witnesses have acknowledged or are lost, and what they handed over is
+  // committed.
+  bool mCollected = false;
+  bool mLostWitness = false;
   bool mFinishing = false;
   absl::Time mNextQuery = absl::InfinitePast();
 };
--- a/src/wire/caller_front.cc
+++ b/src/wire/caller_front.cc
@@ -76,8 +76,7 @@
                 absl::ZeroDuration() };
 }
 
-// --- Common parts of callers' requests
-// ----------------------------------------
+// --- Common parts of callers' requests --------------------------------------
 
 result<success> ReadPriority(const http_request& aRequest,
                              caller_request_event& aEvent)
@@ -175,8 +174,7 @@
   return true;
 }
 
-// --- Answers that need no run
-// -------------------------------------------------
+// --- Answers that need no run -----------------------------------------------
 
 struct allowed_models
 {
@@ -236,8 +234,7 @@
   return RouterStateReply(aFront.mLink);
 }
 
-// --- Callers' requests
-// --------------------------------------------------------
+// --- Callers' requests ------------------------------------------------------
 
 // The caller's own X-Request-Id if it is usable in a log line, or a new one.
 std::string RequestIdFor(caller_front& aFront, const http_request& aRequest)
--- a/src/wire/caller_session.cc
+++ b/src/wire/caller_session.cc
@@ -179,8 +179,7 @@
   };
 }
 
-// --- Dispatches
-// ---------------------------------------------------------------
+// --- Dispatches -------------------------------------------------------------
 
 // On the caller's thread: the answer is relayed as it arrives.
 void DispatchCompletion(caller_session& aSession, const run_context& aContext,
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -275,8 +275,7 @@
   Join(std::get<posix_thread>(stopper));
 }
 
-// --- Calls
-// ----------------------------------------------------------------------
+// --- Calls ------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(a_call_that_cannot_connect_has_not_run)
 {
--- a/tests/message_codec_test.cc
+++ b/tests/message_codec_test.cc
@@ -208,7 +208,7 @@
                        2,
                        3,
                        transfer_request_message{ { "b" }, 5 } };
-  const auto fails = [](Json::Value aJson, const char* aField) {
+  const auto fails = [](const Json::Value& aJson, const char* aField) {
     const auto decoded = EnvelopeFromJson(message_kind::RequestTransfer, aJson);
     BOOST_REQUIRE(!IsOk(decoded));
     BOOST_TEST(ErrorOf(decoded).mField == aField);
