Answer fenced routers that can reach no store

Cause: a member that is no longer listed got no answer, because messages are addressed from the member list. A router that was fenced in a partition and came back while the store was slow kept serving with an old configuration and did not learn that it was fenced. Change: the last address of former members is kept, so gossip answers reach them.

--- a/src/core/node_core.cc
+++ b/src/core/node_core.cc
@@ -38,11 +38,11 @@
 
 void Send(node_core& aNode, const member_id& aTo, message aBody)
 {
-  const auto found = aNode.mMembers.mMembers.find(aTo);
-  if (found == aNode.mMembers.mMembers.end()) {
+  const auto found = aNode.mAddresses.find(aTo);
+  if (found == aNode.mAddresses.end()) {
     return;
   }
-  aNode.mSends.push_back(send_action{ aTo, found->second.mAddress,
+  aNode.mSends.push_back(send_action{ aTo, found->second,
                                       MakeEnvelope(aNode, std::move(aBody)) });
 }
 
@@ -72,6 +72,9 @@
     return;
   }
   aNode.mMembers = aList;
+  for (const auto& [id, member] : aList.mMembers) {
+    aNode.mAddresses[id] = member.mAddress;
+  }
   aNode.mMembersVersion = aVersion;
   aNode.mHasNews = true;
 }
--- a/src/core/node_core.h
+++ b/src/core/node_core.h
@@ -42,6 +42,9 @@
   member_list mMembers;
   store_version mMembersVersion = 0;
   config_document mConfig;
+  // Last address of each member, also of those that are no longer listed: a
+  // fenced router must still learn that it is fenced.
+  std::map<member_id, std::string> mAddresses;
 
   // Incarnations whose fence this process has acknowledged.
   std::set<process_id> mFenced;
@@ -58,7 +61,8 @@
 node_core MakeNodeCore(const node_settings& aSettings, process_role aRole,
                        const node_charts& aCharts, absl::Duration aMinInterval);
 
-// Queues a message to a member of the list; does nothing if it is unknown.
+// Queues a message to a present or former member; does nothing if it is
+// unknown.
 void Send(node_core& aNode, const member_id& aTo, message aBody);
 envelope MakeEnvelope(const node_core& aNode, message aBody);
 
