--- a/tests/scenario/sim_network.cc
+++ b/tests/scenario/sim_network.cc
@@ -133,6 +133,11 @@
     // It arrives, but the sender does not learn that.
     ReportUnreachable(aWorld, aArrival.mFrom, aTarget.mName, kConnectTimeout);
   }
+  Trace(aWorld, absl::StrCat(aTarget.mName, " gets message ",
+                             aArrival.mEnvelope.mBody.index(), " from ",
+                             ToString(aArrival.mEnvelope.mSender),
+                             " with configuration ",
+                             aArrival.mEnvelope.mConfigVersion));
   const message_event event{ aArrival.mEnvelope };
   if (aWorld.mProcesses.at(aTarget.mName).mRouter) {
     Feed(aWorld, aTarget.mName, router_event{ event });
