Do not ask for a grant in vain, nor open shares without an incarnation

Found by random_fault_test (scenarios near_empty_account and retry_while_joining_again). Cause 1: an active share below half its target asked for a grant every second while the account had 1 to 999 tokens, of which the pacing grants none: one write a second for each such share, for ever. Change: it asks only if the paced amount is not zero. Cause 2: a request retried while its router joined again after a fence opened a share of incarnation 0, which was granted tokens that nobody could spend and which was reviewed for ever. Change: funding is refused and transfers are ignored while the router is no member, and only shares of the own incarnation are reviewed. Before: both scenarios did not come to rest in 5 min; after, they do.

--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -324,6 +324,14 @@
 
 void FundRequest(router_state& aState, request_state& aRequest, absl::Time aNow)
 {
+  if (aState.mNode.mSelf.mIncarnation == 0) {
+    // A retry, or a queued request, of a router that was fenced meanwhile.
+    FailRequest(aState, aRequest, request_event::Unfunded,
+                error{ error_code::NotReady, ran::No, "",
+                       "this router is joining again", absl::Seconds(1) },
+                aNow);
+    return;
+  }
   share_state& share = ShareOf(aState, aRequest.mBudget);
   share.mLastUsed = aNow;
   share.mWaiting.push_back(aRequest.mHandle);
@@ -372,14 +380,19 @@
   aState.mLastReview = aNow;
   for (auto& [budget, share] : aState.mShares) {
     ForgetSilentPeers(aState, share, aNow);
-    if (share.mStatus != share_status::Open) {
+    if (share.mStatus != share_status::Open ||
+        !(share.mId.mHolder == aState.mNode.mSelf)) {
       continue;
     }
     UpdateRate(share, elapsed, HorizonOf(aState, budget));
     const bool active = share.mLastUsed + IdleTimeOf(aState, budget) > aNow;
     const token_count target =
       TargetTokens(share, HorizonOf(aState, budget), aState.mOptions.mMinGrant);
-    if (active && FreeTokens(share) < target / 2 && share.mUnallocated > 0) {
+    // Without waiting requests, what is left of the account may be too little
+    // to be granted; asking would cost a write every second.
+    const token_count paced =
+      share.mUnallocated / 1000 * aState.mOptions.mMaxGrantPermille;
+    if (active && FreeTokens(share) < target / 2 && paced > 0) {
       FireShare(aState, share, share_event::Demand, aNow);
     } else {
       GiveBackSurplus(aState, share, aNow);
@@ -409,6 +422,9 @@
 void OnTransfer(router_state& aState, const process_id& aFrom,
                 const transfer_op& aTransfer, absl::Time aNow)
 {
+  if (aState.mNode.mSelf.mIncarnation == 0) {
+    return;
+  }
   share_state& share = ShareOf(aState, aTransfer.mFrom.mShare.mBudget);
   share.mAsked.erase(aFrom.mMember);
   const bool mine = aTransfer.mTo == aState.mNode.mSelf &&
