--- a/tests/scenario/sim_process.cc
+++ b/tests/scenario/sim_process.cc
@@ -310,6 +310,9 @@
 void Feed(world& aWorld, const std::string& aName, router_event aEvent)
 {
   sim_process& process = aWorld.mProcesses.at(aName);
+  if (const auto* ask = std::get_if<caller_request_event>(&aEvent)) {
+    aWorld.mRequests[ask->mHandle - 1].mTaken = true;
+  }
   StepNode(aWorld, aName, *process.mRouter, std::move(aEvent));
 }
 
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -145,6 +145,8 @@
   caller_request_event mAsk;
   bool mRepeatable = true;
   absl::Time mSentAt;
+  // The router has taken the request up.
+  bool mTaken = false;
   request_outcome mOutcome = request_outcome::Pending;
   error mError;
   // What the caller received so far.
