--- a/bench/capacity/capacity.cc
+++ b/bench/capacity/capacity.cc
@@ -391,9 +391,7 @@
 // The store is down for ten minutes under load and comes back.
 void MeasureOutage(const chart_texts& aCharts)
 {
-  table costs{ { "routers", "answered", "refused",
-                 "store calls in the 10 s "
-                 "after",
+  table costs{ { "routers", "answered", "refused", "calls in the 10 s after",
                  "writes in the 10 s after" },
                {} };
   for (int routers : { 5, 10, 20 }) {
--- a/bench/latency/latency.cc
+++ b/bench/latency/latency.cc
@@ -82,6 +82,7 @@
   const absl::Time start = absl::Now() + absl::Milliseconds(50);
   std::vector<latency_result> parts(kSenders);
   std::vector<std::thread> senders;
+  senders.reserve(kSenders);
   for (int i = 0; i < kSenders; ++i) {
     senders.emplace_back([&parts, aPort, i, count, aRate, start] {
       parts[static_cast<std::size_t>(i)] =
@@ -169,6 +170,7 @@
   const double threads = StatusField(process, "Threads");
   SetEngineFault(aFleet, "hold_after_tokens", 2);
   std::vector<std::unique_ptr<open_answer>> streams;
+  streams.reserve(static_cast<std::size_t>(std::max(0, FLAGS_streams)));
   for (int i = 0; i < FLAGS_streams; ++i) {
     streams.push_back(AskAsync(router.mPort, "POST", "/v1/chat/completions",
                                CallerHeaders(),
--- a/tests/scenario/sim_process.cc
+++ b/tests/scenario/sim_process.cc
@@ -246,7 +246,8 @@
   sim_process& process = aWorld.mProcesses.at(aName);
   Trace(aWorld, absl::StrCat(aName, " ", TextOf(aEvent)));
   if (aEvent == process_event::Kill) {
-    aWorld.mObserver.mKilled.insert({ aName, process.mGeneration });
+    aWorld.mObserver.mKilled.emplace(std::make_pair(aName, process.mGeneration),
+                                     aWorld.mNow);
   }
   for (const process_action action :
        Fire(aWorld.mCharts.mProcess, process.mStatus, aEvent, process,
@@ -306,6 +307,9 @@
 void Feed(world& aWorld, const std::string& aName, router_event aEvent)
 {
   sim_process& process = aWorld.mProcesses.at(aName);
+  if (const auto* ask = std::get_if<caller_request_event>(&aEvent)) {
+    aWorld.mRequests[ask->mHandle - 1].mTaken = true;
+  }
   StepNode(aWorld, aName, *process.mRouter, std::move(aEvent));
 }
 
