--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: build packages test lint format demo bench capacity clean
+.PHONY: build packages test lint format demo bench latency capacity soak clean
 
 build: packages
 	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
@@ -30,5 +30,13 @@
 capacity: build
 	$(BUILD)/bin/foxtailquay_capacity --charts_dir=charts
 
+latency: build
+	$(BUILD)/bin/foxtailquay_latency
+
+# Random fault schedules; SEEDS is how many.
+SEEDS ?= 500
+soak: build
+	$(BUILD)/bin/random_fault_test -- 1 $(SEEDS)
+
 clean:
 	rm -rf $(BUILD)
