--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 bench: build
 	$(BUILD)/bin/foxtailquay_bench
+	$(BUILD)/bin/foxtailquay_latency
 
 capacity: build
 	$(BUILD)/bin/foxtailquay_capacity --charts_dir=charts
