Ignore the tool's variables in the daemon's settings

Cause: foxtailquayd refused every unknown FOXTAILQUAY_ variable, those of foxtailquayctl included, so that a shared environment kept it from starting. Change: names that begin with FOXTAILQUAY_CTL_ are skipped.

--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -91,6 +91,8 @@
 }
 
 constexpr std::string_view kEnvironmentPrefix = "FOXTAILQUAY_";
+// Settings of foxtailquayctl, which may share an environment with the daemon.
+constexpr std::string_view kToolPrefix = "FOXTAILQUAY_CTL_";
 
 error SettingError(std::string aField, std::string aDetail)
 {
@@ -148,7 +150,8 @@
   given_settings& aGiven, const std::map<std::string, std::string>& aVariables)
 {
   for (const auto& [name, value] : aVariables) {
-    if (!absl::StartsWith(name, kEnvironmentPrefix.data())) {
+    if (!absl::StartsWith(name, kEnvironmentPrefix.data()) ||
+        absl::StartsWith(name, kToolPrefix.data())) {
       continue;
     }
     const auto found = FromName<setting>(
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -134,6 +134,12 @@
   BOOST_TEST(ValueOf(both).mZone == "z1");
 }
 
+// A variable of foxtailquayctl kept the daemon from starting.
+BOOST_AUTO_TEST_CASE(ignores_variables_of_the_tool)
+{
+  BOOST_TEST(IsOk(ReadFresh(kRouter, { { "FOXTAILQUAY_CTL_ROUTER", "x" } })));
+}
+
 BOOST_AUTO_TEST_CASE(names_the_variable_at_fault)
 {
   const auto unknown = ReadFresh(kRouter, { { "FOXTAILQUAY_ZONES", "z" } });
