Read an account shard again for a waiting fence

Cause: a complete fence waits for a read of each account shard that starts after it; if the read under way at that moment failed, none was asked for again and the fence stayed open (scenario fence_after_failed_read).

--- a/src/core/router_members.cc
+++ b/src/core/router_members.cc
@@ -243,6 +243,8 @@
       queue.mRefresh = true;
       all = false;
     } else if (queue.mReads <= asked->second) {
+      // A read that was under way may have failed.
+      queue.mRefresh = queue.mRefresh || queue.mPhase != commit_phase::Reading;
       all = false;
     } else {
       CloseSharesIn(aState, aProgress, queue, aFence.mFenced, epoch, aNow);
