--- a/include/foxtailquay/types.h
+++ b/include/foxtailquay/types.h
@@ -127,12 +127,15 @@
 {
   Router,
   Agent,
+  // Serves callers on the users' platform.
+  Gateway,
 };
 
 constexpr auto NameTable(process_role)
 {
-  return MakeNameTable<process_role>(
-    { { process_role::Router, "router" }, { process_role::Agent, "agent" } });
+  return MakeNameTable<process_role>({ { process_role::Router, "router" },
+                                       { process_role::Agent, "agent" },
+                                       { process_role::Gateway, "gateway" } });
 }
 
 // Scheduling class of a request, highest priority first.
--- /dev/null
+++ b/src/core/gateway_charts.h
@@ -0,0 +1,171 @@
+// Enumerations of the charts that a gateway runs on:
+// charts/forwarded_request.yaml and charts/directory.yaml. The health of
+// backend servers follows charts/backend_server.yaml (backend_health.h).
+
+#ifndef FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
+#define FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
+
+#include "backend_health.h"
+#include "foxtailquay/chart.h"
+#include "foxtailquay/name_table.h"
+
+namespace foxtailquay {
+
+enum class forward_status
+{
+  Received,
+  Funding,
+  Running,
+  Closing,
+  Done,
+};
+
+constexpr auto NameTable(forward_status)
+{
+  using s = forward_status;
+  return MakeNameTable<s>({ { s::Received, "received" },
+                            { s::Funding, "funding" },
+                            { s::Running, "running" },
+                            { s::Closing, "closing" },
+                            { s::Done, "done" } });
+}
+
+enum class forward_event
+{
+  Admitted,
+  Refused,
+  Funded,
+  Unfunded,
+  Unroutable,
+  Delivered,
+  AttemptFailed,
+  CallerGone,
+  Deadline,
+};
+
+constexpr auto NameTable(forward_event)
+{
+  using e = forward_event;
+  return MakeNameTable<e>({ { e::Admitted, "admitted" },
+                            { e::Refused, "refused" },
+                            { e::Funded, "funded" },
+                            { e::Unfunded, "unfunded" },
+                            { e::Unroutable, "unroutable" },
+                            { e::Delivered, "delivered" },
+                            { e::AttemptFailed, "attempt_failed" },
+                            { e::CallerGone, "caller_gone" },
+                            { e::Deadline, "deadline" } });
+}
+
+enum class forward_guard
+{
+  // Another attempt is safe and within the limits.
+  MayRepeat,
+  // The traffic layer holds a failure of the backend server to pass on.
+  HoldsFailure,
+};
+
+constexpr auto NameTable(forward_guard)
+{
+  using g = forward_guard;
+  return MakeNameTable<g>(
+    { { g::MayRepeat, "may_repeat" }, { g::HoldsFailure, "holds_failure" } });
+}
+
+enum class forward_action
+{
+  Reserve,
+  Dispatch,
+  Settle,
+  Refuse,
+  PassFailure,
+  Cancel,
+};
+
+constexpr auto NameTable(forward_action)
+{
+  using a = forward_action;
+  return MakeNameTable<a>({ { a::Reserve, "reserve" },
+                            { a::Dispatch, "dispatch" },
+                            { a::Settle, "settle" },
+                            { a::Refuse, "refuse" },
+                            { a::PassFailure, "pass_failure" },
+                            { a::Cancel, "cancel" } });
+}
+
+using forward_chart =
+  chart<forward_status, forward_event, forward_guard, forward_action>;
+
+enum class follow_status
+{
+  Reading,
+  Watching,
+  Pausing,
+};
+
+constexpr auto NameTable(follow_status)
+{
+  using s = follow_status;
+  return MakeNameTable<s>({ { s::Reading, "reading" },
+                            { s::Watching, "watching" },
+                            { s::Pausing, "pausing" } });
+}
+
+enum class follow_event
+{
+  Answered,
+  HistoryLost,
+  Failed,
+  PauseOver,
+};
+
+constexpr auto NameTable(follow_event)
+{
+  using e = follow_event;
+  return MakeNameTable<e>({ { e::Answered, "answered" },
+                            { e::HistoryLost, "history_lost" },
+                            { e::Failed, "failed" },
+                            { e::PauseOver, "pause_over" } });
+}
+
+enum class follow_guard
+{
+  HasRevision,
+};
+
+constexpr auto NameTable(follow_guard)
+{
+  return MakeNameTable<follow_guard>(
+    { { follow_guard::HasRevision, "has_revision" } });
+}
+
+enum class follow_action
+{
+  Read,
+  Watch,
+  Apply,
+  Schedule,
+};
+
+constexpr auto NameTable(follow_action)
+{
+  using a = follow_action;
+  return MakeNameTable<a>({ { a::Read, "read" },
+                            { a::Watch, "watch" },
+                            { a::Apply, "apply" },
+                            { a::Schedule, "schedule" } });
+}
+
+using follow_chart =
+  chart<follow_status, follow_event, follow_guard, follow_action>;
+
+struct gateway_charts
+{
+  forward_chart mForward;
+  follow_chart mFollow;
+  backend_chart mBackend;
+};
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/src/core/gateway_fund.cc
@@ -0,0 +1,427 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "gateway_state.h"
+#include "xxhash.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Tokens, in time of demand, that a gateway without the home role asks for
+// beyond the present need, to save calls.
+constexpr absl::Duration kTransferAhead = absl::Milliseconds(300);
+// Free tokens, in time of demand, above which they go back to the home.
+constexpr absl::Duration kKeepAhead = absl::Seconds(1);
+// Least time between two grant writes of this gateway.
+constexpr absl::Duration kWriteInterval = absl::Milliseconds(25);
+
+std::uint64_t Weight(const std::string& aRouter, const workspace_id& aWorkspace)
+{
+  return XXH64(aRouter.data(), aRouter.size(),
+               XXH64(aWorkspace.mValue.data(), aWorkspace.mValue.size(), 0));
+}
+
+struct home_choice
+{
+  // Empty: this gateway.
+  std::string mPeer;
+  std::string mAddress;
+};
+
+// The gateway that holds the grants of a workspace, by rendezvous hashing over
+// the live ones. Two gateways may disagree for a while; each then spends only
+// its own grants.
+home_choice HomeOf(const gateway& aGateway, const workspace_id& aWorkspace,
+                   absl::Time aNow)
+{
+  home_choice home;
+  std::uint64_t best = 0;
+  if (!aGateway.mStopping) {
+    best = Weight(aGateway.mSettings.mName, aWorkspace);
+  }
+  for (const auto& peer : aGateway.mPeers) {
+    const std::uint64_t weight = Weight(peer.first, aWorkspace);
+    if (aNow >= peer.second.mSuspectUntil && weight > best) {
+      best = weight;
+      home = { peer.first, peer.second.mPeer.mAddress };
+    }
+  }
+  return home;
+}
+
+token_count RateOver(const grant_share& aShare, const gateway& aGateway,
+                     absl::Duration aTime, absl::Time aNow)
+{
+  grant_options options = aGateway.mSettings.mGrants;
+  options.mHorizon = aTime;
+  options.mFirstPart = 0;
+  grant_share share;
+  share.mRate = aShare.mRate;
+  share.mRateAt = aShare.mRateAt;
+  return WantedOf(share, 0, options, aNow);
+}
+
+token_count ShortageOf(const workspace_fund& aFund)
+{
+  token_count shortage = -aFund.mShare.mFree;
+  for (const token_waiter& waiter : aFund.mWaiters) {
+    shortage += waiter.mAmount;
+  }
+  return std::max<token_count>(0, shortage);
+}
+
+bool TakeTokens(workspace_fund& aFund, const token_waiter& aWaiter)
+{
+  if (!MaySpend(aFund.mShare, aFund.mPrepaid) ||
+      aWaiter.mAmount > aFund.mShare.mFree) {
+    return false;
+  }
+  if (aWaiter.mCall != 0) {
+    aFund.mShare.mFree -= aWaiter.mAmount;
+    return true;
+  }
+  return Reserve(aFund.mShare, aWaiter.mAmount);
+}
+
+// True if the store's record leaves no doubt that the total is used up: no
+// other router could hold unspent tokens of it.
+bool IsCertainlyExhausted(const gateway& aGateway, const workspace_fund& aFund)
+{
+  const grant_record& record = aFund.mShare.mRecord;
+  return IsExhausted(aFund.mShare, aFund.mPrepaid) && record.mClosed == 0 &&
+         record.mEntries.size() == 1 &&
+         record.mEntries.count(aGateway.mHolder) == 1;
+}
+
+void EndWaiter(gateway& aGateway, workspace_fund& aFund,
+               const token_waiter& aWaiter, bool aFunded, absl::Time aNow)
+{
+  const bool certain = !aFunded && IsCertainlyExhausted(aGateway, aFund);
+  if (aWaiter.mCall != 0) {
+    aGateway.mActions.push_back(answer_tokens{
+      aWaiter.mCall, { aFunded ? aWaiter.mAmount : 0, certain } });
+    return;
+  }
+  auto request = aGateway.mRequests.find(aWaiter.mHandle);
+  if (request == aGateway.mRequests.end() ||
+      request->second->mStatus != forward_status::Funding) {
+    if (aFunded) {
+      Settle(aFund.mShare, aWaiter.mAmount, 0);
+    }
+    return;
+  }
+  if (aFunded) {
+    request->second->mReserved = aWaiter.mAmount;
+    FireRequest(aGateway, aWaiter.mHandle, forward_event::Funded, aNow);
+    return;
+  }
+  request->second->mError =
+    certain ? MakeError(error_code::BudgetExhausted, ran::No,
+                        "the prepaid total does not cover the request")
+            : MakeError(error_code::RateLimited, ran::No,
+                        "no tokens of the prepaid total are available now");
+  FireRequest(aGateway, aWaiter.mHandle, forward_event::Unfunded, aNow);
+}
+
+// Serves those that wait, in order; a large request does not hold up smaller
+// ones behind it. aGiveUp ends all others.
+void ServeWaiters(gateway& aGateway, const workspace_id& aWorkspace,
+                  bool aGiveUp, absl::Time aNow)
+{
+  workspace_fund& fund = aGateway.mFunds[aWorkspace];
+  std::deque<token_waiter> waiters;
+  waiters.swap(fund.mWaiters);
+  for (const token_waiter& waiter : waiters) {
+    if (TakeTokens(fund, waiter)) {
+      EndWaiter(aGateway, fund, waiter, true, aNow);
+    } else if (aGiveUp || aNow >= waiter.mUntil) {
+      EndWaiter(aGateway, fund, waiter, false, aNow);
+    } else {
+      fund.mWaiters.push_back(waiter);
+    }
+  }
+}
+
+// Starts to get the tokens that are missing.
+void SeekTokens(gateway& aGateway, const workspace_id& aWorkspace,
+                absl::Time aNow);
+
+// Writes the grants of all workspaces that need it, one write at a time.
+void WriteGrants(gateway& aGateway, absl::Time aNow)
+{
+  if (!aGateway.mWriting.empty() || aNow < aGateway.mNextWriteAt) {
+    return;
+  }
+  grant_write write;
+  for (auto& entry : aGateway.mFunds) {
+    workspace_fund& fund = entry.second;
+    const bool isHome = HomeOf(aGateway, entry.first, aNow).mPeer.empty();
+    const bool mustReturn = !MaySpend(fund.mShare, fund.mPrepaid);
+    if (!isHome && !mustReturn && !fund.mShare.mPending) {
+      continue;
+    }
+    fund.mShare.mShort = ShortageOf(fund);
+    auto plan = PlanGrant(fund.mShare, aGateway.mHolder, fund.mPrepaid,
+                          aGateway.mSettings.mGrants, aNow);
+    if (plan) {
+      write.mEntries.push_back({ entry.first, std::move(*plan) });
+    }
+    if (write.mEntries.size() == kMaxGrantEntries) {
+      break;
+    }
+  }
+  if (!write.mEntries.empty()) {
+    aGateway.mWriting = write.mEntries;
+    aGateway.mActions.push_back(std::move(write));
+  }
+}
+
+void SeekTokens(gateway& aGateway, const workspace_id& aWorkspace,
+                absl::Time aNow)
+{
+  workspace_fund& fund = aGateway.mFunds[aWorkspace];
+  const home_choice home = HomeOf(aGateway, aWorkspace, aNow);
+  if (home.mPeer.empty()) {
+    if (IsExhausted(fund.mShare, fund.mPrepaid)) {
+      ServeWaiters(aGateway, aWorkspace, true, aNow);
+      return;
+    }
+    WriteGrants(aGateway, aNow);
+    return;
+  }
+  const token_count shortage = ShortageOf(fund);
+  if (fund.mAsking || shortage == 0) {
+    return;
+  }
+  fund.mAsking = true;
+  aGateway.mActions.push_back(ask_tokens{
+    home.mPeer, home.mAddress, aWorkspace,
+    shortage + RateOver(fund.mShare, aGateway, kTransferAhead, aNow) });
+}
+
+// Gives free tokens that this gateway does not need to the home.
+void ReturnToHome(gateway& aGateway, const workspace_id& aWorkspace,
+                  token_count aKeep, absl::Time aNow)
+{
+  workspace_fund& fund = aGateway.mFunds[aWorkspace];
+  const home_choice home = HomeOf(aGateway, aWorkspace, aNow);
+  const token_count surplus = fund.mShare.mFree - aKeep;
+  if (home.mPeer.empty() || surplus <= 0) {
+    return;
+  }
+  fund.mShare.mFree -= surplus;
+  aGateway.mActions.push_back(
+    return_tokens{ home.mAddress, aWorkspace, surplus });
+}
+
+void ApplyOutcome(gateway& aGateway, const grant_write::entry& aEntry,
+                  const grant_written& aEvent)
+{
+  workspace_fund& fund = aGateway.mFunds[aEntry.mWorkspace];
+  const token_count before = fund.mShare.mFree;
+  if (aEvent.mOutcome == grant_outcome::Conflict) {
+    for (const grant_state& state : aEvent.mStates) {
+      if (state.mWorkspace == aEntry.mWorkspace) {
+        // One record that had changed fails the whole write.
+        const bool same = state.mVersion == aEntry.mPlan.mExpected;
+        NoteGrantWrite(fund.mShare, aGateway.mHolder,
+                       same ? grant_outcome::NotWritten
+                            : grant_outcome::Conflict,
+                       state.mRecord, state.mVersion);
+      }
+    }
+  } else {
+    NoteGrantWrite(fund.mShare, aGateway.mHolder, aEvent.mOutcome,
+                   aEntry.mPlan.mRecord, aEvent.mRevision);
+  }
+  if (fund.mShare.mFree != before) {
+    Note(aGateway, decision::GrantChanged,
+         { { "workspace", aEntry.mWorkspace.mValue },
+           { "outcome", std::string(NameOf(aEvent.mOutcome)) },
+           { "free", absl::StrCat(fund.mShare.mFree) },
+           { "granted_to_all", absl::StrCat(TotalOf(fund.mShare.mRecord)) },
+           { "prepaid", absl::StrCat(fund.mPrepaid) },
+           { "revision", absl::StrCat(fund.mShare.mVersion) } });
+  }
+}
+
+} // namespace
+
+void FundRequest(gateway& aGateway, forwarded_request& aRequest,
+                 absl::Time aNow)
+{
+  const request_handle handle = aRequest.mCaller.mHandle;
+  if (!aRequest.mIsPrepaid || aRequest.mCost == 0) {
+    FireRequest(aGateway, handle, forward_event::Funded, aNow);
+    return;
+  }
+  const workspace_id workspace = aRequest.mWorkspace;
+  workspace_fund& fund = aGateway.mFunds[workspace];
+  NoteDemand(fund.mShare, aRequest.mCost, aGateway.mSettings.mGrants, aNow);
+  fund.mWaiters.push_back(
+    { handle, 0, aRequest.mCost,
+      std::min(aRequest.mDeadline, aNow + kFundingTimeout) });
+  ServeWaiters(aGateway, workspace, false, aNow);
+  if (!fund.mWaiters.empty()) {
+    SeekTokens(aGateway, workspace, aNow);
+  } else {
+    WriteGrants(aGateway, aNow);
+  }
+}
+
+void SettleRequest(gateway& aGateway, forwarded_request& aRequest)
+{
+  if (aRequest.mReserved == 0) {
+    return;
+  }
+  token_count used = 0;
+  if (aRequest.mMayHaveRun) {
+    used = aRequest.mCaller.mPromptTokens +
+           std::min(aRequest.mCaller.mMaxOutputTokens,
+                    aRequest.mEvents * aRequest.mTokensPerEvent);
+  }
+  Settle(aGateway.mFunds[aRequest.mWorkspace].mShare, aRequest.mReserved,
+         std::min(used, aRequest.mReserved));
+  aRequest.mReserved = 0;
+}
+
+void OnGrantWritten(gateway& aGateway, const grant_written& aEvent,
+                    absl::Time aNow)
+{
+  std::vector<grant_write::entry> entries;
+  entries.swap(aGateway.mWriting);
+  const bool failed = aEvent.mOutcome == grant_outcome::Unknown ||
+                      aEvent.mOutcome == grant_outcome::NotWritten;
+  aGateway.mNextWriteAt = aNow + (failed ? kFirstPause * 2 : kWriteInterval);
+  for (const grant_write::entry& entry : entries) {
+    ApplyOutcome(aGateway, entry, aEvent);
+  }
+  for (const grant_write::entry& entry : entries) {
+    ServeWaiters(aGateway, entry.mWorkspace, false, aNow);
+    if (!aGateway.mFunds[entry.mWorkspace].mWaiters.empty()) {
+      SeekTokens(aGateway, entry.mWorkspace, aNow);
+    }
+  }
+  if (aEvent.mOutcome == grant_outcome::Conflict) {
+    aGateway.mNextWriteAt = aNow;
+  }
+  WriteGrants(aGateway, aNow);
+}
+
+void OnTokensAsked(gateway& aGateway, const tokens_asked& aEvent,
+                   absl::Time aNow)
+{
+  auto found = aGateway.mFunds.find(aEvent.mWorkspace);
+  if (found == aGateway.mFunds.end() || aEvent.mAmount <= 0) {
+    aGateway.mActions.push_back(answer_tokens{ aEvent.mCall, { 0, false } });
+    return;
+  }
+  workspace_fund& fund = found->second;
+  NoteDemand(fund.mShare, aEvent.mAmount, aGateway.mSettings.mGrants, aNow);
+  fund.mWaiters.push_back(
+    { 0, aEvent.mCall, aEvent.mAmount, aNow + kFundingTimeout / 2 });
+  ServeWaiters(aGateway, aEvent.mWorkspace, false, aNow);
+  // A gateway that is not the home itself does not ask a third one.
+  if (!fund.mWaiters.empty() &&
+      !HomeOf(aGateway, aEvent.mWorkspace, aNow).mPeer.empty()) {
+    ServeWaiters(aGateway, aEvent.mWorkspace, true, aNow);
+    return;
+  }
+  if (!fund.mWaiters.empty()) {
+    SeekTokens(aGateway, aEvent.mWorkspace, aNow);
+  } else {
+    WriteGrants(aGateway, aNow);
+  }
+}
+
+void OnTokensReturned(gateway& aGateway, const tokens_returned& aEvent,
+                      absl::Time aNow)
+{
+  workspace_fund& fund = aGateway.mFunds[aEvent.mWorkspace];
+  fund.mShare.mFree += std::max<token_count>(0, aEvent.mAmount);
+  ServeWaiters(aGateway, aEvent.mWorkspace, false, aNow);
+}
+
+void OnTokensAnswered(gateway& aGateway, const tokens_answered& aEvent,
+                      absl::Time aNow)
+{
+  workspace_fund& fund = aGateway.mFunds[aEvent.mWorkspace];
+  fund.mAsking = false;
+  if (!aEvent.mAnswer) {
+    auto peer = aGateway.mPeers.find(aEvent.mPeer);
+    if (peer != aGateway.mPeers.end()) {
+      peer->second.mSuspectUntil = aNow + kPeerSuspicion;
+      Note(aGateway, decision::PeerChanged,
+           { { "peer", aEvent.mPeer }, { "state", "suspect" } });
+    }
+    SeekTokens(aGateway, aEvent.mWorkspace, aNow);
+    return;
+  }
+  fund.mShare.mFree += aEvent.mAnswer->mAmount;
+  const bool nothing = aEvent.mAnswer->mAmount == 0;
+  ServeWaiters(aGateway, aEvent.mWorkspace, nothing, aNow);
+  if (!fund.mWaiters.empty()) {
+    SeekTokens(aGateway, aEvent.mWorkspace, aNow);
+  }
+}
+
+void UpdateFunds(gateway& aGateway, absl::Time aNow)
+{
+  for (const traffic_workspace& workspace :
+       aGateway.mTable->mConfig.mWorkspaces) {
+    if (!workspace.mPrepaid) {
+      continue;
+    }
+    workspace_fund& fund = aGateway.mFunds[workspace.mId];
+    const bool lowered = *workspace.mPrepaid < fund.mPrepaid;
+    fund.mPrepaid = *workspace.mPrepaid;
+    if (lowered) {
+      ReturnToHome(aGateway, workspace.mId, 0, aNow);
+    }
+  }
+  WriteGrants(aGateway, aNow);
+}
+
+void TickFunds(gateway& aGateway, absl::Time aNow)
+{
+  for (auto& entry : aGateway.mFunds) {
+    ServeWaiters(aGateway, entry.first, false, aNow);
+    const workspace_fund& fund = entry.second;
+    if (!fund.mWaiters.empty()) {
+      SeekTokens(aGateway, entry.first, aNow);
+      continue;
+    }
+    const token_count keep =
+      RateOver(fund.mShare, aGateway, kKeepAhead, aNow);
+    if (fund.mShare.mFree > 2 * keep) {
+      ReturnToHome(aGateway, entry.first, keep, aNow);
+    }
+  }
+  WriteGrants(aGateway, aNow);
+}
+
+bool ReturnFunds(gateway& aGateway, absl::Time aNow)
+{
+  bool done = aGateway.mWriting.empty();
+  grant_write write;
+  for (auto& entry : aGateway.mFunds) {
+    ReturnToHome(aGateway, entry.first, 0, aNow);
+    if (!aGateway.mWriting.empty() ||
+        write.mEntries.size() == kMaxGrantEntries) {
+      continue;
+    }
+    auto plan = PlanReturn(entry.second.mShare, aGateway.mHolder);
+    if (plan) {
+      write.mEntries.push_back({ entry.first, std::move(*plan) });
+    }
+  }
+  if (!write.mEntries.empty()) {
+    aGateway.mWriting = write.mEntries;
+    aGateway.mActions.push_back(std::move(write));
+    done = false;
+  }
+  return done;
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/core/gateway_state.h
@@ -0,0 +1,237 @@
+// State of the gateway node and the functions that its source files share.
+//
+// gateway.cc          construction, event dispatch, timers, stop
+// gateway_request.cc  one request: admission, attempts, end
+// gateway_fund.cc     prepaid totals: grants, transfers between gateways
+// gateway_follow.cc   what the store says: configuration, servers, peers
+
+#ifndef FOXTAILQUAY_CORE_GATEWAY_STATE_H
+#define FOXTAILQUAY_CORE_GATEWAY_STATE_H
+
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "foxtailquay/gateway.h"
+#include "gateway_charts.h"
+#include "retry.h"
+#include "routing.h"
+
+namespace foxtailquay {
+
+// Pause before a failed call on the store is made again: short enough that a
+// gateway is in touch again well within the platform's contact bound (3 s).
+constexpr absl::Duration kFirstPause = absl::Milliseconds(150);
+constexpr absl::Duration kLongestPause = absl::Milliseconds(1000);
+// Entries that lapsed while the store was away return within two seconds.
+constexpr absl::Duration kLapseGrace = absl::Milliseconds(2200);
+// Longest wait for tokens from another gateway or the store; a few round trips
+// of both.
+constexpr absl::Duration kFundingTimeout = absl::Milliseconds(300);
+// A peer that did not answer is left out for this long.
+constexpr absl::Duration kPeerSuspicion = absl::Seconds(2);
+// Interval of housekeeping; no decision on a request waits for it.
+constexpr absl::Duration kTickInterval = absl::Milliseconds(250);
+// Time from the start of a stop during which the balancer may still send new
+// connections: two missed checks, one a second, and their delay.
+constexpr absl::Duration kStopLinger = absl::Milliseconds(2600);
+// Part of the stop time that is kept for returning grants.
+constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
+// The lease of the peer list entry is renewed this often.
+constexpr absl::Duration kRegistrationInterval = absl::Seconds(5);
+// When a refused caller should come back: after a funding round or a shift of
+// load, in the order of a model run.
+constexpr absl::Duration kRetryAfter = absl::Milliseconds(700);
+// Entries in one write; the store takes at most 32.
+constexpr std::size_t kMaxGrantEntries = 16;
+// Parts of the fleet-wide allowance for repeats that are used; the rest covers
+// gateways that do not know each other yet.
+constexpr double kRepeatRatioPart = 0.7;
+constexpr double kRepeatSlackPart = 0.6;
+
+struct forwarded_request
+{
+  caller_request mCaller;
+  forward_status mStatus = forward_status::Received;
+  traffic_route mRoute;
+  workspace_id mWorkspace;
+  bool mIsPrepaid = false;
+  int mUrgency = 0;
+  service_id mService;
+  bool mIsEngine = false;
+  token_count mTokensPerEvent = 1;
+  int mMaxConnections = 0;
+  // Worst case in tokens; 0 for plain services.
+  token_count mCost = 0;
+  token_count mReserved = 0;
+  absl::Time mArrivedAt;
+  absl::Time mDeadline;
+  // While funding.
+  absl::Time mFundBy = absl::InfiniteFuture();
+  int mAttempts = 0;
+  // Attempts of which a byte was sent.
+  int mSent = 0;
+  // The present attempt's backend server; empty between attempts.
+  backend_id mBackend;
+  bool mAnswering = false;
+  std::set<backend_id> mTried;
+  bool mMayHaveRun = false;
+  // An earlier attempt may have run.
+  bool mRanBefore = false;
+  bool mHoldsFailure = false;
+  std::int64_t mEvents = 0;
+  // What the caller is told if the request ends now.
+  error mError;
+};
+
+// A request or another gateway that waits for tokens of a workspace.
+struct token_waiter
+{
+  // One of the two is set.
+  request_handle mHandle = 0;
+  std::uint64_t mCall = 0;
+  token_count mAmount = 0;
+  absl::Time mUntil;
+};
+
+struct workspace_fund
+{
+  grant_share mShare;
+  std::deque<token_waiter> mWaiters;
+  bool mAsking = false;
+  token_count mPrepaid = 0;
+};
+
+struct followed_area
+{
+  follow_status mStatus = follow_status::Reading;
+  std::optional<store_version> mRevision;
+  absl::Duration mPause = absl::ZeroDuration();
+  absl::Time mPauseEnd = absl::InfiniteFuture();
+  bool mInTouch = false;
+  // Start of the present time in touch.
+  absl::Time mInTouchSince = absl::InfinitePast();
+  bool mComplete = false;
+};
+
+struct backend_listing
+{
+  backend_entry mEntry;
+  store_version mRevision = 0;
+  // Set if the entry lapsed while the store was away; removed then.
+  absl::Time mRemoveAt = absl::InfiniteFuture();
+};
+
+struct peer_listing
+{
+  gateway_peer mPeer;
+  store_version mRevision = 0;
+  absl::Time mSuspectUntil = absl::InfinitePast();
+};
+
+struct gateway
+{
+  gateway_settings mSettings;
+  gateway_charts mCharts;
+  random_engine mRandom;
+  routing_options mRouting;
+  std::string mHolder;
+
+  std::array<followed_area, CountOf<directory_area>()> mAreas;
+  std::optional<route_table> mTable;
+  std::map<backend_id, backend_listing> mListings;
+  std::map<backend_id, backend_view> mViews;
+  std::map<std::string, peer_listing> mPeers;
+  std::uint64_t mLoadSequence = 0;
+
+  absl::flat_hash_map<request_handle, std::unique_ptr<forwarded_request>>
+    mRequests;
+  std::set<std::pair<absl::Time, request_handle>> mDeadlines;
+  std::map<std::string, retry_state> mRepeats;
+
+  std::map<workspace_id, workspace_fund> mFunds;
+  // Workspaces of the grant write in flight; empty if there is none.
+  std::vector<grant_write::entry> mWriting;
+  absl::Time mNextWriteAt = absl::InfinitePast();
+
+  std::uint64_t mLease = 0;
+  bool mRegistering = false;
+  absl::Time mRegisterAt = absl::InfinitePast();
+
+  bool mReady = false;
+  bool mStopping = false;
+  bool mStopped = false;
+  absl::Time mStopStart = absl::InfiniteFuture();
+  absl::Time mReturnBy = absl::InfiniteFuture();
+  absl::Time mNextTick = absl::InfinitePast();
+
+  // Actions of the present step.
+  gateway_actions mActions;
+};
+
+using note_inputs = std::vector<std::pair<std::string_view, std::string>>;
+void Note(gateway& aGateway, decision aDecision, note_inputs aInputs);
+
+error MakeError(error_code aCode, ran aRan, std::string aDetail);
+
+// --- gateway_request.cc -----------------------------------------------------
+
+void OnRequest(gateway& aGateway, const caller_request& aRequest,
+               absl::Time aNow);
+void OnAttempt(gateway& aGateway, const attempt_report& aReport,
+               absl::Time aNow);
+void OnFirstByte(gateway& aGateway, const first_byte& aEvent, absl::Time aNow);
+void OnCallerGone(gateway& aGateway, const caller_gone& aEvent,
+                  absl::Time aNow);
+// Fires aEvent on the request's chart and performs the actions. The request
+// is gone afterwards if that ended it.
+void FireRequest(gateway& aGateway, request_handle aHandle,
+                 forward_event aEvent, absl::Time aNow);
+void FireDeadlines(gateway& aGateway, absl::Time aNow);
+
+// --- gateway_fund.cc --------------------------------------------------------
+
+// Reserves the cost of a request, at once or after a wait; ends in the events
+// Funded or Unfunded.
+void FundRequest(gateway& aGateway, forwarded_request& aRequest,
+                 absl::Time aNow);
+void SettleRequest(gateway& aGateway, forwarded_request& aRequest);
+void OnGrantWritten(gateway& aGateway, const grant_written& aEvent,
+                    absl::Time aNow);
+void OnTokensAsked(gateway& aGateway, const tokens_asked& aEvent,
+                   absl::Time aNow);
+void OnTokensReturned(gateway& aGateway, const tokens_returned& aEvent,
+                      absl::Time aNow);
+void OnTokensAnswered(gateway& aGateway, const tokens_answered& aEvent,
+                      absl::Time aNow);
+// Takes over the prepaid totals of a new configuration.
+void UpdateFunds(gateway& aGateway, absl::Time aNow);
+// Writes grants, returns tokens that are not needed, ends overdue waits.
+void TickFunds(gateway& aGateway, absl::Time aNow);
+// Starts to return everything; true once nothing is left to return.
+bool ReturnFunds(gateway& aGateway, absl::Time aNow);
+
+// --- gateway_follow.cc ------------------------------------------------------
+
+void StartFollowing(gateway& aGateway);
+void OnDirectory(gateway& aGateway, const directory_answer& aAnswer,
+                 absl::Time aNow);
+void TickFollowing(gateway& aGateway, absl::Time aNow);
+void OnRegistration(gateway& aGateway, const registration_answer& aAnswer,
+                    absl::Time aNow);
+// Routers that are expected to be alive, this one included.
+int CountRouters(const gateway& aGateway, absl::Time aNow);
+bool IsDirectoryKnown(const gateway& aGateway);
+// Takes a backend server out until the store lists it anew.
+void ForgetBackend(gateway& aGateway, const backend_id& aBackend,
+                   absl::Time aNow);
+
+} // namespace foxtailquay
+
+#endif
--- /dev/null
+++ b/src/daemon/gateway_host.cc
@@ -0,0 +1,523 @@
+#include "daemon/gateway_host.h"
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <random>
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+#include "daemon/node_io.h"
+#include "daemon/store_link.h"
+#include "foxtailquay/gateway.h"
+#include "platform/node_file.h"
+#include "platform/request_codec.h"
+#include "runtime/clock.h"
+#include "runtime/control_queue.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+#include "runtime/thread.h"
+#include "traffic/traffic.h"
+#include "transport/client_call.h"
+#include "transport/http_service.h"
+#include "wire/tokens_codec.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// A call between gateways takes one round trip and at most one write to the
+// store.
+constexpr absl::Duration kPeerTimeout = absl::Milliseconds(250);
+constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(150);
+// Interval of the look at the settings file, which may change without a signal.
+constexpr absl::Duration kFileInterval = absl::Seconds(1);
+// From the start of a stop: idle callers' connections stay open until the
+// balancer has noticed it.
+constexpr absl::Duration kCloseIdleAfter = absl::Milliseconds(2600);
+
+} // namespace
+
+struct gateway_host
+{
+  explicit gateway_host(const platform::node_file& aNode)
+    : mNode(aNode)
+    , mCalls(mLoop)
+    , mStore{ mCalls, aNode.mStoreAddress, aNode.mName, "", {} }
+    , mTraffic(mLoop, {})
+    , mReadyService(mLoop, {})
+    , mPeerService(mLoop, {})
+    , mMetricsService(mLoop, {})
+  {}
+
+  daemon_settings mSettings;
+  platform::node_file mNode;
+  metrics_ptr mMetrics = MakeMetrics();
+
+  // The control thread's.
+  gateway_ptr mGateway;
+  control_queue<gateway_event> mQueue;
+  posix_thread mControlThread;
+
+  // The traffic thread's.
+  event_loop mLoop;
+  client_calls mCalls;
+  store_link mStore;
+  traffic mTraffic;
+  http_service mReadyService;
+  http_service mPeerService;
+  http_service mMetricsService;
+  bool mReady = false;
+  gateway_summary mSummary;
+  std::filesystem::file_time_type mFileTime;
+  posix_thread mTrafficThread;
+};
+
+namespace {
+
+// --- Control thread ---------------------------------------------------------
+
+void PerformAll(gateway_host& aHost, const gateway_actions& aActions);
+
+bool PostEvent(gateway_host& aHost, gateway_event aEvent)
+{
+  const bool isNewWork = std::holds_alternative<caller_request>(aEvent);
+  return IsOk(Post(aHost.mQueue, std::move(aEvent),
+                   isNewWork ? event_class::NewWork : event_class::Conclusion));
+}
+
+// Hands the actions of one turn to the traffic thread together.
+void HandOver(gateway_host& aHost, gateway_actions aActions)
+{
+  if (aActions.empty()) {
+    return;
+  }
+  Post(aHost.mLoop, [&aHost, actions = std::move(aActions),
+                     summary = SummaryOf(*aHost.mGateway)] {
+    aHost.mSummary = summary;
+    PerformAll(aHost, actions);
+  });
+}
+
+void Append(gateway_actions& aInto, gateway_actions aActions)
+{
+  std::move(aActions.begin(), aActions.end(), std::back_inserter(aInto));
+}
+
+void RunControl(gateway_host& aHost)
+{
+  HandOver(aHost, Start(*aHost.mGateway, MonotonicNow()));
+  bool closed = false;
+  while (!closed) {
+    auto events =
+      TakeAll(aHost.mQueue, NextWake(*aHost.mGateway), &closed);
+    gateway_actions actions;
+    for (const gateway_event& event : events) {
+      const absl::Time start = MonotonicNow();
+      Append(actions, Step(*aHost.mGateway, event, start));
+      Count(*aHost.mMetrics, counter::EventsHandled);
+      Observe(*aHost.mMetrics, histogram::ControlStep, MonotonicNow() - start);
+    }
+    const absl::Time now = MonotonicNow();
+    if (NextWake(*aHost.mGateway) <= now) {
+      Append(actions, Step(*aHost.mGateway, gateway_tick{}, now));
+    }
+    HandOver(aHost, std::move(actions));
+  }
+}
+
+// --- Traffic thread: actions ------------------------------------------------
+
+client_call PeerCall(const std::string& aAddress, std::string aBody)
+{
+  client_call call;
+  call.mAddress = aAddress;
+  call.mMethod = "POST";
+  call.mTarget = "/rpc";
+  call.mBody = std::move(aBody);
+  call.mConnectTimeout = kPeerConnectTimeout;
+  call.mTimeout = kPeerTimeout;
+  return call;
+}
+
+void AskPeer(gateway_host& aHost, const ask_tokens& aAction)
+{
+  Count(*aHost.mMetrics, counter::MessagesSent);
+  StartCall(aHost.mCalls, PeerCall(aAction.mAddress, EncodeAskTokens(aAction)),
+            [&aHost, aAction](const call_answer& aAnswer) {
+              tokens_answered answered{ aAction.mPeer, aAction.mWorkspace,
+                                        std::nullopt };
+              if (aAnswer.mStatus == 200) {
+                auto decoded = DecodeTokensAnswer(aAnswer.mBody);
+                if (IsOk(decoded)) {
+                  answered.mAnswer = ValueOf(decoded);
+                }
+              }
+              if (!answered.mAnswer) {
+                Count(*aHost.mMetrics, counter::PeersUnreachable);
+              }
+              PostEvent(aHost, answered);
+            });
+}
+
+void ReturnToPeer(gateway_host& aHost, const return_tokens& aAction)
+{
+  Count(*aHost.mMetrics, counter::MessagesSent);
+  StartCall(
+    aHost.mCalls, PeerCall(aAction.mAddress, EncodeReturnTokens(aAction)),
+    [&aHost, aAction](const call_answer& aAnswer) {
+      if (aAnswer.mNotSent) {
+        // They never left; otherwise they may have arrived.
+        PostEvent(aHost,
+                  tokens_returned{ aAction.mWorkspace, aAction.mAmount });
+        return;
+      }
+      if (aAnswer.mStatus != 200) {
+        Log(log_component::Peer, log_level::Warn, log_event::MessageDropped,
+            { { "message", "return_tokens" },
+              { "workspace", aAction.mWorkspace.mValue },
+              { "tokens", std::to_string(aAction.mAmount) },
+              { "peer", aAction.mAddress } });
+      }
+    });
+}
+
+struct action_performer
+{
+  gateway_host& mHost;
+
+  void operator()(const answer_error& aAction)
+  {
+    Count(*mHost.mMetrics, counter::CallerErrors);
+    AnswerError(mHost.mTraffic, aAction);
+  }
+  void operator()(const deliver_failure& aAction)
+  {
+    DeliverFailure(mHost.mTraffic, aAction.mHandle);
+  }
+  void operator()(const cancel_request& aAction)
+  {
+    Count(*mHost.mMetrics, counter::CallersGone);
+    CancelExchange(mHost.mTraffic, aAction.mHandle);
+  }
+  void operator()(const dispatch_request& aAction)
+  {
+    Count(*mHost.mMetrics, counter::RunsDispatched);
+    DispatchExchange(mHost.mTraffic, aAction);
+  }
+  void operator()(const directory_query& aAction)
+  {
+    Count(*mHost.mMetrics, counter::StoreCalls);
+    CallStore(mHost.mStore, aAction);
+  }
+  void operator()(const grant_write& aAction)
+  {
+    Count(*mHost.mMetrics, counter::StoreCalls);
+    CallStore(mHost.mStore, aAction);
+  }
+  void operator()(const registration_call& aAction)
+  {
+    Count(*mHost.mMetrics, counter::StoreCalls);
+    CallStore(mHost.mStore, aAction);
+  }
+  void operator()(const deregistration_call& aAction)
+  {
+    CallStore(mHost.mStore, aAction);
+  }
+  void operator()(const answer_tokens& aAction)
+  {
+    Reply(mHost.mPeerService, aAction.mCall, 200, "application/json",
+          EncodeTokensAnswer(aAction.mAnswer));
+  }
+  void operator()(const ask_tokens& aAction) { AskPeer(mHost, aAction); }
+  void operator()(const return_tokens& aAction)
+  {
+    ReturnToPeer(mHost, aAction);
+  }
+  void operator()(const set_ready& aAction) { mHost.mReady = aAction.mReady; }
+  void operator()(const set_limits& aAction)
+  {
+    mHost.mTraffic.mLimits = aAction.mLimits;
+  }
+  void operator()(const stop_finished&)
+  {
+    Close(mHost.mQueue);
+    StopLoop(mHost.mLoop);
+  }
+  void operator()(const decision_note& aAction)
+  {
+    LogNamed(log_component::Gateway, log_level::Info,
+             NameOf(aAction.mDecision), aAction.mInputs);
+  }
+};
+
+void PerformAll(gateway_host& aHost, const gateway_actions& aActions)
+{
+  for (const gateway_action& action : aActions) {
+    std::visit(action_performer{ aHost }, action);
+  }
+}
+
+// --- Traffic thread: services -----------------------------------------------
+
+void OnReadyCall(gateway_host& aHost, const service_call& aCall)
+{
+  const bool known = platform::IsReadyQuestion(aCall.mHead);
+  const int status = !known ? 404 : (aHost.mReady ? 200 : 503);
+  Reply(aHost.mReadyService, aCall.mChannel, status, "text/plain",
+        status == 200 ? "ready\n" : "not ready\n");
+}
+
+void OnPeerCall(gateway_host& aHost, const service_call& aCall)
+{
+  Count(*aHost.mMetrics, counter::MessagesReceived);
+  auto decoded = DecodeTokensCall(aCall.mBody);
+  if (!IsOk(decoded)) {
+    Log(log_component::Peer, log_level::Warn, log_event::MessageInvalid,
+        { { "problem", ToString(ErrorOf(decoded)) } });
+    Reply(aHost.mPeerService, aCall.mChannel, 400, "text/plain", "");
+    return;
+  }
+  if (auto* asked = std::get_if<tokens_asked>(&std::get<0>(decoded))) {
+    asked->mCall = aCall.mChannel;
+    PostEvent(aHost, *asked);
+    return;
+  }
+  PostEvent(aHost, std::get<tokens_returned>(ValueOf(decoded)));
+  Reply(aHost.mPeerService, aCall.mChannel, 200, "application/json",
+        EncodeTokensAnswer({}));
+}
+
+std::vector<gauge_value> GaugesOf(gateway_host& aHost)
+{
+  return { { gauge::OpenRequests, double(aHost.mSummary.mRequests) },
+           { gauge::ControlQueueLength, double(SizeOf(aHost.mQueue)) },
+           { gauge::ConfigVersion, double(aHost.mSummary.mVersion) },
+           { gauge::Ready, aHost.mReady ? 1.0 : 0.0 } };
+}
+
+void OnMetricsCall(gateway_host& aHost, const service_call& aCall)
+{
+  if (aCall.mHead.mTarget == "/metrics") {
+    Reply(aHost.mMetricsService, aCall.mChannel, 200, "text/plain",
+          RenderMetrics(*aHost.mMetrics, GaugesOf(aHost)));
+    return;
+  }
+  const gateway_summary& summary = aHost.mSummary;
+  Reply(aHost.mMetricsService, aCall.mChannel,
+        aCall.mHead.mTarget == "/debug/state" ? 200 : 404, "application/json",
+        absl::StrCat("{\"config_version\":", summary.mVersion,
+                     ",\"open_requests\":", summary.mRequests,
+                     ",\"backends\":", summary.mBackends,
+                     ",\"peers\":", summary.mPeers,
+                     ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
+}
+
+// --- Settings file ----------------------------------------------------------
+
+result<platform::node_file> ReadNodeFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return error{ error_code::InvalidSetting, ran::No, "--node_file",
+                  absl::StrCat("\"", aPath, "\" cannot be read"),
+                  absl::ZeroDuration() };
+  }
+  return platform::ParseNodeFile(text.str());
+}
+
+std::filesystem::file_time_type FileTimeOf(const gateway_host& aHost)
+{
+  std::error_code ignored;
+  return std::filesystem::last_write_time(aHost.mSettings.mNodeFile, ignored);
+}
+
+// Takes over what may change without a restart: where the store is.
+void ReloadNow(gateway_host& aHost)
+{
+  aHost.mFileTime = FileTimeOf(aHost);
+  auto read = ReadNodeFile(aHost.mSettings.mNodeFile);
+  if (!IsOk(read)) {
+    Log(log_component::Daemon, log_level::Warn, log_event::ReloadFailed,
+        { { "problem", ToString(ErrorOf(read)) } });
+    return;
+  }
+  aHost.mNode = ValueOf(read);
+  aHost.mStore.mAddress = aHost.mNode.mStoreAddress;
+  Log(log_component::Daemon, log_level::Info, log_event::SettingsReloaded,
+      { { "store", aHost.mNode.mStoreAddress } });
+}
+
+void WatchFile(gateway_host& aHost)
+{
+  if (FileTimeOf(aHost) != aHost.mFileTime) {
+    ReloadNow(aHost);
+  }
+  After(aHost.mLoop, kFileInterval, [&aHost] { WatchFile(aHost); });
+}
+
+void SweepRegularly(gateway_host& aHost)
+{
+  SweepConnections(aHost.mTraffic, MonotonicNow());
+  Sweep(aHost.mLoop, aHost.mCalls.mPool, MonotonicNow());
+  After(aHost.mLoop, kSweepInterval, [&aHost] { SweepRegularly(aHost); });
+}
+
+// --- Start ------------------------------------------------------------------
+
+std::string RandomText()
+{
+  std::random_device device;
+  return absl::StrCat(absl::Hex(device(), absl::kZeroPad8),
+                      absl::Hex(device(), absl::kZeroPad8));
+}
+
+result<std::map<std::string, std::string>> ReadCharts(const std::string& aDir)
+{
+  std::error_code failure;
+  std::map<std::string, std::string> texts;
+  for (const auto& entry : std::filesystem::directory_iterator(aDir, failure)) {
+    std::ifstream file(entry.path());
+    std::stringstream text;
+    text << file.rdbuf();
+    texts[entry.path().filename().string()] = text.str();
+  }
+  if (failure) {
+    return error{ error_code::InvalidSetting, ran::No, "--charts_dir",
+                  absl::StrCat("\"", aDir, "\" cannot be read"),
+                  absl::ZeroDuration() };
+  }
+  return texts;
+}
+
+gateway_settings SettingsFor(const platform::node_file& aNode)
+{
+  gateway_settings settings;
+  settings.mName = aNode.mName;
+  settings.mNonce = RandomText();
+  settings.mZone = zone_id{ aNode.mZone };
+  settings.mSeed = std::random_device()();
+  settings.mRepeatRatio = aNode.mRepeatRatio;
+  settings.mRepeatSlack = aNode.mRepeatSlack;
+  settings.mStopTime = aNode.mStopTime;
+  return settings;
+}
+
+result<success> OpenPorts(gateway_host& aHost)
+{
+  aHost.mReadyService.mOnCall = [&aHost](service_call& aCall) {
+    OnReadyCall(aHost, aCall);
+  };
+  aHost.mPeerService.mOnCall = [&aHost](service_call& aCall) {
+    OnPeerCall(aHost, aCall);
+  };
+  aHost.mMetricsService.mOnCall = [&aHost](service_call& aCall) {
+    OnMetricsCall(aHost, aCall);
+  };
+  auto opened = Listen(aHost.mLoop, aHost.mNode.mCallerAddress,
+                       [&aHost](channel_id aChannel) {
+                         AcceptCaller(aHost.mTraffic, aChannel);
+                       });
+  if (IsOk(opened)) {
+    opened = Serve(aHost.mReadyService, aHost.mNode.mReadyAddress);
+  }
+  if (IsOk(opened)) {
+    opened = Serve(aHost.mPeerService, aHost.mStore.mPeerAddress);
+  }
+  if (IsOk(opened) && aHost.mSettings.mMetricsPort != 0) {
+    opened = Serve(
+      aHost.mMetricsService,
+      absl::StrCat(aHost.mNode.mIp, ":", aHost.mSettings.mMetricsPort));
+  }
+  return opened;
+}
+
+result<success> StartThreads(gateway_host& aHost)
+{
+  auto control = StartThread("control", [&aHost] { RunControl(aHost); });
+  if (!IsOk(control)) {
+    return ErrorOf(control);
+  }
+  aHost.mControlThread = ValueOf(control);
+  auto loop = StartThread("traffic", [&aHost] { RunLoop(aHost.mLoop); });
+  if (!IsOk(loop)) {
+    Close(aHost.mQueue);
+    Join(aHost.mControlThread);
+    return ErrorOf(loop);
+  }
+  aHost.mTrafficThread = ValueOf(loop);
+  return success{};
+}
+
+} // namespace
+
+void gateway_host_deleter::operator()(gateway_host* aHost) const
+{
+  delete aHost;
+}
+
+result<gateway_host_ptr> StartGateway(const daemon_settings& aSettings)
+{
+  auto node = ReadNodeFile(aSettings.mNodeFile);
+  if (!IsOk(node)) {
+    return ErrorOf(node);
+  }
+  auto charts = ReadCharts(aSettings.mChartsDir);
+  if (!IsOk(charts)) {
+    return ErrorOf(charts);
+  }
+  auto gateway = MakeGateway(SettingsFor(ValueOf(node)), ValueOf(charts));
+  if (!IsOk(gateway)) {
+    return ErrorOf(gateway);
+  }
+  gateway_host_ptr host(new gateway_host(ValueOf(node)));
+  host->mSettings = aSettings;
+  host->mGateway = std::get<0>(std::move(gateway));
+  host->mFileTime = FileTimeOf(*host);
+  host->mStore.mPeerAddress =
+    absl::StrCat(host->mNode.mIp, ":", host->mNode.mFirstInternalPort);
+  gateway_host& reference = *host;
+  host->mStore.mPost = [&reference](gateway_event aEvent) {
+    PostEvent(reference, std::move(aEvent));
+  };
+  host->mTraffic.mHooks.mPost = [&reference](gateway_event aEvent) {
+    return PostEvent(reference, std::move(aEvent));
+  };
+  auto opened = OpenPorts(*host);
+  if (!IsOk(opened)) {
+    return ErrorOf(opened);
+  }
+  After(host->mLoop, kSweepInterval, [&reference] { SweepRegularly(reference); });
+  After(host->mLoop, kFileInterval, [&reference] { WatchFile(reference); });
+  auto started = StartThreads(*host);
+  if (!IsOk(started)) {
+    return ErrorOf(started);
+  }
+  return host;
+}
+
+void RequestStop(gateway_host& aHost)
+{
+  Post(aHost.mLoop, [&aHost] {
+    aHost.mTraffic.mStopping = true;
+    After(aHost.mLoop, kCloseIdleAfter,
+          [&aHost] { aHost.mTraffic.mClosing = true; });
+  });
+  PostEvent(aHost, stop_requested{});
+}
+
+void Reload(gateway_host& aHost)
+{
+  Post(aHost.mLoop, [&aHost] { ReloadNow(aHost); });
+}
+
+void WaitUntilStopped(gateway_host& aHost)
+{
+  Join(aHost.mTrafficThread);
+  Close(aHost.mQueue);
+  Join(aHost.mControlThread);
+}
+
+} // namespace foxtailquay
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,8 +1,9 @@
-// foxtailquayd: a router or an agent, by --role.
+// foxtailquayd: a router, an agent or a gateway, by --role.
 //
 // Exit codes: 0 after a graceful stop, 1 if the process could not start, 2 if
 // a setting is refused.
 
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <map>
@@ -12,6 +13,7 @@
 #include <unistd.h>
 
 #include "daemon/agent_host.h"
+#include "daemon/gateway_host.h"
 #include "daemon/router_host.h"
 #include "runtime/log.h"
 #include "runtime/settings.h"
@@ -53,6 +55,22 @@
   return isSetting ? kExitSetting : kExitStartFailed;
 }
 
+// The roles that have nothing to read again ignore SIGHUP.
+void Reload(router_host&) {}
+void Reload(agent_host&) {}
+
+template<typename Host>
+void OnSignal(Host& aHost, int aSignal)
+{
+  Log(log_component::Daemon, log_level::Info, log_event::SignalReceived,
+      { { "signal", std::to_string(aSignal) } });
+  if (aSignal == SIGHUP) {
+    Reload(aHost);
+  } else {
+    RequestStop(aHost);
+  }
+}
+
 template<typename Host>
 int RunHost(const daemon_settings& aSettings,
             result<Host> (*aStart)(const daemon_settings&))
@@ -68,11 +86,8 @@
         { "zone", aSettings.mZone },
         { "peer_listen", ToString(aSettings.mPeerListen) } });
   signal_thread signals;
-  auto watching = StartSignals(signals, [&host](int aSignal) {
-    Log(log_component::Daemon, log_level::Info, log_event::SignalReceived,
-        { { "signal", std::to_string(aSignal) } });
-    RequestStop(host);
-  });
+  auto watching = StartSignals(
+    signals, [&host](int aSignal) { OnSignal(host, aSignal); });
   if (!IsOk(watching)) {
     RequestStop(host);
   }
@@ -94,10 +109,18 @@
   if (!IsOk(settings)) {
     return ReportStartFailure(ErrorOf(settings));
   }
-  StartLog(ValueOf(settings).mLog);
-  return ValueOf(settings).mRole == process_role::Router
-           ? RunHost<router_host_ptr>(ValueOf(settings), &StartRouter)
-           : RunHost<agent_host_ptr>(ValueOf(settings), &StartAgent);
+  log_options log = ValueOf(settings).mLog;
+  log.mNeverBlock = ValueOf(settings).mRole == process_role::Gateway;
+  StartLog(log);
+  switch (ValueOf(settings).mRole) {
+    case process_role::Router:
+      return RunHost<router_host_ptr>(ValueOf(settings), &StartRouter);
+    case process_role::Agent:
+      return RunHost<agent_host_ptr>(ValueOf(settings), &StartAgent);
+    case process_role::Gateway:
+      break;
+  }
+  return RunHost<gateway_host_ptr>(ValueOf(settings), &StartGateway);
 }
 
 } // namespace
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
+#include "log4cxx/asyncappender.h"
 #include "log4cxx/basicconfigurator.h"
 #include "log4cxx/consoleappender.h"
+#include "log4cxx/helpers/pool.h"
 #include "log4cxx/logger.h"
 #include "log4cxx/patternlayout.h"
 
@@ -81,6 +84,33 @@
   return absl::StrJoin(names, ", ");
 }
 
+// Lines that wait for the writer; beyond them lines are dropped and counted.
+constexpr int kLogBufferLines = 512;
+
+log4cxx::AppenderPtr MakeAsync(const log4cxx::AppenderPtr& aTarget)
+{
+  auto appender = std::make_shared<log4cxx::AsyncAppender>();
+  appender->setBufferSize(kLogBufferLines);
+  appender->setBlocking(false);
+  appender->addAppender(aTarget);
+  log4cxx::helpers::Pool pool;
+  appender->activateOptions(pool);
+  return appender;
+}
+
+void AppendField(std::string& aLine, std::string_view aKey,
+                 const std::string& aValue)
+{
+  aLine += ' ';
+  aLine += aKey;
+  aLine += '=';
+  if (NeedsQuotes(aValue)) {
+    AppendQuoted(aLine, aValue);
+  } else {
+    aLine += aValue;
+  }
+}
+
 error LevelsError(std::string aDetail)
 {
   return error{ error_code::InvalidSetting, ran::No, "--log_levels",
@@ -93,8 +123,11 @@
 {
   const log4cxx::LayoutPtr layout(
     new log4cxx::PatternLayout("%d{yyyy-MM-ddTHH:mm:ss.SSSZ} %p %c %m%n"));
-  const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-    layout, log4cxx::ConsoleAppender::getSystemErr()));
+  const log4cxx::AppenderPtr console(new log4cxx::ConsoleAppender(
+    layout, aOptions.mNeverBlock ? log4cxx::ConsoleAppender::getSystemOut()
+                                 : log4cxx::ConsoleAppender::getSystemErr()));
+  const log4cxx::AppenderPtr appender =
+    aOptions.mNeverBlock ? MakeAsync(console) : console;
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   for (const auto& entry : NameTable(log_component{})) {
@@ -115,14 +148,7 @@
 {
   std::string line(NameOf(aEvent));
   for (const log_field& field : aFields) {
-    line += ' ';
-    line += field.mKey;
-    line += '=';
-    if (NeedsQuotes(field.mValue)) {
-      AppendQuoted(line, field.mValue);
-    } else {
-      line += field.mValue;
-    }
+    AppendField(line, field.mKey, field.mValue);
   }
   return line;
 }
@@ -137,6 +163,22 @@
   }
 }
 
+void LogNamed(
+  log_component aComponent, log_level aLevel, std::string_view aEvent,
+  const std::vector<std::pair<std::string_view, std::string>>& aFields)
+{
+  if (!IsLogged(aComponent, aLevel)) {
+    return;
+  }
+  std::string line(aEvent);
+  for (const auto& field : aFields) {
+    AppendField(line, field.first, field.second);
+  }
+  LoggerOf(aComponent)
+    ->forcedLog(LevelOf(aLevel), line,
+                log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
 result<std::map<log_component, log_level>> ParseLogLevels(
   std::string_view aText)
 {
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -13,6 +13,8 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "foxtailquay/name_table.h"
 #include "foxtailquay/result.h"
@@ -30,6 +32,7 @@
   Store,
   Agent,
   Engine,
+  Gateway,
 };
 
 constexpr auto NameTable(log_component)
@@ -42,7 +45,9 @@
                                         { log_component::Peer, "peer" },
                                         { log_component::Store, "store" },
                                         { log_component::Agent, "agent" },
-                                        { log_component::Engine, "engine" } });
+                                        { log_component::Engine, "engine" },
+                                        { log_component::Gateway,
+                                          "gateway" } });
 }
 
 enum class log_level
@@ -90,6 +95,9 @@
   BackendUnreachable,
   CommandForwarded,
   ConnectionRefused,
+  SettingsReloaded,
+  ReloadFailed,
+  LinesSuppressed,
 };
 
 constexpr auto NameTable(log_event)
@@ -123,6 +131,9 @@
     { e::BackendUnreachable, "backend_unreachable" },
     { e::CommandForwarded, "command_forwarded" },
     { e::ConnectionRefused, "connection_refused" },
+    { e::SettingsReloaded, "settings_reloaded" },
+    { e::ReloadFailed, "reload_failed" },
+    { e::LinesSuppressed, "lines_suppressed" },
   });
 }
 
@@ -136,10 +147,13 @@
 {
   log_level mLevel = log_level::Info;
   std::map<log_component, log_level> mLevels;
+  // Writes to standard output on a thread of its own and drops lines, with a
+  // line that counts them, rather than wait for a slow reader.
+  bool mNeverBlock = false;
 };
 
-// Sends log lines to the standard error stream. Call once, before any thread
-// logs.
+// Sends log lines to the standard error stream, or to standard output with
+// mNeverBlock. Call once, before any thread logs.
 void StartLog(const log_options& aOptions);
 
 // Any thread.
@@ -147,6 +161,11 @@
 void Log(log_component aComponent, log_level aLevel, log_event aEvent,
          std::initializer_list<log_field> aFields);
 
+// The same for an event whose name and fields are not known to this module.
+void LogNamed(
+  log_component aComponent, log_level aLevel, std::string_view aEvent,
+  const std::vector<std::pair<std::string_view, std::string>>& aFields);
+
 // The text of one line: "event key=value ...". A value that is empty or has
 // spaces, quotes, '=' or control characters is quoted and escaped, so that it
 // cannot forge another field or line.
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -40,6 +40,10 @@
 DEFINE_int32(max_body_bytes, 4194304, "largest request body, 1024 to 67108864");
 DEFINE_string(vm_list, "",
               "IP:port/path of the platform's list of VMs; routers only");
+DEFINE_string(node_file, "",
+              "the platform's settings file of this machine; gateways only");
+DEFINE_int32(metrics_port, 0,
+             "port of /metrics and /debug/state, 0 to 65535; gateways only");
 
 namespace foxtailquay {
 
@@ -64,6 +68,8 @@
   MaxConnections,
   MaxBodyBytes,
   VmList,
+  NodeFile,
+  MetricsPort,
 };
 
 constexpr auto NameTable(setting)
@@ -87,6 +93,8 @@
     { s::MaxConnections, "max_connections" },
     { s::MaxBodyBytes, "max_body_bytes" },
     { s::VmList, "vm_list" },
+    { s::NodeFile, "node_file" },
+    { s::MetricsPort, "metrics_port" },
   });
 }
 
@@ -225,7 +233,7 @@
   const char* mWhy;
 };
 
-constexpr std::array<role_rule, 14> kRoleRules{ {
+constexpr std::array<role_rule, 18> kRoleRules{ {
   { process_role::Router, setting::Member, true, "the name of this process" },
   { process_role::Router, setting::Zone, true, "the availability zone" },
   { process_role::Router, setting::Listen, true, "IP:port for callers" },
@@ -245,6 +253,14 @@
     "only routers serve operators; remove it" },
   { process_role::Agent, setting::VmList, false,
     "only routers read the list of VMs; remove it" },
+  { process_role::Gateway, setting::NodeFile, true,
+    "the platform's settings file, which has its addresses" },
+  { process_role::Gateway, setting::Listen, false,
+    "a gateway takes its addresses from --node_file; remove it" },
+  { process_role::Router, setting::NodeFile, false,
+    "only gateways read it; remove it or use --role=gateway" },
+  { process_role::Agent, setting::NodeFile, false,
+    "only gateways read it; remove it or use --role=gateway" },
 } };
 
 result<success> CheckRoleRule(const given_settings& aGiven,
@@ -436,7 +452,8 @@
     return SettingError(SourceOf(aGiven, setting::Role),
                         absl::StrCat("\"", FLAGS_role,
                                      "\" is not valid: it "
-                                     "must be router or agent"));
+                                     "must be router, agent or "
+                                     "gateway"));
   }
   aSettings.mRole = *role;
   return CheckRoleRules(aGiven, *role);
@@ -459,6 +476,8 @@
               aSettings.mMaxConnections),
     ReadLimit(aGiven, setting::MaxBodyBytes, FLAGS_max_body_bytes, 1024,
               64 << 20, aSettings.mMaxBodyBytes),
+    ReadLimit(aGiven, setting::MetricsPort, FLAGS_metrics_port, 0, 65535,
+              aSettings.mMetricsPort),
     ReadFiles(aGiven, aSettings),
   };
   for (const auto& step : steps) {
@@ -505,6 +524,7 @@
   }
   settings.mMember = FLAGS_member;
   settings.mZone = FLAGS_zone;
+  settings.mNodeFile = FLAGS_node_file;
   settings.mChartsDir =
     FLAGS_charts_dir.empty()
       ? absl::StrCat(aExecutableDir, "/../share/foxtailquay/charts")
@@ -514,7 +534,7 @@
 
 std::string SettingsHelp()
 {
-  std::string text = "foxtailquayd --role=router|agent [--name=value]...\n";
+  std::string text = "foxtailquayd --role=router|agent|gateway [--name=value]...\n";
   for (const auto& entry : NameTable(setting{})) {
     const std::string name(entry.mName);
     const auto info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -50,6 +50,10 @@
   // The platform's VM list; empty path if not configured.
   ip_port mVmListAddress;
   std::string mVmListPath;
+  // Gateways only: the platform's settings file, and the port of /metrics on
+  // this machine's address (0: none).
+  std::string mNodeFile;
+  std::size_t mMetricsPort = 0;
 };
 
 // aArguments without the program name. aExecutableDir is where the program
--- a/src/runtime/signals.cc
+++ b/src/runtime/signals.cc
@@ -16,11 +16,12 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   sigaddset(&set, kEndThread);
   return set;
 }
 
-void WaitForSignals(const std::function<void(int)>& aOnStop)
+void WaitForSignals(const std::function<void(int)>& aOnSignal)
 {
   const sigset_t set = StopSet();
   for (;;) {
@@ -31,7 +32,7 @@
     if (signal == kEndThread) {
       return;
     }
-    aOnStop(signal);
+    aOnSignal(signal);
   }
 }
 
@@ -45,10 +46,10 @@
 }
 
 result<success> StartSignals(signal_thread& aSignals,
-                             std::function<void(int)> aOnStop)
+                             std::function<void(int)> aOnSignal)
 {
   auto thread = StartThread(
-    "signals", [onStop = std::move(aOnStop)] { WaitForSignals(onStop); });
+    "signals", [onSignal = std::move(aOnSignal)] { WaitForSignals(onSignal); });
   if (!IsOk(thread)) {
     return ErrorOf(thread);
   }
--- a/src/runtime/signals.h
+++ b/src/runtime/signals.h
@@ -1,4 +1,4 @@
-// Takes the process's stop signals on one thread of its own.
+// Takes the process's stop and reload signals on one thread of its own.
 //
 //   BlockStopSignals();                before any other thread starts
 //   signal_thread signals;
@@ -19,14 +19,14 @@
   posix_thread mThread;
 };
 
-// Blocks SIGTERM and SIGINT in the calling thread and all it starts later, and
+// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all it starts later, and
 // ignores SIGPIPE, so that a write to a closed connection is an error return.
 void BlockStopSignals();
 
-// Calls aOnStop(signal number) for each SIGTERM and SIGINT. Precondition:
+// Calls aOnSignal(signal number) for each of these signals. Precondition:
 // BlockStopSignals was called. Errors: Overloaded if no thread is available.
 result<success> StartSignals(signal_thread& aSignals,
-                             std::function<void(int)> aOnStop);
+                             std::function<void(int)> aOnSignal);
 
 void StopSignals(signal_thread& aSignals);
 
--- /dev/null
+++ b/src/transport/client_call.cc
@@ -0,0 +1,129 @@
+#include "transport/client_call.h"
+
+#include "absl/strings/str_cat.h"
+#include "transport/http_reader.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Time that a kept connection may be idle: below the usual limits of servers.
+constexpr absl::Duration kIdleTime = absl::Seconds(5);
+// The largest answer: a page of the store with its encoding.
+constexpr std::uint64_t kMaxAnswerBytes = 8 << 20;
+
+} // namespace
+
+struct running_call
+{
+  std::string mAddress;
+  std::uint64_t mTimer = 0;
+  http_reader mReader;
+  std::string mInput;
+  std::function<void(const call_answer&)> mOnDone;
+};
+
+void running_call_deleter::operator()(running_call* aCall) const
+{
+  delete aCall;
+}
+
+namespace {
+
+// Ends the call on aChannel. aKeep: the connection can carry another one.
+void Finish(client_calls& aCalls, channel_id aChannel, bool aNotSent,
+            bool aKeep)
+{
+  const auto found = aCalls.mRunning.find(aChannel);
+  if (found == aCalls.mRunning.end()) {
+    return;
+  }
+  const running_call_ptr call = std::move(found->second);
+  aCalls.mRunning.erase(found);
+  CancelTimer(aCalls.mLoop, call->mTimer);
+  call_answer answer;
+  answer.mNotSent = aNotSent;
+  if (call->mReader.mDone) {
+    answer.mStatus = call->mReader.mHead.mStatus;
+    answer.mBody = std::move(call->mReader.mBody);
+  }
+  if (aKeep) {
+    Release(aCalls.mLoop, aCalls.mPool, call->mAddress, aChannel, kIdleTime);
+  } else {
+    Discard(aCalls.mLoop, aCalls.mPool, call->mAddress, aChannel);
+  }
+  call->mOnDone(answer);
+}
+
+void TakeData(client_calls& aCalls, channel_id aChannel,
+              std::string_view aData)
+{
+  const auto found = aCalls.mRunning.find(aChannel);
+  if (found == aCalls.mRunning.end()) {
+    return;
+  }
+  running_call& call = *found->second;
+  call.mInput.append(aData.data(), aData.size());
+  Feed(call.mReader, call.mInput);
+  if (call.mReader.mBad || call.mReader.mDone) {
+    const bool keep = call.mReader.mDone && call.mReader.mKeepAlive &&
+                      call.mInput.empty();
+    Finish(aCalls, aChannel, false, keep);
+  }
+}
+
+void TakeClose(client_calls& aCalls, channel_id aChannel, close_cause aCause)
+{
+  const auto found = aCalls.mRunning.find(aChannel);
+  if (found != aCalls.mRunning.end() && aCause == close_cause::Ended) {
+    FeedEnd(found->second->mReader);
+  }
+  // A connection that was established may have carried the call.
+  Finish(aCalls, aChannel, aCause == close_cause::NotConnected, false);
+}
+
+std::string EncodeCall(const client_call& aCall)
+{
+  std::string text =
+    absl::StrCat(aCall.mMethod, " ", aCall.mTarget, " HTTP/1.1\r\nHost: ",
+                 aCall.mAddress, "\r\n");
+  if (!aCall.mBody.empty()) {
+    absl::StrAppend(&text, "Content-Type: application/json\r\n");
+  }
+  if (!aCall.mBody.empty() || aCall.mMethod == "POST") {
+    absl::StrAppend(&text, "Content-Length: ", aCall.mBody.size(), "\r\n");
+  }
+  return absl::StrCat(text, "\r\n", aCall.mBody);
+}
+
+} // namespace
+
+void StartCall(client_calls& aCalls, const client_call& aCall,
+               std::function<void(const call_answer&)> aOnDone)
+{
+  channel_options options;
+  options.mConnectTimeout = aCall.mConnectTimeout;
+  const channel_id id =
+    Acquire(aCalls.mLoop, aCalls.mPool, aCall.mAddress, 0, options).mId;
+  running_call_ptr call(new running_call);
+  call->mAddress = aCall.mAddress;
+  call->mOnDone = std::move(aOnDone);
+  reader_limits limits;
+  limits.mMaxBodyBytes = kMaxAnswerBytes;
+  StartReading(call->mReader, message_kind::Answer, limits);
+  call->mTimer = After(aCalls.mLoop, aCall.mTimeout, [&aCalls, id] {
+    Finish(aCalls, id, !HasSent(aCalls.mLoop, id), false);
+  });
+  aCalls.mRunning[id] = std::move(call);
+  channel_handlers handlers;
+  handlers.mOnData = [&aCalls, id](std::string_view aData) {
+    TakeData(aCalls, id, aData);
+  };
+  handlers.mOnClosed = [&aCalls, id](close_cause aCause) {
+    TakeClose(aCalls, id, aCause);
+  };
+  SetHandlers(aCalls.mLoop, id, std::move(handlers));
+  Send(aCalls.mLoop, id, EncodeCall(aCall));
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/transport/http_reader.cc
@@ -0,0 +1,198 @@
+#include "transport/http_reader.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "absl/strings/match.h"
+
+namespace foxtailquay {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+
+namespace {
+
+std::string ToText(string_view aText)
+{
+  return std::string(aText.data(), aText.size());
+}
+
+// Takes what the parser finds into an http_reader.
+template<bool IsRequest>
+class sink_parser : public http::basic_parser<IsRequest>
+{
+public:
+  explicit sink_parser(http_reader& aReader)
+    : mReader(aReader)
+  {}
+
+private:
+  using failure = boost::system::error_code;
+
+  // NOLINTBEGIN: names and signatures are the library's.
+  void on_request_impl(http::verb, string_view aMethod, string_view aTarget,
+                       int aVersion, failure&) override
+  {
+    mReader.mHead.mMethod = ToText(aMethod);
+    mReader.mHead.mTarget = ToText(aTarget);
+    mReader.mHead.mVersion = aVersion;
+  }
+  void on_response_impl(int aStatus, string_view aReason, int aVersion,
+                        failure&) override
+  {
+    mReader.mHead.mStatus = aStatus;
+    mReader.mHead.mReason = ToText(aReason);
+    mReader.mHead.mVersion = aVersion;
+  }
+  void on_field_impl(http::field, string_view aName, string_view aValue,
+                     failure&) override
+  {
+    mReader.mHead.mFields.push_back({ ToText(aName), ToText(aValue) });
+  }
+  void on_header_impl(failure&) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         failure&) override
+  {}
+  std::size_t on_body_impl(string_view aBody, failure&) override
+  {
+    mReader.mBody.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, failure&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view aBody,
+                                 failure&) override
+  {
+    mReader.mBody.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_finish_impl(failure&) override {}
+  // NOLINTEND
+
+  http_reader& mReader;
+};
+
+template<typename Parser>
+void Configure(Parser& aParser, const reader_limits& aLimits)
+{
+  aParser.eager(true);
+  aParser.header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+    aLimits.mMaxHeaderBytes, std::numeric_limits<std::uint32_t>::max())));
+  aParser.body_limit(aLimits.mMaxBodyBytes);
+}
+
+void TakeState(http_reader& aReader, bool aHeadDone, bool aDone,
+               bool aKeepAlive)
+{
+  aReader.mHeadDone = aHeadDone;
+  aReader.mDone = aDone;
+  if (aHeadDone) {
+    aReader.mKeepAlive = aKeepAlive;
+  }
+}
+
+void TakeFailure(http_reader& aReader, const boost::system::error_code& aError)
+{
+  if (!aError || aError == http::error::need_more) {
+    return;
+  }
+  aReader.mBad = true;
+  aReader.mTooLarge = aError == http::error::header_limit ||
+                      aError == http::error::body_limit;
+}
+
+template<typename Parser>
+void FeedParser(http_reader& aReader, Parser& aParser, std::string& aInput)
+{
+  std::size_t used = 0;
+  boost::system::error_code failure;
+  while (used < aInput.size() && !failure && !aParser.is_done()) {
+    used += aParser.put(
+      boost::asio::buffer(aInput.data() + used, aInput.size() - used),
+      failure);
+  }
+  aReader.mStarted = aReader.mStarted || !aInput.empty();
+  aInput.erase(0, used);
+  TakeFailure(aReader, failure);
+  TakeState(aReader, aParser.is_header_done(), aParser.is_done(),
+            aParser.is_header_done() && aParser.keep_alive());
+}
+
+} // namespace
+
+struct beast_parser
+{
+  std::unique_ptr<sink_parser<true>> mRequest;
+  std::unique_ptr<sink_parser<false>> mAnswer;
+};
+
+void beast_parser_deleter::operator()(beast_parser* aParser) const
+{
+  delete aParser;
+}
+
+bool IsSameFieldName(std::string_view aLeft, std::string_view aRight)
+{
+  return absl::EqualsIgnoreCase(
+    absl::string_view(aLeft.data(), aLeft.size()),
+    absl::string_view(aRight.data(), aRight.size()));
+}
+
+const std::string* FindField(const message_head& aHead, std::string_view aName)
+{
+  for (const header_field& field : aHead.mFields) {
+    if (IsSameFieldName(field.mName, aName)) {
+      return &field.mValue;
+    }
+  }
+  return nullptr;
+}
+
+void StartReading(http_reader& aReader, message_kind aKind,
+                  const reader_limits& aLimits)
+{
+  aReader = http_reader{};
+  aReader.mParser.reset(new beast_parser);
+  if (aKind == message_kind::Request) {
+    aReader.mParser->mRequest = std::make_unique<sink_parser<true>>(aReader);
+    Configure(*aReader.mParser->mRequest, aLimits);
+    return;
+  }
+  aReader.mParser->mAnswer = std::make_unique<sink_parser<false>>(aReader);
+  Configure(*aReader.mParser->mAnswer, aLimits);
+  aReader.mParser->mAnswer->skip(aKind == message_kind::AnswerWithoutBody);
+}
+
+void Feed(http_reader& aReader, std::string& aInput)
+{
+  if (aReader.mBad || aReader.mDone) {
+    return;
+  }
+  if (aReader.mParser->mRequest) {
+    FeedParser(aReader, *aReader.mParser->mRequest, aInput);
+  } else {
+    FeedParser(aReader, *aReader.mParser->mAnswer, aInput);
+  }
+}
+
+void FeedEnd(http_reader& aReader)
+{
+  if (!aReader.mParser || !aReader.mParser->mAnswer || aReader.mBad ||
+      aReader.mDone || !aReader.mHeadDone) {
+    return;
+  }
+  auto& parser = *aReader.mParser->mAnswer;
+  if (!parser.need_eof()) {
+    return;
+  }
+  boost::system::error_code failure;
+  parser.put_eof(failure);
+  TakeFailure(aReader, failure);
+  aReader.mDone = parser.is_done();
+  aReader.mKeepAlive = false;
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/transport/http_service.cc
@@ -0,0 +1,86 @@
+#include "transport/http_service.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace foxtailquay {
+
+namespace {
+
+void ReadCall(http_service& aService, channel_id aChannel)
+{
+  const auto found = aService.mConnections.find(aChannel);
+  if (found == aService.mConnections.end() || found->second->mBusy) {
+    return;
+  }
+  service_connection& connection = *found->second;
+  Feed(connection.mReader, connection.mInput);
+  if (connection.mReader.mBad) {
+    aService.mConnections.erase(found);
+    Close(aService.mLoop, aChannel);
+    return;
+  }
+  if (!connection.mReader.mDone) {
+    return;
+  }
+  connection.mBusy = true;
+  service_call call{ aChannel, std::move(connection.mReader.mHead),
+                     std::move(connection.mReader.mBody) };
+  aService.mOnCall(call);
+}
+
+void Accept(http_service& aService, channel_id aChannel)
+{
+  auto connection = std::make_unique<service_connection>();
+  StartReading(connection->mReader, message_kind::Request, {});
+  aService.mConnections[aChannel] = std::move(connection);
+  channel_handlers handlers;
+  handlers.mOnData = [&aService, aChannel](std::string_view aData) {
+    const auto found = aService.mConnections.find(aChannel);
+    if (found != aService.mConnections.end()) {
+      found->second->mInput.append(aData.data(), aData.size());
+      ReadCall(aService, aChannel);
+    }
+  };
+  handlers.mOnClosed = [&aService, aChannel](close_cause) {
+    aService.mConnections.erase(aChannel);
+  };
+  SetHandlers(aService.mLoop, aChannel, std::move(handlers));
+}
+
+} // namespace
+
+result<success> Serve(http_service& aService, const std::string& aAddress)
+{
+  return Listen(aService.mLoop, aAddress, [&aService](channel_id aChannel) {
+    Accept(aService, aChannel);
+  });
+}
+
+void Reply(http_service& aService, channel_id aChannel, int aStatus,
+           std::string_view aContentType, std::string_view aBody)
+{
+  const auto found = aService.mConnections.find(aChannel);
+  if (found == aService.mConnections.end()) {
+    return;
+  }
+  service_connection& connection = *found->second;
+  const bool keep = connection.mReader.mKeepAlive;
+  std::string text = absl::StrCat(
+    "HTTP/1.1 ", aStatus, aStatus == 200 ? " OK" : " Error",
+    "\r\nContent-Type: ",
+    absl::string_view(aContentType.data(), aContentType.size()),
+    "\r\nContent-Length: ", aBody.size(),
+    keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+  text.append(aBody);
+  Send(aService.mLoop, aChannel, text);
+  if (!keep) {
+    aService.mConnections.erase(found);
+    CloseWhenDrained(aService.mLoop, aChannel);
+    return;
+  }
+  connection.mBusy = false;
+  StartReading(connection.mReader, message_kind::Request, {});
+  ReadCall(aService, aChannel);
+}
+
+} // namespace foxtailquay
