Reclaim unspent grants of killed gateways; never repeat after a sent attempt

Change: grant entries hold a limit and a check time on the steady clock; a later incarnation on the same boot closes them at the limit. Only the last attempt's outcome decides whether it was sent. The grace for lapsed entries is 1.75 s and has its own timer.

Ruled out: returning grants faster (more writes, and a store outage would then stop all model traffic); a lease as proof of life (leases may pause while the store is down).

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -431,6 +431,10 @@
   std::string mName;
   // Differs for each start of the process.
   std::string mNonce;
+  // The boot of this machine, empty if unknown, and when it began on the time
+  // axis of Step: the zero of the machine's steady clock.
+  std::string mBoot;
+  absl::Time mBootStart = absl::UnixEpoch();
   zone_id mZone;
   std::uint64_t mSeed = 0;
   // Fleet-wide: repeats per request and the constant allowance of the window.
--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -4,15 +4,22 @@
 // the sum of all spending never exceeds the sum of the entries, and a write
 // takes effect only while that sum is within the prepaid total.
 //
-//   if (Reserve(share, worst_case)) { ... Settle(share, worst_case, used); }
-//   auto plan = PlanGrant(share, holder, prepaid, options, now);
-//   ... the write of ValueOf(plan).mRecord at mExpected ended:
+//   if (Reserve(share, worst_case, clock, options)) {
+//     ... Settle(share, worst_case, used);
+//   }
+//   auto plan = PlanGrant(share, holder, prepaid, options, clock);
+//   ... the write of plan->mRecord at plan->mExpected ended:
 //   NoteGrantWrite(share, holder, outcome, record, version);
 //
 // Tokens that one router gives another are deducted before they are sent and
-// added once on arrival; they change no entry. An entry may therefore be
-// negative at a router that returned more than it was granted itself. Tokens
-// of a process that dies are counted as spent.
+// added once on arrival; they change no entry.
+//
+// So that the tokens of a process that dies are not lost, an entry also holds
+// a limit and the time at which it was checked. The holder lets out no more
+// than the limit until kUncheckedTime has passed since that time on the steady
+// clock of its machine. A later incarnation on the same machine that started
+// sooner knows that the rest was not spent and closes the entry at the limit;
+// otherwise it closes it at the whole grant.
 //
 // Plain structs, not thread-safe. Memory: one entry per router and workspace.
 
@@ -30,11 +37,40 @@
 
 namespace foxtailquay {
 
-// A holder is "router/incarnation nonce".
+// From a checked entry on, the holder stays within the limit for this long.
+// Longer than a restart takes (about 3.5 s at most) and one check interval.
+constexpr absl::Duration kUncheckedTime = absl::Seconds(5);
+// An entry with unspent tokens is checked this often while the store answers.
+constexpr absl::Duration kCheckInterval = absl::Seconds(1);
+
+// A point on the steady clock of one boot of one machine.
+struct boot_time
+{
+  // Identifies the boot; empty if unknown.
+  std::string mBoot;
+  std::int64_t mSteadyMs = 0;
+};
+
+struct grant_entry
+{
+  token_count mGranted = 0;
+  // Most tokens that were let out until mChecked plus kUncheckedTime.
+  token_count mLimit = 0;
+  boot_time mChecked;
+};
+
+struct grant_holder
+{
+  // "router/incarnation nonce".
+  std::string mId;
+  // Start of the process.
+  boot_time mStart;
+};
+
 struct grant_record
 {
-  std::map<std::string, token_count> mEntries;
-  // Sum of the entries of earlier incarnations.
+  std::map<std::string, grant_entry> mEntries;
+  // What earlier incarnations may have spent.
   token_count mClosed = 0;
 };
 
@@ -45,8 +81,12 @@
 {
   // Demand, in time, that a router holds ahead of its spending: the longest
   // loss of the store that is to pass without a refusal, plus the time to
-  // notice it.
-  absl::Duration mHorizon = absl::Seconds(10);
+  // notice it. A killed process loses little of it, because of the limit.
+  absl::Duration mHorizon = absl::Seconds(20);
+  // Demand, in time, that the limit lies ahead of the spending: what a killed
+  // process loses at most. Somewhat above kUncheckedTime, so that an outage that
+  // begins does not stop the spending before the limit ends.
+  absl::Duration mLimitAhead = absl::Seconds(6);
   // Averaging time of the demand.
   absl::Duration mRateWindow = absl::Seconds(3);
   // Part of the total that a router asks for before it knows the demand.
@@ -58,6 +98,8 @@
 {
   store_version mExpected = 0;
   token_count mDelta = 0;
+  token_count mLimit = 0;
+  std::int64_t mCheckedMs = 0;
   // The outcome was unknown once, so that the write may still take effect.
   bool mUnsettled = false;
 };
@@ -65,11 +107,13 @@
 // One router's rights on the total of one workspace.
 struct grant_share
 {
-  // May be reserved now.
+  // May be reserved now, within the limit.
   token_count mFree = 0;
-  token_count mReserved = 0;
+  // Spent, reserved and given away, less what was received. mGranted of the
+  // own entry is mFree plus mOut, but for a return that is being written.
+  token_count mOut = 0;
   // Own entry as last seen in the store.
-  token_count mEntry = 0;
+  grant_entry mEntry;
   grant_record mRecord;
   store_version mVersion = 0;
   std::optional<pending_grant> mPending;
@@ -80,6 +124,13 @@
   token_count mShort = 0;
 };
 
+// The present time on both clocks.
+struct grant_clock
+{
+  absl::Time mNow;
+  std::int64_t mSteadyMs = 0;
+};
+
 struct grant_plan
 {
   store_version mExpected = 0;
@@ -106,20 +157,25 @@
       { grant_outcome::Unknown, "unknown" } });
 }
 
-// Takes aAmount for one request; false, without effect, if it is not free.
-bool Reserve(grant_share& aShare, token_count aAmount);
+// Takes aAmount for one request, or to give it to another router; false,
+// without effect, if it is not free or beyond the limit.
+bool Reserve(grant_share& aShare, token_count aAmount,
+             const grant_clock& aClock);
 
 // Ends a reservation of which aUsed was spent.
 // Precondition: 0 <= aUsed <= aReserved.
 void Settle(grant_share& aShare, token_count aReserved, token_count aUsed);
 
+// Adds tokens that another router gave.
+void Receive(grant_share& aShare, token_count aAmount);
+
 // Counts demand for aAmount tokens.
 void NoteDemand(grant_share& aShare, token_count aAmount,
                 const grant_options& aOptions, absl::Time aNow);
 
-// Tokens that the holder wants free now.
-token_count WantedOf(const grant_share& aShare, token_count aPrepaid,
-                     const grant_options& aOptions, absl::Time aNow);
+// Expected demand of aTime.
+token_count DemandOver(const grant_share& aShare, absl::Duration aTime,
+                       const grant_options& aOptions, absl::Time aNow);
 
 // False while the known grants exceed the total, which happens when an
 // operator lowers it: free tokens must then be returned, not spent.
@@ -129,21 +185,27 @@
 // as far as it knows.
 bool IsExhausted(const grant_share& aShare, token_count aPrepaid);
 
-// The next write, if one is useful. It asks for more, or returns free tokens
-// if the record exceeds aPrepaid. The returned tokens are deducted at once.
+// True if the record holds entries of earlier incarnations of aHolder, or is
+// not known yet.
+bool HasEarlierEntries(const grant_share& aShare, const grant_holder& aHolder);
+
+// The next write, if one is useful: it asks for more if aIsHome, returns free
+// tokens if the record exceeds aPrepaid, moves the limit, and closes the
+// entries of earlier incarnations. Returned tokens are deducted at once.
 std::optional<grant_plan> PlanGrant(grant_share& aShare,
-                                    const std::string& aHolder,
-                                    token_count aPrepaid,
+                                    const grant_holder& aHolder,
+                                    token_count aPrepaid, bool aIsHome,
                                     const grant_options& aOptions,
-                                    absl::Time aNow);
+                                    const grant_clock& aClock);
 
 // A write that returns all free tokens, for a planned stop.
 std::optional<grant_plan> PlanReturn(grant_share& aShare,
-                                     const std::string& aHolder);
+                                     const grant_holder& aHolder,
+                                     const grant_clock& aClock);
 
 // Takes the outcome of the planned write. aRecord and aVersion are the present
 // state: after Written what was written, after Conflict what was found.
-void NoteGrantWrite(grant_share& aShare, const std::string& aHolder,
+void NoteGrantWrite(grant_share& aShare, const grant_holder& aHolder,
                     grant_outcome aOutcome, const grant_record& aRecord,
                     store_version aVersion);
 
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -195,7 +195,7 @@
   node->mCharts = ValueOf(std::move(charts));
   node->mRandom.seed(aSettings.mSeed);
   node->mRouting = RoutingFor(aSettings);
-  node->mHolder = aSettings.mName + "/" + aSettings.mNonce;
+  node->mHolder.mId = aSettings.mName + "/" + aSettings.mNonce;
   node->mSettings = std::move(aSettings);
   return node;
 }
@@ -203,6 +203,8 @@
 gateway_actions Start(gateway& aGateway, absl::Time aNow)
 {
   aGateway.mNextTick = aNow + kTickInterval;
+  aGateway.mHolder.mStart = { aGateway.mSettings.mBoot,
+                              ClockAt(aGateway, aNow).mSteadyMs };
   StartFollowing(aGateway);
   TickFollowing(aGateway, aNow);
   gateway_actions actions;
@@ -229,6 +231,9 @@
   for (const followed_area& area : aGateway.mAreas) {
     next = std::min(next, area.mPauseEnd);
   }
+  for (const auto& listing : aGateway.mListings) {
+    next = std::min(next, listing.second.mRemoveAt);
+  }
   return next;
 }
 
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -53,13 +53,7 @@
 token_count RateOver(const grant_share& aShare, const gateway& aGateway,
                      absl::Duration aTime, absl::Time aNow)
 {
-  grant_options options = aGateway.mSettings.mGrants;
-  options.mHorizon = aTime;
-  options.mFirstPart = 0;
-  grant_share share;
-  share.mRate = aShare.mRate;
-  share.mRateAt = aShare.mRateAt;
-  return WantedOf(share, 0, options, aNow);
+  return DemandOver(aShare, aTime, aGateway.mSettings.mGrants, aNow);
 }
 
 token_count ShortageOf(const workspace_fund& aFund)
@@ -71,17 +65,16 @@
   return std::max<token_count>(0, shortage);
 }
 
-bool TakeTokens(workspace_fund& aFund, const token_waiter& aWaiter)
+bool TakeTokens(workspace_fund& aFund, const token_waiter& aWaiter,
+                const grant_options& aOptions, const grant_clock& aClock)
 {
-  if (!MaySpend(aFund.mShare, aFund.mPrepaid) ||
-      aWaiter.mAmount > aFund.mShare.mFree) {
-    return false;
+  const bool taken = MaySpend(aFund.mShare, aFund.mPrepaid) &&
+                     Reserve(aFund.mShare, aWaiter.mAmount, aClock);
+  // Only what is served counts as demand: refused callers ask again.
+  if (taken) {
+    NoteDemand(aFund.mShare, aWaiter.mAmount, aOptions, aClock.mNow);
   }
-  if (aWaiter.mCall != 0) {
-    aFund.mShare.mFree -= aWaiter.mAmount;
-    return true;
-  }
-  return Reserve(aFund.mShare, aWaiter.mAmount);
+  return taken;
 }
 
 // True if the store's record leaves no doubt that the total is used up: no
@@ -91,7 +84,7 @@
   const grant_record& record = aFund.mShare.mRecord;
   return IsExhausted(aFund.mShare, aFund.mPrepaid) && record.mClosed == 0 &&
          record.mEntries.size() == 1 &&
-         record.mEntries.count(aGateway.mHolder) == 1;
+         record.mEntries.count(aGateway.mHolder.mId) == 1;
 }
 
 void EndWaiter(gateway& aGateway, workspace_fund& aFund,
@@ -133,7 +126,8 @@
   std::deque<token_waiter> waiters;
   waiters.swap(fund.mWaiters);
   for (const token_waiter& waiter : waiters) {
-    if (TakeTokens(fund, waiter)) {
+    if (TakeTokens(fund, waiter, aGateway.mSettings.mGrants,
+                   ClockAt(aGateway, aNow))) {
       EndWaiter(aGateway, fund, waiter, true, aNow);
     } else if (aGiveUp || aNow >= waiter.mUntil) {
       EndWaiter(aGateway, fund, waiter, false, aNow);
@@ -147,6 +141,12 @@
 void SeekTokens(gateway& aGateway, const workspace_id& aWorkspace,
                 absl::Time aNow);
 
+bool IsStoreLost(const gateway& aGateway)
+{
+  const auto area = static_cast<std::size_t>(directory_area::Configuration);
+  return !aGateway.mAreas[area].mInTouch;
+}
+
 // Writes the grants of all workspaces that need it, one write at a time.
 void WriteGrants(gateway& aGateway, absl::Time aNow)
 {
@@ -157,13 +157,10 @@
   for (auto& entry : aGateway.mFunds) {
     workspace_fund& fund = entry.second;
     const bool isHome = HomeOf(aGateway, entry.first, aNow).mPeer.empty();
-    const bool mustReturn = !MaySpend(fund.mShare, fund.mPrepaid);
-    if (!isHome && !mustReturn && !fund.mShare.mPending) {
-      continue;
-    }
     fund.mShare.mShort = ShortageOf(fund);
-    auto plan = PlanGrant(fund.mShare, aGateway.mHolder, fund.mPrepaid,
-                          aGateway.mSettings.mGrants, aNow);
+    auto plan =
+      PlanGrant(fund.mShare, aGateway.mHolder, fund.mPrepaid, isHome,
+                aGateway.mSettings.mGrants, ClockAt(aGateway, aNow));
     if (plan) {
       write.mEntries.push_back({ entry.first, std::move(*plan) });
     }
@@ -183,7 +180,7 @@
   workspace_fund& fund = aGateway.mFunds[aWorkspace];
   const home_choice home = HomeOf(aGateway, aWorkspace, aNow);
   if (home.mPeer.empty()) {
-    if (IsExhausted(fund.mShare, fund.mPrepaid)) {
+    if (IsExhausted(fund.mShare, fund.mPrepaid) || IsStoreLost(aGateway)) {
       ServeWaiters(aGateway, aWorkspace, true, aNow);
       return;
     }
@@ -210,7 +207,9 @@
   if (home.mPeer.empty() || surplus <= 0) {
     return;
   }
-  fund.mShare.mFree -= surplus;
+  if (!Reserve(fund.mShare, surplus, ClockAt(aGateway, aNow))) {
+    return;
+  }
   aGateway.mActions.push_back(
     return_tokens{ home.mAddress, aWorkspace, surplus });
 }
@@ -220,6 +219,7 @@
 {
   workspace_fund& fund = aGateway.mFunds[aEntry.mWorkspace];
   const token_count before = fund.mShare.mFree;
+  const token_count totalBefore = TotalOf(fund.mShare.mRecord);
   if (aEvent.mOutcome == grant_outcome::Conflict) {
     for (const grant_state& state : aEvent.mStates) {
       if (state.mWorkspace == aEntry.mWorkspace) {
@@ -235,11 +235,15 @@
     NoteGrantWrite(fund.mShare, aGateway.mHolder, aEvent.mOutcome,
                    aEntry.mPlan.mRecord, aEvent.mRevision);
   }
-  if (fund.mShare.mFree != before) {
+  if (fund.mShare.mFree != before ||
+      TotalOf(fund.mShare.mRecord) < totalBefore) {
     Note(aGateway, decision::GrantChanged,
          { { "workspace", aEntry.mWorkspace.mValue },
            { "outcome", std::string(NameOf(aEvent.mOutcome)) },
            { "free", absl::StrCat(fund.mShare.mFree) },
+           { "limit", absl::StrCat(fund.mShare.mEntry.mLimit) },
+           { "granted", absl::StrCat(fund.mShare.mEntry.mGranted) },
+           { "out", absl::StrCat(fund.mShare.mOut) },
            { "granted_to_all", absl::StrCat(TotalOf(fund.mShare.mRecord)) },
            { "prepaid", absl::StrCat(fund.mPrepaid) },
            { "revision", absl::StrCat(fund.mShare.mVersion) } });
@@ -248,6 +252,12 @@
 
 } // namespace
 
+grant_clock ClockAt(const gateway& aGateway, absl::Time aNow)
+{
+  return { aNow,
+           absl::ToInt64Milliseconds(aNow - aGateway.mSettings.mBootStart) };
+}
+
 void FundRequest(gateway& aGateway, forwarded_request& aRequest,
                  absl::Time aNow)
 {
@@ -258,7 +268,6 @@
   }
   const workspace_id workspace = aRequest.mWorkspace;
   workspace_fund& fund = aGateway.mFunds[workspace];
-  NoteDemand(fund.mShare, aRequest.mCost, aGateway.mSettings.mGrants, aNow);
   fund.mWaiters.push_back(
     { handle, 0, aRequest.mCost,
       std::min(aRequest.mDeadline, aNow + kFundingTimeout) });
@@ -318,7 +327,6 @@
     return;
   }
   workspace_fund& fund = found->second;
-  NoteDemand(fund.mShare, aEvent.mAmount, aGateway.mSettings.mGrants, aNow);
   fund.mWaiters.push_back(
     { 0, aEvent.mCall, aEvent.mAmount, aNow + kFundingTimeout / 2 });
   ServeWaiters(aGateway, aEvent.mWorkspace, false, aNow);
@@ -339,7 +347,7 @@
                       absl::Time aNow)
 {
   workspace_fund& fund = aGateway.mFunds[aEvent.mWorkspace];
-  fund.mShare.mFree += std::max<token_count>(0, aEvent.mAmount);
+  Receive(fund.mShare, std::max<token_count>(0, aEvent.mAmount));
   ServeWaiters(aGateway, aEvent.mWorkspace, false, aNow);
 }
 
@@ -358,7 +366,7 @@
     SeekTokens(aGateway, aEvent.mWorkspace, aNow);
     return;
   }
-  fund.mShare.mFree += aEvent.mAnswer->mAmount;
+  Receive(fund.mShare, aEvent.mAnswer->mAmount);
   const bool nothing = aEvent.mAnswer->mAmount == 0;
   ServeWaiters(aGateway, aEvent.mWorkspace, nothing, aNow);
   if (!fund.mWaiters.empty()) {
@@ -411,7 +419,8 @@
         write.mEntries.size() == kMaxGrantEntries) {
       continue;
     }
-    auto plan = PlanReturn(entry.second.mShare, aGateway.mHolder);
+    auto plan = PlanReturn(entry.second.mShare, aGateway.mHolder,
+                           ClockAt(aGateway, aNow));
     if (plan) {
       write.mEntries.push_back({ entry.first, std::move(*plan) });
     }
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -17,7 +17,13 @@
 
 // Time that must be left for another attempt to be worth it.
 constexpr absl::Duration kLeastAttemptTime = absl::Milliseconds(50);
-constexpr double kMaxUrgency = 9;
+// Further servers that are tried when none could be reached.
+constexpr int kMaxUnsentAttempts = 3;
+// The least urgent value of the engines' scale.
+constexpr int kMaxUrgency = 9;
+// A server that sent nothing for so many times the objective before the caller
+// left counts as failed.
+constexpr int kSilentObjectives = 4;
 
 retry_state& RepeatsOf(gateway& aGateway, const service_id& aService,
                        absl::Time aNow)
@@ -47,8 +53,8 @@
     return false;
   }
   // Without a byte sent, an attempt has not happened.
-  if (request.mSent < request.mAttempts) {
-    return request.mAttempts - request.mSent <= 2;
+  if (request.mLastUnsent && request.mSent == 0) {
+    return request.mAttempts <= kMaxUnsentAttempts;
   }
   if (request.mMayHaveRun && !IsRepeatable(request.mRoute)) {
     return false;
@@ -131,6 +137,11 @@
                       absl::Time aNow)
 {
   const caller_request& caller = aRequest.mCaller;
+  // Later requests might not end before the platform ends the process.
+  if (aGateway.mStopping && aNow >= aGateway.mStopStart + kStopLinger) {
+    return MakeError(error_code::ShuttingDown, ran::No,
+                     "the gateway is stopping");
+  }
   if (!IsDirectoryKnown(aGateway)) {
     return MakeError(error_code::NotReady, ran::No,
                      "no configuration is known yet");
@@ -244,6 +255,7 @@
   aRequest.mMayHaveRun = true;
   aRequest.mHoldsFailure = false;
   aRequest.mAnswering = false;
+  aRequest.mDispatchedAt = aNow;
   dispatch_request action;
   action.mHandle = aRequest.mCaller.mHandle;
   action.mAttempt = aRequest.mAttempts;
@@ -254,8 +266,7 @@
   action.mResumable = aRequest.mRoute.mResumable;
   action.mRepeatable = IsRepeatable(aRequest.mRoute);
   action.mDeadline = aRequest.mDeadline;
-  action.mUrgency = static_cast<int>(
-    std::min<double>(kMaxUrgency, std::max(0, aRequest.mUrgency)));
+  action.mUrgency = std::clamp(aRequest.mUrgency, 0, kMaxUrgency);
   action.mMaxConnections =
     std::max(1, aRequest.mMaxConnections / aGateway.mRouting.mRouters);
   aGateway.mActions.push_back(std::move(action));
@@ -369,6 +380,7 @@
       break;
   }
   aRequest.mRanBefore = aRequest.mMayHaveRun;
+  aRequest.mLastUnsent = aReport.mOutcome == attempt_outcome::NotSent;
   EndAttempt(aGateway, aRequest, failed, aNow);
   if (aReport.mWrongServer) {
     ForgetBackend(aGateway, backend, aNow);
@@ -411,7 +423,7 @@
   }
   if (IsFinal(aGateway.mCharts.mForward, request.mStatus)) {
     if (!request.mBackend.mValue.empty()) {
-      EndAttempt(aGateway, request, aEvent == forward_event::Deadline, aNow);
+      EndAttempt(aGateway, request, false, aNow);
     }
     aGateway.mDeadlines.erase({ request.mDeadline, aHandle });
     aGateway.mRequests.erase(aHandle);
@@ -478,7 +490,15 @@
   if (found == aGateway.mRequests.end()) {
     return;
   }
-  found->second->mEvents = std::max(found->second->mEvents, aEvent.mEvents);
+  forwarded_request& request = *found->second;
+  request.mEvents = std::max(request.mEvents, aEvent.mEvents);
+  const bool isSilent =
+    !request.mAnswering && !request.mBackend.mValue.empty() &&
+    aNow - request.mDispatchedAt >
+      kSilentObjectives * request.mRoute.mObjective;
+  if (isSilent) {
+    EndAttempt(aGateway, request, true, aNow);
+  }
   FireRequest(aGateway, aEvent.mHandle, forward_event::CallerGone, aNow);
 }
 
@@ -497,6 +517,9 @@
       MakeError(error_code::DeadlineExceeded,
                 request.mMayHaveRun ? ran::Unknown : ran::No,
                 "the time allowed for the request is over");
+    if (!request.mBackend.mValue.empty()) {
+      EndAttempt(aGateway, request, !request.mAnswering, aNow);
+    }
     FireRequest(aGateway, handle, forward_event::Deadline, aNow);
   }
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -30,10 +30,11 @@
 constexpr absl::Duration kFirstPause = absl::Milliseconds(150);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(1000);
 // Entries that lapsed while the store was away return within two seconds.
-constexpr absl::Duration kLapseGrace = absl::Milliseconds(2200);
+// A server that really left in the meantime must be out 2 s after it said so.
+constexpr absl::Duration kLapseGrace = absl::Milliseconds(1750);
 // Longest wait for tokens from another gateway or the store; a few round trips
 // of both.
-constexpr absl::Duration kFundingTimeout = absl::Milliseconds(300);
+constexpr absl::Duration kFundingTimeout = absl::Milliseconds(500);
 // A peer that did not answer is left out for this long.
 constexpr absl::Duration kPeerSuspicion = absl::Seconds(2);
 // Interval of housekeeping; no decision on a request waits for it.
@@ -77,6 +78,9 @@
   int mAttempts = 0;
   // Attempts of which a byte was sent.
   int mSent = 0;
+  // No byte of the last attempt was sent.
+  bool mLastUnsent = false;
+  absl::Time mDispatchedAt;
   // The present attempt's backend server; empty between attempts.
   backend_id mBackend;
   bool mAnswering = false;
@@ -141,7 +145,7 @@
   gateway_charts mCharts;
   random_engine mRandom;
   routing_options mRouting;
-  std::string mHolder;
+  grant_holder mHolder;
 
   std::array<followed_area, CountOf<directory_area>()> mAreas;
   std::optional<route_table> mTable;
@@ -202,6 +206,7 @@
 void FundRequest(gateway& aGateway, forwarded_request& aRequest,
                  absl::Time aNow);
 void SettleRequest(gateway& aGateway, forwarded_request& aRequest);
+grant_clock ClockAt(const gateway& aGateway, absl::Time aNow);
 void OnGrantWritten(gateway& aGateway, const grant_written& aEvent,
                     absl::Time aNow);
 void OnTokensAsked(gateway& aGateway, const tokens_asked& aEvent,
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -13,35 +13,74 @@
   return aHolder.substr(0, aHolder.find('/') + 1);
 }
 
-// Closes the entries of earlier incarnations of the holder's router. The sum
-// stays the same.
-void CloseEarlier(grant_record& aRecord, const std::string& aHolder)
+bool IsEarlier(const std::string& aEntry, const std::string& aHolder)
 {
   const std::string prefix = RouterPrefix(aHolder);
-  auto entry = aRecord.mEntries.lower_bound(prefix);
-  while (entry != aRecord.mEntries.end() &&
-         entry->first.compare(0, prefix.size(), prefix) == 0) {
-    if (entry->first == aHolder) {
-      ++entry;
+  return aEntry != aHolder && aEntry.compare(0, prefix.size(), prefix) == 0;
+}
+
+// What the dead holder of aEntry may have let out at most.
+token_count SpentAtMost(const grant_entry& aEntry, const grant_holder& aHolder)
+{
+  const boot_time& start = aHolder.mStart;
+  const std::int64_t age = start.mSteadyMs - aEntry.mChecked.mSteadyMs;
+  const bool isBound = !start.mBoot.empty() &&
+                       start.mBoot == aEntry.mChecked.mBoot && age >= 0 &&
+                       age < absl::ToInt64Milliseconds(kUncheckedTime);
+  return isBound ? std::min(aEntry.mGranted, aEntry.mLimit) : aEntry.mGranted;
+}
+
+void CloseEarlier(grant_record& aRecord, const grant_holder& aHolder)
+{
+  for (auto it = aRecord.mEntries.begin(); it != aRecord.mEntries.end();) {
+    if (!IsEarlier(it->first, aHolder.mId)) {
+      ++it;
       continue;
     }
-    aRecord.mClosed += entry->second;
-    entry = aRecord.mEntries.erase(entry);
+    aRecord.mClosed += SpentAtMost(it->second, aHolder);
+    it = aRecord.mEntries.erase(it);
   }
 }
 
-grant_plan MakePlan(grant_share& aShare, const std::string& aHolder,
-                    token_count aDelta)
+std::int64_t LastCheckMs(const grant_share& aShare)
+{
+  const std::int64_t known = aShare.mEntry.mChecked.mSteadyMs;
+  return aShare.mPending ? std::max(known, aShare.mPending->mCheckedMs) : known;
+}
+
+// The limit that holds whichever of the writes took effect.
+token_count LimitOf(const grant_share& aShare)
 {
+  return aShare.mPending
+           ? std::min(aShare.mEntry.mLimit, aShare.mPending->mLimit)
+           : aShare.mEntry.mLimit;
+}
+
+bool IsUnchecked(const grant_share& aShare, const grant_clock& aClock)
+{
+  return aClock.mSteadyMs - LastCheckMs(aShare) >=
+         absl::ToInt64Milliseconds(kUncheckedTime);
+}
+
+grant_plan MakePlan(grant_share& aShare, const grant_holder& aHolder,
+                    token_count aDelta, token_count aAhead,
+                    const grant_clock& aClock)
+{
+  grant_entry entry = aShare.mEntry;
+  entry.mGranted += aDelta;
+  entry.mLimit = std::min(entry.mGranted, aShare.mOut + aAhead);
+  entry.mChecked = { aHolder.mStart.mBoot, aClock.mSteadyMs };
   grant_plan plan;
   plan.mExpected = aShare.mVersion;
   plan.mRecord = aShare.mRecord;
   CloseEarlier(plan.mRecord, aHolder);
-  plan.mRecord.mEntries[aHolder] = aShare.mEntry + aDelta;
-  if (aDelta < 0) {
-    aShare.mFree += aDelta;
+  // A router that was never granted anything needs no entry.
+  if (entry.mGranted != 0 || aDelta != 0) {
+    plan.mRecord.mEntries[aHolder.mId] = entry;
   }
-  aShare.mPending = pending_grant{ aShare.mVersion, aDelta };
+  aShare.mFree += std::min<token_count>(0, aDelta);
+  aShare.mPending = pending_grant{ aShare.mVersion, aDelta, entry.mLimit,
+                                   aClock.mSteadyMs, false };
   return plan;
 }
 
@@ -55,7 +94,7 @@
 }
 
 // Learns the state of the record and settles the pending write against it.
-void Observe(grant_share& aShare, const std::string& aHolder,
+void Observe(grant_share& aShare, const grant_holder& aHolder,
              const grant_record& aRecord, store_version aVersion)
 {
   const bool unchanged =
@@ -65,13 +104,14 @@
   if (unchanged) {
     return;
   }
-  const auto own = aRecord.mEntries.find(aHolder);
+  const auto own = aRecord.mEntries.find(aHolder.mId);
   // Without a pending write the entry changes only if another process closed
   // it, which leaves the tokens with this holder.
-  const token_count entry = own == aRecord.mEntries.end() ? 0 : own->second;
+  const grant_entry entry =
+    own == aRecord.mEntries.end() ? grant_entry{} : own->second;
   if (aShare.mPending) {
     const token_count delta = aShare.mPending->mDelta;
-    const bool applied = entry == aShare.mEntry + delta;
+    const bool applied = entry.mGranted == aShare.mEntry.mGranted + delta;
     if (applied && delta > 0) {
       aShare.mFree += delta;
     } else if (!applied && delta < 0) {
@@ -82,31 +122,65 @@
   aShare.mEntry = entry;
 }
 
+// Repeats the known entry at the version of a write with an unknown outcome:
+// only one of the two can find that version, so the answer settles both.
+grant_plan MakeSettlingPlan(const grant_share& aShare,
+                            const grant_holder& aHolder)
+{
+  grant_plan plan;
+  plan.mExpected = aShare.mPending->mExpected;
+  plan.mRecord = aShare.mRecord;
+  CloseEarlier(plan.mRecord, aHolder);
+  if (aShare.mEntry.mGranted != 0) {
+    plan.mRecord.mEntries[aHolder.mId] = aShare.mEntry;
+  }
+  return plan;
+}
+
+// Whether the entry needs a newer limit or check.
+bool NeedsCheck(const grant_share& aShare, token_count aAhead,
+                const grant_clock& aClock)
+{
+  const token_count unspent = aShare.mEntry.mGranted - aShare.mOut;
+  const bool isLow = aShare.mEntry.mLimit < aShare.mEntry.mGranted &&
+                     aShare.mEntry.mLimit - aShare.mOut < aAhead / 2;
+  const bool isOld = aClock.mSteadyMs - LastCheckMs(aShare) >=
+                     absl::ToInt64Milliseconds(kCheckInterval);
+  return unspent > 0 && (isLow || isOld);
+}
+
 } // namespace
 
 token_count TotalOf(const grant_record& aRecord)
 {
   token_count total = aRecord.mClosed;
   for (const auto& entry : aRecord.mEntries) {
-    total += entry.second;
+    total += entry.second.mGranted;
   }
   return total;
 }
 
-bool Reserve(grant_share& aShare, token_count aAmount)
+bool Reserve(grant_share& aShare, token_count aAmount,
+             const grant_clock& aClock)
 {
-  if (aAmount > aShare.mFree) {
+  const bool isWithin = aShare.mOut + aAmount <= LimitOf(aShare);
+  if (aAmount > aShare.mFree || (!isWithin && !IsUnchecked(aShare, aClock))) {
     return false;
   }
   aShare.mFree -= aAmount;
-  aShare.mReserved += aAmount;
+  aShare.mOut += aAmount;
   return true;
 }
 
 void Settle(grant_share& aShare, token_count aReserved, token_count aUsed)
 {
-  aShare.mReserved -= aReserved;
-  aShare.mFree += aReserved - aUsed;
+  Receive(aShare, aReserved - aUsed);
+}
+
+void Receive(grant_share& aShare, token_count aAmount)
+{
+  aShare.mFree += aAmount;
+  aShare.mOut -= aAmount;
 }
 
 void NoteDemand(grant_share& aShare, token_count aAmount,
@@ -118,13 +192,11 @@
   aShare.mRateAt = aNow;
 }
 
-token_count WantedOf(const grant_share& aShare, token_count aPrepaid,
-                     const grant_options& aOptions, absl::Time aNow)
+token_count DemandOver(const grant_share& aShare, absl::Duration aTime,
+                       const grant_options& aOptions, absl::Time aNow)
 {
-  const double ahead = RateAt(aShare, aOptions, aNow) *
-                       absl::ToDoubleSeconds(aOptions.mHorizon);
-  const double first = aOptions.mFirstPart * static_cast<double>(aPrepaid);
-  return aShare.mShort + static_cast<token_count>(std::max(ahead, first));
+  return static_cast<token_count>(RateAt(aShare, aOptions, aNow) *
+                                  absl::ToDoubleSeconds(aTime));
 }
 
 bool MaySpend(const grant_share& aShare, token_count aPrepaid)
@@ -138,44 +210,64 @@
          TotalOf(aShare.mRecord) >= aPrepaid;
 }
 
+bool HasEarlierEntries(const grant_share& aShare, const grant_holder& aHolder)
+{
+  if (aShare.mVersion == 0) {
+    return true;
+  }
+  const auto& entries = aShare.mRecord.mEntries;
+  return std::any_of(entries.begin(), entries.end(), [&](const auto& aEach) {
+    return IsEarlier(aEach.first, aHolder.mId);
+  });
+}
+
 std::optional<grant_plan> PlanGrant(grant_share& aShare,
-                                    const std::string& aHolder,
-                                    token_count aPrepaid,
+                                    const grant_holder& aHolder,
+                                    token_count aPrepaid, bool aIsHome,
                                     const grant_options& aOptions,
-                                    absl::Time aNow)
+                                    const grant_clock& aClock)
 {
-  // After an unknown outcome, a write without a change of the entry settles
-  // the matter: only one of the two can find the expected version.
   if (aShare.mPending) {
-    grant_plan plan;
-    plan.mExpected = aShare.mPending->mExpected;
-    plan.mRecord = aShare.mRecord;
-    CloseEarlier(plan.mRecord, aHolder);
-    plan.mRecord.mEntries[aHolder] = aShare.mEntry;
-    return plan;
+    return MakeSettlingPlan(aShare, aHolder);
   }
+  const token_count first =
+    static_cast<token_count>(aOptions.mFirstPart *
+                             static_cast<double>(aPrepaid));
+  const token_count ahead =
+    aShare.mShort +
+    std::max(first, DemandOver(aShare, aOptions.mLimitAhead, aOptions,
+                               aClock.mNow));
   const token_count room = aPrepaid - TotalOf(aShare.mRecord);
   if (room < 0 && aShare.mFree > 0) {
-    return MakePlan(aShare, aHolder, -aShare.mFree);
+    return MakePlan(aShare, aHolder, -aShare.mFree, ahead, aClock);
   }
-  const token_count wanted = WantedOf(aShare, aPrepaid, aOptions, aNow);
-  const bool low = aShare.mFree < wanted / 2 || aShare.mFree < aShare.mShort;
-  if (room <= 0 || !low) {
-    return std::nullopt;
+  const token_count wanted =
+    aShare.mShort + std::max(first, DemandOver(aShare, aOptions.mHorizon,
+                                               aOptions, aClock.mNow));
+  const bool isShort =
+    aShare.mFree < wanted / 2 || aShare.mFree < aShare.mShort;
+  if (aIsHome && room > 0 && isShort) {
+    return MakePlan(aShare, aHolder, std::min(room, wanted - aShare.mFree),
+                    ahead, aClock);
+  }
+  if (NeedsCheck(aShare, ahead, aClock) ||
+      HasEarlierEntries(aShare, aHolder)) {
+    return MakePlan(aShare, aHolder, 0, ahead, aClock);
   }
-  return MakePlan(aShare, aHolder, std::min(room, wanted - aShare.mFree));
+  return std::nullopt;
 }
 
 std::optional<grant_plan> PlanReturn(grant_share& aShare,
-                                     const std::string& aHolder)
+                                     const grant_holder& aHolder,
+                                     const grant_clock& aClock)
 {
   if (aShare.mPending || aShare.mFree <= 0 || aShare.mVersion == 0) {
     return std::nullopt;
   }
-  return MakePlan(aShare, aHolder, -aShare.mFree);
+  return MakePlan(aShare, aHolder, -aShare.mFree, 0, aClock);
 }
 
-void NoteGrantWrite(grant_share& aShare, const std::string& aHolder,
+void NoteGrantWrite(grant_share& aShare, const grant_holder& aHolder,
                     grant_outcome aOutcome, const grant_record& aRecord,
                     store_version aVersion)
 {
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -1,5 +1,6 @@
 #include "daemon/gateway_host.h"
 
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -28,8 +29,8 @@
 
 // A call between gateways takes one round trip and at most one write to the
 // store.
-constexpr absl::Duration kPeerTimeout = absl::Milliseconds(250);
-constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(150);
+constexpr absl::Duration kPeerTimeout = absl::Milliseconds(600);
+constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(300);
 // Interval of the look at the settings file, which may change without a signal.
 constexpr absl::Duration kFileInterval = absl::Seconds(1);
 // From the start of a stop: idle callers' connections stay open until the
@@ -51,6 +52,7 @@
   {}
 
   daemon_settings mSettings;
+  gateway_settings mGatewaySettings;
   platform::node_file mNode;
   metrics_ptr mMetrics = MakeMetrics();
 
@@ -392,11 +394,30 @@
   return texts;
 }
 
+// Identifies the present boot of this machine; empty if the system does not
+// tell.
+std::string BootId()
+{
+  std::ifstream file("/proc/sys/kernel/random/boot_id");
+  std::string id;
+  std::getline(file, id);
+  return file ? id : std::string();
+}
+
+// Zero of the machine's steady clock on the time axis of MonotonicNow.
+absl::Time BootStart()
+{
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  return MonotonicNow() - absl::FromChrono(steady);
+}
+
 gateway_settings SettingsFor(const platform::node_file& aNode)
 {
   gateway_settings settings;
   settings.mName = aNode.mName;
   settings.mNonce = RandomText();
+  settings.mBoot = BootId();
+  settings.mBootStart = BootStart();
   settings.mZone = zone_id{ aNode.mZone };
   settings.mSeed = std::random_device()();
   settings.mRepeatRatio = aNode.mRepeatRatio;
@@ -468,12 +489,14 @@
   if (!IsOk(charts)) {
     return ErrorOf(charts);
   }
-  auto gateway = MakeGateway(SettingsFor(ValueOf(node)), ValueOf(charts));
+  const gateway_settings settings = SettingsFor(ValueOf(node));
+  auto gateway = MakeGateway(settings, ValueOf(charts));
   if (!IsOk(gateway)) {
     return ErrorOf(gateway);
   }
   gateway_host_ptr host(new gateway_host(ValueOf(node)));
   host->mSettings = aSettings;
+  host->mGatewaySettings = settings;
   host->mGateway = std::get<0>(std::move(gateway));
   host->mFileTime = FileTimeOf(*host);
   host->mStore.mPeerAddress =
@@ -491,6 +514,12 @@
   }
   After(host->mLoop, kSweepInterval, [&reference] { SweepRegularly(reference); });
   After(host->mLoop, kFileInterval, [&reference] { WatchFile(reference); });
+  Log(log_component::Daemon, log_level::Info, log_event::SettingsReloaded,
+      { { "node", host->mNode.mName },
+        { "store", host->mNode.mStoreAddress },
+        { "boot", host->mGatewaySettings.mBoot },
+        { "boot_time", absl::FormatTime(host->mGatewaySettings.mBootStart) },
+        { "holder", host->mGatewaySettings.mNonce } });
   auto started = StartThreads(*host);
   if (!IsOk(started)) {
     return ErrorOf(started);
@@ -502,8 +531,10 @@
 {
   Post(aHost.mLoop, [&aHost] {
     aHost.mTraffic.mStopping = true;
-    After(aHost.mLoop, kCloseIdleAfter,
-          [&aHost] { aHost.mTraffic.mClosing = true; });
+    After(aHost.mLoop, kCloseIdleAfter, [&aHost] {
+      aHost.mTraffic.mClosing = true;
+      StopListening(aHost.mLoop);
+    });
   });
   PostEvent(aHost, stop_requested{});
 }
