Plan a lost check again

Change: a conflict makes the check due at once; entries with less than 1% of the total unspent are not checked.

--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -91,6 +91,8 @@
   absl::Duration mRateWindow = absl::Seconds(3);
   // Part of the total that a router asks for before it knows the demand.
   double mFirstPart = 0.05;
+  // Part of the total below which unspent tokens are not worth a check.
+  double mCheckedPart = 0.01;
 };
 
 // One write in flight or with an unknown outcome.
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -318,6 +318,8 @@
   }
   if (aEvent.mOutcome == grant_outcome::Conflict) {
     aGateway.mNextWriteAt = aNow;
+    // The check was lost with the write.
+    aGateway.mNextCheckAt = aNow;
   }
   WriteGrants(aGateway, aNow);
 }
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -246,7 +246,10 @@
     return MakePlan(aShare, aHolder, std::min(room, wanted - aShare.mFree),
                     ahead, aClock);
   }
-  const bool isUnspent = aShare.mEntry.mGranted > aShare.mOut;
+  const double unspent =
+    static_cast<double>(aShare.mEntry.mGranted - aShare.mOut);
+  const bool isUnspent =
+    unspent > aOptions.mCheckedPart * static_cast<double>(aPrepaid);
   if ((isUnspent && (aIsCheck || IsLimitNear(aShare, ahead))) ||
       HasEarlierEntries(aShare, aHolder)) {
     return MakePlan(aShare, aHolder, 0, ahead, aClock);
