--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -84,8 +84,8 @@
   // notice it. A machine that loses power loses all of it.
   absl::Duration mHorizon = absl::Seconds(9);
   // Demand, in time, that the limit lies ahead of the spending: what a killed
-  // process loses at most. Somewhat above kUncheckedTime, so that an outage that
-  // begins does not stop the spending before the limit ends.
+  // process loses at most. Somewhat above kUncheckedTime, so that an outage
+  // that begins does not stop the spending before the limit ends.
   absl::Duration mLimitAhead = absl::Seconds(6);
   // Averaging time of the demand.
   absl::Duration mRateWindow = absl::Seconds(3);
@@ -199,7 +199,8 @@
 std::optional<grant_plan> PlanGrant(grant_share& aShare,
                                     const grant_holder& aHolder,
                                     token_count aPrepaid, bool aIsHome,
-                                    bool aIsCheck, const grant_options& aOptions,
+                                    bool aIsCheck,
+                                    const grant_options& aOptions,
                                     const grant_clock& aClock);
 
 // A write that returns all free tokens, for a planned stop.
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -72,8 +72,8 @@
   }
   const absl::Time last =
     aGateway.mStopStart + aGateway.mSettings.mStopTime - kStopReserve;
-  const bool idle = aGateway.mRequests.empty() &&
-                    aNow >= aGateway.mStopStart + kStopLinger;
+  const bool idle =
+    aGateway.mRequests.empty() && aNow >= aGateway.mStopStart + kStopLinger;
   if (!idle && aNow < last) {
     return;
   }
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -84,18 +84,16 @@
                 absl::Time aNow)
 {
   auto listing = aGateway.mListings.find(aBackend);
-  const bool restarted =
-    listing != aGateway.mListings.end() &&
-    (listing->second.mEntry.mBornMs != aEntry.mBornMs ||
-     listing->second.mEntry.mAddress != aEntry.mAddress ||
-     listing->second.mEntry.mService != aEntry.mService);
+  const bool restarted = listing != aGateway.mListings.end() &&
+                         (listing->second.mEntry.mBornMs != aEntry.mBornMs ||
+                          listing->second.mEntry.mAddress != aEntry.mAddress ||
+                          listing->second.mEntry.mService != aEntry.mService);
   if (restarted) {
     aGateway.mViews.erase(aBackend);
   }
   const bool changed = listing == aGateway.mListings.end() || restarted ||
                        listing->second.mEntry.mLeaving != aEntry.mLeaving;
-  aGateway.mListings[aBackend] = { aEntry, aRevision,
-                                   absl::InfiniteFuture() };
+  aGateway.mListings[aBackend] = { aEntry, aRevision, absl::InfiniteFuture() };
   backend_view& view = aGateway.mViews[aBackend];
   view.mConfig = ConfigOf(aGateway, aEntry);
   view.mAgent = member_id{ aBackend.mValue };
@@ -260,8 +258,8 @@
               const directory_answer& aAnswer, absl::Time aNow)
 {
   followed_area& area = AreaOf(aGateway, aArea);
-  for (follow_action action : Fire(aGateway.mCharts.mFollow, area.mStatus,
-                                   aEvent, area, &Evaluate)) {
+  for (follow_action action :
+       Fire(aGateway.mCharts.mFollow, area.mStatus, aEvent, area, &Evaluate)) {
     Perform(aGateway, aArea, action, aAnswer, aNow);
   }
 }
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -406,8 +406,7 @@
       SeekTokens(aGateway, entry.first, aNow);
       continue;
     }
-    const token_count keep =
-      RateOver(fund.mShare, aGateway, kKeepAhead, aNow);
+    const token_count keep = RateOver(fund.mShare, aGateway, kKeepAhead, aNow);
     if (fund.mShare.mFree > 2 * keep) {
       ReturnToHome(aGateway, entry.first, keep, aNow);
     }
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -62,8 +62,7 @@
   if (request.mSent >= request.mRoute.mMaxAttempts) {
     return false;
   }
-  const auto repeats =
-    aContext.mGateway.mRepeats.find(request.mService.mValue);
+  const auto repeats = aContext.mGateway.mRepeats.find(request.mService.mValue);
   return repeats != aContext.mGateway.mRepeats.end() &&
          repeats->second.mBudget >= 1;
 }
@@ -152,8 +151,7 @@
     return MakeError(error_code::NotFound, ran::No,
                      "no route matches host and path");
   }
-  const traffic_workspace* payer =
-    FindWorkspace(*aGateway.mTable, caller.mKey);
+  const traffic_workspace* payer = FindWorkspace(*aGateway.mTable, caller.mKey);
   if (payer == nullptr && !route->mPublic &&
       !aGateway.mTable->mConfig.mWorkspaces.empty()) {
     return MakeError(error_code::Unauthorized, ran::No,
@@ -197,9 +195,9 @@
          { "attempts", absl::StrCat(aRequest.mAttempts) },
          { "held_ms", absl::StrCat(absl::ToInt64Milliseconds(
                         aNow - aRequest.mArrivedAt)) },
-         { "version", absl::StrCat(aGateway.mTable
-                                     ? aGateway.mTable->mConfig.mVersion
-                                     : 0) } });
+         { "version",
+           absl::StrCat(aGateway.mTable ? aGateway.mTable->mConfig.mVersion
+                                        : 0) } });
 }
 
 void EndAttempt(gateway& aGateway, forwarded_request& aRequest, bool aFailed,
@@ -279,11 +277,10 @@
          { "outstanding", absl::StrCat(view.mOutstanding) },
          { "running", absl::StrCat(view.mReport.mRunning) },
          { "queued", absl::StrCat(view.mReport.mQueued) },
-         { "report_age_ms",
-           view.mReportedAt == absl::InfinitePast()
-             ? std::string("none")
-             : absl::StrCat(
-                 absl::ToInt64Milliseconds(aNow - view.mReportedAt)) },
+         { "report_age_ms", view.mReportedAt == absl::InfinitePast()
+                              ? std::string("none")
+                              : absl::StrCat(absl::ToInt64Milliseconds(
+                                  aNow - view.mReportedAt)) },
          { "reserved", absl::StrCat(aRequest.mReserved) },
          { "version", absl::StrCat(aGateway.mTable->mConfig.mVersion) } });
 }
@@ -305,8 +302,7 @@
       RefuseRequest(aGateway, aRequest, aNow);
       break;
     case forward_action::PassFailure:
-      aGateway.mActions.push_back(
-        deliver_failure{ aRequest.mCaller.mHandle });
+      aGateway.mActions.push_back(deliver_failure{ aRequest.mCaller.mHandle });
       break;
     case forward_action::Cancel:
       aGateway.mActions.push_back(cancel_request{ aRequest.mCaller.mHandle });
@@ -370,9 +366,8 @@
                                   "the backend server cannot be reached");
       break;
     case attempt_outcome::Broken:
-      aRequest.mError =
-        MakeError(error_code::OutcomeUnknown, ran::Unknown,
-                  "the connection to the backend server broke");
+      aRequest.mError = MakeError(error_code::OutcomeUnknown, ran::Unknown,
+                                  "the connection to the backend server broke");
       break;
     case attempt_outcome::BrokenMidway:
       aRequest.mError = MakeError(error_code::StreamBroken, ran::Yes,
@@ -447,8 +442,7 @@
   }
   aGateway.mRequests[aRequest.mHandle] = std::move(request);
   FireRequest(aGateway, aRequest.mHandle,
-              IsOk(admitted) ? forward_event::Admitted
-                             : forward_event::Refused,
+              IsOk(admitted) ? forward_event::Admitted : forward_event::Refused,
               aNow);
 }
 
@@ -483,8 +477,7 @@
   NoteLoad(aGateway, found->second->mBackend, aEvent.mLoad, aNow);
 }
 
-void OnCallerGone(gateway& aGateway, const caller_gone& aEvent,
-                  absl::Time aNow)
+void OnCallerGone(gateway& aGateway, const caller_gone& aEvent, absl::Time aNow)
 {
   auto found = aGateway.mRequests.find(aEvent.mHandle);
   if (found == aGateway.mRequests.end()) {
@@ -492,10 +485,10 @@
   }
   forwarded_request& request = *found->second;
   request.mEvents = std::max(request.mEvents, aEvent.mEvents);
-  const bool isSilent =
-    !request.mAnswering && !request.mBackend.mValue.empty() &&
-    aNow - request.mDispatchedAt >
-      kSilentObjectives * request.mRoute.mObjective;
+  const bool isSilent = !request.mAnswering &&
+                        !request.mBackend.mValue.empty() &&
+                        aNow - request.mDispatchedAt >
+                          kSilentObjectives * request.mRoute.mObjective;
   if (isSilent) {
     EndAttempt(aGateway, request, true, aNow);
   }
@@ -513,10 +506,9 @@
       continue;
     }
     forwarded_request& request = *found->second;
-    request.mError =
-      MakeError(error_code::DeadlineExceeded,
-                request.mMayHaveRun ? ran::Unknown : ran::No,
-                "the time allowed for the request is over");
+    request.mError = MakeError(error_code::DeadlineExceeded,
+                               request.mMayHaveRun ? ran::Unknown : ran::No,
+                               "the time allowed for the request is over");
     if (!request.mBackend.mValue.empty()) {
       EndAttempt(aGateway, request, !request.mAnswering, aNow);
     }
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -182,9 +182,9 @@
 void NoteDemand(grant_share& aShare, token_count aAmount,
                 const grant_options& aOptions, absl::Time aNow)
 {
-  aShare.mRate = RateAt(aShare, aOptions, aNow) +
-                 static_cast<double>(aAmount) /
-                   absl::ToDoubleSeconds(aOptions.mRateWindow);
+  aShare.mRate =
+    RateAt(aShare, aOptions, aNow) +
+    static_cast<double>(aAmount) / absl::ToDoubleSeconds(aOptions.mRateWindow);
   aShare.mRateAt = aNow;
 }
 
@@ -220,19 +220,18 @@
 std::optional<grant_plan> PlanGrant(grant_share& aShare,
                                     const grant_holder& aHolder,
                                     token_count aPrepaid, bool aIsHome,
-                                    bool aIsCheck, const grant_options& aOptions,
+                                    bool aIsCheck,
+                                    const grant_options& aOptions,
                                     const grant_clock& aClock)
 {
   if (aShare.mPending) {
     return MakeSettlingPlan(aShare, aHolder);
   }
-  const token_count first =
-    static_cast<token_count>(aOptions.mFirstPart *
-                             static_cast<double>(aPrepaid));
+  const token_count first = static_cast<token_count>(
+    aOptions.mFirstPart * static_cast<double>(aPrepaid));
   const token_count ahead =
-    aShare.mShort +
-    std::max(first, DemandOver(aShare, aOptions.mLimitAhead, aOptions,
-                               aClock.mNow));
+    aShare.mShort + std::max(first, DemandOver(aShare, aOptions.mLimitAhead,
+                                               aOptions, aClock.mNow));
   const token_count room = aPrepaid - TotalOf(aShare.mRecord);
   if (room < 0 && aShare.mFree > 0) {
     return MakePlan(aShare, aHolder, -aShare.mFree, ahead, aClock);
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -111,8 +111,7 @@
   HandOver(aHost, Start(*aHost.mGateway, MonotonicNow()));
   bool closed = false;
   while (!closed) {
-    auto events =
-      TakeAll(aHost.mQueue, NextWake(*aHost.mGateway), &closed);
+    auto events = TakeAll(aHost.mQueue, NextWake(*aHost.mGateway), &closed);
     gateway_actions actions;
     for (const gateway_event& event : events) {
       const absl::Time start = MonotonicNow();
@@ -248,8 +247,8 @@
   }
   void operator()(const decision_note& aAction)
   {
-    LogNamed(log_component::Gateway, log_level::Info,
-             NameOf(aAction.mDecision), aAction.mInputs);
+    LogNamed(log_component::Gateway, log_level::Info, NameOf(aAction.mDecision),
+             aAction.mInputs);
   }
 };
 
@@ -309,9 +308,8 @@
   Reply(aHost.mMetricsService, aCall.mChannel,
         aCall.mHead.mTarget == "/debug/state" ? 200 : 404, "application/json",
         absl::StrCat("{\"config_version\":", summary.mVersion,
-                     ",\"open_requests\":", summary.mRequests,
-                     ",\"backends\":", summary.mBackends,
-                     ",\"peers\":", summary.mPeers,
+                     ",\"open_requests\":", summary.mRequests, ",\"backends\":",
+                     summary.mBackends, ",\"peers\":", summary.mPeers,
                      ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
 }
 
@@ -437,10 +435,9 @@
   aHost.mMetricsService.mOnCall = [&aHost](service_call& aCall) {
     OnMetricsCall(aHost, aCall);
   };
-  auto opened = Listen(aHost.mLoop, aHost.mNode.mCallerAddress,
-                       [&aHost](channel_id aChannel) {
-                         AcceptCaller(aHost.mTraffic, aChannel);
-                       });
+  auto opened = Listen(
+    aHost.mLoop, aHost.mNode.mCallerAddress,
+    [&aHost](channel_id aChannel) { AcceptCaller(aHost.mTraffic, aChannel); });
   if (IsOk(opened)) {
     opened = Serve(aHost.mReadyService, aHost.mNode.mReadyAddress);
   }
@@ -448,9 +445,9 @@
     opened = Serve(aHost.mPeerService, aHost.mStore.mPeerAddress);
   }
   if (IsOk(opened) && aHost.mSettings.mMetricsPort != 0) {
-    opened = Serve(
-      aHost.mMetricsService,
-      absl::StrCat(aHost.mNode.mIp, ":", aHost.mSettings.mMetricsPort));
+    opened =
+      Serve(aHost.mMetricsService,
+            absl::StrCat(aHost.mNode.mIp, ":", aHost.mSettings.mMetricsPort));
   }
   return opened;
 }
@@ -512,7 +509,8 @@
   if (!IsOk(opened)) {
     return ErrorOf(opened);
   }
-  After(host->mLoop, kSweepInterval, [&reference] { SweepRegularly(reference); });
+  After(host->mLoop, kSweepInterval,
+        [&reference] { SweepRegularly(reference); });
   After(host->mLoop, kFileInterval, [&reference] { WatchFile(reference); });
   Log(log_component::Daemon, log_level::Info, log_event::SettingsReloaded,
       { { "node", host->mNode.mName },
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -86,8 +86,8 @@
         { "zone", aSettings.mZone },
         { "peer_listen", ToString(aSettings.mPeerListen) } });
   signal_thread signals;
-  auto watching = StartSignals(
-    signals, [&host](int aSignal) { OnSignal(host, aSignal); });
+  auto watching =
+    StartSignals(signals, [&host](int aSignal) { OnSignal(host, aSignal); });
   if (!IsOk(watching)) {
     RequestStop(host);
   }
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -35,30 +35,29 @@
 void ReadPage(store_link& aLink, const directory_query& aQuery,
               const std::string& aAfter, directory_answer aSoFar)
 {
-  Make(aLink, platform::EncodeQuery(aQuery, aAfter),
-       [&aLink, aQuery, aAfter, soFar = std::move(aSoFar)](
-         const platform::store_answer& aAnswer) mutable {
-         auto page = platform::DecodeDirectory(aQuery, aAnswer);
-         directory_answer& answer = page.mAnswer;
-         if (!aAfter.empty() && answer.mStatus == directory_status::Ok) {
-           // Changes after the first page are seen by the watch.
-           answer.mRevision = soFar.mRevision;
-           const auto prepend = [](auto& aInto, auto& aEarlier) {
-             aInto.insert(aInto.begin(),
-                          std::make_move_iterator(aEarlier.begin()),
-                          std::make_move_iterator(aEarlier.end()));
-           };
-           prepend(answer.mConfigs, soFar.mConfigs);
-           prepend(answer.mBackends, soFar.mBackends);
-           prepend(answer.mPeers, soFar.mPeers);
-         }
-         if (answer.mStatus == directory_status::Ok &&
-             !page.mNextAfter.empty()) {
-           ReadPage(aLink, aQuery, page.mNextAfter, std::move(answer));
-           return;
-         }
-         aLink.mPost(std::move(answer));
-       });
+  Make(
+    aLink, platform::EncodeQuery(aQuery, aAfter),
+    [&aLink, aQuery, aAfter,
+     soFar = std::move(aSoFar)](const platform::store_answer& aAnswer) mutable {
+      auto page = platform::DecodeDirectory(aQuery, aAnswer);
+      directory_answer& answer = page.mAnswer;
+      if (!aAfter.empty() && answer.mStatus == directory_status::Ok) {
+        // Changes after the first page are seen by the watch.
+        answer.mRevision = soFar.mRevision;
+        const auto prepend = [](auto& aInto, auto& aEarlier) {
+          aInto.insert(aInto.begin(), std::make_move_iterator(aEarlier.begin()),
+                       std::make_move_iterator(aEarlier.end()));
+        };
+        prepend(answer.mConfigs, soFar.mConfigs);
+        prepend(answer.mBackends, soFar.mBackends);
+        prepend(answer.mPeers, soFar.mPeers);
+      }
+      if (answer.mStatus == directory_status::Ok && !page.mNextAfter.empty()) {
+        ReadPage(aLink, aQuery, page.mNextAfter, std::move(answer));
+        return;
+      }
+      aLink.mPost(std::move(answer));
+    });
 }
 
 } // namespace
@@ -93,13 +92,13 @@
            aLink.mPost(registration_answer{ lease_status::Unavailable, 0 });
            return;
          }
-         Make(aLink,
-              platform::EncodePeerEntry(aLink.mName, aLink.mPeerAddress,
-                                        *lease),
-              [&aLink, lease = *lease](const platform::store_answer& aEntry) {
-                aLink.mPost(registration_answer{
-                  platform::DecodePeerEntry(aEntry), lease });
-              });
+         Make(
+           aLink,
+           platform::EncodePeerEntry(aLink.mName, aLink.mPeerAddress, *lease),
+           [&aLink, lease = *lease](const platform::store_answer& aEntry) {
+             aLink.mPost(
+               registration_answer{ platform::DecodePeerEntry(aEntry), lease });
+           });
        });
 }
 
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -37,17 +37,17 @@
 
 constexpr auto NameTable(log_component)
 {
-  return MakeNameTable<log_component>({ { log_component::Daemon, "daemon" },
-                                        { log_component::Control, "control" },
-                                        { log_component::Frontend, "frontend" },
-                                        { log_component::Dispatch, "dispatch" },
-                                        { log_component::Operator, "operator" },
-                                        { log_component::Peer, "peer" },
-                                        { log_component::Store, "store" },
-                                        { log_component::Agent, "agent" },
-                                        { log_component::Engine, "engine" },
-                                        { log_component::Gateway,
-                                          "gateway" } });
+  return MakeNameTable<log_component>(
+    { { log_component::Daemon, "daemon" },
+      { log_component::Control, "control" },
+      { log_component::Frontend, "frontend" },
+      { log_component::Dispatch, "dispatch" },
+      { log_component::Operator, "operator" },
+      { log_component::Peer, "peer" },
+      { log_component::Store, "store" },
+      { log_component::Agent, "agent" },
+      { log_component::Engine, "engine" },
+      { log_component::Gateway, "gateway" } });
 }
 
 enum class log_level
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -534,7 +534,8 @@
 
 std::string SettingsHelp()
 {
-  std::string text = "foxtailquayd --role=router|agent|gateway [--name=value]...\n";
+  std::string text =
+    "foxtailquayd --role=router|agent|gateway [--name=value]...\n";
   for (const auto& entry : NameTable(setting{})) {
     const std::string name(entry.mName);
     const auto info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
--- a/src/runtime/signals.h
+++ b/src/runtime/signals.h
@@ -19,8 +19,9 @@
   posix_thread mThread;
 };
 
-// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all it starts later, and
-// ignores SIGPIPE, so that a write to a closed connection is an error return.
+// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and all it starts
+// later, and ignores SIGPIPE, so that a write to a closed connection is an
+// error return.
 void BlockStopSignals();
 
 // Calls aOnSignal(signal number) for each of these signals. Precondition:
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -104,9 +104,8 @@
   SendToCaller(aTraffic, aExchange,
                platform::EncodeAnswerHead(current.mReader.mHead, std::nullopt,
                                           ClosesAfter(aTraffic, aExchange)));
-  aTraffic.mHooks.mPost(first_byte{ aExchange.mHandle,
-                                    current.mDispatch.mAttempt,
-                                    current.mFacts.mLoad });
+  aTraffic.mHooks.mPost(first_byte{
+    aExchange.mHandle, current.mDispatch.mAttempt, current.mFacts.mLoad });
 }
 
 // The value of the "id:" line of one event; empty if it has none.
@@ -114,8 +113,7 @@
 {
   constexpr std::string_view kIdField = "id:";
   for (std::size_t start = 0; start < aEvent.size();) {
-    const std::size_t end =
-      std::min(aEvent.find('\n', start), aEvent.size());
+    const std::size_t end = std::min(aEvent.find('\n', start), aEvent.size());
     std::string_view line = aEvent.substr(start, end - start);
     if (line.substr(0, kIdField.size()) == kIdField) {
       line.remove_prefix(kIdField.size());
@@ -188,8 +186,8 @@
     EndAttempt(aTraffic, aExchange, attempt_outcome::NotRun, true);
     return;
   }
-  const bool usable = !IsSuccess(facts.mStatus) && !IsPromise(facts.mStatus) &&
-                      !facts.mIsEncoded;
+  const bool usable =
+    !IsSuccess(facts.mStatus) && !IsPromise(facts.mStatus) && !facts.mIsEncoded;
   if (!usable) {
     EndAttempt(aTraffic, aExchange, attempt_outcome::Broken, false);
     return;
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -26,8 +26,7 @@
   aCaller.mHandle = 0;
   aCaller.mIdleSince = MonotonicNow();
   aCaller.mStartedAt = absl::InfiniteFuture();
-  StartReading(aCaller.mReader, message_kind::Request,
-               RequestLimits(aTraffic));
+  StartReading(aCaller.mReader, message_kind::Request, RequestLimits(aTraffic));
 }
 
 void CloseCaller(traffic& aTraffic, channel_id aChannel)
@@ -276,8 +275,8 @@
     const bool isLate =
       isReading ? !caller.mReader.mHeadDone &&
                     aNow - caller.mStartedAt > aTraffic.mLimits.mHeaderTimeout
-                : aTraffic.mClosing || aNow - caller.mIdleSince >
-                                         aTraffic.mLimits.mIdleTimeout;
+                : aTraffic.mClosing ||
+                    aNow - caller.mIdleSince > aTraffic.mLimits.mIdleTimeout;
     if (isLate) {
       expired.push_back(each.first);
     }
--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -55,8 +55,7 @@
   call->mOnDone(answer);
 }
 
-void TakeData(client_calls& aCalls, channel_id aChannel,
-              std::string_view aData)
+void TakeData(client_calls& aCalls, channel_id aChannel, std::string_view aData)
 {
   const auto found = aCalls.mRunning.find(aChannel);
   if (found == aCalls.mRunning.end()) {
@@ -66,8 +65,8 @@
   call.mInput.append(aData.data(), aData.size());
   Feed(call.mReader, call.mInput);
   if (call.mReader.mBad || call.mReader.mDone) {
-    const bool keep = call.mReader.mDone && call.mReader.mKeepAlive &&
-                      call.mInput.empty();
+    const bool keep =
+      call.mReader.mDone && call.mReader.mKeepAlive && call.mInput.empty();
     Finish(aCalls, aChannel, false, keep);
   }
 }
@@ -85,8 +84,8 @@
 std::string EncodeCall(const client_call& aCall)
 {
   std::string text =
-    absl::StrCat(aCall.mMethod, " ", aCall.mTarget, " HTTP/1.1\r\nHost: ",
-                 aCall.mAddress, "\r\n");
+    absl::StrCat(aCall.mMethod, " ", aCall.mTarget,
+                 " HTTP/1.1\r\nHost: ", aCall.mAddress, "\r\n");
   if (!aCall.mBody.empty()) {
     absl::StrAppend(&text, "Content-Type: application/json\r\n");
   }
--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -75,11 +75,9 @@
 void Discard(event_loop& aLoop, connection_pool& aPool,
              const std::string& aAddress, channel_id aChannel)
 {
-  // The arguments may belong to the handler that Close destroys.
-  const std::string address = aAddress;
-  connection_pool& pool = aPool;
+  // The address may belong to the handler that Close destroys.
+  Forget(aPool, aAddress, aChannel);
   Close(aLoop, aChannel);
-  Forget(pool, address, aChannel);
 }
 
 void Sweep(event_loop& aLoop, connection_pool& aPool, absl::Time aNow)
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -112,8 +112,7 @@
   std::vector<std::unique_ptr<listener>> mListeners;
   std::uint64_t mNextNumber = 1;
   std::array<char, kScratchBytes> mScratch;
-  std::map<std::pair<absl::Time, std::uint64_t>, std::function<void()>>
-    mTimers;
+  std::map<std::pair<absl::Time, std::uint64_t>, std::function<void()>> mTimers;
   absl::flat_hash_map<std::uint64_t, absl::Time> mTimerTimes;
   asio::steady_timer mWake{ mIo };
   absl::Time mWakeAt = absl::InfiniteFuture();
@@ -189,20 +188,19 @@
     return;
   }
   each->mReading = true;
-  each->mSocket.async_wait(
-    tcp::socket::wait_read,
-    [&aLoop, aChannel](const failure_code& aFailure) {
-      channel* ready = FindChannel(aLoop, aChannel);
-      if (ready == nullptr) {
-        return;
-      }
-      ready->mReading = false;
-      if (aFailure) {
-        Fail(aLoop, aChannel, close_cause::Broken);
-        return;
-      }
-      ReadReady(aLoop, aChannel);
-    });
+  each->mSocket.async_wait(tcp::socket::wait_read,
+                           [&aLoop, aChannel](const failure_code& aFailure) {
+                             channel* ready = FindChannel(aLoop, aChannel);
+                             if (ready == nullptr) {
+                               return;
+                             }
+                             ready->mReading = false;
+                             if (aFailure) {
+                               Fail(aLoop, aChannel, close_cause::Broken);
+                               return;
+                             }
+                             ReadReady(aLoop, aChannel);
+                           });
 }
 
 // Writes what the system takes. False if the channel failed.
@@ -212,10 +210,10 @@
   std::size_t written = 0;
   failure_code failure;
   while (written < each->mUnsent.size() && !failure) {
-    written += each->mSocket.write_some(
-      asio::buffer(each->mUnsent.data() + written,
-                   each->mUnsent.size() - written),
-      failure);
+    written +=
+      each->mSocket.write_some(asio::buffer(each->mUnsent.data() + written,
+                                            each->mUnsent.size() - written),
+                               failure);
   }
   each->mHasSent = each->mHasSent || written > 0;
   each->mUnsent.erase(0, written);
@@ -253,20 +251,19 @@
     return;
   }
   each->mWriting = true;
-  each->mSocket.async_wait(
-    tcp::socket::wait_write,
-    [&aLoop, aChannel](const failure_code& aFailure) {
-      channel* ready = FindChannel(aLoop, aChannel);
-      if (ready == nullptr) {
-        return;
-      }
-      ready->mWriting = false;
-      if (aFailure) {
-        Fail(aLoop, aChannel, close_cause::Broken);
-        return;
-      }
-      WriteReady(aLoop, aChannel);
-    });
+  each->mSocket.async_wait(tcp::socket::wait_write,
+                           [&aLoop, aChannel](const failure_code& aFailure) {
+                             channel* ready = FindChannel(aLoop, aChannel);
+                             if (ready == nullptr) {
+                               return;
+                             }
+                             ready->mWriting = false;
+                             if (aFailure) {
+                               Fail(aLoop, aChannel, close_cause::Broken);
+                               return;
+                             }
+                             WriteReady(aLoop, aChannel);
+                           });
 }
 
 void Connected(event_loop& aLoop, channel_id aChannel,
@@ -346,7 +343,8 @@
 void ArmTimers(event_loop& aLoop)
 {
   auto& impl = *aLoop.mImpl;
-  if (impl.mTimers.empty() || impl.mTimers.begin()->first.first >= impl.mWakeAt) {
+  if (impl.mTimers.empty() ||
+      impl.mTimers.begin()->first.first >= impl.mWakeAt) {
     return;
   }
   impl.mWakeAt = impl.mTimers.begin()->first.first;
@@ -442,8 +440,8 @@
     After(aLoop, aOptions.mConnectTimeout,
           [&aLoop, id] { Fail(aLoop, id, close_cause::NotConnected); });
   connecting.mSocket.async_connect(
-    endpoint, [&aLoop, id, limit = aOptions.mSilenceLimit](
-                const failure_code& aFailure) {
+    endpoint,
+    [&aLoop, id, limit = aOptions.mSilenceLimit](const failure_code& aFailure) {
       Connected(aLoop, id, aFailure, limit);
     });
   return id;
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -90,8 +90,7 @@
 
 // Opens a connection. Bytes may be sent at once; they wait for it.
 channel_id Connect(event_loop& aLoop, const std::string& aAddress,
-                   const channel_options& aOptions,
-                   channel_handlers aHandlers);
+                   const channel_options& aOptions, channel_handlers aHandlers);
 
 void SetHandlers(event_loop& aLoop, channel_id aChannel,
                  channel_handlers aHandlers);
--- a/src/transport/http_reader.cc
+++ b/src/transport/http_reader.cc
@@ -100,8 +100,8 @@
     return;
   }
   aReader.mBad = true;
-  aReader.mTooLarge = aError == http::error::header_limit ||
-                      aError == http::error::body_limit;
+  aReader.mTooLarge =
+    aError == http::error::header_limit || aError == http::error::body_limit;
 }
 
 template<typename Parser>
@@ -111,8 +111,7 @@
   boost::system::error_code failure;
   while (used < aInput.size() && !failure && !aParser.is_done()) {
     used += aParser.put(
-      boost::asio::buffer(aInput.data() + used, aInput.size() - used),
-      failure);
+      boost::asio::buffer(aInput.data() + used, aInput.size() - used), failure);
   }
   aReader.mStarted = aReader.mStarted || !aInput.empty();
   aInput.erase(0, used);
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -44,8 +44,7 @@
 
 // The value of the first field called aName, in any case; null if there is
 // none.
-const std::string* FindField(const message_head& aHead,
-                             std::string_view aName);
+const std::string* FindField(const message_head& aHead, std::string_view aName);
 
 bool IsSameFieldName(std::string_view aLeft, std::string_view aRight);
 
--- a/src/transport/http_service.cc
+++ b/src/transport/http_service.cc
@@ -65,12 +65,12 @@
   }
   service_connection& connection = *found->second;
   const bool keep = connection.mReader.mKeepAlive;
-  std::string text = absl::StrCat(
-    "HTTP/1.1 ", aStatus, aStatus == 200 ? " OK" : " Error",
-    "\r\nContent-Type: ",
-    absl::string_view(aContentType.data(), aContentType.size()),
-    "\r\nContent-Length: ", aBody.size(),
-    keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+  std::string text =
+    absl::StrCat("HTTP/1.1 ", aStatus, aStatus == 200 ? " OK" : " Error",
+                 "\r\nContent-Type: ",
+                 absl::string_view(aContentType.data(), aContentType.size()),
+                 "\r\nContent-Length: ", aBody.size(),
+                 keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
   text.append(aBody);
   Send(aService.mLoop, aChannel, text);
   if (!keep) {
--- a/src/wire/tokens_codec.cc
+++ b/src/wire/tokens_codec.cc
@@ -1,7 +1,7 @@
 #include "wire/tokens_codec.h"
 
-#include "json/json.h"
 #include "wire/document_codec.h"
+#include "json/json.h"
 
 namespace foxtailquay {
 
