--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -134,9 +134,8 @@
   Run(aBench, answer);
 }
 
-void LearnBackends(
-  bench& aBench, store_version aRevision, bool aComplete,
-  std::vector<directory_change<backend_entry>> aChanges)
+void LearnBackends(bench& aBench, store_version aRevision, bool aComplete,
+                   std::vector<directory_change<backend_entry>> aChanges)
 {
   auto answer = Answer(directory_area::Backends, aRevision, aComplete);
   answer.mBackends = std::move(aChanges);
@@ -320,8 +319,7 @@
     run.mActions.clear();
   }
   const gateway_settings limits;
-  BOOST_TEST(repeats <=
-             limits.mRepeatRatio * kRequests + limits.mRepeatSlack);
+  BOOST_TEST(repeats <= limits.mRepeatRatio * kRequests + limits.mRepeatSlack);
   BOOST_TEST(repeats > 0);
 }
 
--- a/tests/grant_test.cc
+++ b/tests/grant_test.cc
@@ -130,8 +130,10 @@
 {
   const std::int64_t time = absl::ToInt64Milliseconds(kUncheckedTime);
   const close_case cases[] = {
-    { 2000 + time - 1, "boot", 300 }, { 2000 + time, "boot", 1000 },
-    { 3000, "other boot", 1000 },     { 1000, "boot", 1000 },
+    { 2000 + time - 1, "boot", 300 },
+    { 2000 + time, "boot", 1000 },
+    { 3000, "other boot", 1000 },
+    { 1000, "boot", 1000 },
     { 3000, "", 1000 },
   };
   for (const close_case& each : cases) {
@@ -297,9 +299,8 @@
 
 void Act(model& aModel)
 {
-  const std::size_t number =
-    static_cast<std::size_t>(aModel.Draw(static_cast<int>(
-      aModel.mRouters.size())));
+  const std::size_t number = static_cast<std::size_t>(
+    aModel.Draw(static_cast<int>(aModel.mRouters.size())));
   model_router& router = aModel.mRouters[number];
   switch (aModel.Draw(20)) {
     case 0:
@@ -316,8 +317,8 @@
     case 2:
     case 3:
       Transfer(aModel, router,
-               aModel.mRouters[static_cast<std::size_t>(aModel.Draw(
-                 static_cast<int>(aModel.mRouters.size())))]);
+               aModel.mRouters[static_cast<std::size_t>(
+                 aModel.Draw(static_cast<int>(aModel.mRouters.size())))]);
       break;
     case 4:
     case 5:
@@ -365,9 +366,8 @@
       const bool isBound =
         checked.mBoot == router.mHolder.mStart.mBoot &&
         end - checked.mSteadyMs < absl::ToInt64Milliseconds(kUncheckedTime);
-      known += isBound
-                 ? std::min(entry.second.mGranted, entry.second.mLimit)
-                 : entry.second.mGranted;
+      known += isBound ? std::min(entry.second.mGranted, entry.second.mLimit)
+                       : entry.second.mGranted;
     }
   }
   return known;
