--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -148,7 +148,8 @@
 
 // Values of the platform's two deployments: engines reread about 60 to 100
 // prompt tokens in a millisecond, a run holds its place for a few seconds, and
-// a load report is an answer's own and thus fresh.
+// a load report is an answer's own and thus fresh. The affinity is worth what
+// reading the shared part of a long prompt again takes.
 routing_options RoutingFor(const gateway_settings& aSettings)
 {
   routing_options options;
@@ -163,6 +164,7 @@
   options.mMaxEjectionTime = absl::Seconds(8);
   options.mProbeSuccesses = 3;
   options.mPrefixMemory = 512;
+  options.mAffinityCost = absl::Milliseconds(80);
   return options;
 }
 
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -90,6 +90,11 @@
   for (const prompt_part& part : aRequest.mCaller.mPromptParts) {
     query.mPrefixes.push_back(part.mHash);
   }
+  // The last part belongs to the request itself.
+  const auto& parts = aRequest.mCaller.mPromptParts;
+  if (parts.size() >= 2) {
+    query.mAffinity = parts[parts.size() - 2].mHash;
+  }
   query.mExclude = aRequest.mTried;
   return query;
 }
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -370,6 +370,19 @@
   return part;
 }
 
+namespace {
+
+// 0 to 1, the same at every router; lowest at the server where requests with
+// this affinity should meet.
+double AffinityRank(const backend_view& aView, const routing_query& aQuery)
+{
+  const std::uint64_t hash = HashOf(aView.mAddress, aQuery.mAffinity);
+  return static_cast<double>(hash >> 11) /
+         static_cast<double>(std::uint64_t{ 1 } << 53);
+}
+
+} // namespace
+
 absl::Duration EstimatedDelay(const backend_view& aView,
                               const routing_query& aQuery, double aPeers,
                               const routing_options& aOptions, absl::Time aNow)
@@ -392,6 +405,9 @@
   delay += aOptions.mFullLoadCost * (load / slots);
   delay += aOptions.mRunTime *
            (ExpectedExcess(load + 1 - slots, aOptions.mLoadError) / slots);
+  if (aQuery.mAffinity != 0) {
+    delay += aOptions.mAffinityCost * AffinityRank(aView, aQuery);
+  }
   if (aQuery.mKind == backend_kind::Engine) {
     const double prompt = static_cast<double>(aQuery.mPromptTokens) *
                           (1 - CachedPart(aView, aQuery, aOptions, aNow));
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -88,6 +88,9 @@
 
   // Prefixes remembered per backend server, from reports and own dispatches.
   std::size_t mPrefixMemory = 1024;
+  // Greatest difference of the estimated delays that routers, which do not see
+  // each other's choices, bridge to send equal mAffinity to the same server.
+  absl::Duration mAffinityCost = absl::ZeroDuration();
   // Time after which a remembered prefix counts half.
   absl::Duration mPrefixHalfLife = absl::Seconds(60);
 };
@@ -146,6 +149,8 @@
   // Model or service name.
   std::string mTarget;
   zone_id mZone;
+  // What requests have in common that should meet at one server; 0 if nothing.
+  std::uint64_t mAffinity = 0;
   // Hashes of prompt prefixes, shortest first.
   std::vector<std::uint64_t> mPrefixes;
   priority_class mPriority = priority_class::Standard;
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -294,5 +294,37 @@
   BOOST_TEST(passed);
 }
 
+// Routers that do not see each other's choices would read the same prompt part
+// on many servers.
+BOOST_AUTO_TEST_CASE(equal_affinity_meets_at_one_server)
+{
+  std::map<backend_id, backend_view> views;
+  for (int i = 0; i < 6; ++i) {
+    backend_view& view = views[{ "b" + std::to_string(i) }];
+    view.mConfig.mModels = { { "m" } };
+    view.mConfig.mMaxConcurrency = 64;
+    view.mAddress = "10.0.0." + std::to_string(i) + ":1";
+  }
+  routing_options options;
+  options.mChoices = 0;
+  options.mAffinityCost = absl::Milliseconds(80);
+  std::set<backend_id> used;
+  for (std::uint64_t affinity = 1; affinity <= 60; ++affinity) {
+    routing_query query;
+    query.mTarget = "m";
+    query.mAffinity = affinity;
+    std::set<backend_id> chosen;
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+      random_engine random(seed);
+      chosen.insert(*ChooseBackend(views, query, options,
+                                   absl::FromUnixSeconds(1000), random));
+    }
+    BOOST_TEST(chosen.size() == 1U);
+    used.insert(chosen.begin(), chosen.end());
+  }
+  // Different ones spread.
+  BOOST_TEST(used.size() == views.size());
+}
+
 } // namespace
 } // namespace foxtailquay
