--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -393,14 +393,14 @@
   fund.mWaiters.push_back(
     { 0, aEvent.mCall, aEvent.mAmount, aNow + kFundingTimeout / 2 });
   ServeWaiters(aGateway, aEvent.mWorkspace, false, aNow);
-  if (fund.mWaiters.empty()) {
-    WriteGrants(aGateway, aNow);
-  } else if (IsStoreLost(aGateway) || IsExhausted(fund.mShare, fund.mPrepaid)) {
+  const bool isHopeless =
+    IsStoreLost(aGateway) || IsExhausted(fund.mShare, fund.mPrepaid);
+  if (!fund.mWaiters.empty() && isHopeless) {
     // The asking gateway looks elsewhere; there is no third one.
     ServePeers(aGateway, aEvent.mWorkspace, aNow);
-  } else {
-    WriteGrants(aGateway, aNow);
+    return;
   }
+  WriteGrants(aGateway, aNow);
 }
 
 void OnTokensReturned(gateway& aGateway, const tokens_returned& aEvent,
