--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -87,6 +87,9 @@
   // process loses at most. Somewhat above kUncheckedTime, so that an outage
   // that begins does not stop the spending before the limit ends.
   absl::Duration mLimitAhead = absl::Seconds(6);
+  // Part of what is left of the total that a router holds at most, so that a
+  // power loss of all machines leaves enough to go on.
+  double mMostPart = 0.5;
   // Averaging time of the demand.
   absl::Duration mRateWindow = absl::Seconds(3);
   // Part of the total that a router asks for before it knows the demand.
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -236,9 +236,11 @@
   if (room < 0 && aShare.mFree > 0) {
     return MakePlan(aShare, aHolder, -aShare.mFree, ahead, aClock);
   }
-  const token_count wanted =
-    aShare.mShort + std::max(first, DemandOver(aShare, aOptions.mHorizon,
-                                               aOptions, aClock.mNow));
+  const auto most = static_cast<token_count>(
+    aOptions.mMostPart * static_cast<double>(room + aShare.mFree));
+  const token_count horizon = std::max(
+    first, DemandOver(aShare, aOptions.mHorizon, aOptions, aClock.mNow));
+  const token_count wanted = aShare.mShort + std::min(most, horizon);
   const bool isShort =
     aShare.mFree < aShare.mShort || (aIsCheck && aShare.mFree < wanted);
   if (aIsHome && room > 0 && isShort) {
--- a/tests/grant_test.cc
+++ b/tests/grant_test.cc
@@ -117,6 +117,22 @@
   BOOST_TEST(Reserve(share, 1, At(time)));
 }
 
+// A power loss of all machines would leave too little for the time after it.
+BOOST_AUTO_TEST_CASE(a_router_holds_at_most_a_part_of_what_is_left)
+{
+  const grant_holder holder = Holder("a/1");
+  grant_share share = Granted(holder, 0);
+  for (int i = 0; i < 100; ++i) {
+    NoteDemand(share, kPrepaid, kOptions, At(0).mNow);
+  }
+  const token_count left = kPrepaid;
+  const auto plan =
+    PlanGrant(share, holder, kPrepaid, true, true, kOptions, At(1000));
+  BOOST_REQUIRE(plan);
+  BOOST_TEST(static_cast<double>(plan->mRecord.mEntries.at("a/1").mGranted) <=
+             kOptions.mMostPart * static_cast<double>(left));
+}
+
 struct close_case
 {
   std::int64_t mStartMs;
