--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -440,24 +440,6 @@
                       absl::Hex(device(), absl::kZeroPad8));
 }
 
-result<std::map<std::string, std::string>> ReadCharts(const std::string& aDir)
-{
-  std::error_code failure;
-  std::map<std::string, std::string> texts;
-  for (const auto& entry : std::filesystem::directory_iterator(aDir, failure)) {
-    std::ifstream file(entry.path());
-    std::stringstream text;
-    text << file.rdbuf();
-    texts[entry.path().filename().string()] = text.str();
-  }
-  if (failure) {
-    return error{ error_code::InvalidSetting, ran::No, "--charts_dir",
-                  absl::StrCat("\"", aDir, "\" cannot be read"),
-                  absl::ZeroDuration() };
-  }
-  return texts;
-}
-
 // Identifies the present boot of this machine; empty if the system does not
 // tell.
 std::string BootId()
@@ -548,7 +530,7 @@
   if (!IsOk(node)) {
     return ErrorOf(node);
   }
-  auto charts = ReadCharts(aSettings.mChartsDir);
+  auto charts = ReadChartTexts(aSettings.mChartsDir);
   if (!IsOk(charts)) {
     return ErrorOf(charts);
   }
--- a/src/daemon/node_io.cc
+++ b/src/daemon/node_io.cc
@@ -86,7 +86,8 @@
   StopSender(aIo.mSender);
 }
 
-result<node_charts_ptr> LoadChartDir(const std::string& aDir)
+result<std::map<std::string, std::string>> ReadChartTexts(
+  const std::string& aDir)
 {
   std::error_code failure;
   std::map<std::string, std::string> texts;
@@ -101,7 +102,16 @@
   if (failure || texts.empty()) {
     return ChartsDirError(aDir);
   }
-  return LoadCharts(texts);
+  return texts;
+}
+
+result<node_charts_ptr> LoadChartDir(const std::string& aDir)
+{
+  auto texts = ReadChartTexts(aDir);
+  if (!IsOk(texts)) {
+    return ErrorOf(texts);
+  }
+  return LoadCharts(ValueOf(texts));
 }
 
 http_server_options PeerServerOptions(const daemon_settings& aSettings)
--- a/src/daemon/node_io.h
+++ b/src/daemon/node_io.h
@@ -51,6 +51,10 @@
 // Ends all threads; calls that wait are made first.
 void StopIo(node_io& aIo);
 
+// Texts of the chart files in aDir, by file name. Errors: InvalidSetting.
+result<std::map<std::string, std::string>> ReadChartTexts(
+  const std::string& aDir);
+
 // Reads the charts in aDir. Errors: InvalidSetting, InvalidChart.
 result<node_charts_ptr> LoadChartDir(const std::string& aDir);
 
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -181,26 +181,38 @@
   }
 }
 
-void WaitToRead(event_loop& aLoop, channel_id aChannel)
+// Calls aOnReady once the socket is ready. aWaiting is the flag of the channel
+// that says that such a wait is on.
+void Await(event_loop& aLoop, channel_id aChannel, tcp::socket::wait_type aFor,
+           bool channel::*aWaiting, void (*aOnReady)(event_loop&, channel_id))
 {
   channel* each = FindChannel(aLoop, aChannel);
-  if (each == nullptr || each->mReading || each->mPaused || !each->mConnected) {
+  if (each == nullptr || each->*aWaiting || !each->mConnected) {
     return;
   }
-  each->mReading = true;
-  each->mSocket.async_wait(tcp::socket::wait_read,
-                           [&aLoop, aChannel](const failure_code& aFailure) {
-                             channel* ready = FindChannel(aLoop, aChannel);
-                             if (ready == nullptr) {
-                               return;
-                             }
-                             ready->mReading = false;
-                             if (aFailure) {
-                               Fail(aLoop, aChannel, close_cause::Broken);
-                               return;
-                             }
-                             ReadReady(aLoop, aChannel);
-                           });
+  each->*aWaiting = true;
+  each->mSocket.async_wait(
+    aFor, [&aLoop, aChannel, aWaiting, aOnReady](const failure_code& aFailure) {
+      channel* ready = FindChannel(aLoop, aChannel);
+      if (ready == nullptr) {
+        return;
+      }
+      ready->*aWaiting = false;
+      if (aFailure) {
+        Fail(aLoop, aChannel, close_cause::Broken);
+        return;
+      }
+      aOnReady(aLoop, aChannel);
+    });
+}
+
+void WaitToRead(event_loop& aLoop, channel_id aChannel)
+{
+  const channel* each = FindChannel(aLoop, aChannel);
+  if (each != nullptr && !each->mPaused) {
+    Await(aLoop, aChannel, tcp::socket::wait_read, &channel::mReading,
+          &ReadReady);
+  }
 }
 
 // Writes what the system takes. False if the channel failed.
@@ -246,24 +258,8 @@
 
 void WaitToWrite(event_loop& aLoop, channel_id aChannel)
 {
-  channel* each = FindChannel(aLoop, aChannel);
-  if (each == nullptr || each->mWriting || !each->mConnected) {
-    return;
-  }
-  each->mWriting = true;
-  each->mSocket.async_wait(tcp::socket::wait_write,
-                           [&aLoop, aChannel](const failure_code& aFailure) {
-                             channel* ready = FindChannel(aLoop, aChannel);
-                             if (ready == nullptr) {
-                               return;
-                             }
-                             ready->mWriting = false;
-                             if (aFailure) {
-                               Fail(aLoop, aChannel, close_cause::Broken);
-                               return;
-                             }
-                             WriteReady(aLoop, aChannel);
-                           });
+  Await(aLoop, aChannel, tcp::socket::wait_write, &channel::mWriting,
+        &WriteReady);
 }
 
 void Connected(event_loop& aLoop, channel_id aChannel,
