Ask a store that was lost with a short wait

Ruled out: a full read, which costs more and resets nothing that is needed. Tests: gateway_test, adapter_test.

--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -238,10 +238,12 @@
   followed_area& area = AreaOf(aGateway, aArea);
   switch (aAction) {
     case follow_action::Read:
-      aGateway.mActions.push_back(directory_query{ aArea, std::nullopt });
+      aGateway.mActions.push_back(
+        directory_query{ aArea, std::nullopt, false });
       break;
     case follow_action::Watch:
-      aGateway.mActions.push_back(directory_query{ aArea, area.mRevision });
+      aGateway.mActions.push_back(
+        directory_query{ aArea, area.mRevision, !area.mInTouch });
       break;
     case follow_action::Apply:
       area.mRevision = aAnswer.mRevision;
@@ -299,7 +301,8 @@
 void StartFollowing(gateway& aGateway)
 {
   for (const auto& entry : NameTable(directory_area{})) {
-    aGateway.mActions.push_back(directory_query{ entry.mValue, std::nullopt });
+    aGateway.mActions.push_back(
+      directory_query{ entry.mValue, std::nullopt, false });
   }
 }
 
