--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -318,9 +318,6 @@
   directory_area mArea = directory_area::Configuration;
   // Reads everything if absent, else waits for changes after this revision.
   std::optional<store_version> mAfter;
-  // The store did not answer before: ends a wait without changes soon, to know
-  // that it answers again.
-  bool mIsProbe = false;
 };
 
 struct grant_write
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -238,12 +238,10 @@
   followed_area& area = AreaOf(aGateway, aArea);
   switch (aAction) {
     case follow_action::Read:
-      aGateway.mActions.push_back(
-        directory_query{ aArea, std::nullopt, false });
+      aGateway.mActions.push_back(directory_query{ aArea, std::nullopt });
       break;
     case follow_action::Watch:
-      aGateway.mActions.push_back(
-        directory_query{ aArea, area.mRevision, !area.mInTouch });
+      aGateway.mActions.push_back(directory_query{ aArea, area.mRevision });
       break;
     case follow_action::Apply:
       area.mRevision = aAnswer.mRevision;
@@ -301,8 +299,7 @@
 void StartFollowing(gateway& aGateway)
 {
   for (const auto& entry : NameTable(directory_area{})) {
-    aGateway.mActions.push_back(
-      directory_query{ entry.mValue, std::nullopt, false });
+    aGateway.mActions.push_back(directory_query{ entry.mValue, std::nullopt });
   }
 }
 
