--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -15,6 +15,7 @@
 #include "platform/request_codec.h"
 #include "runtime/clock.h"
 #include "runtime/control_queue.h"
+#include "runtime/decision_log.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/thread.h"
@@ -36,9 +37,6 @@
 // From the start of a stop: idle callers' connections stay open until the
 // balancer has noticed it.
 constexpr absl::Duration kCloseIdleAfter = absl::Milliseconds(2600);
-// Lines about requests in one second; about three for each of a hundred
-// requests. Further ones are counted.
-constexpr int kMaxRequestLines = 300;
 
 } // namespace
 
@@ -74,10 +72,7 @@
   http_service mMetricsService;
   bool mReady = false;
   gateway_summary mSummary;
-  // Lines about requests since mLinesSince, and those left out.
-  int mLines = 0;
-  int mSuppressed = 0;
-  absl::Time mLinesSince = absl::InfinitePast();
+  decision_log mDecisionLog;
   std::filesystem::file_time_type mFileTime;
   posix_thread mTrafficThread;
 };
@@ -216,43 +211,6 @@
     });
 }
 
-bool IsAboutRequest(decision aDecision)
-{
-  switch (aDecision) {
-    case decision::RequestDispatched:
-    case decision::RequestRefused:
-    case decision::RequestFinished:
-    case decision::RequestFailed:
-    case decision::RequestCancelled:
-      return true;
-    default:
-      return false;
-  }
-}
-
-// Decisions about requests are bounded in number, all others are logged.
-void LogDecision(gateway_host& aHost, const decision_note& aNote)
-{
-  if (IsAboutRequest(aNote.mDecision)) {
-    const absl::Time now = MonotonicNow();
-    if (now - aHost.mLinesSince >= absl::Seconds(1)) {
-      if (aHost.mSuppressed > 0) {
-        Log(log_component::Gateway, log_level::Warn, log_event::LinesSuppressed,
-            { { "lines", std::to_string(aHost.mSuppressed) } });
-      }
-      aHost.mLinesSince = now;
-      aHost.mLines = 0;
-      aHost.mSuppressed = 0;
-    }
-    if (++aHost.mLines > kMaxRequestLines) {
-      ++aHost.mSuppressed;
-      return;
-    }
-  }
-  LogNamed(log_component::Gateway, log_level::Info, NameOf(aNote.mDecision),
-           aNote.mInputs);
-}
-
 struct action_performer
 {
   gateway_host& mHost;
@@ -315,7 +273,10 @@
     Close(mHost.mQueue);
     StopLoop(mHost.mLoop);
   }
-  void operator()(const decision_note& aAction) { LogDecision(mHost, aAction); }
+  void operator()(const decision_note& aAction)
+  {
+    LogDecision(mHost.mDecisionLog, aAction, MonotonicNow());
+  }
 };
 
 void PerformAll(gateway_host& aHost, const gateway_actions& aActions)
--- a/tests/runtime_test.cc
+++ b/tests/runtime_test.cc
@@ -9,6 +9,7 @@
 #include "absl/synchronization/blocking_counter.h"
 #include "absl/synchronization/notification.h"
 #include "runtime/control_queue.h"
+#include "runtime/decision_log.h"
 #include "runtime/elastic_pool.h"
 #include "runtime/log.h"
 #include "runtime/mailbox.h"
@@ -232,5 +233,21 @@
   }
 }
 
+// A flood of requests must not flood the log, nor hide other decisions.
+BOOST_AUTO_TEST_CASE(lines_about_requests_are_bounded)
+{
+  decision_log log;
+  const absl::Time start = absl::FromUnixSeconds(1000);
+  int lines = 0;
+  for (int i = 0; i < 2 * kMaxRequestLines; ++i) {
+    lines +=
+      LogDecision(log, { decision::RequestDispatched, {} }, start) ? 1 : 0;
+  }
+  BOOST_TEST(lines == kMaxRequestLines);
+  BOOST_TEST(LogDecision(log, { decision::ConfigApplied, {} }, start));
+  BOOST_TEST(LogDecision(log, { decision::RequestDispatched, {} },
+                         start + absl::Seconds(1)));
+}
+
 } // namespace
 } // namespace foxtailquay
