--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -146,10 +146,9 @@
   void operator()(const stop_requested&) { StartStop(mGateway, mNow); }
 };
 
-// Values of the platform's two deployments: engines reread about 60 to 100
-// prompt tokens in a millisecond, a run holds its place for a few seconds, and
-// a load report is an answer's own and thus fresh. The affinity is worth what
-// reading the shared part of a long prompt again takes.
+// From the engines' published figures: 60 to 100 prompt tokens are read in a
+// millisecond, and reading the shared part of a long prompt again takes about
+// as long as the affinity is worth. Load comes with answers and is thus fresh.
 routing_options RoutingFor(const gateway_settings& aSettings)
 {
   routing_options options;
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -98,8 +98,6 @@
   view.mConfig = ConfigOf(aGateway, aEntry);
   view.mAgent = member_id{ aBackend.mValue };
   view.mAddress = aEntry.mAddress;
-  // Without a report the estimates would multiply the own load by the number
-  // of gateways.
   if (view.mLeaving != aEntry.mLeaving) {
     view.mLeaving = aEntry.mLeaving;
     view.mLeavingSince = aNow;
