--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -360,6 +360,8 @@
   bool mRepeatable = false;
   // End of the time that the caller or the route allows.
   absl::Time mDeadline;
+  // A stream without a further event for this time has stalled.
+  absl::Duration mStallTimeout = absl::InfiniteDuration();
   // 0 is the highest priority.
   int mPriority = 0;
   // Largest number of connections of this gateway to the backend server.
--- a/include/foxtailquay/traffic_config.h
+++ b/include/foxtailquay/traffic_config.h
@@ -68,6 +68,8 @@
   absl::Duration mTimeout = absl::Seconds(10);
   // Latency objective: time to the response or to the first event.
   absl::Duration mObjective = absl::Seconds(1);
+  // Longest pause between the events of a stream that meets its objective.
+  absl::Duration mGapObjective = absl::Milliseconds(500);
   // Largest number of backend servers to which one request may be sent.
   int mMaxAttempts = 1;
   // 0 is the highest priority.
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -30,11 +30,15 @@
     case error_code::StaleIncarnation:
     case error_code::StaleFence:
       return 409;
+    case error_code::RequestTimeout:
+      return 408;
     case error_code::BodyTooLarge:
       return 413;
     case error_code::RateLimited:
     case error_code::ConcurrencyLimited:
       return 429;
+    case error_code::HeaderTooLarge:
+      return 431;
     case error_code::CallerDisconnected:
       return 499;
     case error_code::BackendServerFailed:
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -25,6 +25,20 @@
 // more than this multiple of the route's latency objective.
 constexpr int kUnresponsiveObjectives = 4;
 
+// A stream has stalled if no event arrives for the longest of these, which is
+// how long callers wait for the next event, and the margin.
+constexpr absl::Duration kMinStallTime = absl::Seconds(2);
+constexpr int kStallObjectives = 4;
+constexpr int kStallGapObjectives = 8;
+constexpr absl::Duration kStallMargin = absl::Seconds(1);
+
+absl::Duration ComputeStallTimeout(const traffic_route& aRoute)
+{
+  return std::max({ kMinStallTime, kStallObjectives * aRoute.mObjective,
+                    kStallGapObjectives * aRoute.mGapObjective }) +
+         kStallMargin;
+}
+
 // Returns the retry budget of a service, capped by the share of this gateway in
 // the fleet-wide limit.
 retry_state& GetOrCreateRetryState(gateway& aGateway,
@@ -290,6 +304,7 @@
   action.mResumable = aRequest.mRoute.mResumable;
   action.mRepeatable = IsRepeatable(aRequest.mRoute);
   action.mDeadline = aRequest.mDeadline;
+  action.mStallTimeout = ComputeStallTimeout(aRequest.mRoute);
   action.mPriority = aRequest.mPriority;
   action.mMaxConnections =
     std::max(1, aRequest.mMaxConnections / aGateway.mRouting.mRouters);
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -38,6 +38,10 @@
 // Delay from the start of a stop until idle caller connections are closed, so
 // that the load balancer has detected the stop by then.
 constexpr absl::Duration kCloseIdleDelay = absl::Milliseconds(2600);
+// Time at the end of a stop in which the process exits.
+constexpr absl::Duration kExitTime = absl::Milliseconds(100);
+// Interval at which a stopping process checks whether all responses are sent.
+constexpr absl::Duration kDrainPollInterval = absl::Milliseconds(20);
 
 } // namespace
 
@@ -73,6 +77,8 @@
   http_service mPeerService;
   http_service mMetricsService;
   bool mReady = false;
+  // Time by which a planned stop must end.
+  absl::Time mStopDeadline = absl::InfiniteFuture();
   gateway_summary mSummary;
   decision_log mDecisionLog;
   std::filesystem::file_time_type mSettingsFileTime;
@@ -229,6 +235,27 @@
   }
 }
 
+// Ends the process once the last responses are sent. Requests that arrive
+// before that are refused by the control thread.
+void ExitWhenDrained(gateway_host& aHost)
+{
+  if (!IsDrained(aHost.mTraffic) && MonotonicNow() < aHost.mStopDeadline) {
+    StartTimer(aHost.mLoop, kDrainPollInterval,
+               [&aHost] { ExitWhenDrained(aHost); });
+    return;
+  }
+  Close(aHost.mQueue);
+  StopLoop(aHost.mLoop);
+}
+
+void FinishStop(gateway_host& aHost)
+{
+  StopListening(aHost.mLoop);
+  // Requests on the connections accepted last have not been read yet.
+  StartTimer(aHost.mLoop, kDrainPollInterval,
+             [&aHost] { ExitWhenDrained(aHost); });
+}
+
 struct action_performer
 {
   gateway_host& mHost;
@@ -293,11 +320,7 @@
   {
     mHost.mTraffic.mLimits = aAction.mLimits;
   }
-  void operator()(const stop_finished&)
-  {
-    Close(mHost.mQueue);
-    StopLoop(mHost.mLoop);
-  }
+  void operator()(const stop_finished&) { FinishStop(mHost); }
   void operator()(const decision_record& aAction)
   {
     LogDecision(mHost.mDecisionLog, aAction, MonotonicNow());
@@ -425,6 +448,10 @@
 void ExpireConnectionsPeriodically(gateway_host& aHost)
 {
   ExpireConnections(aHost.mTraffic, MonotonicNow());
+  for (http_service* service :
+       { &aHost.mReadyService, &aHost.mPeerService, &aHost.mMetricsService }) {
+    ExpireCalls(*service, MonotonicNow());
+  }
   ExpireIdleChannels(aHost.mLoop, aHost.mCalls.mPool, MonotonicNow());
   StartTimer(aHost.mLoop, kExpiryInterval,
              [&aHost] { ExpireConnectionsPeriodically(aHost); });
@@ -483,8 +510,10 @@
   aHost.mMetricsService.mOnCall = [&aHost](http_service_call& aCall) {
     OnMetricsCall(aHost, aCall);
   };
+  channel_options callerOptions;
+  callerOptions.mUnresponsiveTimeout = kCallerUnresponsiveTimeout;
   auto startResult = Listen(
-    aHost.mLoop, aHost.mNode.mCallerAddress,
+    aHost.mLoop, aHost.mNode.mCallerAddress, callerOptions,
     [&aHost](channel_id aChannel) { AcceptCaller(aHost.mTraffic, aChannel); });
   if (IsOk(startResult)) {
     startResult = StartService(aHost.mReadyService, aHost.mNode.mReadyAddress);
@@ -593,10 +622,10 @@
 {
   Post(aHost.mLoop, [&aHost] {
     aHost.mTraffic.mIsStopping = true;
-    StartTimer(aHost.mLoop, kCloseIdleDelay, [&aHost] {
-      aHost.mTraffic.mCloseIdle = true;
-      StopListening(aHost.mLoop);
-    });
+    aHost.mStopDeadline =
+      MonotonicNow() + aHost.mGatewaySettings.mStopTime - kExitTime;
+    StartTimer(aHost.mLoop, kCloseIdleDelay,
+               [&aHost] { aHost.mTraffic.mCloseIdle = true; });
   });
   PostEvent(aHost, stop_requested{});
 }
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -1,6 +1,7 @@
 // Attempts: sending a request to a backend server and relaying its response.
 
 #include <algorithm>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "runtime/clock.h"
@@ -53,6 +54,13 @@
            : kDefaultServerIdleTimeout;
 }
 
+// Returns the outcome of an attempt whose connection or response broke off.
+attempt_outcome ComputeBrokenOutcome(const exchange& aExchange)
+{
+  return aExchange.mHeadSent ? attempt_outcome::BrokenMidway
+                             : attempt_outcome::Broken;
+}
+
 // Ends the attempt and posts its report. The exchange continues until the
 // control thread decides what follows, except after Delivered, which ends it.
 // aKeepConnection: the connection may be reused.
@@ -119,26 +127,40 @@
                                     current.mResponseInfo.mLoad });
 }
 
-// Returns the value of the "id:" line of one event; empty if it has none.
-std::string_view ParseEventId(std::string_view aEvent)
+// What one event of a stream states.
+struct stream_event
+{
+  // Value of the "id:" line; empty if there is none.
+  std::string_view mId;
+  // True if the event consists of comments only, which servers send to keep a
+  // connection open.
+  bool mIsComment = true;
+};
+
+stream_event ParseEvent(std::string_view aEvent)
 {
   constexpr std::string_view kIdField = "id:";
+  stream_event parsed;
   for (std::size_t start = 0; start < aEvent.size();) {
     const std::size_t end = std::min(aEvent.find('\n', start), aEvent.size());
     std::string_view line = aEvent.substr(start, end - start);
-    if (line.substr(0, kIdField.size()) == kIdField) {
+    line = line.substr(0, line.find('\r'));
+    parsed.mIsComment =
+      parsed.mIsComment && (line.empty() || line.front() == ':');
+    if (parsed.mId.empty() && line.substr(0, kIdField.size()) == kIdField) {
       line.remove_prefix(kIdField.size());
       line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-      return line.substr(0, line.find('\r'));
+      parsed.mId = line;
     }
     start = end + 1;
   }
-  return {};
+  return parsed;
 }
 
 // Relays the complete events that have arrived. An incomplete event is held, so
-// that the stream can continue from another backend server.
-void RelayEvents(traffic& aTraffic, exchange& aExchange)
+// that the stream can continue from another backend server. Returns false if it
+// is too large to be held.
+bool RelayEvents(traffic& aTraffic, exchange& aExchange)
 {
   std::string& pending = aExchange.mPartialEvent;
   pending += aExchange.mAttempt->mReader.mBody;
@@ -148,19 +170,22 @@
        at = pending.find(kEventEnd, end)) {
     const std::string_view event =
       std::string_view(pending).substr(end, at + kEventEnd.size() - end);
-    const std::string_view id = ParseEventId(event);
-    if (!id.empty()) {
-      aExchange.mLastEventId = std::string(id);
+    const stream_event parsed = ParseEvent(event);
+    if (!parsed.mId.empty()) {
+      aExchange.mLastEventId = std::string(parsed.mId);
+    }
+    if (!parsed.mIsComment) {
+      ++aExchange.mEvents;
+      aExchange.mAttempt->mLastEventAt = MonotonicNow();
     }
-    ++aExchange.mEvents;
     end = at + kEventEnd.size();
   }
-  if (end == 0) {
-    return;
+  if (end > 0) {
+    SendChunkedHead(aTraffic, aExchange);
+    SendChunk(aTraffic, aExchange, std::string_view(pending).substr(0, end));
+    pending.erase(0, end);
   }
-  SendChunkedHead(aTraffic, aExchange);
-  SendChunk(aTraffic, aExchange, std::string_view(pending).substr(0, end));
-  pending.erase(0, end);
+  return pending.size() <= kMaxHeldBytes;
 }
 
 void FinishStreamResponse(traffic& aTraffic, exchange& aExchange)
@@ -194,12 +219,16 @@
 {
   attempt& current = *aExchange.mAttempt;
   const platform::response_info& info = current.mResponseInfo;
+  const bool namesAttempt = !info.mAttemptId.empty();
   if (info.mIsNotExecuted) {
-    EndAttempt(aTraffic, aExchange, attempt_outcome::NotRun, true);
+    // A second copy of a response without an attempt id could not be told apart
+    // from the next response, so the connection is not used again.
+    EndAttempt(aTraffic, aExchange, attempt_outcome::NotRun, namesAttempt);
     return;
   }
   const bool usable = !IsSuccess(info.mStatus) &&
-                      !IsNotExecutedStatus(info.mStatus) && !info.mIsEncoded;
+                      !IsNotExecutedStatus(info.mStatus) && !info.mIsEncoded &&
+                      (namesAttempt || !current.mIsReused);
   if (!usable) {
     EndAttempt(aTraffic, aExchange, attempt_outcome::Broken, false);
     return;
@@ -207,7 +236,7 @@
   aExchange.mHasHeldFailure = true;
   aExchange.mHeldHead = std::move(current.mReader.mHead);
   aExchange.mHeldBody = std::move(current.mReader.mBody);
-  EndAttempt(aTraffic, aExchange, attempt_outcome::Failed, true);
+  EndAttempt(aTraffic, aExchange, attempt_outcome::Failed, namesAttempt);
 }
 
 // Returns true if the response may be relayed before the control thread
@@ -215,7 +244,8 @@
 bool MayRelay(const platform::response_info& aInfo)
 {
   return IsSuccess(aInfo.mStatus) && aInfo.mIsAuthenticated &&
-         !aInfo.mIsEncoded && !aInfo.mIsNotExecuted;
+         !aInfo.mAttemptId.empty() && !aInfo.mIsEncoded &&
+         !aInfo.mIsNotExecuted;
 }
 
 // Discards an interim response or a response to another request. Returns true
@@ -261,8 +291,13 @@
   }
   const bool isStream = current.mDispatch.mKind == call_kind::Stream;
   if (isStream) {
-    RelayEvents(aTraffic, aExchange);
-    if (current.mReader.mIsComplete) {
+    const bool isHeld = RelayEvents(aTraffic, aExchange);
+    // A connection that ends inside an event does not end a stream.
+    const bool isCut =
+      current.mReader.mEndedWithConnection && !aExchange.mPartialEvent.empty();
+    if (!isHeld || isCut) {
+      EndAttempt(aTraffic, aExchange, ComputeBrokenOutcome(aExchange), false);
+    } else if (current.mReader.mIsComplete) {
       FinishStreamResponse(aTraffic, aExchange);
     }
     return;
@@ -276,13 +311,6 @@
   }
 }
 
-// Returns the outcome of an attempt whose connection or response broke off.
-attempt_outcome ComputeBrokenOutcome(const exchange& aExchange)
-{
-  return aExchange.mHeadSent ? attempt_outcome::BrokenMidway
-                             : attempt_outcome::Broken;
-}
-
 // Parses received bytes and relays the response.
 void ReadResponse(traffic& aTraffic, request_handle aHandle,
                   channel_id aChannel)
@@ -292,9 +320,14 @@
       return;
     }
     attempt& current = *active->mAttempt;
+    const std::size_t received = current.mInput.size();
     ParseInput(current.mReader, current.mInput);
     DecodeResponseInfo(*active);
-    if (current.mReader.mIsMalformed) {
+    if (current.mSkipResponse) {
+      current.mSkippedBytes += received - current.mInput.size();
+    }
+    if (current.mReader.mFailure != reader_failure::None ||
+        current.mSkippedBytes > kMaxSkippedBytes) {
       EndAttempt(aTraffic, *active, ComputeBrokenOutcome(*active), false);
       return;
     }
@@ -371,6 +404,24 @@
                cancelled->mChannel);
 }
 
+void EndStalledAttempts(traffic& aTraffic, absl::Time aNow)
+{
+  std::vector<exchange*> stalled;
+  for (const auto& each : aTraffic.mExchanges) {
+    exchange& active = *each.second;
+    // A server whose bytes the caller does not take is not at fault.
+    if (active.mAttempt &&
+        aNow - active.mAttempt->mLastEventAt >
+          active.mAttempt->mDispatch.mStallTimeout &&
+        GetUnsentBytes(aTraffic.mLoop, active.mCaller) == 0) {
+      stalled.push_back(&active);
+    }
+  }
+  for (exchange* each : stalled) {
+    EndAttempt(aTraffic, *each, ComputeBrokenOutcome(*each), false);
+  }
+}
+
 void DispatchExchange(traffic& aTraffic, const dispatch_request& aDispatch)
 {
   exchange* active = FindExchange(aTraffic, aDispatch.mHandle);
@@ -387,6 +438,7 @@
   attempt& started = *active->mAttempt;
   started.mDispatch = aDispatch;
   started.mChannel = channel.mId;
+  started.mIsReused = channel.mIsReused;
   StartReadingResponse(*active, started);
   if (channel.mId == 0) {
     const std::unique_ptr<attempt> ended = std::move(active->mAttempt);
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -1,5 +1,6 @@
 #include "traffic/traffic.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "runtime/clock.h"
@@ -36,30 +37,46 @@
   CloseWhenDrained(aTraffic.mLoop, aChannel);
 }
 
-// Sends an error response to a malformed or too large request and closes the
-// connection. Nothing was forwarded.
-void SendMalformedError(traffic& aTraffic, caller_connection& aCaller,
-                        const error& aError)
+// Sends an error response to a request that was not read completely and closes
+// the connection. Nothing was forwarded.
+void RejectRequest(traffic& aTraffic, channel_id aChannel, const error& aError)
 {
-  Send(aTraffic.mLoop, aCaller.mId, platform::EncodeError(aError, "", true));
-  CloseCaller(aTraffic, aCaller.mId);
+  aTraffic.mCallers.erase(aChannel);
+  Send(aTraffic.mLoop, aChannel, platform::EncodeError(aError, "", true));
+  CloseLingering(aTraffic.mLoop, aChannel);
 }
 
-error MakeRequestError(bool aTooLarge)
+error MakeRequestError(error_code aCode, std::string aDetail)
 {
-  return error{ aTooLarge ? error_code::BodyTooLarge
-                          : error_code::InvalidRequest,
-                executed::No, "", "the request is malformed or too large",
+  return error{ aCode, executed::No, "", std::move(aDetail),
                 absl::ZeroDuration() };
 }
 
+// Returns the error for a request that the reader rejected.
+error MakeReaderError(reader_failure aFailure)
+{
+  switch (aFailure) {
+    case reader_failure::HeaderTooLarge:
+      return MakeRequestError(error_code::HeaderTooLarge,
+                              "the header section of the request is too large");
+    case reader_failure::BodyTooLarge:
+      return MakeRequestError(error_code::BodyTooLarge,
+                              "the body of the request is too large");
+    case reader_failure::None:
+    case reader_failure::Malformed:
+      break;
+  }
+  return MakeRequestError(error_code::InvalidRequest,
+                          "the request is malformed");
+}
+
 // Starts the exchange of a complete request and posts the request to the
 // control thread.
 void StartExchange(traffic& aTraffic, caller_connection& aCaller)
 {
   auto decoded = platform::DecodeRequest(aCaller.mReader.mHead);
   if (!IsOk(decoded)) {
-    SendMalformedError(aTraffic, aCaller, GetError(decoded));
+    RejectRequest(aTraffic, aCaller.mId, GetError(decoded));
     return;
   }
   caller_request request = GetValue(std::move(decoded));
@@ -112,9 +129,9 @@
     caller->mRequestStartedAt = MonotonicNow();
   }
   ParseInput(caller->mReader, caller->mInput);
-  if (caller->mReader.mIsMalformed) {
-    SendMalformedError(aTraffic, *caller,
-                       MakeRequestError(caller->mReader.mIsTooLarge));
+  if (caller->mReader.mFailure != reader_failure::None) {
+    RejectRequest(aTraffic, aChannel,
+                  MakeReaderError(caller->mReader.mFailure));
   } else if (caller->mReader.mIsComplete) {
     StartExchange(aTraffic, *caller);
   }
@@ -278,28 +295,49 @@
   }
 }
 
+bool IsDrained(const traffic& aTraffic)
+{
+  const bool isReading = std::any_of(
+    aTraffic.mCallers.begin(), aTraffic.mCallers.end(), [](const auto& aEach) {
+      return aEach.second->mRequestStartedAt != absl::InfiniteFuture();
+    });
+  return aTraffic.mExchanges.empty() && !isReading &&
+         !HasUnsentBytes(aTraffic.mLoop);
+}
+
 void ExpireConnections(traffic& aTraffic, absl::Time aNow)
 {
-  std::vector<channel_id> expired;
+  EndStalledAttempts(aTraffic, aNow);
+  std::vector<channel_id> idle;
+  std::vector<channel_id> late;
   for (const auto& each : aTraffic.mCallers) {
     const caller_connection& caller = *each.second;
     if (caller.mHandle != 0) {
       continue;
     }
-    const bool isReading = caller.mRequestStartedAt != absl::InfiniteFuture();
-    const bool isLate =
-      isReading
-        ? !caller.mReader.mIsHeadComplete &&
-            aNow - caller.mRequestStartedAt > aTraffic.mLimits.mHeaderTimeout
-        : aTraffic.mCloseIdle ||
-            aNow - caller.mIdleSince > aTraffic.mLimits.mIdleTimeout;
-    if (isLate) {
-      expired.push_back(each.first);
+    if (caller.mRequestStartedAt == absl::InfiniteFuture()) {
+      if (aTraffic.mCloseIdle ||
+          aNow - caller.mIdleSince > aTraffic.mLimits.mIdleTimeout) {
+        idle.push_back(each.first);
+      }
+      continue;
+    }
+    absl::Duration limit = aTraffic.mLimits.mHeaderTimeout;
+    if (caller.mReader.mIsHeadComplete) {
+      limit += aTraffic.mLimits.mIdleTimeout;
+    }
+    if (aNow - caller.mRequestStartedAt > limit) {
+      late.push_back(each.first);
     }
   }
-  for (channel_id channel : expired) {
+  for (channel_id channel : idle) {
     CloseCaller(aTraffic, channel);
   }
+  for (channel_id channel : late) {
+    RejectRequest(aTraffic, channel,
+                  MakeRequestError(error_code::RequestTimeout,
+                                   "the request did not arrive in time"));
+  }
   ExpireIdleChannels(aTraffic.mLoop, aTraffic.mPool, aNow);
 }
 
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -44,8 +44,15 @@
 // Number of bytes received from a caller ahead of its current response above
 // which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
+// Number of bytes of interim responses and of responses to other requests after
+// which an attempt ends as broken.
+constexpr std::size_t kMaxSkippedBytes = 1 << 20;
 // Interval of ExpireConnections; the precision of idle and header timeouts.
 constexpr absl::Duration kExpiryInterval = absl::Milliseconds(250);
+// Time for which a caller may take no bytes of its response. A caller that has
+// disappeared keeps a backend server busy for as long, one that reads slowly is
+// cut off after it.
+constexpr absl::Duration kCallerUnresponsiveTimeout = absl::Seconds(10);
 // Time for which an idle connection is kept to a backend server that states no
 // keep-alive timeout.
 constexpr absl::Duration kDefaultServerIdleTimeout = absl::Seconds(4);
@@ -71,6 +78,8 @@
 {
   dispatch_request mDispatch;
   channel_id mChannel = 0;
+  // True if the connection has carried an earlier request.
+  bool mIsReused = false;
   // Received bytes that are not parsed yet.
   std::string mInput;
   http_reader mReader;
@@ -80,6 +89,11 @@
   // True if the response is interim (1xx) or belongs to another request. It is
   // read and discarded.
   bool mSkipResponse = false;
+  // Number of bytes received before the response of the attempt.
+  std::size_t mSkippedBytes = 0;
+  // Time at which the last complete stream event arrived; InfiniteFuture before
+  // the first one.
+  absl::Time mLastEventAt = absl::InfiniteFuture();
 };
 
 // A caller's request and the response to it.
@@ -161,7 +175,12 @@
 // Cancels the attempt and closes the caller's connection.
 void CancelExchange(traffic& aTraffic, request_handle aHandle);
 
-// Closes connections whose timeouts have passed at aNow.
+// Returns true if no request is being read or served and all responses are
+// sent.
+bool IsDrained(const traffic& aTraffic);
+
+// Closes connections whose timeouts have passed at aNow and ends attempts whose
+// streams have stalled.
 void ExpireConnections(traffic& aTraffic, absl::Time aNow);
 
 // --- Shared by traffic.cc and attempt.cc ------------------------------------
@@ -175,6 +194,8 @@
                   std::string_view aBytes);
 // Returns true if the caller's connection must be closed after this response.
 bool NeedsClose(const traffic& aTraffic, const exchange& aExchange);
+// Ends the attempts whose streams have stalled at aNow.
+void EndStalledAttempts(traffic& aTraffic, absl::Time aNow);
 // Ends an exchange whose response is complete, and reads the next request.
 void FinishExchange(traffic& aTraffic, request_handle aHandle);
 // Ends an exchange whose response cannot be completed, and closes the caller's
--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -67,7 +67,8 @@
   running_call& call = *found->second;
   call.mInput.append(aData.data(), aData.size());
   ParseInput(call.mReader, call.mInput);
-  if (call.mReader.mIsMalformed || call.mReader.mIsComplete) {
+  if (call.mReader.mFailure != reader_failure::None ||
+      call.mReader.mIsComplete) {
     const bool keep = call.mReader.mIsComplete && call.mReader.mKeepAlive &&
                       call.mInput.empty();
     FinishCall(aCalls, aChannel, false, keep);
--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -37,7 +37,9 @@
   while (!pool.mIdle.empty()) {
     const idle_channel last = pool.mIdle.back();
     pool.mIdle.pop_back();
-    if (last.mExpiresAt > now && IsOpen(aLoop, last.mId)) {
+    // Bytes that arrived since the last response belong to no call.
+    if (last.mExpiresAt > now && IsOpen(aLoop, last.mId) &&
+        !HasUnreadInput(aLoop, last.mId)) {
       ClearHasSent(aLoop, last.mId);
       return { last.mId, true };
     }
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -1,5 +1,6 @@
 #include "transport/event_loop.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <utility>
@@ -52,6 +53,10 @@
   bool mIsReadingPaused = false;
   // True if the channel is closed once mUnsent is empty.
   bool mCloseWhenDrained = false;
+  // True if the sending side is closed once mUnsent is empty.
+  bool mShutDownWhenDrained = false;
+  // Number of bytes discarded since CloseLingering.
+  std::size_t mDiscardedBytes = 0;
   // True if a byte was sent since the last ClearHasSent.
   bool mHasSent = false;
   // Timer of the connect timeout; 0 if there is none.
@@ -66,6 +71,7 @@
   {}
 
   tcp::acceptor mAcceptor;
+  absl::Duration mUnresponsiveTimeout;
   std::function<void(channel_id)> mOnAccept;
 };
 
@@ -259,6 +265,14 @@
   return true;
 }
 
+// Sends a FIN; bytes are still received. A failure needs no handling: the
+// channel is then broken and its next read reports it.
+void ShutDownSending(channel& aChannel)
+{
+  failure_code ignored;
+  aChannel.mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void OnWritable(event_loop& aLoop, channel_id aChannel)
 {
   if (!WriteSome(aLoop, aChannel)) {
@@ -273,6 +287,10 @@
     Close(aLoop, aChannel);
     return;
   }
+  if (target->mShutDownWhenDrained) {
+    ShutDownSending(*target);
+    return;
+  }
   const auto onDrained = target->mHandlers.mOnDrained;
   if (onDrained) {
     onDrained();
@@ -309,26 +327,35 @@
 
 void WaitToAccept(event_loop& aLoop, listener& aListener);
 
+// Accepts one waiting connection. Returns false if there is none.
+bool AcceptOne(event_loop& aLoop, listener& aListener)
+{
+  failure_code failure;
+  tcp::socket socket(aLoop.mImpl->mIo);
+  aListener.mAcceptor.accept(socket, failure);
+  if (failure) {
+    return false;
+  }
+  socket.non_blocking(true, failure);
+  if (failure) {
+    return true;
+  }
+  SetSocketOptions(socket, aListener.mUnresponsiveTimeout);
+  const channel_id id = aLoop.mImpl->mNextId++;
+  auto accepted = std::make_unique<channel>(std::move(socket));
+  accepted->mIsConnected = true;
+  aLoop.mImpl->mChannels[id] = std::move(accepted);
+  aListener.mOnAccept(id);
+  WaitToRead(aLoop, id);
+  return true;
+}
+
 void OnAcceptable(event_loop& aLoop, listener& aListener)
 {
   for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
-    failure_code failure;
-    tcp::socket socket(aLoop.mImpl->mIo);
-    aListener.mAcceptor.accept(socket, failure);
-    if (failure) {
+    if (!AcceptOne(aLoop, aListener)) {
       break;
     }
-    socket.non_blocking(true, failure);
-    if (failure) {
-      continue;
-    }
-    SetSocketOptions(socket, channel_options{}.mUnresponsiveTimeout);
-    const channel_id id = aLoop.mImpl->mNextId++;
-    auto accepted = std::make_unique<channel>(std::move(socket));
-    accepted->mIsConnected = true;
-    aLoop.mImpl->mChannels[id] = std::move(accepted);
-    aListener.mOnAccept(id);
-    WaitToRead(aLoop, id);
   }
   WaitToAccept(aLoop, aListener);
 }
@@ -397,6 +424,7 @@
 {}
 
 result<success> Listen(event_loop& aLoop, const std::string& aAddress,
+                       const channel_options& aOptions,
                        std::function<void(channel_id)> aOnAccept)
 {
   tcp::endpoint endpoint;
@@ -404,6 +432,7 @@
     return MakeListenError(aAddress, "must be an IPv4 address and port");
   }
   auto added = std::make_unique<listener>(aLoop.mImpl->mIo);
+  added->mUnresponsiveTimeout = aOptions.mUnresponsiveTimeout;
   added->mOnAccept = std::move(aOnAccept);
   failure_code failure;
   added->mAcceptor.open(endpoint.protocol(), failure);
@@ -430,6 +459,12 @@
 void StopListening(event_loop& aLoop)
 {
   for (auto& each : aLoop.mImpl->mListeners) {
+    // Closing a listener resets the connections that wait for it.
+    for (int i = 0; i < kListenBacklog; ++i) {
+      if (!each->mAcceptor.is_open() || !AcceptOne(aLoop, *each)) {
+        break;
+      }
+    }
     failure_code ignored;
     each->mAcceptor.close(ignored);
   }
@@ -519,6 +554,27 @@
   return target == nullptr ? 0 : target->mUnsent.size();
 }
 
+bool HasUnsentBytes(const event_loop& aLoop)
+{
+  const auto& channels = aLoop.mImpl->mChannels;
+  return std::any_of(channels.begin(), channels.end(), [](const auto& aEach) {
+    return !aEach.second->mUnsent.empty();
+  });
+}
+
+bool HasUnreadInput(const event_loop& aLoop, channel_id aChannel)
+{
+  channel* target = FindChannel(aLoop, aChannel);
+  if (target == nullptr || !target->mIsConnected) {
+    return false;
+  }
+  char byte = 0;
+  failure_code failure;
+  target->mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                          failure);
+  return !IsTransient(failure);
+}
+
 bool HasSent(const event_loop& aLoop, channel_id aChannel)
 {
   const channel* target = FindChannel(aLoop, aChannel);
@@ -568,6 +624,29 @@
   target->mCloseWhenDrained = true;
 }
 
+void CloseLingering(event_loop& aLoop, channel_id aChannel)
+{
+  channel* target = FindChannel(aLoop, aChannel);
+  if (target == nullptr) {
+    return;
+  }
+  channel_handlers handlers;
+  handlers.mOnData = [&aLoop, aChannel](std::string_view aData) {
+    channel* lingering = FindChannel(aLoop, aChannel);
+    lingering->mDiscardedBytes += aData.size();
+    if (lingering->mDiscardedBytes > kMaxDiscardedBytes) {
+      Close(aLoop, aChannel);
+    }
+  };
+  target->mHandlers = std::move(handlers);
+  target->mShutDownWhenDrained = true;
+  if (target->mUnsent.empty()) {
+    ShutDownSending(*target);
+  }
+  StartTimer(aLoop, kLingerTime,
+             [&aLoop, aChannel] { Close(aLoop, aChannel); });
+}
+
 std::uint64_t StartTimer(event_loop& aLoop, absl::Duration aDelay,
                          std::function<void()> aCallback)
 {
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -70,11 +70,15 @@
 {
   // Time within which the connection must be established.
   absl::Duration mConnectTimeout = absl::Milliseconds(500);
-  // Approximate time after which a connection to a peer that no longer responds
-  // is closed as broken.
+  // Approximate time after which a connection to a peer that no longer
+  // responds, or takes no more bytes, is closed as broken.
   absl::Duration mUnresponsiveTimeout = absl::Seconds(3);
 };
 
+// Limits of CloseLingering.
+constexpr absl::Duration kLingerTime = absl::Seconds(1);
+constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
+
 // The private state of an event loop.
 struct event_loop_impl;
 // Deleter for the private state type.
@@ -90,12 +94,15 @@
   std::unique_ptr<event_loop_impl, event_loop_deleter> mImpl;
 };
 
-// Accepts connections on "IP:port". aOnAccept is called for each and sets its
-// handlers. Errors: InvalidSetting if the address cannot be used.
+// Accepts connections on "IP:port", with mUnresponsiveTimeout of aOptions.
+// aOnAccept is called for each and sets its handlers. Errors: InvalidSetting if
+// the address cannot be used.
 result<success> Listen(event_loop& aLoop, const std::string& aAddress,
+                       const channel_options& aOptions,
                        std::function<void(channel_id)> aOnAccept);
 
-// Accepts no further connections; open ones stay open.
+// Accepts the connections that are already waiting, then no further ones; open
+// ones stay open.
 void StopListening(event_loop& aLoop);
 
 // Opens a connection to "IP:port" and returns its id immediately. Bytes may be
@@ -118,6 +125,12 @@
 // Returns the number of buffered bytes.
 std::size_t GetUnsentBytes(const event_loop& aLoop, channel_id aChannel);
 
+// Returns true if any channel has buffered bytes.
+bool HasUnsentBytes(const event_loop& aLoop);
+
+// Returns true if bytes or a close by the peer wait to be read.
+bool HasUnreadInput(const event_loop& aLoop, channel_id aChannel);
+
 // Returns true if the operating system has accepted a byte on this connection
 // since the last ClearHasSent.
 bool HasSent(const event_loop& aLoop, channel_id aChannel);
@@ -134,6 +147,12 @@
 // sent.
 void CloseWhenDrained(event_loop& aLoop, channel_id aChannel);
 
+// Like CloseWhenDrained, for a peer that may still be sending. Discards its
+// bytes for up to kLingerTime and kMaxDiscardedBytes, because a connection that
+// is closed with unread bytes is reset, and a reset can discard the last bytes
+// sent before the peer has read them.
+void CloseLingering(event_loop& aLoop, channel_id aChannel);
+
 // Calls aCallback once after aDelay. Returns the id of the timer for
 // CancelTimer.
 std::uint64_t StartTimer(event_loop& aLoop, absl::Duration aDelay,
--- a/src/transport/http_reader.cc
+++ b/src/transport/http_reader.cc
@@ -100,9 +100,13 @@
   if (!aError || aError == http::error::need_more) {
     return;
   }
-  aReader.mIsMalformed = true;
-  aReader.mIsTooLarge =
-    aError == http::error::header_limit || aError == http::error::body_limit;
+  if (aError == http::error::header_limit) {
+    aReader.mFailure = reader_failure::HeaderTooLarge;
+  } else if (aError == http::error::body_limit) {
+    aReader.mFailure = reader_failure::BodyTooLarge;
+  } else {
+    aReader.mFailure = reader_failure::Malformed;
+  }
 }
 
 template<typename Parser>
@@ -117,6 +121,14 @@
   aReader.mHasStarted = aReader.mHasStarted || !aInput.empty();
   aInput.erase(0, used);
   RecordFailure(aReader, failure);
+  // The library bounds header sections only; chunk extensions and trailers
+  // would be buffered without end.
+  if (aReader.mFailure == reader_failure::None && !aParser.is_done() &&
+      aInput.size() > aReader.mMaxUnparsedBytes) {
+    aReader.mFailure = aParser.is_header_done()
+                         ? reader_failure::BodyTooLarge
+                         : reader_failure::HeaderTooLarge;
+  }
   UpdateState(aReader, aParser.is_header_done(), aParser.is_done(),
               aParser.is_header_done() && aParser.keep_alive());
 }
@@ -156,6 +168,7 @@
 {
   aReader = http_reader{};
   aReader.mParser.reset(new beast_parser);
+  aReader.mMaxUnparsedBytes = aLimits.mMaxHeaderBytes;
   if (aKind == message_kind::Request) {
     aReader.mParser->mRequest = std::make_unique<reader_parser<true>>(aReader);
     ApplyLimits(*aReader.mParser->mRequest, aLimits);
@@ -168,7 +181,7 @@
 
 void ParseInput(http_reader& aReader, std::string& aInput)
 {
-  if (aReader.mIsMalformed || aReader.mIsComplete) {
+  if (aReader.mFailure != reader_failure::None || aReader.mIsComplete) {
     return;
   }
   if (aReader.mParser->mRequest) {
@@ -180,8 +193,9 @@
 
 void OnInputEnded(http_reader& aReader)
 {
-  if (!aReader.mParser || !aReader.mParser->mResponse || aReader.mIsMalformed ||
-      aReader.mIsComplete || !aReader.mIsHeadComplete) {
+  if (!aReader.mParser || !aReader.mParser->mResponse ||
+      aReader.mFailure != reader_failure::None || aReader.mIsComplete ||
+      !aReader.mIsHeadComplete) {
     return;
   }
   auto& parser = *aReader.mParser->mResponse;
@@ -192,6 +206,7 @@
   parser.put_eof(failure);
   RecordFailure(aReader, failure);
   aReader.mIsComplete = parser.is_done();
+  aReader.mEndedWithConnection = aReader.mIsComplete;
   aReader.mKeepAlive = false;
 }
 
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -21,6 +21,8 @@
 #include <string_view>
 #include <vector>
 
+#include "foxtailquay/name_table.h"
+
 namespace foxtailquay {
 
 // One header.
@@ -63,7 +65,25 @@
   ResponseWithoutBody,
 };
 
-// Largest sizes of a message; a larger one is malformed.
+// Why the bytes are not an acceptable message.
+enum class reader_failure
+{
+  None,
+  Malformed,
+  HeaderTooLarge,
+  BodyTooLarge,
+};
+
+constexpr auto NameTable(reader_failure)
+{
+  using f = reader_failure;
+  return MakeNameTable<f>({ { f::None, "none" },
+                            { f::Malformed, "malformed" },
+                            { f::HeaderTooLarge, "header_too_large" },
+                            { f::BodyTooLarge, "body_too_large" } });
+}
+
+// Largest sizes of a message.
 struct reader_limits
 {
   std::size_t mMaxHeaderBytes = 16384;
@@ -88,14 +108,17 @@
   bool mIsHeadComplete = false;
   // True if the message is complete.
   bool mIsComplete = false;
-  // True if the bytes are not a valid message. Nothing further is parsed.
-  bool mIsMalformed = false;
-  // True if a limit was exceeded; mIsMalformed is also true.
-  bool mIsTooLarge = false;
+  // Nothing further is parsed after a failure.
+  reader_failure mFailure = reader_failure::None;
+  // True if the message has no length and ended with its connection.
+  bool mEndedWithConnection = false;
   // True if the connection may be used for another message after this one.
   bool mKeepAlive = false;
   // True if a byte of the message has arrived.
   bool mHasStarted = false;
+  // Largest number of bytes that may wait for the rest of a header section,
+  // chunk header or trailer.
+  std::size_t mMaxUnparsedBytes = 0;
   std::unique_ptr<beast_parser, beast_parser_deleter> mParser;
 };
 
--- a/src/transport/http_service.cc
+++ b/src/transport/http_service.cc
@@ -1,6 +1,9 @@
 #include "transport/http_service.h"
 
+#include <vector>
+
 #include "absl/strings/str_cat.h"
+#include "runtime/clock.h"
 
 namespace foxtailquay {
 
@@ -15,8 +18,12 @@
     return;
   }
   service_connection& connection = *found->second;
+  if (!connection.mInput.empty() &&
+      connection.mCallStartedAt == absl::InfiniteFuture()) {
+    connection.mCallStartedAt = MonotonicNow();
+  }
   ParseInput(connection.mReader, connection.mInput);
-  if (connection.mReader.mIsMalformed) {
+  if (connection.mReader.mFailure != reader_failure::None) {
     aService.mConnections.erase(found);
     Close(aService.mLoop, aChannel);
     return;
@@ -25,6 +32,7 @@
     return;
   }
   connection.mIsHandlingCall = true;
+  connection.mCallStartedAt = absl::InfiniteFuture();
   http_service_call call{ aChannel, std::move(connection.mReader.mHead),
                           std::move(connection.mReader.mBody) };
   aService.mOnCall(call);
@@ -39,7 +47,12 @@
   handlers.mOnData = [&aService, aChannel](std::string_view aData) {
     const auto found = aService.mConnections.find(aChannel);
     if (found != aService.mConnections.end()) {
-      found->second->mInput.append(aData.data(), aData.size());
+      service_connection& connection = *found->second;
+      connection.mInput.append(aData.data(), aData.size());
+      if (connection.mIsHandlingCall &&
+          connection.mInput.size() > kMaxWaitingBytes) {
+        SetReadingPaused(aService.mLoop, aChannel, true);
+      }
       ReadNextCall(aService, aChannel);
     }
   };
@@ -54,7 +67,7 @@
 result<success> StartService(http_service& aService,
                              const std::string& aAddress)
 {
-  return Listen(aService.mLoop, aAddress, [&aService](channel_id aChannel) {
+  return Listen(aService.mLoop, aAddress, {}, [&aService](channel_id aChannel) {
     OnAccepted(aService, aChannel);
   });
 }
@@ -83,7 +96,22 @@
   }
   connection.mIsHandlingCall = false;
   StartReading(connection.mReader, message_kind::Request, {});
+  SetReadingPaused(aService.mLoop, aChannel, false);
   ReadNextCall(aService, aChannel);
 }
 
+void ExpireCalls(http_service& aService, absl::Time aNow)
+{
+  std::vector<channel_id> expired;
+  for (const auto& each : aService.mConnections) {
+    if (aNow - each.second->mCallStartedAt > kMaxCallTime) {
+      expired.push_back(each.first);
+    }
+  }
+  for (const channel_id channel : expired) {
+    aService.mConnections.erase(channel);
+    Close(aService.mLoop, channel);
+  }
+}
+
 } // namespace foxtailquay
--- a/src/transport/http_service.h
+++ b/src/transport/http_service.h
@@ -8,7 +8,8 @@
 //
 // A connection has one call at a time. SendResponse may be called after the
 // handler has returned. All functions must be called on the thread of the loop.
-// Messages are limited by the defaults of reader_limits.
+// Messages are limited by the defaults of reader_limits, and a call must arrive
+// within kMaxCallTime if ExpireCalls is called regularly.
 
 #ifndef FOXTAILQUAY_TRANSPORT_HTTP_SERVICE_H
 #define FOXTAILQUAY_TRANSPORT_HTTP_SERVICE_H
@@ -19,11 +20,18 @@
 #include <string_view>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
 #include "transport/event_loop.h"
 #include "transport/http_reader.h"
 
 namespace foxtailquay {
 
+// Time within which a call must arrive from its first byte on.
+constexpr absl::Duration kMaxCallTime = absl::Seconds(5);
+// Number of bytes received ahead of the response to the current call above
+// which reading from the connection is paused.
+constexpr std::size_t kMaxWaitingBytes = 64 << 10;
+
 // A call that has arrived.
 struct http_service_call
 {
@@ -40,6 +48,9 @@
   std::string mInput;
   // True from the arrival of a call until its response is sent.
   bool mIsHandlingCall = false;
+  // Time of the first byte of the call that is being read; InfiniteFuture if
+  // none has arrived.
+  absl::Time mCallStartedAt = absl::InfiniteFuture();
 };
 
 // The server. Must exist until RunLoop has returned.
@@ -62,6 +73,9 @@
 result<success> StartService(http_service& aService,
                              const std::string& aAddress);
 
+// Closes the connections whose call has not arrived in time at aNow.
+void ExpireCalls(http_service& aService, absl::Time aNow);
+
 // Sends the response to the call on aChannel. No effect if the connection is
 // closed.
 void SendResponse(http_service& aService, channel_id aChannel, int aStatus,
--- a/src/wire/error_codec.cc
+++ b/src/wire/error_codec.cc
@@ -15,7 +15,9 @@
       return error_type::Conflict;
     case 400:
     case 404:
+    case 408:
     case 413:
+    case 431:
     case 499:
       return error_type::InvalidRequest;
     default:
--- /dev/null
+++ b/tests/hostile_peer_test.cc
@@ -0,0 +1,433 @@
+// Guards against servers and callers that misbehave: a second copy of a
+// response on a connection that is in use again, bytes without end, a response
+// that breaks off and looks complete, streams that stall without ending, and
+// requests that never end. Runs over loopback with scripted peers.
+
+#define BOOST_TEST_MODULE hostile_peer
+#include <boost/test/unit_test.hpp>
+
+#include <poll.h>
+
+#include <thread>
+#include <vector>
+
+#include "traffic_fixture.h"
+
+namespace foxtailquay {
+namespace {
+
+// Bytes after which a peer must have been disconnected. Kernel buffers on both
+// sides hold some megabytes on top of what the gateway buffers.
+constexpr std::size_t kMaxAcceptedBytes = 24 << 20;
+// Time for which a peer sends at most.
+constexpr auto kMaxSendTime = std::chrono::seconds(4);
+
+const std::string kOkBody = "Content-Length: 2\r\n\r\nok";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string MakeResponseHead(const std::string& aAttemptId)
+{
+  return "HTTP/1.1 200 OK\r\nFoxtailquay-Attempt-Id: " + aAttemptId +
+         "\r\nFoxtailquay-Server-Seal: s-" + aAttemptId + "\r\n";
+}
+
+// Sends aStart and then aRepeated until the peer closes the connection, or the
+// limits above are reached. Returns the number of bytes sent.
+std::size_t SendEndlessly(tcp::socket& aSocket, const std::string& aStart,
+                          const std::string& aRepeated)
+{
+  const auto end = std::chrono::steady_clock::now() + kMaxSendTime;
+  boost::system::error_code failure;
+  std::size_t sent = asio::write(aSocket, asio::buffer(aStart), failure);
+  std::size_t position = 0;
+  aSocket.non_blocking(true);
+  while (sent < 2 * kMaxAcceptedBytes &&
+         std::chrono::steady_clock::now() < end) {
+    const std::size_t size =
+      aSocket.write_some(asio::buffer(aRepeated) + position, failure);
+    sent += size;
+    position = (position + size) % aRepeated.size();
+    if (failure == asio::error::would_block) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    } else if (failure) {
+      break;
+    }
+  }
+  return sent;
+}
+
+// Completes one exchange with attempt id "a1" on a new connection to the
+// server and returns that connection, which is then idle.
+tcp::socket CompleteFirstExchange(traffic_fixture& aFixture,
+                                  tcp::socket& aCaller)
+{
+  DispatchAttempt(aFixture, AwaitEvent<caller_request>(aFixture).mHandle, 1,
+                  call_kind::Idempotent);
+  tcp::socket server = RespondOnce(aFixture, MakeResponseHead("a1") + kOkBody);
+  ReadUntil(aCaller, "ok");
+  AwaitEvent<attempt_report>(aFixture);
+  return server;
+}
+
+// Sends a second request, with attempt id "a2", and returns the connection on
+// which it reaches the server.
+tcp::socket ForwardSecondRequest(traffic_fixture& aFixture,
+                                 tcp::socket& aCaller, tcp::socket aServer)
+{
+  asio::write(aCaller, asio::buffer(MakeRequest("", "a2")));
+  DispatchAttempt(aFixture, AwaitEvent<caller_request>(aFixture).mHandle, 1,
+                  call_kind::Idempotent);
+  BOOST_TEST(ReadUntil(aServer, "body").find("POST") == 0U);
+  return aServer;
+}
+
+// The next caller must get its own response, whatever copy of an earlier one
+// arrives first.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_response_is_discarded)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  tcp::socket server = ForwardSecondRequest(
+    fixture, caller, CompleteFirstExchange(fixture, caller));
+  asio::write(server, asio::buffer(MakeResponseHead("a1") + kOkBody +
+                                   MakeResponseHead("a2") +
+                                   "Content-Length: 3\r\n\r\nown"));
+  const std::string response = ReadUntil(caller, "own");
+  BOOST_TEST(response.find("s-a2") != std::string::npos);
+  BOOST_TEST(response.find("s-a1") == std::string::npos);
+}
+
+// A copy that does not name its attempt cannot be told apart from the response
+// to the request in progress.
+BOOST_AUTO_TEST_CASE(a_late_response_without_an_attempt_id_is_not_relayed)
+{
+  const std::string copies[] = {
+    "HTTP/1.1 200 OK\r\nFoxtailquay-Server-Seal: s-old\r\n" + kOkBody,
+    "HTTP/1.1 500 Oops\r\nFoxtailquay-Server-Seal: s-old\r\n" + kOkBody,
+  };
+  for (const std::string& copy : copies) {
+    BOOST_TEST_CONTEXT(copy)
+    {
+      traffic_fixture fixture;
+      tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+      tcp::socket server = ForwardSecondRequest(
+        fixture, caller, CompleteFirstExchange(fixture, caller));
+      asio::write(server, asio::buffer(copy));
+      BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+                 ToName(attempt_outcome::Broken));
+    }
+  }
+}
+
+// Of a response without an attempt id, a second copy could not be told apart
+// from the next response on the connection.
+BOOST_AUTO_TEST_CASE(a_connection_is_closed_after_an_unnamed_response)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                  call_kind::Idempotent);
+  tcp::socket server =
+    RespondOnce(fixture, "HTTP/1.1 503 Busy\r\nFoxtailquay-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+  BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+             ToName(attempt_outcome::NotRun));
+  BOOST_TEST(ReadUntil(server, "").empty());
+}
+
+// Waits until a connection can be accepted; fails after kMaxSendTime.
+void AwaitReadable(tcp::acceptor& aAcceptor)
+{
+  pollfd waiting{ aAcceptor.native_handle(), POLLIN, 0 };
+  const auto limit =
+    std::chrono::duration_cast<std::chrono::milliseconds>(kMaxSendTime);
+  BOOST_REQUIRE(poll(&waiting, 1, static_cast<int>(limit.count())) == 1);
+}
+
+// Bytes that arrive while a connection is idle may still be unread when the
+// connection is taken for the next request.
+BOOST_AUTO_TEST_CASE(a_connection_with_unread_bytes_is_not_reused)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  tcp::socket server = CompleteFirstExchange(fixture, caller);
+  asio::write(caller, asio::buffer(MakeRequest("", "a2")));
+  const auto request = AwaitEvent<caller_request>(fixture);
+  // The loop is kept busy until the bytes have arrived, so that it dispatches
+  // before it reads them.
+  Post(fixture.mLoop, [&fixture, &server, handle = request.mHandle] {
+    asio::write(server, asio::buffer("HTTP/1.1 200 OK\r\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    DispatchExchange(fixture.mTraffic,
+                     MakeDispatch(fixture, handle, 1, call_kind::Idempotent));
+  });
+  AwaitReadable(fixture.mServerAcceptor);
+  tcp::socket second = RespondOnce(fixture, MakeResponseHead("a2") + kOkBody);
+  BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+             ToName(attempt_outcome::Delivered));
+}
+
+struct endless_case
+{
+  const char* mName;
+  call_kind mKind;
+  std::string mStart;
+  std::string mRepeated;
+};
+
+// A server that sends without end must be disconnected before it fills the
+// memory, and its attempt must end as broken.
+BOOST_AUTO_TEST_CASE(a_server_that_sends_without_end_is_disconnected)
+{
+  const std::string block(16384, 'x');
+  const std::string chunk = "4000\r\n" + block + "\r\n";
+  const auto stream = call_kind::Stream;
+  const auto plain = call_kind::Idempotent;
+  const endless_case cases[] = {
+    { "status line", plain, "HTTP/1.1 200 ", block },
+    { "no HTTP at all", plain, "", block },
+    { "headers", plain, kResponseHead, "X-More: 1\r\n" },
+    { "one header", plain, kResponseHead + "X-More: ", block },
+    { "interim responses", plain, "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "responses to another request", plain, "",
+      MakeResponseHead("a0") + kOkBody },
+    { "body of another response", plain, MakeResponseHead("a0") + kChunked,
+      chunk },
+    { "one stream event", stream, kResponseHead + kChunked, chunk },
+    { "one stream event without a length", stream, kResponseHead + "\r\n",
+      block },
+    { "chunk extension", stream, kResponseHead + kChunked + "4;", block },
+    { "trailers", stream, kResponseHead + kChunked + "0\r\n", "X-More: 1\r\n" },
+    { "failure response", plain,
+      "HTTP/1.1 500 Oops\r\nFoxtailquay-Attempt-Id: a1\r\n"
+      "Foxtailquay-Server-Seal: s\r\n" +
+        kChunked,
+      chunk },
+  };
+  for (const endless_case& each : cases) {
+    BOOST_TEST_CONTEXT(each.mName)
+    {
+      traffic_fixture fixture;
+      tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+      DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                      each.mKind);
+      tcp::socket server = fixture.mServerAcceptor.accept();
+      ReadUntil(server, "body");
+      const std::size_t sent =
+        SendEndlessly(server, each.mStart, each.mRepeated);
+      BOOST_TEST(sent < kMaxAcceptedBytes);
+      const attempt_outcome outcome =
+        AwaitEvent<attempt_report>(fixture).mOutcome;
+      BOOST_TEST((outcome == attempt_outcome::Broken ||
+                  outcome == attempt_outcome::BrokenMidway));
+    }
+  }
+}
+
+// A caller that does not read a response without end must not make the gateway
+// buffer it.
+BOOST_AUTO_TEST_CASE(an_endless_response_waits_for_its_caller)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                  call_kind::Idempotent);
+  tcp::socket server = fixture.mServerAcceptor.accept();
+  ReadUntil(server, "body");
+  const std::string block(16384, 'x');
+  BOOST_TEST(SendEndlessly(server, kResponseHead + "\r\n", block) <
+             kMaxAcceptedBytes);
+}
+
+struct request_case
+{
+  const char* mName;
+  std::string mStart;
+  std::string mRepeated;
+  const char* mStatus;
+};
+
+// A caller that sends without end must get a response that it can read, and
+// its connection must be closed.
+BOOST_AUTO_TEST_CASE(a_caller_that_sends_without_end_is_refused)
+{
+  const std::string block(4096, 'x');
+  const std::string start =
+    "POST /p/1 HTTP/1.1\r\nHost: h\r\nFoxtailquay-Attempt-Id: a1\r\n";
+  const request_case cases[] = {
+    { "request line", "POST /", block, "431" },
+    { "headers", start, "X-More: 1\r\n", "431" },
+    { "one header", start + "X-More: ", block, "431" },
+    { "body past the limit", start + kChunked, "1000\r\n" + block + "\r\n",
+      "413" },
+    { "length past the limit", start + "Content-Length: 99999999\r\n\r\n",
+      block, "413" },
+    { "chunk extension", start + kChunked + "4;", block, "4" },
+    { "trailers", start + kChunked + "0\r\n", "X-More: 1\r\n", "4" },
+    { "malformed chunk", start + kChunked + "zz\r\n", block, "400" },
+  };
+  for (const request_case& each : cases) {
+    BOOST_TEST_CONTEXT(each.mName)
+    {
+      traffic_fixture fixture;
+      tcp::socket caller = SendCallerBytes(fixture, each.mStart);
+      BOOST_TEST(SendEndlessly(caller, "", each.mRepeated) < kMaxAcceptedBytes);
+      caller.non_blocking(false);
+      const std::string response = ReadUntil(caller, "}");
+      const std::string expected = std::string("HTTP/1.1 ") + each.mStatus;
+      BOOST_TEST(response.substr(0, expected.size()) == expected);
+      BOOST_TEST(response.find("Connection: close") != std::string::npos);
+      const std::lock_guard<std::mutex> lock(fixture.mMutex);
+      BOOST_TEST(fixture.mEvents.empty());
+    }
+  }
+}
+
+// Calls ExpireConnections as the gateway does, until the object is destroyed.
+struct expiry_timer
+{
+  explicit expiry_timer(traffic_fixture& aFixture)
+    : mFixture(aFixture)
+  {
+    Post(mFixture.mLoop, [this] { Repeat(); });
+  }
+  void Repeat()
+  {
+    ExpireConnections(mFixture.mTraffic, MonotonicNow());
+    StartTimer(mFixture.mLoop, absl::Milliseconds(50), [this] { Repeat(); });
+  }
+  traffic_fixture& mFixture;
+};
+
+// A body that arrives byte by byte must not hold its connection forever. The
+// request was not executed, so the response may say so.
+BOOST_AUTO_TEST_CASE(a_request_body_that_trickles_is_refused_in_time)
+{
+  traffic_fixture fixture;
+  fixture.mTraffic.mLimits.mHeaderTimeout = absl::Milliseconds(200);
+  fixture.mTraffic.mLimits.mIdleTimeout = absl::Milliseconds(400);
+  const expiry_timer timer(fixture);
+  tcp::socket caller = SendCallerBytes(
+    fixture, "POST /p/1 HTTP/1.1\r\nHost: h\r\nFoxtailquay-Attempt-Id: a1\r\n"
+             "Content-Length: 1000\r\n\r\n");
+  const auto end = std::chrono::steady_clock::now() + kMaxSendTime;
+  boost::system::error_code failure;
+  while (!failure && std::chrono::steady_clock::now() < end &&
+         caller.available(failure) == 0) {
+    asio::write(caller, asio::buffer("x", 1), failure);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(ReadUntil(caller, "}").substr(0, 12) == "HTTP/1.1 408");
+}
+
+// A connection that ends inside an event has not ended a stream.
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_is_not_complete)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                  call_kind::Stream);
+  RespondOnce(fixture, kResponseHead + "\r\nid: 1\ndata:x\n\nid: 2\nda")
+    .close();
+  BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+             ToName(attempt_outcome::BrokenMidway));
+}
+
+// Starts a stream that stalls after kStallTime, sends its first event and then
+// aMore every 50 ms, aCount times, unless the gateway disconnects.
+attempt_report RelayStallingStream(const std::string& aMore, int aCount)
+{
+  constexpr absl::Duration kStallTime = absl::Milliseconds(400);
+  traffic_fixture fixture;
+  const expiry_timer timer(fixture);
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  dispatch_request dispatch = MakeDispatch(
+    fixture, AwaitEvent<caller_request>(fixture).mHandle, 1, call_kind::Stream);
+  dispatch.mStallTimeout = kStallTime;
+  Post(fixture.mLoop,
+       [&fixture, dispatch] { DispatchExchange(fixture.mTraffic, dispatch); });
+  tcp::socket server =
+    RespondOnce(fixture, kResponseHead + "\r\nid: 1\ndata:x\n\n");
+  boost::system::error_code failure;
+  for (int i = 0; i < aCount && !failure; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    asio::write(server, asio::buffer(aMore), failure);
+  }
+  server.close();
+  return AwaitEvent<attempt_report>(fixture);
+}
+
+// A stream that sends bytes but no event makes no progress.
+BOOST_AUTO_TEST_CASE(a_stalled_stream_ends_although_bytes_arrive)
+{
+  for (const char* bytes : { "x", ": still here\n\n" }) {
+    BOOST_TEST_CONTEXT(bytes)
+    {
+      const absl::Time start = MonotonicNow();
+      const attempt_report report = RelayStallingStream(bytes, 60);
+      BOOST_TEST(ToName(report.mOutcome) ==
+                 ToName(attempt_outcome::BrokenMidway));
+      BOOST_TEST(report.mEvents == 1);
+      BOOST_TEST((MonotonicNow() - start < absl::Seconds(4)));
+    }
+  }
+}
+
+// A slow stream that makes progress is not cut.
+BOOST_AUTO_TEST_CASE(a_slow_stream_with_events_is_relayed_to_its_end)
+{
+  const attempt_report report = RelayStallingStream("id: 2\ndata:y\n\n", 30);
+  BOOST_TEST(ToName(report.mOutcome) == ToName(attempt_outcome::Delivered));
+  BOOST_TEST(report.mEvents == 31);
+}
+
+// A caller that takes no bytes for a while has not failed.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_nothing_for_a_while_is_not_cut)
+{
+  traffic_fixture fixture;
+  const expiry_timer timer(fixture);
+  tcp::socket caller(fixture.mIo);
+  caller.open(tcp::v4());
+  caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  caller.connect(MakeLoopbackEndpoint(fixture.mPort.mPort));
+  asio::write(caller, asio::buffer(MakeRequest()));
+  DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                  call_kind::Idempotent);
+  tcp::socket server =
+    RespondOnce(fixture, kResponseHead + "Content-Length: 250000\r\n\r\n" +
+                           std::string(250000, 'x'));
+  AwaitEvent<attempt_report>(fixture);
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  BOOST_TEST(ReadUntil(caller, std::string(1000, 'x')).size() > 1000U);
+  std::size_t size = 0;
+  boost::system::error_code failure;
+  std::vector<char> buffer(65536);
+  while (size < 240000 && !failure) {
+    size += caller.read_some(asio::buffer(buffer), failure);
+  }
+  BOOST_TEST(size >= 240000U);
+}
+
+// A server that is silent for a while and then continues has not failed: its
+// work is neither repeated nor given up.
+BOOST_AUTO_TEST_CASE(a_silent_server_is_waited_for)
+{
+  traffic_fixture fixture;
+  const expiry_timer timer(fixture);
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                  call_kind::Stream);
+  tcp::socket server = RespondOnce(fixture, kResponseHead + kChunked +
+                                              "e\r\nid: 1\ndata:x\n\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  asio::write(server, asio::buffer("e\r\nid: 2\ndata:y\n\n\r\n0\r\n\r\n",
+                                   sizeof("e\r\nid: 2\ndata:y\n\n\r\n"
+                                          "0\r\n\r\n") -
+                                     1));
+  const auto report = AwaitEvent<attempt_report>(fixture);
+  BOOST_TEST(ToName(report.mOutcome) == ToName(attempt_outcome::Delivered));
+  BOOST_TEST(report.mEvents == 2);
+}
+
+} // namespace
+} // namespace foxtailquay
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -7,163 +7,15 @@
 #define BOOST_TEST_MODULE traffic
 #include <boost/test/unit_test.hpp>
 
-#include <condition_variable>
-#include <deque>
-#include <mutex>
+#include <future>
 #include <thread>
+#include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-
-#include "runtime/clock.h"
-#include "runtime/thread.h"
-#include "standins/reserved_port.h"
-#include "traffic/traffic.h"
+#include "traffic_fixture.h"
 
 namespace foxtailquay {
 namespace {
 
-namespace asio = boost::asio;
-using boost::asio::ip::tcp;
-
-constexpr auto kEventTimeout = std::chrono::seconds(5);
-const std::string kResponseHead =
-  "HTTP/1.1 200 OK\r\nFoxtailquay-Attempt-Id: a1\r\n"
-  "Foxtailquay-Server-Seal: s1\r\n";
-
-tcp::endpoint MakeLoopbackEndpoint(unsigned short aPort)
-{
-  return { asio::ip::address_v4::loopback(), aPort };
-}
-
-// Runs the traffic layer on a thread of its own. Its events wait in a queue for
-// the test, which acts as the control thread.
-struct traffic_fixture
-{
-  event_loop mLoop;
-  traffic mTraffic;
-  std::mutex mMutex;
-  std::condition_variable mChanged;
-  std::deque<gateway_event> mEvents;
-  reserved_port mPort;
-  posix_thread mThread;
-  asio::io_context mIo;
-  tcp::acceptor mServerAcceptor{ mIo, MakeLoopbackEndpoint(0) };
-
-  traffic_fixture()
-    : mTraffic(mLoop, {})
-  {
-    mTraffic.mHooks.mPost = [this](gateway_event aEvent) {
-      const std::lock_guard<std::mutex> lock(mMutex);
-      mEvents.push_back(std::move(aEvent));
-      mChanged.notify_all();
-      return true;
-    };
-    const auto listening =
-      Listen(mLoop, "127.0.0.1:" + std::to_string(mPort.mPort),
-             [this](channel_id aChannel) { AcceptCaller(mTraffic, aChannel); });
-    BOOST_REQUIRE(IsOk(listening));
-    auto started = StartThread("traffic", [this] { RunLoop(mLoop); });
-    BOOST_REQUIRE(IsOk(started));
-    mThread = GetValue(started);
-  }
-
-  ~traffic_fixture()
-  {
-    StopLoop(mLoop);
-    Join(mThread);
-  }
-};
-
-template<typename Event>
-Event AwaitEvent(traffic_fixture& aFixture)
-{
-  std::unique_lock<std::mutex> lock(aFixture.mMutex);
-  for (;;) {
-    while (!aFixture.mEvents.empty()) {
-      const gateway_event event = std::move(aFixture.mEvents.front());
-      aFixture.mEvents.pop_front();
-      if (const Event* wanted = std::get_if<Event>(&event)) {
-        return *wanted;
-      }
-    }
-    if (aFixture.mChanged.wait_for(lock, kEventTimeout) ==
-        std::cv_status::timeout) {
-      BOOST_FAIL("the expected event did not arrive");
-    }
-  }
-}
-
-tcp::socket SendCallerBytes(traffic_fixture& aFixture,
-                            const std::string& aBytes)
-{
-  tcp::socket socket(aFixture.mIo);
-  socket.connect(MakeLoopbackEndpoint(aFixture.mPort.mPort));
-  asio::write(socket, asio::buffer(aBytes));
-  return socket;
-}
-
-std::string MakeRequest(const std::string& aExtra = "")
-{
-  return "POST /p/1?q=2 HTTP/1.1\r\nHost: h.example\r\n"
-         "Foxtailquay-Attempt-Id: a1\r\nAuthorization: Bearer key\r\n"
-         "Foxtailquay-Deadline-Ms: 4000\r\n" +
-         aExtra + "Content-Length: 4\r\n\r\nbody";
-}
-
-// Reads until aEnd has arrived or the connection ends; an empty aEnd means
-// until the connection ends. Returns the bytes.
-std::string ReadUntil(tcp::socket& aSocket, const std::string& aEnd)
-{
-  std::string bytes;
-  boost::system::error_code failure;
-  while (!failure && (aEnd.empty() || bytes.find(aEnd) == std::string::npos)) {
-    char buffer[4096];
-    const std::size_t size = aSocket.read_some(asio::buffer(buffer), failure);
-    bytes.append(buffer, size);
-  }
-  return bytes;
-}
-
-void DispatchAttempt(traffic_fixture& aFixture, request_handle aHandle,
-                     int aAttempt, call_kind aKind)
-{
-  dispatch_request dispatch;
-  dispatch.mHandle = aHandle;
-  dispatch.mAttempt = aAttempt;
-  dispatch.mAddress =
-    "127.0.0.1:" +
-    std::to_string(aFixture.mServerAcceptor.local_endpoint().port());
-  dispatch.mBackend = backend_id{ "i-1" };
-  dispatch.mWorkspace = workspace_id{ "w1" };
-  dispatch.mKind = aKind;
-  dispatch.mDeadline = MonotonicNow() + absl::Seconds(4);
-  Post(aFixture.mLoop, [&aFixture, dispatch] {
-    DispatchExchange(aFixture.mTraffic, dispatch);
-  });
-}
-
-// Accepts one connection, reads the request and sends aBytes. Stores the
-// request in aSeen unless it is null.
-tcp::socket RespondOnce(traffic_fixture& aFixture, const std::string& aBytes,
-                        std::string* aSeen = nullptr)
-{
-  tcp::socket socket = aFixture.mServerAcceptor.accept();
-  const std::string seen = ReadUntil(socket, "body");
-  if (aSeen != nullptr) {
-    *aSeen = seen;
-  }
-  asio::write(socket, asio::buffer(aBytes));
-  return socket;
-}
-
-void ResetConnection(tcp::socket& aSocket)
-{
-  aSocket.set_option(asio::socket_base::linger(true, 0));
-  aSocket.close();
-}
-
 enum class ending
 {
   Keep,
@@ -409,6 +261,26 @@
   BOOST_TEST(ReadUntil(server, "").empty());
 }
 
+// Connections that the operating system has accepted must not be reset when the
+// gateway stops listening: their callers may have sent a request.
+BOOST_AUTO_TEST_CASE(waiting_connections_are_served_when_listening_stops)
+{
+  traffic_fixture fixture;
+  std::vector<tcp::socket> callers;
+  std::promise<void> sent;
+  Post(fixture.mLoop, [&fixture, &sent] {
+    sent.get_future().wait();
+    StopListening(fixture.mLoop);
+  });
+  for (int i = 0; i < 20; ++i) {
+    callers.push_back(SendCallerBytes(fixture, MakeRequest()));
+  }
+  sent.set_value();
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    AwaitEvent<caller_request>(fixture);
+  }
+}
+
 // A backend server that cannot be reached has not received the request, which
 // can therefore be repeated.
 BOOST_AUTO_TEST_CASE(unreachable_server_is_reported_as_not_sent)
