Let all gateways choose among all engines

Cause: a gateway used a random subset of 20 backend servers of a service. Change: no subset. The subset was made for routers that compare a small sample; a gateway compares all servers.

--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -3,6 +3,7 @@
 #include "foxtailquay/gateway.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "gateway_state.h"
 
@@ -170,12 +171,15 @@
 // tokens in a millisecond according to their published values. The affinity
 // weight is 4 because processing a shared prefix again costs the platform about
 // four times the time that it costs the request itself. Load values arrive with
-// responses, so the report lag is short.
+// responses, so the report lag is short. All gateways compare all servers: with
+// a subset for each, the affinity of a prompt would select another engine at
+// each gateway, and each of these engines would process the shared tokens.
 routing_options MakeRoutingOptions(const gateway_settings& aSettings)
 {
   routing_options options;
   options.mRouter = member_id{ aSettings.mName };
   options.mSampleSize = 0;
+  options.mSubsetSize = std::numeric_limits<int>::max();
   options.mReportLag = absl::Milliseconds(5);
   options.mMaxAssumedPeers = 0;
   options.mZoneDelay = absl::Milliseconds(5);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -134,11 +134,11 @@
   FireEvent(aFixture, response);
 }
 
-gateway_fixture MakeStartedGateway()
+gateway_fixture MakeStartedGateway(const std::string& aName = "g")
 {
   gateway_fixture started;
   gateway_settings settings;
-  settings.mName = "g";
+  settings.mName = aName;
   settings.mNonce = "1";
   settings.mBoot = "boot";
   settings.mZone = zone_id{ "z" };
@@ -710,6 +710,44 @@
   TakeOnlyDispatch(fixture);
 }
 
+// Sends prompts that share aShared with each other and returns the engine of
+// the last one.
+std::string FindEngineOfPrompt(const std::string& aGateway,
+                               std::uint64_t aShared)
+{
+  constexpr int kEngines = 60;
+  gateway_fixture fixture = MakeStartedGateway(aGateway);
+  traffic_config config = MakeConfig(5);
+  config.mWorkspaces[0].mPrepaid.reset();
+  DeliverConfig(fixture, config, 10);
+  std::vector<directory_change<backend_entry>> engines;
+  for (int i = 0; i < kEngines; ++i) {
+    const std::string number = std::to_string(i);
+    engines.push_back(
+      { "e" + number, 4,
+        MakeBackendEntry("engines", "10.0.1." + number + ":1") });
+  }
+  DeliverBackends(fixture, 10, true, engines);
+  fixture.mActions.clear();
+  caller_request request = MakeChatRequest(fixture, 6000, 70);
+  request.mPromptParts = { { aShared, 5000 }, { 7, 1000 } };
+  FireEvent(fixture, request);
+  return TakeOnlyDispatch(fixture).mBackend.mValue;
+}
+
+// Load: prompts with the same shared part at many gateways in front of more
+// engines than one gateway needs. If each gateway used engines of its own
+// choice, the shared part would be processed once for each gateway.
+BOOST_AUTO_TEST_CASE(all_gateways_send_a_shared_prompt_to_the_same_engine)
+{
+  for (const std::uint64_t shared : { 11, 12, 13 }) {
+    const std::string engine = FindEngineOfPrompt("front-1", shared);
+    for (const char* gateway : { "front-2", "front-3", "front-4" }) {
+      BOOST_TEST(FindEngineOfPrompt(gateway, shared) == engine);
+    }
+  }
+}
+
 // Tokens that reached the caller before its deadline are spent, although the
 // control thread receives their number later.
 BOOST_AUTO_TEST_CASE(an_interrupted_stream_is_settled_with_the_delivered_events)
