Send callers elsewhere when a gateway is overloaded, and drop requests of callers that left

Change: the process measures link, connections and the delay of its traffic thread twice a second; charts/gateway_load.yaml decides when it reports itself as not ready and, once the load balancer must have noticed, closes connections after their responses. The processor time of the process is not used: the platform's clock for it does not follow the share. A dispatch looks for a close of the caller that has not been read yet; such a request costs nothing. The coordinator of a workspace is computed every 0.2 s and not for each request (40 workspaces times 103 gateways).

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -130,6 +130,8 @@
   request_handle mHandle = 0;
   // Complete stream events that reached the caller.
   std::int64_t mEvents = 0;
+  // True if no byte of the current attempt was sent.
+  bool mIsAttemptUnsent = false;
 };
 
 // A backend server as listed by the platform.
@@ -305,6 +307,18 @@
   std::vector<sent_prompt> mPrompts;
 };
 
+// Load of this process since the last measurement, in fractions of its limits;
+// 0 for a limit that is not known.
+struct load_measured
+{
+  // Time by which the traffic thread is behind.
+  double mDelay = 0;
+  // The larger one of both directions.
+  double mLink = 0;
+  // Open connections.
+  double mConnections = 0;
+};
+
 // Time has passed; no other event occurred.
 struct gateway_tick
 {};
@@ -318,7 +332,7 @@
   std::variant<caller_request, attempt_report, first_byte, caller_disconnected,
                directory_response, grant_write_response, registration_response,
                tokens_requested, tokens_returned, token_response_received,
-               prompts_reported, gateway_tick, stop_requested>;
+               prompts_reported, load_measured, gateway_tick, stop_requested>;
 
 // --- Actions ----------------------------------------------------------------
 
@@ -437,6 +451,13 @@
   bool mReady = false;
 };
 
+// Sets whether callers' connections are closed after their responses, so that
+// the callers connect to other gateways.
+struct set_closing
+{
+  bool mIsClosing = false;
+};
+
 // Sets the traffic layer's limits after each new configuration.
 struct set_limits
 {
@@ -468,6 +489,7 @@
   GrantChanged,
   StoreLost,
   StoreRegained,
+  LoadChanged,
   StopStarted,
 };
 
@@ -485,6 +507,7 @@
                             { d::GrantChanged, "grant_changed" },
                             { d::StoreLost, "store_lost" },
                             { d::StoreRegained, "store_regained" },
+                            { d::LoadChanged, "load_changed" },
                             { d::StopStarted, "stop_started" } });
 }
 
@@ -500,8 +523,8 @@
   std::variant<send_error, deliver_failure, cancel_request, dispatch_request,
                directory_query, grant_write, registration_call,
                send_token_response, request_tokens, return_tokens,
-               report_prompts, deregistration_call, set_ready, set_limits,
-               stop_finished, decision_record>;
+               report_prompts, deregistration_call, set_ready, set_closing,
+               set_limits, stop_finished, decision_record>;
 
 using gateway_actions = std::vector<gateway_action>;
 
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -37,6 +37,7 @@
   for (const result<success>& loaded :
        { ParseChartFile(aTexts, "forwarded_request.yaml", charts.mForward),
          ParseChartFile(aTexts, "directory.yaml", charts.mWatch),
+         ParseChartFile(aTexts, "gateway_load.yaml", charts.mLoad),
          ParseChartFile(aTexts, "backend_server.yaml", charts.mBackend) }) {
     if (!IsOk(loaded)) {
       return GetError(loaded);
@@ -47,7 +48,8 @@
 
 void UpdateReady(gateway& aGateway)
 {
-  const bool ready = IsDirectoryKnown(aGateway) && !aGateway.mStopping;
+  const bool ready =
+    IsDirectoryKnown(aGateway) && !aGateway.mStopping && !IsShedding(aGateway);
   if (ready != aGateway.mReady) {
     aGateway.mReady = ready;
     aGateway.mActions.push_back(set_ready{ ready });
@@ -163,6 +165,10 @@
   {
     OnPromptsReported(mGateway, aEvent, mNow);
   }
+  void operator()(const load_measured& aEvent)
+  {
+    OnLoadMeasured(mGateway, aEvent, mNow);
+  }
   void operator()(const gateway_tick&) { AdvanceGateway(mGateway, mNow); }
   void operator()(const stop_requested&) { OnStopRequested(mGateway, mNow); }
 };
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -1,6 +1,6 @@
-// Enumerations of the charts of a gateway: charts/forwarded_request.yaml and
-// charts/directory.yaml. The health of backend servers uses
-// charts/backend_server.yaml (backend_health.h).
+// Enumerations of the charts of a gateway: charts/forwarded_request.yaml,
+// charts/directory.yaml and charts/gateway_load.yaml. The health of backend
+// servers uses charts/backend_server.yaml (backend_health.h).
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
 #define FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
@@ -163,10 +163,69 @@
 
 using watch_chart = chart<watch_status, watch_event, watch_guard, watch_action>;
 
+enum class load_status
+{
+  Accepting,
+  Shedding,
+};
+
+constexpr auto NameTable(load_status)
+{
+  using s = load_status;
+  return MakeNameTable<s>(
+    { { s::Accepting, "accepting" }, { s::Shedding, "shedding" } });
+}
+
+enum class load_event
+{
+  Measured,
+};
+
+constexpr auto NameTable(load_event)
+{
+  return MakeNameTable<load_event>({ { load_event::Measured, "measured" } });
+}
+
+enum class load_guard
+{
+  // The load was high in consecutive measurements.
+  IsOverloaded,
+  // The load is low again and the shortest time of shedding is over.
+  HasRecovered,
+  // The load balancer must have noticed that the gateway is not ready.
+  IsNoticed,
+};
+
+constexpr auto NameTable(load_guard)
+{
+  using g = load_guard;
+  return MakeNameTable<g>({ { g::IsOverloaded, "is_overloaded" },
+                            { g::HasRecovered, "has_recovered" },
+                            { g::IsNoticed, "is_noticed" } });
+}
+
+enum class load_action
+{
+  StopAccepting,
+  CloseConnections,
+  Accept,
+};
+
+constexpr auto NameTable(load_action)
+{
+  using a = load_action;
+  return MakeNameTable<a>({ { a::StopAccepting, "stop_accepting" },
+                            { a::CloseConnections, "close_connections" },
+                            { a::Accept, "accept" } });
+}
+
+using load_chart = chart<load_status, load_event, load_guard, load_action>;
+
 struct gateway_charts
 {
   forward_chart mForward;
   watch_chart mWatch;
+  load_chart mLoad;
   backend_chart mBackend;
 };
 
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -20,11 +20,15 @@
 // Shortest interval between two grant writes of this gateway.
 constexpr absl::Duration kWriteInterval = absl::Milliseconds(25);
 
+// Time for which a coordinator is used before it is computed again. The
+// computation takes time proportional to the number of gateways, and the
+// periodic work needs the coordinators of all workspaces.
+constexpr absl::Duration kCoordinatorTime = absl::Milliseconds(200);
+
 std::uint64_t ComputeHashWeight(const std::string& aRouter,
-                                const workspace_id& aWorkspace)
+                                std::uint64_t aWorkspaceHash)
 {
-  return XXH64(aRouter.data(), aRouter.size(),
-               XXH64(aWorkspace.mValue.data(), aWorkspace.mValue.size(), 0));
+  return XXH64(aRouter.data(), aRouter.size(), aWorkspaceHash);
 }
 
 // The gateway that is the coordinator of a workspace.
@@ -64,12 +68,14 @@
                                    bool aMayBeLocal, absl::Time aNow)
 {
   coordinator_choice coordinator;
+  const std::uint64_t workspace =
+    XXH64(aWorkspace.mValue.data(), aWorkspace.mValue.size(), 0);
   std::uint64_t best = 0;
   if (aMayBeLocal && !aGateway.mStopping) {
-    best = ComputeHashWeight(aGateway.mSettings.mName, aWorkspace);
+    best = ComputeHashWeight(aGateway.mSettings.mName, workspace);
   }
   for (const auto& peer : aGateway.mPeers) {
-    const std::uint64_t weight = ComputeHashWeight(peer.first, aWorkspace);
+    const std::uint64_t weight = ComputeHashWeight(peer.first, workspace);
     if (aNow >= peer.second.mSuspectUntil && weight > best &&
         !IsAvoided(aGateway, aWorkspace, peer.first, aNow)) {
       best = weight;
@@ -86,6 +92,20 @@
   return FindCoordinator(aGateway, aWorkspace, true, aNow);
 }
 
+// Returns true if this gateway was the coordinator when that was last computed,
+// at most kCoordinatorTime ago. An outdated answer is safe, as is a
+// disagreement between gateways.
+bool IsCoordinator(const gateway& aGateway, const workspace_id& aWorkspace,
+                   workspace_tokens& aTokens, absl::Time aNow)
+{
+  if (aNow >= aTokens.mCoordinatorUntil) {
+    aTokens.mIsCoordinator =
+      FindCoordinator(aGateway, aWorkspace, aNow).mPeer.empty();
+    aTokens.mCoordinatorUntil = aNow + kCoordinatorTime;
+  }
+  return aTokens.mIsCoordinator;
+}
+
 token_count EstimateWorkspaceDemand(const grant_share& aShare,
                                     const gateway& aGateway,
                                     absl::Duration aTime, absl::Time aNow)
@@ -309,7 +329,7 @@
     // A gateway that gets token requests acts in place of a coordinator that
     // cannot transfer tokens.
     const bool isCoordinator =
-      FindCoordinator(aGateway, entry.first, aNow).mPeer.empty() ||
+      IsCoordinator(aGateway, entry.first, tokens, aNow) ||
       HasPeerWaiting(tokens);
     UpdateNeededTokens(tokens, aGateway.mSettings.mGrants, aNow);
     auto plan = PlanGrant(tokens.mShare, aGateway.mHolder, tokens.mPrepaid,
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -536,8 +536,12 @@
   }
   forwarded_request& request = *found->second;
   request.mEvents = std::max(request.mEvents, aEvent.mEvents);
+  if (aEvent.mIsAttemptUnsent) {
+    request.mMayHaveExecuted = request.mEarlierMayHaveExecuted;
+  }
   const bool isUnresponsive =
-    !request.mHasResponseStarted && !request.mBackend.mValue.empty() &&
+    !aEvent.mIsAttemptUnsent && !request.mHasResponseStarted &&
+    !request.mBackend.mValue.empty() &&
     aNow - request.mDispatchedAt >
       kUnresponsiveObjectives * request.mRoute.mObjective;
   if (isUnresponsive) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -5,6 +5,7 @@
 // gateway_request.cc  one request: admission, attempts, end
 // gateway_share.cc    reports between gateways on prompts sent to engines
 // gateway_fund.cc     prepaid totals: grants, transfers between gateways
+// gateway_load.cc     load of this process
 // gateway_follow.cc   watches on the store: configuration, servers, peers
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_STATE_H
@@ -146,6 +147,9 @@
   // Peers that could not transfer tokens, with the time until which they get no
   // requests.
   std::map<std::string, absl::Time> mAvoidUntil;
+  // True if this gateway is the coordinator, and until when that is used.
+  bool mIsCoordinator = false;
+  absl::Time mCoordinatorUntil = absl::InfinitePast();
 };
 
 // State of the watch on one area of the store.
@@ -184,6 +188,19 @@
   absl::Time mSuspectUntil = absl::InfinitePast();
 };
 
+// Load of this process.
+struct load_state
+{
+  load_status mStatus = load_status::Accepting;
+  // Largest fraction of a limit that is in use.
+  double mLoad = 0;
+  // Number of consecutive high measurements.
+  int mHighMeasurements = 0;
+  absl::Time mSheddingSince = absl::InfiniteFuture();
+  // True if callers' connections are closed after their responses.
+  bool mIsClosing = false;
+};
+
 // State of a gateway node.
 struct gateway
 {
@@ -224,6 +241,7 @@
   bool mIsRegistering = false;
   absl::Time mNextRegistrationAt = absl::InfinitePast();
 
+  load_state mLoad;
   bool mReady = false;
   bool mStopping = false;
   bool mStopped = false;
@@ -306,6 +324,13 @@
 // nothing is left to return.
 bool ReturnAllTokens(gateway& aGateway, absl::Time aNow);
 
+// --- gateway_load.cc --------------------------------------------------------
+
+void OnLoadMeasured(gateway& aGateway, const load_measured& aEvent,
+                    absl::Time aNow);
+// Returns true while new connections should go to other gateways.
+bool IsShedding(const gateway& aGateway);
+
 // --- gateway_follow.cc ------------------------------------------------------
 
 // Reads all areas of the store.
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -1,5 +1,6 @@
 #include "daemon/gateway_host.h"
 
+#include <algorithm>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -35,6 +36,12 @@
 // Interval at which the settings file is checked for changes, since the
 // platform may change it without sending SIGHUP.
 constexpr absl::Duration kFilePollInterval = absl::Seconds(1);
+// Interval at which the load of the process is measured.
+constexpr absl::Duration kLoadInterval = absl::Milliseconds(500);
+// Delay of that measurement from which the traffic thread counts as fully
+// loaded. A process whose share of a core is granted in slices of a tenth of a
+// second is delayed by less while it has spare time.
+constexpr absl::Duration kMaxTimerDelay = absl::Milliseconds(150);
 // Delay from the start of a stop until idle caller connections are closed, so
 // that the load balancer has detected the stop by then.
 constexpr absl::Duration kCloseIdleDelay = absl::Milliseconds(2600);
@@ -45,6 +52,17 @@
 
 } // namespace
 
+namespace {
+
+// What the process has used up to a point in time.
+struct process_usage
+{
+  absl::Time mAt;
+  loop_totals mTotals;
+};
+
+} // namespace
+
 struct gateway_host
 {
   explicit gateway_host(const platform::node_file& aNode)
@@ -77,6 +95,7 @@
   http_service mPeerService;
   http_service mMetricsService;
   bool mReady = false;
+  process_usage mUsage;
   // Time by which a planned stop must end.
   absl::Time mStopDeadline = absl::InfiniteFuture();
   gateway_summary mSummary;
@@ -316,6 +335,10 @@
     ReportPrompts(mHost, aAction);
   }
   void operator()(const set_ready& aAction) { mHost.mReady = aAction.mReady; }
+  void operator()(const set_closing& aAction)
+  {
+    mHost.mTraffic.mIsClosing = aAction.mIsClosing;
+  }
   void operator()(const set_limits& aAction)
   {
     mHost.mTraffic.mLimits = aAction.mLimits;
@@ -457,6 +480,45 @@
              [&aHost] { ExpireConnectionsPeriodically(aHost); });
 }
 
+// --- Load -------------------------------------------------------------------
+
+process_usage MeasureUsage(const gateway_host& aHost)
+{
+  return { MonotonicNow(), GetTotals(aHost.mLoop) };
+}
+
+double ComputeFraction(double aUsed, double aLimit)
+{
+  return aLimit > 0 ? aUsed / aLimit : 0;
+}
+
+load_measured ComputeLoad(const platform::node_file& aNode,
+                          const process_usage& aFrom, const process_usage& aTo)
+{
+  const double seconds = absl::ToDoubleSeconds(aTo.mAt - aFrom.mAt);
+  const loop_totals& before = aFrom.mTotals;
+  const loop_totals& after = aTo.mTotals;
+  const auto bytes =
+    static_cast<double>(std::max(after.mSentBytes - before.mSentBytes,
+                                 after.mReceivedBytes - before.mReceivedBytes));
+  load_measured load;
+  load.mDelay =
+    absl::FDivDuration(aTo.mAt - aFrom.mAt - kLoadInterval, kMaxTimerDelay);
+  load.mLink = ComputeFraction(bytes, aNode.mMaxLinkBytes * seconds);
+  load.mConnections = ComputeFraction(static_cast<double>(after.mOpenChannels),
+                                      aNode.mMaxConnections);
+  return load;
+}
+
+void MeasureLoadPeriodically(gateway_host& aHost)
+{
+  const process_usage usage = MeasureUsage(aHost);
+  PostEvent(aHost, ComputeLoad(aHost.mNode, aHost.mUsage, usage));
+  aHost.mUsage = usage;
+  StartTimer(aHost.mLoop, kLoadInterval,
+             [&aHost] { MeasureLoadPeriodically(aHost); });
+}
+
 // --- Start ------------------------------------------------------------------
 
 std::string MakeNonce()
@@ -604,6 +666,9 @@
   }
   StartTimer(host->mLoop, kExpiryInterval,
              [&reference] { ExpireConnectionsPeriodically(reference); });
+  host->mUsage = MeasureUsage(*host);
+  StartTimer(host->mLoop, kLoadInterval,
+             [&reference] { MeasureLoadPeriodically(reference); });
   StartTimer(host->mLoop, kFilePollInterval,
              [&reference] { PollSettingsFile(reference); });
   Log(log_component::Daemon, log_level::Info, log_event::SettingsReloaded,
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -428,6 +428,12 @@
   if (active == nullptr) {
     return;
   }
+  // The request may have waited for long, and the close by its caller may not
+  // have been read yet.
+  if (PeekInput(aTraffic.mLoop, active->mCaller) == unread_input::Close) {
+    AbandonUnsentExchange(aTraffic, aDispatch.mHandle);
+    return;
+  }
   active->mHasHeldFailure = false;
   active->mHeldBody.clear();
   active->mPartialEvent.clear();
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -208,7 +208,8 @@
 bool NeedsClose(const traffic& aTraffic, const exchange& aExchange)
 {
   const auto caller = aTraffic.mCallers.find(aExchange.mCaller);
-  return aTraffic.mIsStopping || caller == aTraffic.mCallers.end() ||
+  return aTraffic.mIsStopping || aTraffic.mIsClosing ||
+         caller == aTraffic.mCallers.end() ||
          caller->second->mCloseAfterResponse;
 }
 
@@ -251,6 +252,16 @@
   CloseCaller(aTraffic, channel);
 }
 
+void AbandonUnsentExchange(traffic& aTraffic, request_handle aHandle)
+{
+  const exchange* active = FindExchange(aTraffic, aHandle);
+  if (active != nullptr) {
+    aTraffic.mHooks.mPost(
+      caller_disconnected{ aHandle, active->mEvents, true });
+    AbortExchange(aTraffic, aHandle);
+  }
+}
+
 void SendError(traffic& aTraffic, const send_error& aResponse)
 {
   exchange* active = FindExchange(aTraffic, aResponse.mHandle);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -155,6 +155,9 @@
   request_handle mNextHandle = 1;
   // True during a planned stop: connections are closed after their responses.
   bool mIsStopping = false;
+  // True while callers should connect to other gateways: connections are closed
+  // after their responses.
+  bool mIsClosing = false;
   // True in the later part of a planned stop: idle connections of callers are
   // closed too.
   bool mCloseIdle = false;
@@ -201,6 +204,8 @@
 // Ends an exchange whose response cannot be completed, and closes the caller's
 // connection.
 void AbortExchange(traffic& aTraffic, request_handle aHandle);
+// Ends an exchange whose caller has disconnected before the attempt was sent.
+void AbandonUnsentExchange(traffic& aTraffic, request_handle aHandle);
 // Closes the connection of the attempt, which cancels the request at the
 // backend server. Posts no report. No effect without an attempt.
 void CancelAttempt(traffic& aTraffic, exchange& aExchange);
--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -39,7 +39,7 @@
     pool.mIdle.pop_back();
     // Bytes that arrived since the last response belong to no call.
     if (last.mExpiresAt > now && IsOpen(aLoop, last.mId) &&
-        !HasUnreadInput(aLoop, last.mId)) {
+        PeekInput(aLoop, last.mId) == unread_input::Nothing) {
       ClearHasSent(aLoop, last.mId);
       return { last.mId, true };
     }
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -132,6 +132,8 @@
   std::vector<std::unique_ptr<listener>> mListeners;
   // Next id of a channel or timer.
   std::uint64_t mNextId = 1;
+  std::uint64_t mReceivedBytes = 0;
+  std::uint64_t mSentBytes = 0;
   // Shared by all channels.
   std::array<char, kReadBufferBytes> mReadBuffer;
   // Callbacks by time and timer id.
@@ -200,6 +202,7 @@
                                                  : close_cause::Broken);
       return;
     }
+    aLoop.mImpl->mReceivedBytes += size;
     DeliverData(*target, std::string_view(readBuffer.data(), size));
     if (size < readBuffer.size()) {
       WaitToRead(aLoop, aChannel);
@@ -257,6 +260,7 @@
                                  failure);
   }
   target->mHasSent = target->mHasSent || written > 0;
+  aLoop.mImpl->mSentBytes += written;
   target->mUnsent.erase(0, written);
   if (failure && !IsTransient(failure)) {
     CloseAndNotify(aLoop, aChannel, close_cause::Broken);
@@ -532,6 +536,7 @@
     const std::size_t written = target->mSocket.write_some(
       asio::buffer(aBytes.data(), aBytes.size()), failure);
     target->mHasSent = target->mHasSent || written > 0;
+    aLoop.mImpl->mSentBytes += written;
     aBytes.remove_prefix(written);
     if (failure && !IsTransient(failure)) {
       // Reported from the loop, because the calling function may still use the
@@ -554,6 +559,12 @@
   return target == nullptr ? 0 : target->mUnsent.size();
 }
 
+loop_totals GetTotals(const event_loop& aLoop)
+{
+  const event_loop_impl& impl = *aLoop.mImpl;
+  return { impl.mReceivedBytes, impl.mSentBytes, impl.mChannels.size() };
+}
+
 bool HasUnsentBytes(const event_loop& aLoop)
 {
   const auto& channels = aLoop.mImpl->mChannels;
@@ -562,17 +573,20 @@
   });
 }
 
-bool HasUnreadInput(const event_loop& aLoop, channel_id aChannel)
+unread_input PeekInput(const event_loop& aLoop, channel_id aChannel)
 {
   channel* target = FindChannel(aLoop, aChannel);
   if (target == nullptr || !target->mIsConnected) {
-    return false;
+    return unread_input::Nothing;
   }
   char byte = 0;
   failure_code failure;
   target->mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
                           failure);
-  return !IsTransient(failure);
+  if (!failure) {
+    return unread_input::Bytes;
+  }
+  return IsTransient(failure) ? unread_input::Nothing : unread_input::Close;
 }
 
 bool HasSent(const event_loop& aLoop, channel_id aChannel)
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -125,11 +125,38 @@
 // Returns the number of buffered bytes.
 std::size_t GetUnsentBytes(const event_loop& aLoop, channel_id aChannel);
 
+// Totals over all channels since the start.
+struct loop_totals
+{
+  std::uint64_t mReceivedBytes = 0;
+  std::uint64_t mSentBytes = 0;
+  // Number of channels that are open now.
+  std::size_t mOpenChannels = 0;
+};
+
+loop_totals GetTotals(const event_loop& aLoop);
+
 // Returns true if any channel has buffered bytes.
 bool HasUnsentBytes(const event_loop& aLoop);
 
-// Returns true if bytes or a close by the peer wait to be read.
-bool HasUnreadInput(const event_loop& aLoop, channel_id aChannel);
+// What waits to be read on a connection.
+enum class unread_input
+{
+  Nothing,
+  Bytes,
+  // The peer has closed the connection, or it is broken.
+  Close,
+};
+
+constexpr auto NameTable(unread_input)
+{
+  using u = unread_input;
+  return MakeNameTable<u>({ { u::Nothing, "nothing" },
+                            { u::Bytes, "bytes" },
+                            { u::Close, "close" } });
+}
+
+unread_input PeekInput(const event_loop& aLoop, channel_id aChannel);
 
 // Returns true if the operating system has accepted a byte on this connection
 // since the last ClearHasSent.
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -328,6 +328,55 @@
   BOOST_TEST((errors[0].mError.mExecuted == executed::Unknown));
 }
 
+void MeasureLoad(gateway_fixture& aFixture, double aLink, absl::Duration aTime)
+{
+  const absl::Time end = aFixture.mNow + aTime;
+  while (aFixture.mNow < end) {
+    AdvanceTime(aFixture, absl::Milliseconds(500));
+    FireEvent(aFixture, load_measured{ 0.1, aLink, 0.1 });
+  }
+}
+
+// Load: a large workspace whose callers all reach one gateway (quiet-1 of the
+// large site, front-gj-a-12: a sixth of all requests; callers could not connect
+// any more). The gateway must send new connections elsewhere, and open ones
+// after the load balancer has noticed.
+BOOST_AUTO_TEST_CASE(an_overloaded_gateway_sends_callers_elsewhere)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  MeasureLoad(fixture, 0.9, absl::Milliseconds(500));
+  BOOST_TEST(TakeActions<set_ready>(fixture).empty());
+  MeasureLoad(fixture, 0.9, absl::Milliseconds(500));
+  auto ready = TakeActions<set_ready>(fixture);
+  BOOST_REQUIRE(ready.size() == 1);
+  BOOST_TEST(!ready[0].mReady);
+  MeasureLoad(fixture, 0.9, absl::Seconds(2));
+  BOOST_TEST(TakeActions<set_closing>(fixture).empty());
+  MeasureLoad(fixture, 0.9, absl::Seconds(1));
+  const auto closing = TakeActions<set_closing>(fixture);
+  BOOST_REQUIRE(closing.size() == 1);
+  BOOST_TEST(closing[0].mIsClosing);
+  // Requests that still arrive are served.
+  CompleteOrder(fixture);
+  MeasureLoad(fixture, 0.6, absl::Seconds(10));
+  BOOST_TEST(TakeActions<set_ready>(fixture).empty());
+  MeasureLoad(fixture, 0.3, absl::Milliseconds(500));
+  ready = TakeActions<set_ready>(fixture);
+  BOOST_REQUIRE(ready.size() == 1);
+  BOOST_TEST(ready[0].mReady);
+}
+
+// A burst of some hundred milliseconds must not take a gateway out of use.
+BOOST_AUTO_TEST_CASE(a_short_burst_does_not_take_a_gateway_out_of_use)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  for (int i = 0; i < 10; ++i) {
+    MeasureLoad(fixture, 0.95, absl::Milliseconds(500));
+    MeasureLoad(fixture, 0.4, absl::Milliseconds(500));
+  }
+  BOOST_TEST(TakeActions<set_ready>(fixture).empty());
+}
+
 // Seen on ezerna-fleet scale-1: after an attempt that was not sent, the next
 // attempt, which was sent, also counted as not sent, and the request was
 // executed twice.
@@ -655,6 +704,22 @@
   BOOST_TEST(responses[0].mResponse.mStoreUnavailable);
 }
 
+// A request that was not sent, because its caller had left, costs nothing.
+BOOST_AUTO_TEST_CASE(an_abandoned_unsent_request_spends_no_tokens)
+{
+  gateway_fixture fixture = MakeFundedGateway();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 70));
+  const auto dispatch = TakeOnlyDispatch(fixture);
+  FireEvent(fixture, caller_disconnected{ dispatch.mHandle, 0, true });
+  for (const decision_record& each : TakeActions<decision_record>(fixture)) {
+    for (const auto& input : each.mInputs) {
+      if (input.first == "spent") {
+        BOOST_TEST(input.second == "0");
+      }
+    }
+  }
+}
+
 // A server whose entry expires has only been silent: its work in progress is
 // neither given up nor started again elsewhere.
 BOOST_AUTO_TEST_CASE(work_on_a_server_whose_entry_expires_goes_on)
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -281,6 +281,27 @@
   }
 }
 
+// Seen on quiet-1 of the large site: an overloaded gateway read requests
+// seconds after they were sent, and forwarded them although the close of their
+// callers had arrived too.
+BOOST_AUTO_TEST_CASE(request_of_a_caller_that_has_left_is_not_sent)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  const auto request = AwaitEvent<caller_request>(fixture);
+  Post(fixture.mLoop, [&fixture, &caller, handle = request.mHandle] {
+    caller.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    DispatchExchange(fixture.mTraffic,
+                     MakeDispatch(fixture, handle, 1, call_kind::Stream));
+  });
+  BOOST_TEST(AwaitEvent<caller_disconnected>(fixture).mIsAttemptUnsent);
+  fixture.mServerAcceptor.non_blocking(true);
+  boost::system::error_code failure;
+  fixture.mServerAcceptor.accept(failure);
+  BOOST_TEST((failure == asio::error::would_block));
+}
+
 // A backend server that cannot be reached has not received the request, which
 // can therefore be repeated.
 BOOST_AUTO_TEST_CASE(unreachable_server_is_reported_as_not_sent)
