Split the event loop, the load measurement and the gateway tests

Change: listeners and timers of the event loop and the measurement of the load are files of their own; the gateway tests share a fixture and are divided into requests and directory, and model requests and tokens. Nothing else changes.

--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "daemon/node_io.h"
+#include "daemon/process_load.h"
 #include "daemon/store_link.h"
 #include "foxtailquay/gateway.h"
 #include "platform/node_file.h"
@@ -36,12 +37,6 @@
 // Interval at which the settings file is checked for changes, since the
 // platform may change it without sending SIGHUP.
 constexpr absl::Duration kFilePollInterval = absl::Seconds(1);
-// Interval at which the load of the process is measured.
-constexpr absl::Duration kLoadInterval = absl::Milliseconds(500);
-// Delay of that measurement from which the traffic thread counts as fully
-// loaded. A process whose share of a core is granted in slices of a tenth of a
-// second is delayed by less while it has spare time.
-constexpr absl::Duration kMaxTimerDelay = absl::Milliseconds(150);
 // Delay from the start of a stop until idle caller connections are closed, so
 // that the load balancer has detected the stop by then.
 constexpr absl::Duration kCloseIdleDelay = absl::Milliseconds(2600);
@@ -52,17 +47,6 @@
 
 } // namespace
 
-namespace {
-
-// What the process has used up to a point in time.
-struct process_usage
-{
-  absl::Time mAt;
-  loop_totals mTotals;
-};
-
-} // namespace
-
 struct gateway_host
 {
   explicit gateway_host(const platform::node_file& aNode)
@@ -482,38 +466,16 @@
 
 // --- Load -------------------------------------------------------------------
 
-process_usage MeasureUsage(const gateway_host& aHost)
-{
-  return { MonotonicNow(), GetTotals(aHost.mLoop) };
-}
-
-double ComputeFraction(double aUsed, double aLimit)
-{
-  return aLimit > 0 ? aUsed / aLimit : 0;
-}
-
-load_measured ComputeLoad(const platform::node_file& aNode,
-                          const process_usage& aFrom, const process_usage& aTo)
+process_limits GetProcessLimits(const platform::node_file& aNode)
 {
-  const double seconds = absl::ToDoubleSeconds(aTo.mAt - aFrom.mAt);
-  const loop_totals& before = aFrom.mTotals;
-  const loop_totals& after = aTo.mTotals;
-  const auto bytes =
-    static_cast<double>(std::max(after.mSentBytes - before.mSentBytes,
-                                 after.mReceivedBytes - before.mReceivedBytes));
-  load_measured load;
-  load.mDelay =
-    absl::FDivDuration(aTo.mAt - aFrom.mAt - kLoadInterval, kMaxTimerDelay);
-  load.mLink = ComputeFraction(bytes, aNode.mMaxLinkBytes * seconds);
-  load.mConnections = ComputeFraction(static_cast<double>(after.mOpenChannels),
-                                      aNode.mMaxConnections);
-  return load;
+  return { aNode.mMaxLinkBytes, aNode.mMaxConnections };
 }
 
 void MeasureLoadPeriodically(gateway_host& aHost)
 {
-  const process_usage usage = MeasureUsage(aHost);
-  PostEvent(aHost, ComputeLoad(aHost.mNode, aHost.mUsage, usage));
+  const process_usage usage = MeasureUsage(aHost.mLoop);
+  PostEvent(aHost,
+            ComputeLoad(GetProcessLimits(aHost.mNode), aHost.mUsage, usage));
   aHost.mUsage = usage;
   StartTimer(aHost.mLoop, kLoadInterval,
              [&aHost] { MeasureLoadPeriodically(aHost); });
@@ -666,7 +628,7 @@
   }
   StartTimer(host->mLoop, kExpiryInterval,
              [&reference] { ExpireConnectionsPeriodically(reference); });
-  host->mUsage = MeasureUsage(*host);
+  host->mUsage = MeasureUsage(host->mLoop);
   StartTimer(host->mLoop, kLoadInterval,
              [&reference] { MeasureLoadPeriodically(reference); });
   StartTimer(host->mLoop, kFilePollInterval,
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -1,22 +1,15 @@
 #include "transport/event_loop.h"
 
 #include <algorithm>
-#include <array>
-#include <map>
 #include <utility>
-#include <vector>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/strings/numbers.h"
-#include "runtime/clock.h"
+#include "transport/event_loop_impl.h"
 
 namespace foxtailquay {
 
@@ -24,135 +17,11 @@
 
 namespace asio = boost::asio;
 using boost::asio::ip::tcp;
-using failure_code = boost::system::error_code;
 
-constexpr std::size_t kReadBufferBytes = 32768;
-// Number of connections that are accepted in one turn of the loop, so that
-// established connections are not delayed.
-constexpr int kMaxAcceptsPerTurn = 16;
-constexpr int kListenBacklog = 1024;
 // TCP keep-alive probes, 1 s apart, without a response until a connection
 // counts as broken.
 constexpr int kKeepAliveProbes = 2;
 
-// A connection.
-struct channel
-{
-  explicit channel(tcp::socket aSocket)
-    : mSocket(std::move(aSocket))
-  {}
-
-  tcp::socket mSocket;
-  channel_handlers mHandlers;
-  // Bytes that the operating system has not accepted yet.
-  std::string mUnsent;
-  bool mIsConnected = false;
-  // True while a wait for a readable or writable socket is in progress.
-  bool mIsWaitingToRead = false;
-  bool mIsWaitingToWrite = false;
-  bool mIsReadingPaused = false;
-  // True if the channel is closed once mUnsent is empty.
-  bool mCloseWhenDrained = false;
-  // True if the sending side is closed once mUnsent is empty.
-  bool mShutDownWhenDrained = false;
-  // Number of bytes discarded since CloseLingering.
-  std::size_t mDiscardedBytes = 0;
-  // True if a byte was sent since the last ClearHasSent.
-  bool mHasSent = false;
-  // Timer of the connect timeout; 0 if there is none.
-  std::uint64_t mConnectTimer = 0;
-};
-
-// A listening socket.
-struct listener
-{
-  explicit listener(asio::io_context& aIo)
-    : mAcceptor(aIo)
-  {}
-
-  tcp::acceptor mAcceptor;
-  absl::Duration mUnresponsiveTimeout;
-  std::function<void(channel_id)> mOnAccept;
-};
-
-// Returns true if the operation must be repeated, at the latest when the socket
-// is ready.
-bool IsTransient(const failure_code& aFailure)
-{
-  return aFailure == asio::error::would_block ||
-         aFailure == asio::error::try_again ||
-         aFailure == asio::error::interrupted;
-}
-
-// Parses "IP:port" with an IPv4 address. Returns false if aText is malformed.
-bool ParseAddress(const std::string& aText, tcp::endpoint& aEndpoint)
-{
-  const auto colon = aText.rfind(':');
-  std::uint32_t port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(aText.substr(colon + 1), &port) || port > 65535) {
-    return false;
-  }
-  failure_code failure;
-  const auto ip = asio::ip::make_address_v4(aText.substr(0, colon), failure);
-  aEndpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-  return !failure;
-}
-
-// Sets the socket options that close a connection if the peer does not respond
-// for about aLimit, and TCP_NODELAY. A host that lost power acknowledges
-// neither data nor keep-alive probes.
-void SetSocketOptions(tcp::socket& aSocket, absl::Duration aLimit)
-{
-  const int fd = aSocket.native_handle();
-  const int on = 1;
-  const int idle = std::max<int>(
-    1, static_cast<int>(absl::ToInt64Seconds(aLimit)) - kKeepAliveProbes);
-  const int interval = 1;
-  const int probes = kKeepAliveProbes;
-  const auto timeout =
-    static_cast<unsigned int>(absl::ToInt64Milliseconds(aLimit));
-  // Failures are ignored: without one of these options, the timeouts of calls
-  // still apply.
-  (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-  (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                   sizeof(timeout));
-  (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
-} // namespace
-
-struct event_loop_impl
-{
-  asio::io_context mIo{ 1 };
-  absl::flat_hash_map<channel_id, std::unique_ptr<channel>> mChannels;
-  std::vector<std::unique_ptr<listener>> mListeners;
-  // Next id of a channel or timer.
-  std::uint64_t mNextId = 1;
-  std::uint64_t mReceivedBytes = 0;
-  std::uint64_t mSentBytes = 0;
-  // Shared by all channels.
-  std::array<char, kReadBufferBytes> mReadBuffer;
-  // Callbacks by time and timer id.
-  std::map<std::pair<absl::Time, std::uint64_t>, std::function<void()>> mTimers;
-  // Times of the timers by timer id.
-  absl::flat_hash_map<std::uint64_t, absl::Time> mTimerDeadlines;
-  // Expires at mWakeAt, the time of the next timer in mTimers or earlier.
-  asio::steady_timer mWakeTimer{ mIo };
-  absl::Time mWakeAt = absl::InfiniteFuture();
-};
-
-namespace {
-
-channel* FindChannel(const event_loop& aLoop, channel_id aChannel)
-{
-  const auto found = aLoop.mImpl->mChannels.find(aChannel);
-  return found == aLoop.mImpl->mChannels.end() ? nullptr : found->second.get();
-}
-
 // Closes the channel and calls its mOnClosed.
 void CloseAndNotify(event_loop& aLoop, channel_id aChannel, close_cause aCause)
 {
@@ -170,7 +39,6 @@
   }
 }
 
-void WaitToRead(event_loop& aLoop, channel_id aChannel);
 void WaitToWrite(event_loop& aLoop, channel_id aChannel);
 
 // Calls a copy of the data handler, because the handler may replace itself.
@@ -189,7 +57,7 @@
     if (target->mIsReadingPaused) {
       return;
     }
-    failure_code failure;
+    loop_failure failure;
     const std::size_t size =
       target->mSocket.read_some(asio::buffer(readBuffer), failure);
     if (IsTransient(failure)) {
@@ -223,7 +91,7 @@
   }
   target->*aWaiting = true;
   target->mSocket.async_wait(
-    aFor, [&aLoop, aChannel, aWaiting, aOnReady](const failure_code& aFailure) {
+    aFor, [&aLoop, aChannel, aWaiting, aOnReady](const loop_failure& aFailure) {
       channel* ready = FindChannel(aLoop, aChannel);
       if (ready == nullptr) {
         return;
@@ -237,22 +105,13 @@
     });
 }
 
-void WaitToRead(event_loop& aLoop, channel_id aChannel)
-{
-  const channel* target = FindChannel(aLoop, aChannel);
-  if (target != nullptr && !target->mIsReadingPaused) {
-    WaitForSocket(aLoop, aChannel, tcp::socket::wait_read,
-                  &channel::mIsWaitingToRead, &OnReadable);
-  }
-}
-
 // Writes as many buffered bytes as the operating system accepts. Returns false
 // if the channel failed and was closed. Precondition: the channel is open.
 bool WriteSome(event_loop& aLoop, channel_id aChannel)
 {
   channel* target = FindChannel(aLoop, aChannel);
   std::size_t written = 0;
-  failure_code failure;
+  loop_failure failure;
   while (written < target->mUnsent.size() && !failure) {
     written +=
       target->mSocket.write_some(asio::buffer(target->mUnsent.data() + written,
@@ -273,7 +132,7 @@
 // channel is then broken and its next read reports it.
 void ShutDownSending(channel& aChannel)
 {
-  failure_code ignored;
+  loop_failure ignored;
   aChannel.mSocket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
@@ -308,7 +167,7 @@
 }
 
 void OnConnected(event_loop& aLoop, channel_id aChannel,
-                 const failure_code& aFailure,
+                 const loop_failure& aFailure,
                  absl::Duration aUnresponsiveTimeout)
 {
   channel* target = FindChannel(aLoop, aChannel);
@@ -329,95 +188,66 @@
   }
 }
 
-void WaitToAccept(event_loop& aLoop, listener& aListener);
-
-// Accepts one waiting connection. Returns false if there is none.
-bool AcceptOne(event_loop& aLoop, listener& aListener)
-{
-  failure_code failure;
-  tcp::socket socket(aLoop.mImpl->mIo);
-  aListener.mAcceptor.accept(socket, failure);
-  if (failure) {
-    return false;
-  }
-  socket.non_blocking(true, failure);
-  if (failure) {
-    return true;
-  }
-  SetSocketOptions(socket, aListener.mUnresponsiveTimeout);
-  const channel_id id = aLoop.mImpl->mNextId++;
-  auto accepted = std::make_unique<channel>(std::move(socket));
-  accepted->mIsConnected = true;
-  aLoop.mImpl->mChannels[id] = std::move(accepted);
-  aListener.mOnAccept(id);
-  WaitToRead(aLoop, id);
-  return true;
-}
+} // namespace
 
-void OnAcceptable(event_loop& aLoop, listener& aListener)
+channel* FindChannel(const event_loop& aLoop, channel_id aChannel)
 {
-  for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
-    if (!AcceptOne(aLoop, aListener)) {
-      break;
-    }
-  }
-  WaitToAccept(aLoop, aListener);
+  const auto found = aLoop.mImpl->mChannels.find(aChannel);
+  return found == aLoop.mImpl->mChannels.end() ? nullptr : found->second.get();
 }
 
-void WaitToAccept(event_loop& aLoop, listener& aListener)
+bool IsTransient(const loop_failure& aFailure)
 {
-  aListener.mAcceptor.async_wait(
-    tcp::acceptor::wait_read,
-    [&aLoop, &aListener](const failure_code& aFailure) {
-      if (!aFailure) {
-        OnAcceptable(aLoop, aListener);
-      }
-    });
+  return aFailure == asio::error::would_block ||
+         aFailure == asio::error::try_again ||
+         aFailure == asio::error::interrupted;
 }
 
-void ArmWakeTimer(event_loop& aLoop);
-
-// Calls the callbacks of all timers that are due.
-void AdvanceTimers(event_loop& aLoop)
+bool ParseAddress(const std::string& aText, tcp::endpoint& aEndpoint)
 {
-  auto& impl = *aLoop.mImpl;
-  impl.mWakeAt = absl::InfiniteFuture();
-  while (!impl.mTimers.empty() &&
-         impl.mTimers.begin()->first.first <= MonotonicNow()) {
-    const auto callback = std::move(impl.mTimers.begin()->second);
-    impl.mTimerDeadlines.erase(impl.mTimers.begin()->first.second);
-    impl.mTimers.erase(impl.mTimers.begin());
-    callback();
+  const auto colon = aText.rfind(':');
+  std::uint32_t port = 0;
+  if (colon == std::string::npos ||
+      !absl::SimpleAtoi(aText.substr(colon + 1), &port) || port > 65535) {
+    return false;
   }
-  ArmWakeTimer(aLoop);
+  loop_failure failure;
+  const auto ip = asio::ip::make_address_v4(aText.substr(0, colon), failure);
+  aEndpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+  return !failure;
 }
 
-// Sets mWakeTimer to the next timer if it is due before mWakeAt.
-void ArmWakeTimer(event_loop& aLoop)
+// A host that lost power acknowledges neither data nor keep-alive probes.
+void SetSocketOptions(tcp::socket& aSocket, absl::Duration aLimit)
 {
-  auto& impl = *aLoop.mImpl;
-  if (impl.mTimers.empty() ||
-      impl.mTimers.begin()->first.first >= impl.mWakeAt) {
-    return;
-  }
-  impl.mWakeAt = impl.mTimers.begin()->first.first;
-  impl.mWakeTimer.expires_after(absl::ToChronoNanoseconds(
-    std::max(absl::ZeroDuration(), impl.mWakeAt - MonotonicNow())));
-  impl.mWakeTimer.async_wait([&aLoop](const failure_code& aFailure) {
-    if (!aFailure) {
-      AdvanceTimers(aLoop);
-    }
-  });
+  const int fd = aSocket.native_handle();
+  const int on = 1;
+  const int idle = std::max<int>(
+    1, static_cast<int>(absl::ToInt64Seconds(aLimit)) - kKeepAliveProbes);
+  const int interval = 1;
+  const int probes = kKeepAliveProbes;
+  const auto timeout =
+    static_cast<unsigned int>(absl::ToInt64Milliseconds(aLimit));
+  // Failures are ignored: without one of these options, the timeouts of calls
+  // still apply.
+  (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                   sizeof(timeout));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
-error MakeListenError(const std::string& aAddress, const std::string& aDetail)
+void WaitToRead(event_loop& aLoop, channel_id aChannel)
 {
-  return error{ error_code::InvalidSetting, executed::No, aAddress, aDetail,
-                absl::ZeroDuration() };
+  const channel* target = FindChannel(aLoop, aChannel);
+  if (target != nullptr && !target->mIsReadingPaused) {
+    WaitForSocket(aLoop, aChannel, tcp::socket::wait_read,
+                  &channel::mIsWaitingToRead, &OnReadable);
+  }
 }
 
-} // namespace
-
 void event_loop_deleter::operator()(event_loop_impl* aImpl) const
 {
   delete aImpl;
@@ -427,53 +257,6 @@
   : mImpl(new event_loop_impl)
 {}
 
-result<success> Listen(event_loop& aLoop, const std::string& aAddress,
-                       const channel_options& aOptions,
-                       std::function<void(channel_id)> aOnAccept)
-{
-  tcp::endpoint endpoint;
-  if (!ParseAddress(aAddress, endpoint)) {
-    return MakeListenError(aAddress, "must be an IPv4 address and port");
-  }
-  auto added = std::make_unique<listener>(aLoop.mImpl->mIo);
-  added->mUnresponsiveTimeout = aOptions.mUnresponsiveTimeout;
-  added->mOnAccept = std::move(aOnAccept);
-  failure_code failure;
-  added->mAcceptor.open(endpoint.protocol(), failure);
-  if (!failure) {
-    added->mAcceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-  }
-  if (!failure) {
-    added->mAcceptor.bind(endpoint, failure);
-  }
-  if (!failure) {
-    added->mAcceptor.listen(kListenBacklog, failure);
-  }
-  if (!failure) {
-    added->mAcceptor.non_blocking(true, failure);
-  }
-  if (failure) {
-    return MakeListenError(aAddress, failure.message());
-  }
-  WaitToAccept(aLoop, *added);
-  aLoop.mImpl->mListeners.push_back(std::move(added));
-  return success{};
-}
-
-void StopListening(event_loop& aLoop)
-{
-  for (auto& each : aLoop.mImpl->mListeners) {
-    // Closing a listener resets the connections that wait for it.
-    for (int i = 0; i < kListenBacklog; ++i) {
-      if (!each->mAcceptor.is_open() || !AcceptOne(aLoop, *each)) {
-        break;
-      }
-    }
-    failure_code ignored;
-    each->mAcceptor.close(ignored);
-  }
-}
-
 channel_id Connect(event_loop& aLoop, const std::string& aAddress,
                    const channel_options& aOptions, channel_handlers aHandlers)
 {
@@ -483,7 +266,7 @@
   channel& connecting = *added;
   aLoop.mImpl->mChannels[id] = std::move(added);
   tcp::endpoint endpoint;
-  failure_code failure;
+  loop_failure failure;
   if (ParseAddress(aAddress, endpoint)) {
     connecting.mSocket.open(endpoint.protocol(), failure);
   } else {
@@ -505,7 +288,7 @@
     });
   connecting.mSocket.async_connect(
     endpoint, [&aLoop, id, limit = aOptions.mUnresponsiveTimeout](
-                const failure_code& aFailure) {
+                const loop_failure& aFailure) {
       OnConnected(aLoop, id, aFailure, limit);
     });
   return id;
@@ -532,7 +315,7 @@
   }
   const bool idle = target->mUnsent.empty() && target->mIsConnected;
   if (idle) {
-    failure_code failure;
+    loop_failure failure;
     const std::size_t written = target->mSocket.write_some(
       asio::buffer(aBytes.data(), aBytes.size()), failure);
     target->mHasSent = target->mHasSent || written > 0;
@@ -580,7 +363,7 @@
     return unread_input::Nothing;
   }
   char byte = 0;
-  failure_code failure;
+  loop_failure failure;
   target->mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
                           failure);
   if (!failure) {
@@ -661,28 +444,6 @@
              [&aLoop, aChannel] { Close(aLoop, aChannel); });
 }
 
-std::uint64_t StartTimer(event_loop& aLoop, absl::Duration aDelay,
-                         std::function<void()> aCallback)
-{
-  auto& impl = *aLoop.mImpl;
-  const std::uint64_t number = impl.mNextId++;
-  const absl::Time when = MonotonicNow() + aDelay;
-  impl.mTimers[{ when, number }] = std::move(aCallback);
-  impl.mTimerDeadlines[number] = when;
-  ArmWakeTimer(aLoop);
-  return number;
-}
-
-void CancelTimer(event_loop& aLoop, std::uint64_t aTimer)
-{
-  auto& impl = *aLoop.mImpl;
-  const auto found = impl.mTimerDeadlines.find(aTimer);
-  if (found != impl.mTimerDeadlines.end()) {
-    impl.mTimers.erase({ found->second, aTimer });
-    impl.mTimerDeadlines.erase(found);
-  }
-}
-
 void Post(event_loop& aLoop, std::function<void()> aCallback)
 {
   asio::post(aLoop.mImpl->mIo, std::move(aCallback));
--- /dev/null
+++ b/tests/gateway_model_test.cc
@@ -0,0 +1,325 @@
+// Guards against wrong decisions of a gateway on model requests and prepaid
+// tokens: tokens that are lost by a stop, requests that wait for tokens too
+// long or without need, spending that is not settled, and shared prompts that
+// each gateway sends to another engine.
+
+#define BOOST_TEST_MODULE gateway_model
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+
+namespace foxtailquay {
+namespace {
+
+caller_request MakeChatRequest(gateway_fixture& aFixture, token_count aPrompt,
+                               token_count aOutput)
+{
+  caller_request request = MakeCallerRequest(aFixture, "/chat/1");
+  request.mPromptTokens = aPrompt;
+  request.mMaxOutputTokens = aOutput;
+  return request;
+}
+
+// Confirms a grant write at version aRevision.
+void ConfirmGrantWrite(gateway_fixture& aFixture, const grant_write& aWrite,
+                       store_version aRevision)
+{
+  BOOST_REQUIRE(aWrite.mEntries.size() == 1);
+  grant_write_response written;
+  written.mOutcome = grant_outcome::Written;
+  written.mRevision = aRevision;
+  FireEvent(aFixture, written);
+}
+
+// Returns a gateway with one engine and a confirmed grant, at version 40.
+gateway_fixture MakeFundedGateway()
+{
+  gateway_fixture funded = MakeStartedGateway();
+  DeliverConfig(funded, MakeConfig(5), 10);
+  const auto writes = TakeActions<grant_write>(funded);
+  BOOST_REQUIRE(writes.size() == 1);
+  DeliverBackends(funded, 10, true,
+                  { { "e1", 4, MakeBackendEntry("engines", "10.0.0.3:1") } });
+  ConfirmGrantWrite(funded, writes[0], 40);
+  funded.mActions.clear();
+  return funded;
+}
+
+// Delivers the response to a model request of 100 prompt tokens.
+void CompleteChat(gateway_fixture& aFixture)
+{
+  FireEvent(aFixture, MakeChatRequest(aFixture, 100, 70));
+  const auto dispatch = TakeOnlyDispatch(aFixture);
+  FireEvent(aFixture, MakeAttemptReport(dispatch, attempt_outcome::Delivered));
+}
+
+// Advances the time until the gateway writes its grant, at most by aTime.
+// Returns the tokens granted to all after the write; -1 without a write.
+token_count AwaitGrantWrite(gateway_fixture& aFixture, absl::Duration aTime,
+                            grant_write& aWrite)
+{
+  const absl::Time end = aFixture.mNow + aTime;
+  while (aFixture.mNow < end) {
+    for (const gateway_action& action : aFixture.mActions) {
+      if (const auto* write = std::get_if<grant_write>(&action)) {
+        aWrite = *write;
+        aFixture.mActions.clear();
+        return ComputeTotal(aWrite.mEntries.at(0).mPlan.mRecord);
+      }
+    }
+    AdvanceTime(aFixture, absl::Milliseconds(10));
+  }
+  return -1;
+}
+
+// Confirms the grant writes of a stop up to the return of all free tokens,
+// which is left unconfirmed. Returns its version. Stores the record before the
+// return in aBefore.
+store_version AdvanceToReturn(gateway_fixture& aFixture, grant_write& aWrite,
+                              grant_record& aBefore)
+{
+  for (store_version version = 41;; ++version) {
+    const token_count granted =
+      AwaitGrantWrite(aFixture, absl::Seconds(8), aWrite);
+    BOOST_REQUIRE(granted >= 0);
+    if (granted == 100) {
+      return version;
+    }
+    aBefore = aWrite.mEntries.at(0).mPlan.mRecord;
+    ConfirmGrantWrite(aFixture, aWrite, version);
+  }
+}
+
+// Seen beside load in gateway_process_test: 0.25 s after a stopping gateway had
+// returned its grant, the periodic grant write requested a new one, which was
+// lost when the process ended.
+BOOST_AUTO_TEST_CASE(a_stopping_gateway_requests_no_tokens_after_the_return)
+{
+  gateway_fixture fixture = MakeFundedGateway();
+  CompleteChat(fixture);
+  FireEvent(fixture, stop_requested{});
+  grant_write write;
+  grant_record before;
+  const store_version version = AdvanceToReturn(fixture, write, before);
+  AdvanceTime(fixture, absl::Milliseconds(100));
+  ConfirmGrantWrite(fixture, write, version);
+  BOOST_TEST(AwaitGrantWrite(fixture, absl::Seconds(2), write) == -1);
+  BOOST_TEST(TakeActions<stop_finished>(fixture).size() == 1U);
+}
+
+// A return that meets a change by another gateway must be repeated at once: the
+// process ends 0.2 s after the first return.
+BOOST_AUTO_TEST_CASE(a_return_is_repeated_after_a_conflict)
+{
+  gateway_fixture fixture = MakeFundedGateway();
+  CompleteChat(fixture);
+  FireEvent(fixture, stop_requested{});
+  grant_write write;
+  grant_record changed;
+  const store_version version = AdvanceToReturn(fixture, write, changed);
+  grant_write_response conflict;
+  conflict.mOutcome = grant_outcome::Conflict;
+  changed.mEntries["other/1"].mGranted = 7;
+  conflict.mStates = { { workspace_id{ "w" }, version, changed } };
+  FireEvent(fixture, conflict);
+  BOOST_TEST(AwaitGrantWrite(fixture, absl::Milliseconds(20), write) == 107);
+}
+
+// A peer that asks a stopping gateway for tokens must go elsewhere: tokens that
+// the gateway requested for it would be lost.
+BOOST_AUTO_TEST_CASE(a_gateway_that_returns_its_grants_transfers_no_tokens)
+{
+  gateway_fixture fixture = MakeFundedGateway();
+  CompleteChat(fixture);
+  FireEvent(fixture, stop_requested{});
+  grant_write write;
+  grant_record before;
+  AdvanceToReturn(fixture, write, before);
+  FireEvent(fixture, tokens_requested{ 7, workspace_id{ "w" }, 1000, 0 });
+  const auto responses = TakeActions<send_token_response>(fixture);
+  BOOST_REQUIRE(responses.size() == 1);
+  BOOST_TEST(responses[0].mResponse.mAmount == 0);
+  BOOST_TEST(responses[0].mResponse.mStoreUnavailable);
+}
+
+// A request that was not sent, because its caller had left, costs nothing.
+BOOST_AUTO_TEST_CASE(an_abandoned_unsent_request_spends_no_tokens)
+{
+  gateway_fixture fixture = MakeFundedGateway();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 70));
+  const auto dispatch = TakeOnlyDispatch(fixture);
+  FireEvent(fixture, caller_disconnected{ dispatch.mHandle, 0, true });
+  for (const decision_record& each : TakeActions<decision_record>(fixture)) {
+    for (const auto& input : each.mInputs) {
+      if (input.first == "spent") {
+        BOOST_TEST(input.second == "0");
+      }
+    }
+  }
+}
+
+// Adds a peer, which may be the coordinator of a workspace.
+void DeliverPeer(gateway_fixture& aFixture, const std::string& aName)
+{
+  auto response = MakeDirectoryResponse(directory_area::Peers, 20, false);
+  response.mPeers = { { aName, 20, gateway_peer{ "10.0.1.1:1" } } };
+  FireEvent(aFixture, response);
+}
+
+// The priority of the workspace must not hide the priorities of its routes when
+// tokens are requested.
+BOOST_AUTO_TEST_CASE(tokens_are_requested_with_the_priority_of_the_route)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  traffic_config config = MakeConfig(6);
+  config.mRoutes[2].mPriority = 4;
+  config.mWorkspaces[0].mPriority = 1;
+  DeliverConfig(fixture, config, 30);
+  // At least one of these names has a higher hash weight than this gateway, so
+  // that a peer is the coordinator.
+  for (int i = 0; i < 8; ++i) {
+    DeliverPeer(fixture, "peer-" + std::to_string(i));
+  }
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 10));
+  const auto tokenRequests = TakeActions<request_tokens>(fixture);
+  BOOST_REQUIRE(tokenRequests.size() == 1U);
+  BOOST_TEST(tokenRequests[0].mPriority == 4);
+  token_response_received response{ tokenRequests[0].mPeer,
+                                    tokenRequests[0].mWorkspace,
+                                    {} };
+  response.mResponse = token_response{ tokenRequests[0].mAmount, false, false };
+  FireEvent(fixture, response);
+  // At the engine, the workspace's priority takes precedence.
+  BOOST_TEST(TakeOnlyDispatch(fixture).mPriority == 1);
+}
+
+// Without these reports each gateway would take only a part of the engines'
+// load into account.
+BOOST_AUTO_TEST_CASE(sent_prompts_are_reported_to_other_gateways)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  traffic_config config = MakeConfig(6);
+  config.mWorkspaces[0].mPrepaid.reset();
+  DeliverConfig(fixture, config, 30);
+  DeliverPeer(fixture, "peer");
+  fixture.mActions.clear();
+  caller_request request = MakeChatRequest(fixture, 5000, 10);
+  request.mPromptParts = { { 11, 3000 }, { 12, 2000 } };
+  FireEvent(fixture, request);
+  const auto dispatch = TakeOnlyDispatch(fixture);
+  AdvanceTime(fixture, absl::Milliseconds(20));
+  const auto shared = TakeActions<report_prompts>(fixture);
+  BOOST_REQUIRE(shared.size() == 1U);
+  BOOST_REQUIRE(shared[0].mPrompts.size() == 1U);
+  BOOST_TEST(shared[0].mPrompts[0].mBackend.mValue == dispatch.mBackend.mValue);
+  BOOST_TEST(shared[0].mPrompts[0].mTokens == 5000);
+  // Reported prompts of another gateway move the next request to the other
+  // engine.
+  const std::string other = dispatch.mBackend.mValue == "e1" ? "e2" : "e1";
+  prompts_reported reportedPrompts;
+  reportedPrompts.mPrompts = { { backend_id{ other }, 60000, {} } };
+  FireEvent(fixture, reportedPrompts);
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 10));
+  BOOST_TEST(TakeOnlyDispatch(fixture).mBackend.mValue ==
+             dispatch.mBackend.mValue);
+}
+
+// A prepaid request must not be dispatched before its tokens are durably
+// granted.
+BOOST_AUTO_TEST_CASE(a_model_request_waits_for_its_grant)
+{
+  gateway_fixture fixture = MakeStartedGateway();
+  DeliverConfig(fixture, MakeConfig(5), 10);
+  const auto write = TakeActions<grant_write>(fixture);
+  DeliverBackends(fixture, 10, true,
+                  { { "e1", 4, MakeBackendEntry("engines", "10.0.0.3:1") } });
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 50));
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).empty());
+  BOOST_REQUIRE(write.size() == 1);
+  ConfirmGrantWrite(fixture, write[0], 1);
+  TakeOnlyDispatch(fixture);
+}
+
+// Sends prompts that share aShared with each other and returns the engine of
+// the last one.
+std::string FindEngineOfPrompt(const std::string& aGateway,
+                               std::uint64_t aShared)
+{
+  constexpr int kEngines = 60;
+  gateway_fixture fixture = MakeStartedGateway(aGateway);
+  traffic_config config = MakeConfig(5);
+  config.mWorkspaces[0].mPrepaid.reset();
+  DeliverConfig(fixture, config, 10);
+  std::vector<directory_change<backend_entry>> engines;
+  for (int i = 0; i < kEngines; ++i) {
+    const std::string number = std::to_string(i);
+    engines.push_back(
+      { "e" + number, 4,
+        MakeBackendEntry("engines", "10.0.1." + number + ":1") });
+  }
+  DeliverBackends(fixture, 10, true, engines);
+  fixture.mActions.clear();
+  caller_request request = MakeChatRequest(fixture, 6000, 70);
+  request.mPromptParts = { { aShared, 5000 }, { 7, 1000 } };
+  FireEvent(fixture, request);
+  return TakeOnlyDispatch(fixture).mBackend.mValue;
+}
+
+// Load: prompts with the same shared part at many gateways in front of more
+// engines than one gateway needs. If each gateway used engines of its own
+// choice, the shared part would be processed once for each gateway.
+BOOST_AUTO_TEST_CASE(all_gateways_send_a_shared_prompt_to_the_same_engine)
+{
+  for (const std::uint64_t shared : { 11, 12, 13 }) {
+    const std::string engine = FindEngineOfPrompt("front-1", shared);
+    for (const char* gateway : { "front-2", "front-3", "front-4" }) {
+      BOOST_TEST(FindEngineOfPrompt(gateway, shared) == engine);
+    }
+  }
+}
+
+// Tokens that reached the caller before its deadline are spent, although the
+// control thread receives their number later.
+BOOST_AUTO_TEST_CASE(an_interrupted_stream_is_settled_with_the_delivered_events)
+{
+  gateway_fixture fixture = MakeStartedGateway();
+  DeliverConfig(fixture, MakeConfig(5), 10);
+  const auto write = TakeActions<grant_write>(fixture);
+  DeliverBackends(fixture, 10, true,
+                  { { "e1", 4, MakeBackendEntry("engines", "10.0.0.3:1") } });
+  ConfirmGrantWrite(fixture, write.at(0), 1);
+  caller_request request = MakeChatRequest(fixture, 100, 700);
+  FireEvent(fixture, request);
+  TakeOnlyDispatch(fixture);
+  AdvanceTime(fixture, absl::Seconds(3));
+  BOOST_TEST(TakeActions<send_error>(fixture).size() == 1U);
+  BOOST_TEST(GetSummary(*fixture.mNode).mRequests == 1U);
+  FireEvent(fixture, caller_disconnected{ request.mHandle, 20 });
+  BOOST_TEST(GetSummary(*fixture.mNode).mRequests == 0U);
+}
+
+// A caller must not be held for long while its request waits for tokens. It
+// receives an error with a retry delay.
+BOOST_AUTO_TEST_CASE(a_request_without_tokens_is_refused_within_a_second)
+{
+  gateway_fixture fixture = MakeStartedGateway();
+  DeliverConfig(fixture, MakeConfig(5), 10);
+  DeliverBackends(fixture, 10, true,
+                  { { "e1", 4, MakeBackendEntry("engines", "10.0.0.3:1") } });
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 50));
+  AdvanceTime(fixture, absl::Seconds(1));
+  const auto errors = TakeActions<send_error>(fixture);
+  BOOST_REQUIRE(errors.size() == 1);
+  BOOST_TEST((errors[0].mError.mCode == error_code::RateLimited));
+  BOOST_TEST((errors[0].mError.mExecuted == executed::No));
+  BOOST_TEST((errors[0].mError.mRetryAfter > absl::ZeroDuration()));
+  // The detail states the values from which the reason can be seen in a log.
+  BOOST_TEST(errors[0].mError.mDetail.find("needs 150, free 0") !=
+             std::string::npos);
+}
+
+} // namespace
+} // namespace foxtailquay
