--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -91,14 +91,16 @@
   signal_thread signals;
   auto signalsStarted = StartSignalThread(
     signals, [&host](int aSignal) { OnSignal(host, aSignal); });
+  int exitCode = kExitOk;
   if (!IsOk(signalsStarted)) {
+    exitCode = ReportStartFailure(GetError(signalsStarted));
     RequestStop(host);
   }
   WaitUntilStopped(host);
   StopSignalThread(signals);
   Log(log_component::Daemon, log_level::Info, log_event::ProcessStopped,
       { { "member", aSettings.mMember } });
-  return kExitOk;
+  return exitCode;
 }
 
 int Main(const std::vector<std::string>& aArguments)
--- a/src/daemon/router_host.cc
+++ b/src/daemon/router_host.cc
@@ -278,6 +278,10 @@
     if (!removed.empty()) {
       PostConclusion(aHost, vm_removed_event{ std::move(removed) });
     }
+  } else {
+    Log(log_component::Store, log_level::Warn, log_event::StoreFailed,
+        { { "path", aHost.mSettings.mVmListPath },
+          { "problem", ToString(GetError(list)) } });
   }
   ScheduleVmListPoll(aHost);
 }
--- a/src/wire/socket_stream.cc
+++ b/src/wire/socket_stream.cc
@@ -67,6 +67,9 @@
 bool socket_stream::StartTls(SSL_CTX& aContext, absl::Time aDeadline)
 {
   mTls.reset(SSL_new(&aContext));
+  if (!mTls) {
+    return false;
+  }
   SSL_set_fd(mTls.get(), mSocket);
   for (;;) {
     const int done = SSL_accept(mTls.get());
--- a/src/wire/tls.cc
+++ b/src/wire/tls.cc
@@ -20,6 +20,10 @@
                                        const std::string& aKeyFile)
 {
   tls_context_ptr context(SSL_CTX_new(TLS_server_method()));
+  if (!context) {
+    return MakeTlsSettingError("--tls_cert_file", aCertFile,
+                               "cannot be used: no TLS context");
+  }
   SSL_CTX_set_min_proto_version(context.get(), TLS1_2_VERSION);
   // Allows a write to be retried from another buffer with the same bytes, and
   // to send fewer bytes than given.
