Wait for requests on new connections during a stop; do not count a caller's pause as a stall

Cause: a review of the stop. Since the listener stays open until the end, the closing of idle connections, every 0.25 s, also met connections whose request had not arrived yet; request_on_a_new_connection_is_read_during_a_stop failed before. A stream that was paused because its caller did not read could count as stalled when the caller went on. Change: a connection is idle for 0.5 s before a stop closes it, and the process waits as long for the requests on new connections; resumed reading restarts the stall time.

--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -242,7 +242,8 @@
 // before that are refused by the control thread.
 void ExitWhenDrained(gateway_host& aHost)
 {
-  if (!IsDrained(aHost.mTraffic) && MonotonicNow() < aHost.mStopDeadline) {
+  if (!IsDrained(aHost.mTraffic, MonotonicNow()) &&
+      MonotonicNow() < aHost.mStopDeadline) {
     StartTimer(aHost.mLoop, kDrainPollInterval,
                [&aHost] { ExitWhenDrained(aHost); });
     return;
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -165,6 +165,10 @@
     caller == nullptr ? nullptr : FindExchange(aTraffic, caller->mHandle);
   if (active != nullptr && active->mAttempt) {
     SetReadingPaused(aTraffic.mLoop, active->mAttempt->mChannel, false);
+    // The server could not send events meanwhile.
+    if (active->mAttempt->mLastEventAt != absl::InfiniteFuture()) {
+      active->mAttempt->mLastEventAt = MonotonicNow();
+    }
   }
 }
 
@@ -306,12 +310,15 @@
   }
 }
 
-bool IsDrained(const traffic& aTraffic)
+bool IsDrained(const traffic& aTraffic, absl::Time aNow)
 {
-  const bool isReading = std::any_of(
-    aTraffic.mCallers.begin(), aTraffic.mCallers.end(), [](const auto& aEach) {
-      return aEach.second->mRequestStartedAt != absl::InfiniteFuture();
-    });
+  const bool isReading =
+    std::any_of(aTraffic.mCallers.begin(), aTraffic.mCallers.end(),
+                [aNow](const auto& aEach) {
+                  const caller_connection& caller = *aEach.second;
+                  return caller.mRequestStartedAt != absl::InfiniteFuture() ||
+                         aNow - caller.mIdleSince < kFirstRequestTime;
+                });
   return aTraffic.mExchanges.empty() && !isReading &&
          !HasUnsentBytes(aTraffic.mLoop);
 }
@@ -327,8 +334,9 @@
       continue;
     }
     if (caller.mRequestStartedAt == absl::InfiniteFuture()) {
-      if (aTraffic.mCloseIdle ||
-          aNow - caller.mIdleSince > aTraffic.mLimits.mIdleTimeout) {
+      const absl::Duration limit =
+        aTraffic.mCloseIdle ? kFirstRequestTime : aTraffic.mLimits.mIdleTimeout;
+      if (aNow - caller.mIdleSince > limit) {
         idle.push_back(each.first);
       }
       continue;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -49,6 +49,8 @@
 constexpr std::size_t kMaxSkippedBytes = 1 << 20;
 // Interval of ExpireConnections; the precision of idle and header timeouts.
 constexpr absl::Duration kExpiryInterval = absl::Milliseconds(250);
+// Time for which a stopping gateway waits for the request on a new connection.
+constexpr absl::Duration kFirstRequestTime = absl::Milliseconds(500);
 // Time for which a caller may take no bytes of its response. A caller that has
 // disappeared keeps a backend server busy for as long, one that reads slowly is
 // cut off after it.
@@ -158,8 +160,8 @@
   // True while callers should connect to other gateways: connections are closed
   // after their responses.
   bool mIsClosing = false;
-  // True in the later part of a planned stop: idle connections of callers are
-  // closed too.
+  // True in the later part of a planned stop: connections of callers that have
+  // been idle for kFirstRequestTime are closed too.
   bool mCloseIdle = false;
 };
 
@@ -178,9 +180,9 @@
 // Cancels the attempt and closes the caller's connection.
 void CancelExchange(traffic& aTraffic, request_handle aHandle);
 
-// Returns true if no request is being read or served and all responses are
-// sent.
-bool IsDrained(const traffic& aTraffic);
+// Returns true at aNow if no request is being read or served, none is expected
+// on a new connection, and all responses are sent.
+bool IsDrained(const traffic& aTraffic, absl::Time aNow);
 
 // Closes connections whose timeouts have passed at aNow and ends attempts whose
 // streams have stalled.
--- a/tests/gateway_process_test.cc
+++ b/tests/gateway_process_test.cc
@@ -286,6 +286,7 @@
   BOOST_REQUIRE(StartGateways(fleet, 1000, 1));
   stop_outcomes outcomes;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&fleet, &outcomes, i] {
       SendOrdersUntilGone(fleet.mGateways[0], i, outcomes);
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -283,22 +283,6 @@
   }
 }
 
-// Calls ExpireConnections as the gateway does, until the object is destroyed.
-struct expiry_timer
-{
-  explicit expiry_timer(traffic_fixture& aFixture)
-    : mFixture(aFixture)
-  {
-    Post(mFixture.mLoop, [this] { Repeat(); });
-  }
-  void Repeat()
-  {
-    ExpireConnections(mFixture.mTraffic, MonotonicNow());
-    StartTimer(mFixture.mLoop, absl::Milliseconds(50), [this] { Repeat(); });
-  }
-  traffic_fixture& mFixture;
-};
-
 // A body that arrives byte by byte must not hold its connection forever. The
 // request was not executed, so the response may say so.
 BOOST_AUTO_TEST_CASE(a_request_body_that_trickles_is_refused_in_time)
@@ -408,6 +392,44 @@
   BOOST_TEST(size >= 240000U);
 }
 
+// A server whose events wait because the caller reads slowly has not stalled.
+BOOST_AUTO_TEST_CASE(a_stream_that_waits_for_its_caller_is_not_stalled)
+{
+  traffic_fixture fixture;
+  const expiry_timer timer(fixture);
+  tcp::socket caller(fixture.mIo);
+  caller.open(tcp::v4());
+  caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  caller.connect(MakeLoopbackEndpoint(fixture.mPort.mPort));
+  asio::write(caller, asio::buffer(MakeRequest()));
+  dispatch_request dispatch = MakeDispatch(
+    fixture, AwaitEvent<caller_request>(fixture).mHandle, 1, call_kind::Stream);
+  dispatch.mStallTimeout = absl::Milliseconds(400);
+  Post(fixture.mLoop,
+       [&fixture, dispatch] { DispatchExchange(fixture.mTraffic, dispatch); });
+  tcp::socket server = fixture.mServerAcceptor.accept();
+  ReadUntil(server, "body");
+  std::thread sender([&server] {
+    const std::string event = "data:" + std::string(60000, 'x') + "\n\n";
+    boost::system::error_code failure;
+    asio::write(server, asio::buffer(kResponseHead + "\r\n"), failure);
+    for (int i = 0; i < 200 && !failure; ++i) {
+      asio::write(server, asio::buffer(event), failure);
+    }
+    server.close();
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  std::vector<char> buffer(65536);
+  boost::system::error_code failure;
+  while (!failure) {
+    caller.read_some(asio::buffer(buffer), failure);
+  }
+  sender.join();
+  const auto report = AwaitEvent<attempt_report>(fixture);
+  BOOST_TEST(ToName(report.mOutcome) == ToName(attempt_outcome::Delivered));
+  BOOST_TEST(report.mEvents == 200);
+}
+
 // A server that is silent for a while and then continues has not failed: its
 // work is neither repeated nor given up.
 BOOST_AUTO_TEST_CASE(a_silent_server_is_waited_for)
--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -183,6 +183,22 @@
   aSocket.close();
 }
 
+// Calls ExpireConnections as the gateway does, until the object is destroyed.
+struct expiry_timer
+{
+  explicit expiry_timer(traffic_fixture& aFixture)
+    : mFixture(aFixture)
+  {
+    Post(mFixture.mLoop, [this] { Repeat(); });
+  }
+  void Repeat()
+  {
+    ExpireConnections(mFixture.mTraffic, MonotonicNow());
+    StartTimer(mFixture.mLoop, absl::Milliseconds(50), [this] { Repeat(); });
+  }
+  traffic_fixture& mFixture;
+};
+
 } // namespace foxtailquay
 
 #endif
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -302,6 +302,22 @@
   BOOST_TEST((failure == asio::error::would_block));
 }
 
+// The load balancer may still send new connections to a stopping gateway. Their
+// requests must be answered, although idle connections are being closed.
+BOOST_AUTO_TEST_CASE(request_on_a_new_connection_is_read_during_a_stop)
+{
+  traffic_fixture fixture;
+  fixture.mTraffic.mIsStopping = true;
+  fixture.mTraffic.mCloseIdle = true;
+  const expiry_timer timer(fixture);
+  tcp::socket idle = SendCallerBytes(fixture, "");
+  tcp::socket caller = SendCallerBytes(fixture, "");
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  asio::write(caller, asio::buffer(MakeRequest()));
+  AwaitEvent<caller_request>(fixture);
+  BOOST_TEST(ReadUntil(idle, "").empty());
+}
+
 // A backend server that cannot be reached has not received the request, which
 // can therefore be repeated.
 BOOST_AUTO_TEST_CASE(unreachable_server_is_reported_as_not_sent)
