--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -265,18 +265,20 @@
 // gateway stops listening: their callers may have sent a request.
 BOOST_AUTO_TEST_CASE(waiting_connections_are_served_when_listening_stops)
 {
+  constexpr std::size_t kCallers = 20;
   traffic_fixture fixture;
   std::vector<tcp::socket> callers;
+  callers.reserve(kCallers);
   std::promise<void> sent;
   Post(fixture.mLoop, [&fixture, &sent] {
     sent.get_future().wait();
     StopListening(fixture.mLoop);
   });
-  for (int i = 0; i < 20; ++i) {
+  for (std::size_t i = 0; i < kCallers; ++i) {
     callers.push_back(SendCallerBytes(fixture, MakeRequest()));
   }
   sent.set_value();
-  for (std::size_t i = 0; i < callers.size(); ++i) {
+  for (std::size_t i = 0; i < kCallers; ++i) {
     AwaitEvent<caller_request>(fixture);
   }
 }
