Log how a response was framed and whether an event of it is incomplete

Change: request_finished has framing (length, chunks, connection_end) and partial_bytes; the reader states the framing of each message, which replaces its flag for responses that ended with their connection.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -14,6 +14,7 @@
 #ifndef FOXTAILQUAY_GATEWAY_H
 #define FOXTAILQUAY_GATEWAY_H
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -113,6 +114,10 @@
   // Complete stream events that reached the caller, over all attempts of the
   // request.
   std::int64_t mEvents = 0;
+  // How the backend server framed the response.
+  body_framing mFraming = body_framing::Unknown;
+  // Received bytes of a stream event that did not arrive completely.
+  std::size_t mPartialEventBytes = 0;
 };
 
 // The first byte of the response of an attempt has arrived.
--- a/include/foxtailquay/types.h
+++ b/include/foxtailquay/types.h
@@ -161,6 +161,28 @@
       { priority_class::Batch, "batch" } });
 }
 
+// What marks the end of a message's body.
+enum class body_framing
+{
+  // The header section is not complete yet.
+  Unknown,
+  // A stated length, or the absence of a body.
+  Length,
+  // The last chunk.
+  Chunks,
+  // The end of the connection.
+  ConnectionEnd,
+};
+
+constexpr auto NameTable(body_framing)
+{
+  using f = body_framing;
+  return MakeNameTable<f>({ { f::Unknown, "unknown" },
+                            { f::Length, "length" },
+                            { f::Chunks, "chunks" },
+                            { f::ConnectionEnd, "connection_end" } });
+}
+
 // Tokens that a run used.
 struct token_usage
 {
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -77,6 +77,8 @@
     ended->mHasResponseInfo && ended->mResponseInfo.mWrongServer;
   report.mLoad = ended->mResponseInfo.mLoad;
   report.mEvents = aExchange.mEvents;
+  report.mFraming = ended->mReader.mFraming;
+  report.mPartialEventBytes = aExchange.mPartialEvent.size();
   // Another request may use the connection only if this request was completely
   // sent and its response was completely read.
   const bool keep = aKeepConnection && ended->mReader.mIsComplete &&
@@ -192,7 +194,6 @@
 {
   SendChunkedHead(aTraffic, aExchange);
   SendChunk(aTraffic, aExchange, aExchange.mPartialEvent);
-  aExchange.mPartialEvent.clear();
   SendToCaller(aTraffic, aExchange, kLastChunk);
   EndAttempt(aTraffic, aExchange, attempt_outcome::Delivered, true);
 }
@@ -294,7 +295,9 @@
     const bool isHeld = RelayEvents(aTraffic, aExchange);
     // A connection that ends inside an event does not end a stream.
     const bool isCut =
-      current.mReader.mEndedWithConnection && !aExchange.mPartialEvent.empty();
+      current.mReader.mIsComplete &&
+      current.mReader.mFraming == body_framing::ConnectionEnd &&
+      !aExchange.mPartialEvent.empty();
     if (!isHeld || isCut) {
       EndAttempt(aTraffic, aExchange, ComputeBrokenOutcome(aExchange), false);
     } else if (current.mReader.mIsComplete) {
--- a/src/transport/http_reader.cc
+++ b/src/transport/http_reader.cc
@@ -84,13 +84,25 @@
   aParser.body_limit(aLimits.mMaxBodyBytes);
 }
 
-void UpdateState(http_reader& aReader, bool aIsHeadComplete, bool aIsComplete,
-                 bool aKeepAlive)
+// Precondition: the header section is complete.
+template<typename Parser>
+body_framing GetFraming(const Parser& aParser)
+{
+  if (aParser.chunked()) {
+    return body_framing::Chunks;
+  }
+  return aParser.need_eof() ? body_framing::ConnectionEnd
+                            : body_framing::Length;
+}
+
+template<typename Parser>
+void UpdateState(http_reader& aReader, const Parser& aParser)
 {
-  aReader.mIsHeadComplete = aIsHeadComplete;
-  aReader.mIsComplete = aIsComplete;
-  if (aIsHeadComplete) {
-    aReader.mKeepAlive = aKeepAlive;
+  aReader.mIsHeadComplete = aParser.is_header_done();
+  aReader.mIsComplete = aParser.is_done();
+  if (aReader.mIsHeadComplete) {
+    aReader.mKeepAlive = aParser.keep_alive();
+    aReader.mFraming = GetFraming(aParser);
   }
 }
 
@@ -129,8 +141,7 @@
                          ? reader_failure::BodyTooLarge
                          : reader_failure::HeaderTooLarge;
   }
-  UpdateState(aReader, aParser.is_header_done(), aParser.is_done(),
-              aParser.is_header_done() && aParser.keep_alive());
+  UpdateState(aReader, aParser);
 }
 
 } // namespace
@@ -206,7 +217,6 @@
   parser.put_eof(failure);
   RecordFailure(aReader, failure);
   aReader.mIsComplete = parser.is_done();
-  aReader.mEndedWithConnection = aReader.mIsComplete;
   aReader.mKeepAlive = false;
 }
 
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "foxtailquay/name_table.h"
+#include "foxtailquay/types.h"
 
 namespace foxtailquay {
 
@@ -110,8 +111,8 @@
   bool mIsComplete = false;
   // Nothing further is parsed after a failure.
   reader_failure mFailure = reader_failure::None;
-  // True if the message has no length and ended with its connection.
-  bool mEndedWithConnection = false;
+  // What marks the end of the body.
+  body_framing mFraming = body_framing::Unknown;
   // True if the connection may be used for another message after this one.
   bool mKeepAlive = false;
   // True if a byte of the message has arrived.
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -313,8 +313,10 @@
                   call_kind::Stream);
   RespondOnce(fixture, kResponseHead + "\r\nid: 1\ndata:x\n\nid: 2\nda")
     .close();
-  BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
-             ToName(attempt_outcome::BrokenMidway));
+  const auto report = AwaitEvent<attempt_report>(fixture);
+  BOOST_TEST(ToName(report.mOutcome) == ToName(attempt_outcome::BrokenMidway));
+  BOOST_TEST(ToName(report.mFraming) == ToName(body_framing::ConnectionEnd));
+  BOOST_TEST(report.mPartialEventBytes == std::string("id: 2\nda").size());
 }
 
 // Starts a stream that stalls after kStallTime, sends its first event and then
