Treat a stream that ends inside an event as broken, whatever its framing

What callers saw: a stream with status 200 that its framing calls complete and whose last event is cut. Cause: only the end of a connection without a length was checked for an incomplete event. After a last chunk or the stated length, the rest of the event was relayed and the response ended as complete. Evidence: no_framing_completes_a_stream_that_ends_inside_an_event failed before with "delivered" in three of four cases. Change: any stream that is complete by its framing and holds an incomplete event ends its attempt as broken; no incomplete event is ever relayed.

--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -193,7 +193,6 @@
 void FinishStreamResponse(traffic& aTraffic, exchange& aExchange)
 {
   SendChunkedHead(aTraffic, aExchange);
-  SendChunk(aTraffic, aExchange, aExchange.mPartialEvent);
   SendToCaller(aTraffic, aExchange, kLastChunk);
   EndAttempt(aTraffic, aExchange, attempt_outcome::Delivered, true);
 }
@@ -290,14 +289,11 @@
     }
     return;
   }
-  const bool isStream = current.mDispatch.mKind == call_kind::Stream;
-  if (isStream) {
+  if (current.mDispatch.mKind == call_kind::Stream) {
     const bool isHeld = RelayEvents(aTraffic, aExchange);
-    // A connection that ends inside an event does not end a stream.
+    // Whatever its framing, a stream that ends inside an event broke off.
     const bool isCut =
-      current.mReader.mIsComplete &&
-      current.mReader.mFraming == body_framing::ConnectionEnd &&
-      !aExchange.mPartialEvent.empty();
+      current.mReader.mIsComplete && !aExchange.mPartialEvent.empty();
     if (!isHeld || isCut) {
       EndAttempt(aTraffic, aExchange, ComputeBrokenOutcome(aExchange), false);
     } else if (current.mReader.mIsComplete) {
