Treat an empty stream as broken if only its connection marks the end

What callers saw: a complete stream without events, or a resumed stream that ends early, where a server crashed before its first event. Cause: a response without a length is complete by its framing once the connection ends, also when no event has arrived on it. Change: such an attempt ends as broken unless at least one of its events has arrived.

--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -276,6 +276,19 @@
   current.mSkipResponse = isInterim || isOther;
 }
 
+// Returns true if a stream that is complete by its framing broke off
+// nevertheless: inside an event or, where only the end of the connection marks
+// the end, before the first event of the attempt.
+bool IsCutStream(const exchange& aExchange)
+{
+  const attempt& current = *aExchange.mAttempt;
+  const bool isEmpty =
+    current.mReader.mFraming == body_framing::ConnectionEnd &&
+    current.mLastEventAt == absl::InfiniteFuture();
+  return current.mReader.mIsComplete &&
+         (isEmpty || !aExchange.mPartialEvent.empty());
+}
+
 // Relays the parsed part of the response to the caller. A plain response up to
 // kMaxHeldBytes, or one that may not be relayed, is held until it is complete.
 void RelayResponse(traffic& aTraffic, exchange& aExchange)
@@ -291,10 +304,7 @@
   }
   if (current.mDispatch.mKind == call_kind::Stream) {
     const bool isHeld = RelayEvents(aTraffic, aExchange);
-    // Whatever its framing, a stream that ends inside an event broke off.
-    const bool isCut =
-      current.mReader.mIsComplete && !aExchange.mPartialEvent.empty();
-    if (!isHeld || isCut) {
+    if (!isHeld || IsCutStream(aExchange)) {
       EndAttempt(aTraffic, aExchange, ComputeBrokenOutcome(aExchange), false);
     } else if (current.mReader.mIsComplete) {
       FinishStreamResponse(aTraffic, aExchange);
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -382,6 +382,22 @@
                 attempt_outcome::Broken);
 }
 
+// Guards against a server that crashes before it continues a stream: the caller
+// must not take the part that it has for the whole.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_without_further_events_is_broken)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  const auto request = AwaitEvent<caller_request>(fixture);
+  DispatchAttempt(fixture, request.mHandle, 1, call_kind::Stream);
+  RespondOnce(fixture, kResponseHead + "\r\nid: 1\ndata:x\n\nid: 2").close();
+  AwaitEvent<attempt_report>(fixture);
+  DispatchAttempt(fixture, request.mHandle, 2, call_kind::Stream);
+  RespondOnce(fixture, kResponseHead + "\r\n").close();
+  BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+             ToName(attempt_outcome::BrokenMidway));
+}
+
 // Guards against streams whose lines end with a carriage return: their events
 // must be relayed as they arrive, and their end must be recognized.
 BOOST_AUTO_TEST_CASE(events_may_end_with_any_line_end)
