--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -257,6 +257,20 @@
   aRequest.mBackend = backend_id{};
 }
 
+// Returns the parts of the prompt that other requests may have too, for the log.
+// The last part is specific to the request.
+std::string ListSharedParts(const caller_request& aCaller)
+{
+  constexpr std::size_t kMaxLoggedParts = 8;
+  std::string parts;
+  for (std::size_t i = 0;
+       i + 1 < aCaller.mPromptParts.size() && i < kMaxLoggedParts; ++i) {
+    absl::StrAppend(&parts, i == 0 ? "" : ",",
+                    absl::Hex(aCaller.mPromptParts[i].mHash));
+  }
+  return parts;
+}
+
 // Sends the request to a backend server, or fires Unroutable if none can take
 // it.
 void Dispatch(gateway& aGateway, forwarded_request& aRequest, absl::Time aNow)
@@ -324,6 +338,7 @@
           ? std::string("none")
           : absl::StrCat(absl::ToInt64Milliseconds(aNow - view.mReportedAt)) },
       { "reserved", absl::StrCat(aRequest.mReserved) },
+      { "parts", ListSharedParts(aRequest.mCaller) },
       { "version", absl::StrCat(aGateway.mTable->mConfig.mVersion) } });
 }
 
