--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -12,6 +12,7 @@
 
 #include "chart_texts.h"
 #include "gateway_sim/gateway_sim.h"
+#include "known_red.h"
 #include <algorithm>
 #include <cstdlib>
 
@@ -60,6 +61,61 @@
   }
 }
 
+constexpr std::uint64_t kPromptSeeds = 10;
+constexpr absl::Duration kPromptRunTime = absl::Seconds(30);
+
+// Guards against requests of one kind that crash one server after the other:
+// once five servers have crashed under a part of a prompt, at most three more
+// requests with it may reach servers, and sound requests must be served.
+void CheckDeadlyPrompts(const char* aCase, bool aRestarts)
+{
+  for (const auto& pattern : NameTable(deadly_pattern{})) {
+    for (std::uint64_t seed = 1; seed <= kPromptSeeds; ++seed) {
+      const auto sim = MakeSim(ReadChartTexts(), seed, injected_fault::None);
+      RunDeadlyPrompts(*sim, pattern.mValue, aRestarts, kPromptRunTime);
+      const prompt_counts& counts = sim->mPrompts;
+      BOOST_TEST_CONTEXT("seed " << seed << ", " << pattern.mName << ", "
+                                 << counts.mCrashes.size() << " crashes")
+      {
+        BOOST_TEST(sim->mViolations.empty());
+        const bool isServed = 2 * counts.mSoundDispatched >= counts.mSound;
+        if ((counts.mLateDeadly > 3 || !isServed) &&
+            IsKnownFailure("gateway_fault_test", aCase)) {
+          return;
+        }
+        BOOST_TEST(counts.mLateDeadly <= 3);
+        BOOST_TEST(isServed);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_deadly_part_of_prompts_stops_reaching_servers)
+{
+  CheckDeadlyPrompts("a_deadly_part_of_prompts_stops_reaching_servers", false);
+}
+
+BOOST_AUTO_TEST_CASE(a_deadly_part_is_remembered_over_restarts)
+{
+  CheckDeadlyPrompts("a_deadly_part_is_remembered_over_restarts", true);
+}
+
+// Guards against sound requests that are refused because servers crash for
+// other reasons.
+BOOST_AUTO_TEST_CASE(crashing_servers_do_not_quarantine_sound_prompts)
+{
+  for (std::uint64_t seed = 1; seed <= kPromptSeeds; ++seed) {
+    const auto sim = MakeSim(ReadChartTexts(), seed, injected_fault::None);
+    RunCrashingServers(*sim, kPromptRunTime);
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(sim->mViolations.empty());
+      BOOST_TEST(sim->mPrompts.mCrashes.size() > 10U);
+      BOOST_TEST(sim->mPrompts.mSoundQuarantined == 0);
+    }
+  }
+}
+
 struct injected_fault_case
 {
   injected_fault mFault;
--- a/tests/gateway_sim/gateway_sim.cc
+++ b/tests/gateway_sim/gateway_sim.cc
@@ -27,34 +27,11 @@
   auto made = MakeGateway(settings, aSim.mCharts);
   gateway.mNode = std::get<0>(std::move(made));
   gateway.mIsAlive = true;
+  gateway.mStartedAt = aSim.mNow;
   gateway.mVersion = 0;
   Perform(aSim, aIndex, Start(*gateway.mNode, aSim.mNow));
 }
 
-// Ends the process and schedules its restart. A power loss also resets its
-// steady clock.
-void KillGateway(fleet_sim& aSim, std::size_t aIndex, bool aIsPowerLoss)
-{
-  sim_gateway& gateway = aSim.mGateways[aIndex];
-  if (!gateway.mIsAlive) {
-    return;
-  }
-  gateway.mIsAlive = false;
-  ++gateway.mIncarnation;
-  gateway.mWatches.clear();
-  if (aIsPowerLoss) {
-    ++gateway.mBoot;
-    gateway.mBootStart = aSim.mNow;
-  }
-  const int start = gateway.mIncarnation;
-  Schedule(aSim, absl::Milliseconds(300) + DrawTime(aSim, absl::Seconds(4)),
-           [&aSim, aIndex, start] {
-             if (aSim.mGateways[aIndex].mIncarnation == start) {
-               StartGateway(aSim, aIndex);
-             }
-           });
-}
-
 void KillAllGateways(fleet_sim& aSim, bool aIsPowerLoss)
 {
   for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
@@ -77,33 +54,6 @@
   return route;
 }
 
-void PutConfig(fleet_sim& aSim, config_version aVersion)
-{
-  traffic_config config;
-  config.mVersion = aVersion;
-  config.mRoutes = { MakeRoute("order", call_kind::NonIdempotent, 2),
-                     MakeRoute("status", call_kind::Idempotent, 2),
-                     MakeRoute("chat", call_kind::Stream, 0),
-                     MakeRoute("brief", call_kind::Stream, 1) };
-  traffic_service orders;
-  orders.mId = service_id{ "orders" };
-  traffic_service engines;
-  engines.mId = service_id{ "engines" };
-  engines.mIsEngine = true;
-  engines.mTokensPerEvent = kTokensPerEvent;
-  config.mServices = { orders, engines };
-  for (int i = 0; i < 2; ++i) {
-    traffic_workspace workspace;
-    workspace.mId = workspace_id{ absl::StrCat("w", i) };
-    workspace.mKeys = { absl::StrCat("key-", i) };
-    workspace.mPrepaid = aSim.mPrepaid[workspace.mId];
-    config.mWorkspaces.push_back(std::move(workspace));
-  }
-  aSim.mStore.mConfig = std::move(config);
-  aSim.mStore.mConfigRevision = ++aSim.mStore.mRevision;
-  SendWatchResponses(aSim);
-}
-
 // Raises the prepaid total of a random workspace.
 void TopUp(fleet_sim& aSim)
 {
@@ -176,6 +126,55 @@
 
 } // namespace
 
+void KillGateway(fleet_sim& aSim, std::size_t aIndex, bool aIsPowerLoss)
+{
+  sim_gateway& gateway = aSim.mGateways[aIndex];
+  if (!gateway.mIsAlive) {
+    return;
+  }
+  gateway.mIsAlive = false;
+  ++gateway.mIncarnation;
+  gateway.mWatches.clear();
+  if (aIsPowerLoss) {
+    ++gateway.mBoot;
+    gateway.mBootStart = aSim.mNow;
+  }
+  const int start = gateway.mIncarnation;
+  Schedule(aSim, absl::Milliseconds(300) + DrawTime(aSim, absl::Seconds(4)),
+           [&aSim, aIndex, start] {
+             if (aSim.mGateways[aIndex].mIncarnation == start) {
+               StartGateway(aSim, aIndex);
+             }
+           });
+}
+
+void PutConfig(fleet_sim& aSim, config_version aVersion)
+{
+  traffic_config config;
+  config.mVersion = aVersion;
+  config.mRoutes = { MakeRoute("order", call_kind::NonIdempotent, 2),
+                     MakeRoute("status", call_kind::Idempotent, 2),
+                     MakeRoute("chat", call_kind::Stream, 0),
+                     MakeRoute("brief", call_kind::Stream, 1) };
+  traffic_service orders;
+  orders.mId = service_id{ "orders" };
+  traffic_service engines;
+  engines.mId = service_id{ "engines" };
+  engines.mIsEngine = true;
+  engines.mTokensPerEvent = kTokensPerEvent;
+  config.mServices = { orders, engines };
+  for (int i = 0; i < 2; ++i) {
+    traffic_workspace workspace;
+    workspace.mId = workspace_id{ absl::StrCat("w", i) };
+    workspace.mKeys = { absl::StrCat("key-", i) };
+    workspace.mPrepaid = aSim.mPrepaid[workspace.mId];
+    config.mWorkspaces.push_back(std::move(workspace));
+  }
+  aSim.mStore.mConfig = std::move(config);
+  aSim.mStore.mConfigRevision = ++aSim.mStore.mRevision;
+  SendWatchResponses(aSim);
+}
+
 std::unique_ptr<fleet_sim> MakeSim(std::map<std::string, std::string> aCharts,
                                    std::uint64_t aSeed, injected_fault aFault)
 {
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -115,6 +115,7 @@
   bool mIsAlive = false;
   // Number of the incarnation. Events for an earlier one are dropped.
   int mIncarnation = 0;
+  absl::Time mStartedAt;
   int mBoot = 0;
   absl::Time mBootStart;
   // True if the process cannot reach the store.
@@ -134,6 +135,35 @@
   int mExecutionCount = 0;
   // True if an error stated that the request was not executed.
   bool mWasRefused = false;
+  // True if a part of the prompt crashes the server that responds to it.
+  bool mIsDeadly = false;
+  // True if the request has a prompt with parts, none of them deadly.
+  bool mIsSound = false;
+};
+
+// An attempt at a backend server that has not ended.
+struct sim_attempt
+{
+  std::size_t mGateway = 0;
+  int mIncarnation = 0;
+  std::string mServer;
+  // Delivered at the end of the attempt, unless its server crashes before.
+  attempt_report mReport;
+};
+
+// What RunDeadlyPrompts observes.
+struct prompt_counts
+{
+  std::vector<absl::Time> mCrashes;
+  // Deadly requests that reached servers later than the contact time after the
+  // fifth crash, sent by gateways that had run for that time.
+  int mLateDeadly = 0;
+  // Sound requests from twice the contact time after the fifth crash on, and
+  // those of them that reached a server.
+  int mSound = 0;
+  int mSoundDispatched = 0;
+  // Sound requests that were refused because of their prompt.
+  int mSoundQuarantined = 0;
 };
 
 // A function that runs at mAt. mSequence orders events of the same time.
@@ -180,6 +210,11 @@
   };
   std::map<std::uint64_t, token_call> mCalls;
   std::uint64_t mNextCall = 1;
+  std::map<std::uint64_t, sim_attempt> mAttempts;
+  std::uint64_t mNextAttempt = 1;
+  // Crashed servers.
+  std::set<std::string> mServersDown;
+  prompt_counts mPrompts;
   // Number of responses that were delivered completely.
   int mServed = 0;
   std::vector<violation> mViolations;
@@ -194,6 +229,35 @@
 // random.
 void RunRandomFaults(fleet_sim& aSim, absl::Duration aTime);
 
+// Which parts of the deadly prompts other requests have too.
+enum class deadly_pattern
+{
+  // Each prompt has another second part, which sound prompts have too.
+  VaryingCompanion,
+  // All prompts have the same second part, which sound prompts have too.
+  FixedCompanion,
+  // The deadly part comes first.
+  First,
+};
+
+constexpr auto NameTable(deadly_pattern)
+{
+  using p = deadly_pattern;
+  return MakeNameTable<p>({ { p::VaryingCompanion, "varying_companion" },
+                            { p::FixedCompanion, "fixed_companion" },
+                            { p::First, "first" } });
+}
+
+// Runs for aTime with callers whose prompts consist of parts; a request in
+// twenty has the deadly part. If aRestarts is set, single gateways are killed
+// meanwhile. Counts into mPrompts.
+void RunDeadlyPrompts(fleet_sim& aSim, deadly_pattern aPattern, bool aRestarts,
+                      absl::Duration aTime);
+
+// Runs for aTime with the same callers without deadly prompts, while servers
+// crash and attempts break off.
+void RunCrashingServers(fleet_sim& aSim, absl::Duration aTime);
+
 // Ends all faults, waits until the gateways are connected again, and reports a
 // violation for each gateway that does not serve all of its requests.
 void CheckService(fleet_sim& aSim);
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -3,6 +3,7 @@
 // gateway_sim.cc  processes, faults, the run
 // sim_events.cc   the event queue and the actions of the nodes
 // sim_store.cc    the store: reads, watches, grants, the peer list
+// sim_prompts.cc  prompts with parts, servers that crash
 // sim_traffic.cc  callers, backend servers, tokens between gateways
 
 #ifndef FOXTAILQUAY_TESTS_GATEWAY_SIM_PARTS_H
@@ -14,6 +15,9 @@
 
 constexpr token_count kTokensPerEvent = 7;
 constexpr absl::Duration kPeerLatency = absl::Milliseconds(2);
+// Default contact time of a gateway.
+constexpr absl::Duration kContactTime = absl::Seconds(3);
+constexpr absl::Duration kServerDownTime = absl::Seconds(3);
 const absl::Time kStart = absl::FromUnixSeconds(100000);
 
 // Returns a random number in [0, aBelow).
@@ -37,6 +41,14 @@
 void Perform(fleet_sim& aSim, std::size_t aIndex,
              const gateway_actions& aActions);
 
+// --- gateway_sim.cc ---------------------------------------------------------
+
+// Writes a configuration with the present prepaid totals.
+void PutConfig(fleet_sim& aSim, config_version aVersion);
+// Ends the process and schedules its restart. A power loss also resets its
+// steady clock.
+void KillGateway(fleet_sim& aSim, std::size_t aIndex, bool aIsPowerLoss);
+
 // --- sim_store.cc -----------------------------------------------------------
 
 // Serve one call of a gateway on the store.
@@ -48,6 +60,8 @@
                         const registration_call& aCall);
 void SetPeer(fleet_sim& aSim, const std::string& aName,
              std::optional<gateway_peer> aPeer);
+void SetBackend(fleet_sim& aSim, const std::string& aName,
+                const backend_entry& aEntry);
 // Responds to the watches for which there are changes.
 void SendWatchResponses(fleet_sim& aSim);
 
@@ -58,6 +72,8 @@
 // report arrives.
 void Dispatch(fleet_sim& aSim, std::size_t aIndex,
               const dispatch_request& aAction);
+// Ends the attempts on the server and takes it down for kServerDownTime.
+void CrashServer(fleet_sim& aSim, const std::string& aServer);
 // Checks an error response and ends the request.
 void HandleSendError(fleet_sim& aSim, std::size_t aIndex,
                      const send_error& aAction);
--- /dev/null
+++ b/tests/gateway_sim/sim_prompts.cc
@@ -0,0 +1,151 @@
+// Prompts with parts that several requests have in common, and servers that
+// crash.
+
+#include "gateway_sim/sim_parts.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace foxtailquay::gateway_sim {
+
+namespace {
+
+constexpr std::uint64_t kCommonPart = 0x10;
+constexpr std::uint64_t kDeadlyPart = 0xdead;
+constexpr std::uint64_t kFirstSubject = 0x100;
+constexpr int kSubjects = 40;
+constexpr token_count kPromptTokens = 300;
+constexpr token_count kAmplePrepaid = 100000000;
+// One request in so many is deadly.
+constexpr int kDeadlyInterval = 20;
+
+// Adds engines, so that some are up while others are down, and tokens.
+void PrepareForPrompts(fleet_sim& aSim)
+{
+  aSim.mServersFail = false;
+  for (auto& prepaid : aSim.mPrepaid) {
+    prepaid.second = kAmplePrepaid;
+  }
+  PutConfig(aSim, aSim.mStore.mConfig.mVersion + 1);
+  for (int i = 3; i <= 10; ++i) {
+    backend_entry entry = aSim.mStore.mBackends["e1"].first;
+    entry.mAddress = absl::StrCat("e", i, ":1");
+    SetBackend(aSim, absl::StrCat("e", i), entry);
+  }
+  RunUntil(aSim, aSim.mNow + absl::Seconds(1));
+}
+
+std::vector<std::uint64_t> MakeDeadlyParts(fleet_sim& aSim,
+                                           deadly_pattern aPattern)
+{
+  const std::uint64_t subject = kFirstSubject + Draw(aSim, kSubjects);
+  switch (aPattern) {
+    case deadly_pattern::VaryingCompanion:
+      return { kCommonPart, subject, kDeadlyPart };
+    case deadly_pattern::FixedCompanion:
+      return { kCommonPart, kFirstSubject, kDeadlyPart };
+    case deadly_pattern::First:
+      return { kDeadlyPart, subject };
+  }
+  return {};
+}
+
+// Sends a stream request with these parts and a last one of its own.
+void SendPrompt(fleet_sim& aSim, const std::vector<std::uint64_t>& aParts,
+                bool aIsDeadly)
+{
+  caller_request request;
+  request.mHandle = aSim.mNextHandle++;
+  request.mAttemptId = absl::StrCat("a", request.mHandle);
+  request.mHost = "shop.example";
+  request.mPath = "/chat/";
+  const int workspace = Draw(aSim, 2);
+  request.mKey = absl::StrCat("key-", workspace);
+  request.mCallerTimeout = absl::Seconds(3);
+  request.mPromptTokens = kPromptTokens;
+  request.mMaxOutputTokens = kTokensPerEvent * 10;
+  for (const std::uint64_t part : aParts) {
+    request.mPromptParts.push_back({ part, 100 });
+  }
+  request.mPromptParts.push_back({ 0x100000 + request.mHandle, 100 });
+  sim_request& known = aSim.mRequests[request.mHandle];
+  known.mWorkspace = workspace_id{ absl::StrCat("w", workspace) };
+  known.mKind = call_kind::Stream;
+  known.mPrompt = request.mPromptTokens;
+  known.mMaxOutput = request.mMaxOutputTokens;
+  known.mIsDeadly = aIsDeadly;
+  known.mIsSound = !aIsDeadly;
+  prompt_counts& counts = aSim.mPrompts;
+  if (!aIsDeadly && counts.mCrashes.size() >= 5 &&
+      aSim.mNow - counts.mCrashes[4] > 2 * kContactTime) {
+    ++counts.mSound;
+  }
+  Deliver(aSim, static_cast<std::size_t>(Draw(aSim, aSim.mGateways.size())),
+          request);
+}
+
+// Sends a request and schedules the next one, up to aEnd.
+void SendPromptsPeriodically(fleet_sim& aSim,
+                             std::optional<deadly_pattern> aPattern,
+                             absl::Time aEnd)
+{
+  if (aSim.mNow >= aEnd) {
+    return;
+  }
+  const bool isDeadly = aPattern && Draw(aSim, kDeadlyInterval) == 0;
+  SendPrompt(aSim,
+             isDeadly ? MakeDeadlyParts(aSim, *aPattern)
+                      : std::vector<std::uint64_t>{ kCommonPart,
+                                                    kFirstSubject +
+                                                      Draw(aSim, kSubjects) },
+             isDeadly);
+  Schedule(
+    aSim, DrawTime(aSim, absl::Milliseconds(40)),
+    [&aSim, aPattern, aEnd] { SendPromptsPeriodically(aSim, aPattern, aEnd); });
+}
+
+void RestartGatewaysPeriodically(fleet_sim& aSim, absl::Time aEnd)
+{
+  if (aSim.mNow >= aEnd) {
+    return;
+  }
+  KillGateway(aSim, static_cast<std::size_t>(Draw(aSim, aSim.mGateways.size())),
+              Draw(aSim, 2) == 0);
+  Schedule(aSim, absl::Seconds(2) + DrawTime(aSim, absl::Seconds(4)),
+           [&aSim, aEnd] { RestartGatewaysPeriodically(aSim, aEnd); });
+}
+
+void CrashServersPeriodically(fleet_sim& aSim, absl::Time aEnd)
+{
+  if (aSim.mNow >= aEnd) {
+    return;
+  }
+  CrashServer(aSim, absl::StrCat("e", 1 + Draw(aSim, 10)));
+  Schedule(aSim, DrawTime(aSim, absl::Seconds(1)),
+           [&aSim, aEnd] { CrashServersPeriodically(aSim, aEnd); });
+}
+
+} // namespace
+
+void RunDeadlyPrompts(fleet_sim& aSim, deadly_pattern aPattern, bool aRestarts,
+                      absl::Duration aTime)
+{
+  PrepareForPrompts(aSim);
+  const absl::Time end = aSim.mNow + aTime;
+  SendPromptsPeriodically(aSim, aPattern, end);
+  if (aRestarts) {
+    RestartGatewaysPeriodically(aSim, end);
+  }
+  RunUntil(aSim, end);
+}
+
+void RunCrashingServers(fleet_sim& aSim, absl::Duration aTime)
+{
+  PrepareForPrompts(aSim);
+  aSim.mServersFail = true;
+  const absl::Time end = aSim.mNow + aTime;
+  SendPromptsPeriodically(aSim, std::nullopt, end);
+  CrashServersPeriodically(aSim, end);
+  RunUntil(aSim, end);
+}
+
+} // namespace foxtailquay::gateway_sim
--- a/tests/gateway_sim/sim_store.cc
+++ b/tests/gateway_sim/sim_store.cc
@@ -169,6 +169,13 @@
   SendWatchResponses(aSim);
 }
 
+void SetBackend(fleet_sim& aSim, const std::string& aName,
+                const backend_entry& aEntry)
+{
+  aSim.mStore.mBackends[aName] = { aEntry, ++aSim.mStore.mRevision };
+  SendWatchResponses(aSim);
+}
+
 void HandleRegistration(fleet_sim& aSim, std::size_t aIndex,
                         const registration_call& aCall)
 {
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -12,6 +12,8 @@
 
 constexpr absl::Duration kPeerTimeout = absl::Milliseconds(600);
 constexpr absl::Duration kRunTime = absl::Milliseconds(300);
+// Time for which a server runs a deadly request before it crashes.
+constexpr absl::Duration kDeadlyRunTime = absl::Milliseconds(50);
 
 // Executes a request on a backend server and checks the invariants.
 void ExecuteRequest(fleet_sim& aSim, request_handle aHandle,
@@ -38,6 +40,51 @@
   }
 }
 
+// Delivers the report of an attempt, unless its gateway has ended or the
+// attempt has been reported.
+void FinishAttempt(fleet_sim& aSim, std::uint64_t aAttempt)
+{
+  const auto found = aSim.mAttempts.find(aAttempt);
+  if (found == aSim.mAttempts.end()) {
+    return;
+  }
+  const sim_attempt ended = std::move(found->second);
+  aSim.mAttempts.erase(found);
+  if (aSim.mGateways[ended.mGateway].mIncarnation == ended.mIncarnation) {
+    Deliver(aSim, ended.mGateway, ended.mReport);
+  }
+}
+
+// Starts an attempt that ends after aTime.
+void AddAttempt(fleet_sim& aSim, absl::Duration aTime, sim_attempt aAttempt)
+{
+  const std::uint64_t id = aSim.mNextAttempt++;
+  aAttempt.mIncarnation = aSim.mGateways[aAttempt.mGateway].mIncarnation;
+  aSim.mAttempts[id] = std::move(aAttempt);
+  Schedule(aSim, aTime, [&aSim, id] { FinishAttempt(aSim, id); });
+}
+
+// Counts a request that reaches a server.
+void CountPromptDispatch(fleet_sim& aSim, std::size_t aIndex,
+                         request_handle aHandle)
+{
+  const sim_request& request = aSim.mRequests[aHandle];
+  prompt_counts& counts = aSim.mPrompts;
+  constexpr std::size_t kAllowedCrashes = 5;
+  if (counts.mCrashes.size() < kAllowedCrashes) {
+    return;
+  }
+  const absl::Duration since = aSim.mNow - counts.mCrashes[kAllowedCrashes - 1];
+  const bool isInTouch =
+    aSim.mNow - aSim.mGateways[aIndex].mStartedAt > kContactTime;
+  if (request.mIsDeadly && isInTouch && since > kContactTime) {
+    ++counts.mLateDeadly;
+  }
+  if (request.mIsSound && since > 2 * kContactTime) {
+    ++counts.mSoundDispatched;
+  }
+}
+
 } // namespace
 
 void Dispatch(fleet_sim& aSim, std::size_t aIndex,
@@ -47,6 +94,21 @@
   attempt_report report;
   report.mHandle = aAction.mHandle;
   report.mAttempt = aAction.mAttempt;
+  const std::string& server = aAction.mBackend.mValue;
+  if (aSim.mServersDown.count(server) > 0) {
+    DeliverAfter(aSim, kPeerLatency, aIndex, report);
+    return;
+  }
+  CountPromptDispatch(aSim, aIndex, aAction.mHandle);
+  if (request.mIsDeadly) {
+    report.mOutcome = attempt_outcome::Broken;
+    report.mStatus = 200;
+    ExecuteRequest(aSim, aAction.mHandle, request.mPrompt);
+    AddAttempt(aSim, 2 * kRunTime, { aIndex, 0, server, report });
+    Schedule(aSim, kDeadlyRunTime,
+             [&aSim, server] { CrashServer(aSim, server); });
+    return;
+  }
   constexpr attempt_outcome kOutcomes[] = {
     attempt_outcome::NotSent, attempt_outcome::NotRun, attempt_outcome::Failed,
     attempt_outcome::Broken, attempt_outcome::BrokenMidway
@@ -79,7 +141,34 @@
     report.mOutcome = attempt_outcome::NotSent;
   }
   aSim.mServed += report.mOutcome == attempt_outcome::Delivered ? 1 : 0;
-  DeliverAfter(aSim, DrawTime(aSim, 2 * kRunTime), aIndex, report);
+  AddAttempt(aSim, DrawTime(aSim, 2 * kRunTime), { aIndex, 0, server, report });
+}
+
+void CrashServer(fleet_sim& aSim, const std::string& aServer)
+{
+  if (!aSim.mServersDown.insert(aServer).second) {
+    return;
+  }
+  aSim.mPrompts.mCrashes.push_back(aSim.mNow);
+  std::vector<std::uint64_t> broken;
+  for (auto& [id, attempt] : aSim.mAttempts) {
+    if (attempt.mServer != aServer) {
+      continue;
+    }
+    attempt.mReport.mOutcome = attempt.mReport.mEvents > 0
+                                 ? attempt_outcome::BrokenMidway
+                                 : attempt_outcome::Broken;
+    broken.push_back(id);
+  }
+  for (const std::uint64_t id : broken) {
+    FinishAttempt(aSim, id);
+  }
+  Schedule(aSim, kServerDownTime, [&aSim, aServer] {
+    aSim.mServersDown.erase(aServer);
+    backend_entry entry = aSim.mStore.mBackends[aServer].first;
+    entry.mStartedMs = absl::ToUnixMillis(aSim.mNow);
+    SetBackend(aSim, aServer, entry);
+  });
 }
 
 void HandleSendError(fleet_sim& aSim, std::size_t aIndex,
