--- a/include/foxtailquay/error.h
+++ b/include/foxtailquay/error.h
@@ -52,6 +52,8 @@
   Overloaded,
   DeadlineExceeded,
   NoBackendServer,
+  // Backend servers crash under a part of the prompt.
+  PromptQuarantined,
   BackendServerFailed,
   BackendServerLeaving,
   StreamBroken,
@@ -96,6 +98,7 @@
     { e::Overloaded, "overloaded" },
     { e::DeadlineExceeded, "deadline_exceeded" },
     { e::NoBackendServer, "no_backend_server" },
+    { e::PromptQuarantined, "prompt_quarantined" },
     { e::BackendServerFailed, "backend_server_failed" },
     { e::BackendServerLeaving, "backend_server_leaving" },
     { e::StreamBroken, "stream_broken" },
--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -118,6 +118,9 @@
   body_framing mFraming = body_framing::Unknown;
   // Received bytes of a stream event that did not arrive completely.
   std::size_t mPartialEventBytes = 0;
+  // True if an event of the stream, or a part of a plain response that was
+  // relayed, arrived in this attempt.
+  bool mHasOutput = false;
 };
 
 // The first byte of the response of an attempt has arrived.
@@ -202,6 +205,18 @@
   std::optional<Entry> mEntry;
 };
 
+// Crashes of backend servers under a part of prompts, as reported by one
+// gateway.
+struct crash_report
+{
+  // Hash of the part.
+  std::uint64_t mPart = 0;
+  std::string mGateway;
+  // Identifies the crashed incarnations of servers. Empty if the report was
+  // removed, or is to be removed.
+  std::vector<std::string> mCrashes;
+};
+
 // Response to a directory_query.
 struct directory_response
 {
@@ -214,6 +229,24 @@
   std::vector<directory_change<traffic_config>> mConfigs;
   std::vector<directory_change<backend_entry>> mBackends;
   std::vector<directory_change<gateway_peer>> mPeers;
+  // Part of the area Peers.
+  std::vector<crash_report> mCrashReports;
+};
+
+// Response to a crash_report_write.
+struct crash_report_write_response
+{
+  bool mIsWritten = false;
+};
+
+// Response to probe_server.
+struct server_probed
+{
+  backend_id mBackend;
+  std::int64_t mStartedMs = 0;
+  // True if the server's host refuses connections, so that the process has
+  // ended.
+  bool mIsRefused = false;
 };
 
 // The grant record of one workspace, as stored.
@@ -337,7 +370,8 @@
   std::variant<caller_request, attempt_report, first_byte, caller_disconnected,
                directory_response, grant_write_response, registration_response,
                tokens_requested, tokens_returned, token_response_received,
-               prompts_reported, load_measured, gateway_tick, stop_requested>;
+               prompts_reported, load_measured, server_probed,
+               crash_report_write_response, gateway_tick, stop_requested>;
 
 // --- Actions ----------------------------------------------------------------
 
@@ -450,6 +484,21 @@
   std::vector<sent_prompt> mPrompts;
 };
 
+// Checks whether the process of a backend server has ended.
+struct probe_server
+{
+  backend_id mBackend;
+  std::string mAddress;
+  // Start time of the incarnation to which the check belongs.
+  std::int64_t mStartedMs = 0;
+};
+
+// Writes crash reports, and removes those without crashes, in one transaction.
+struct crash_report_write
+{
+  std::vector<crash_report> mReports;
+};
+
 // Sets whether the process reports itself as ready.
 struct set_ready
 {
@@ -495,6 +544,7 @@
   StoreLost,
   StoreRegained,
   LoadChanged,
+  PromptPartChanged,
   StopStarted,
 };
 
@@ -513,6 +563,7 @@
                             { d::StoreLost, "store_lost" },
                             { d::StoreRegained, "store_regained" },
                             { d::LoadChanged, "load_changed" },
+                            { d::PromptPartChanged, "prompt_part_changed" },
                             { d::StopStarted, "stop_started" } });
 }
 
@@ -528,8 +579,9 @@
   std::variant<send_error, deliver_failure, cancel_request, dispatch_request,
                directory_query, grant_write, registration_call,
                send_token_response, request_tokens, return_tokens,
-               report_prompts, deregistration_call, set_ready, set_closing,
-               set_limits, stop_finished, decision_record>;
+               report_prompts, probe_server, crash_report_write,
+               deregistration_call, set_ready, set_closing, set_limits,
+               stop_finished, decision_record>;
 
 using gateway_actions = std::vector<gateway_action>;
 
@@ -593,6 +645,8 @@
   std::size_t mRequests = 0;
   std::size_t mBackends = 0;
   std::size_t mPeers = 0;
+  // Parts of prompts for which requests are refused.
+  std::size_t mQuarantinedParts = 0;
   bool mReady = false;
 };
 
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -108,6 +108,7 @@
                     aNow);
     }
     AdvanceGrants(aGateway, aNow);
+    AdvanceQuarantine(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
   }
   AdvanceWatches(aGateway, aNow);
@@ -169,6 +170,14 @@
   {
     OnLoadMeasured(mGateway, aEvent, mNow);
   }
+  void operator()(const server_probed& aEvent)
+  {
+    OnServerProbed(mGateway, aEvent, mNow);
+  }
+  void operator()(const crash_report_write_response& aEvent)
+  {
+    OnCrashReportWriteResponse(mGateway, aEvent, mNow);
+  }
   void operator()(const gateway_tick&) { AdvanceGateway(mGateway, mNow); }
   void operator()(const stop_requested&) { OnStopRequested(mGateway, mNow); }
 };
@@ -227,6 +236,11 @@
   }
   gateway_ptr node(new gateway);
   node->mCharts = GetValue(std::move(charts));
+  const auto partChart =
+    ParseChartFile(aChartTexts, "prompt_part.yaml", node->mQuarantine.mChart);
+  if (!IsOk(partChart)) {
+    return GetError(partChart);
+  }
   node->mRandom.seed(aSettings.mSeed);
   node->mRouting = MakeRoutingOptions(aSettings);
   node->mHolder.mId = aSettings.mName + "/" + aSettings.mNonce;
@@ -278,6 +292,11 @@
   summary.mRequests = aGateway.mRequests.size();
   summary.mBackends = aGateway.mViews.size();
   summary.mPeers = aGateway.mPeers.size();
+  summary.mQuarantinedParts = static_cast<std::size_t>(
+    std::count_if(aGateway.mQuarantine.mParts.begin(),
+                  aGateway.mQuarantine.mParts.end(), [](const auto& aEach) {
+                    return aEach.second.mStatus == part_status::Quarantined;
+                  }));
   summary.mReady = aGateway.mReady;
   return summary;
 }
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -1,6 +1,7 @@
 // Enumerations of the charts of a gateway: charts/forwarded_request.yaml,
 // charts/directory.yaml and charts/gateway_load.yaml. The health of backend
-// servers uses charts/backend_server.yaml (backend_health.h).
+// servers uses charts/backend_server.yaml (backend_health.h), the quarantine of
+// prompts charts/prompt_part.yaml (prompt_quarantine.h).
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
 #define FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -52,7 +52,7 @@
       return aContext.mArea.mRevision.has_value();
     case watch_guard::HasChanges:
       return !response.mConfigs.empty() || !response.mBackends.empty() ||
-             !response.mPeers.empty();
+             !response.mPeers.empty() || !response.mCrashReports.empty();
   }
   return false;
 }
@@ -251,6 +251,9 @@
   for (const auto& change : peers) {
     ApplyPeer(aGateway, change);
   }
+  if (aResponse.mArea == directory_area::Peers) {
+    ApplyCrashReports(aGateway, aResponse, aNow);
+  }
   // The configuration of a backend server depends on the kind of its service.
   if (!aResponse.mConfigs.empty()) {
     for (auto& view : aGateway.mViews) {
@@ -414,8 +417,9 @@
 
 bool IsDirectoryKnown(const gateway& aGateway)
 {
-  const auto backends = static_cast<std::size_t>(directory_area::Backends);
-  return aGateway.mTable && aGateway.mAreas[backends].mComplete;
+  return aGateway.mTable &&
+         std::all_of(aGateway.mAreas.begin(), aGateway.mAreas.end(),
+                     [](const watched_area& aArea) { return aArea.mComplete; });
 }
 
 void ExcludeBackend(gateway& aGateway, const backend_id& aBackend,
--- /dev/null
+++ b/src/core/gateway_quarantine.cc
@@ -0,0 +1,187 @@
+// Prompt quarantine of a gateway: confirms that servers have crashed, and
+// exchanges reports on crashes with the other gateways through the store.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "gateway_state.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Largest number of reports in one write. The store accepts at most 32.
+constexpr std::size_t kMaxReportsPerWrite = 16;
+
+void RecordPartChanges(gateway& aGateway)
+{
+  for (const part_change& change : aGateway.mQuarantine.mChanges) {
+    RecordDecision(aGateway, decision::PromptPartChanged,
+                   { { "part", absl::StrCat(absl::Hex(change.mPart)) },
+                     { "state", std::string(ToName(change.mStatus)) },
+                     { "cause", std::string(ToName(change.mCause)) },
+                     { "crashes", absl::StrCat(change.mCrashes) } });
+  }
+  aGateway.mQuarantine.mChanges.clear();
+}
+
+// Writes the reports that differ from the store. At most one write is in
+// flight.
+void WriteCrashReports(gateway& aGateway, absl::Time aNow)
+{
+  const std::set<report_key>& unwritten = aGateway.mQuarantine.mUnwritten;
+  if (unwritten.empty() || !aGateway.mReportsInFlight.empty() ||
+      aNow < aGateway.mNextReportWriteAt) {
+    return;
+  }
+  for (const report_key& key : unwritten) {
+    aGateway.mReportsInFlight.push_back(
+      MakeCrashReport(aGateway.mQuarantine, key));
+    if (aGateway.mReportsInFlight.size() == kMaxReportsPerWrite) {
+      break;
+    }
+  }
+  aGateway.mActions.push_back(crash_report_write{ aGateway.mReportsInFlight });
+}
+
+} // namespace
+
+void OnPromptBroken(gateway& aGateway, const forwarded_request& aRequest,
+                    const backend_id& aBackend, absl::Time aNow)
+{
+  const auto listing = aGateway.mListings.find(aBackend);
+  if (listing == aGateway.mListings.end()) {
+    return;
+  }
+  std::vector<std::uint64_t> suspects =
+    ListSharedParts(aRequest.mCaller.mPromptParts);
+  suspects.erase(std::remove_if(suspects.begin(), suspects.end(),
+                                [&](std::uint64_t aPart) {
+                                  return HasRecentSuccess(aGateway.mQuarantine,
+                                                          aPart, aNow);
+                                }),
+                 suspects.end());
+  if (suspects.empty()) {
+    return;
+  }
+  const auto [probe, isNew] = aGateway.mProbes.try_emplace(aBackend);
+  probe->second.insert(suspects.begin(), suspects.end());
+  if (isNew) {
+    aGateway.mActions.push_back(
+      probe_server{ aBackend, listing->second.mEntry.mAddress,
+                    listing->second.mEntry.mStartedMs });
+  }
+}
+
+void OnServerProbed(gateway& aGateway, const server_probed& aEvent,
+                    absl::Time aNow)
+{
+  const auto probe = aGateway.mProbes.find(aEvent.mBackend);
+  if (probe == aGateway.mProbes.end()) {
+    return;
+  }
+  const std::set<std::uint64_t> suspects = std::move(probe->second);
+  aGateway.mProbes.erase(probe);
+  if (!aEvent.mIsRefused) {
+    return;
+  }
+  const std::string crash =
+    absl::StrCat(aEvent.mBackend.mValue, "/", aEvent.mStartedMs);
+  for (const std::uint64_t part : suspects) {
+    AddOwnCrash(aGateway.mQuarantine, aGateway.mSettings.mName, part, crash,
+                aNow);
+  }
+  RecordPartChanges(aGateway);
+  WriteCrashReports(aGateway, aNow);
+}
+
+void OnPromptSucceeded(gateway& aGateway, const forwarded_request& aRequest,
+                       absl::Time aNow)
+{
+  RecordSuccess(aGateway.mQuarantine,
+                ListSharedParts(aRequest.mCaller.mPromptParts), aNow);
+  RecordPartChanges(aGateway);
+  WriteCrashReports(aGateway, aNow);
+}
+
+void ApplyCrashReports(gateway& aGateway, const directory_response& aResponse,
+                       absl::Time aNow)
+{
+  std::set<report_key> listed;
+  for (const crash_report& report : aResponse.mCrashReports) {
+    listed.insert({ report.mPart, report.mGateway });
+    ApplyCrashReport(aGateway.mQuarantine, report, aNow);
+  }
+  if (aResponse.mComplete) {
+    std::vector<crash_report> removed;
+    for (const auto& part : aGateway.mQuarantine.mParts) {
+      for (const auto& report : part.second.mCrashes) {
+        if (listed.count({ part.first, report.first }) == 0) {
+          removed.push_back({ part.first, report.first, {} });
+        }
+      }
+    }
+    for (const crash_report& report : removed) {
+      ApplyCrashReport(aGateway.mQuarantine, report, aNow);
+    }
+  }
+  RecordPartChanges(aGateway);
+  WriteCrashReports(aGateway, aNow);
+}
+
+void OnCrashReportWriteResponse(gateway& aGateway,
+                                const crash_report_write_response& aEvent,
+                                absl::Time aNow)
+{
+  const std::vector<crash_report> sent = std::move(aGateway.mReportsInFlight);
+  aGateway.mReportsInFlight.clear();
+  if (!aEvent.mIsWritten) {
+    aGateway.mNextReportWriteAt = aNow + kMaxBackoff;
+    return;
+  }
+  for (const crash_report& report : sent) {
+    const report_key key{ report.mPart, report.mGateway };
+    // The report may have changed meanwhile.
+    if (MakeCrashReport(aGateway.mQuarantine, key).mCrashes ==
+        report.mCrashes) {
+      aGateway.mQuarantine.mUnwritten.erase(key);
+    }
+  }
+  WriteCrashReports(aGateway, aNow);
+}
+
+void AdvanceQuarantine(gateway& aGateway, absl::Time aNow)
+{
+  AdvanceQuarantine(aGateway.mQuarantine, aNow);
+  RecordPartChanges(aGateway);
+  WriteCrashReports(aGateway, aNow);
+}
+
+std::optional<error> CheckPrompt(const gateway& aGateway,
+                                 const forwarded_request& aRequest,
+                                 absl::Time aNow)
+{
+  if (aGateway.mQuarantine.mParts.empty()) {
+    return std::nullopt;
+  }
+  const auto part = FindQuarantinedPart(
+    aGateway.mQuarantine, ListSharedParts(aRequest.mCaller.mPromptParts));
+  if (!part) {
+    return std::nullopt;
+  }
+  error refusal = MakeError(error_code::PromptQuarantined, executed::No,
+                            absl::StrCat("backend servers crash under part ",
+                                         absl::Hex(*part), " of the prompt"));
+  refusal.mRetryAfter = aGateway.mQuarantine.mParts.at(*part).mUntil - aNow;
+  return refusal;
+}
+
+bool HasSuspectPrompt(const gateway& aGateway,
+                      const forwarded_request& aRequest)
+{
+  return !aGateway.mQuarantine.mParts.empty() &&
+         HasSuspectPart(aGateway.mQuarantine,
+                        ListSharedParts(aRequest.mCaller.mPromptParts));
+}
+
+} // namespace foxtailquay
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -75,7 +75,9 @@
   if (request.mIsLastUnsent && request.mSentAttempts == 0) {
     return request.mAttempts <= kMaxUnsentAttempts;
   }
-  if (request.mMayHaveExecuted && !IsRepeatable(request.mRoute)) {
+  if (request.mMayHaveExecuted &&
+      (!IsRepeatable(request.mRoute) ||
+       HasSuspectPrompt(aContext.mGateway, request))) {
     return false;
   }
   if (request.mSentAttempts >= request.mRoute.mMaxAttempts) {
@@ -162,7 +164,8 @@
 }
 
 // Finds the route and the workspace that pays, and sets the fields that depend
-// on them. Errors: ShuttingDown, NotReady, NotFound, Unauthorized.
+// on them. Errors: ShuttingDown, NotReady, NotFound, Unauthorized,
+// PromptQuarantined.
 result<success> Admit(gateway& aGateway, forwarded_request& aRequest,
                       absl::Time aNow)
 {
@@ -201,6 +204,11 @@
   }
   aRequest.mService = ChooseService(caller, *route);
   ApplyServiceSettings(aGateway, aRequest);
+  if (aRequest.mIsEngine) {
+    if (auto refusal = CheckPrompt(aGateway, aRequest, aNow)) {
+      return *std::move(refusal);
+    }
+  }
   aRequest.mDeadline =
     aNow + std::min(route->mTimeout,
                     caller.mCallerTimeout.value_or(absl::InfiniteDuration()));
@@ -257,18 +265,15 @@
   aRequest.mBackend = backend_id{};
 }
 
-// Returns the parts of the prompt that other requests may have too, for the log.
-// The last part is specific to the request.
-std::string ListSharedParts(const caller_request& aCaller)
+// Returns the shared parts of the prompt for the log.
+std::string ToLogText(const std::vector<std::uint64_t>& aParts)
 {
   constexpr std::size_t kMaxLoggedParts = 8;
-  std::string parts;
-  for (std::size_t i = 0;
-       i + 1 < aCaller.mPromptParts.size() && i < kMaxLoggedParts; ++i) {
-    absl::StrAppend(&parts, i == 0 ? "" : ",",
-                    absl::Hex(aCaller.mPromptParts[i].mHash));
+  std::string text;
+  for (std::size_t i = 0; i < aParts.size() && i < kMaxLoggedParts; ++i) {
+    absl::StrAppend(&text, i == 0 ? "" : ",", absl::Hex(aParts[i]));
   }
-  return parts;
+  return text;
 }
 
 // Sends the request to a backend server, or fires Unroutable if none can take
@@ -338,7 +343,7 @@
           ? std::string("none")
           : absl::StrCat(absl::ToInt64Milliseconds(aNow - view.mReportedAt)) },
       { "reserved", absl::StrCat(aRequest.mReserved) },
-      { "parts", ListSharedParts(aRequest.mCaller) },
+      { "parts", ToLogText(ListSharedParts(aRequest.mCaller.mPromptParts)) },
       { "version", absl::StrCat(aGateway.mTable->mConfig.mVersion) } });
 }
 
@@ -449,20 +454,37 @@
                            const attempt_report& aReport,
                            const backend_id& aBackend, absl::Time aNow)
 {
-  RecordDecision(aGateway, decision::RequestFinished,
-                 { { "request", aRequest.mCaller.mAttemptId },
-                   { "attempt", absl::StrCat(aReport.mAttempt) },
-                   { "backend", aBackend.mValue },
-                   { "outcome", std::string(ToName(aReport.mOutcome)) },
-                   { "status", absl::StrCat(aReport.mStatus) },
-                   { "events", absl::StrCat(aReport.mEvents) },
-                   { "framing", std::string(ToName(aReport.mFraming)) },
-                   { "partial_bytes",
-                     absl::StrCat(aReport.mPartialEventBytes) },
-                   { "workspace", aRequest.mWorkspace.mValue },
-                   { "spent", absl::StrCat(ComputeSpentTokens(aRequest)) },
-                   { "total_ms", absl::StrCat(absl::ToInt64Milliseconds(
-                                   aNow - aRequest.mArrivedAt)) } });
+  RecordDecision(
+    aGateway, decision::RequestFinished,
+    { { "request", aRequest.mCaller.mAttemptId },
+      { "attempt", absl::StrCat(aReport.mAttempt) },
+      { "backend", aBackend.mValue },
+      { "outcome", std::string(ToName(aReport.mOutcome)) },
+      { "status", absl::StrCat(aReport.mStatus) },
+      { "events", absl::StrCat(aReport.mEvents) },
+      { "framing", std::string(ToName(aReport.mFraming)) },
+      { "partial_bytes", absl::StrCat(aReport.mPartialEventBytes) },
+      { "workspace", aRequest.mWorkspace.mValue },
+      { "spent", absl::StrCat(ComputeSpentTokens(aRequest)) },
+      { "total_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                      aNow - aRequest.mArrivedAt)) } });
+}
+
+// Records what the attempt shows of the parts of the prompt.
+void RecordPromptOutcome(gateway& aGateway, const forwarded_request& aRequest,
+                         const attempt_report& aReport,
+                         const backend_id& aBackend, absl::Time aNow)
+{
+  if (!aRequest.mIsEngine) {
+    return;
+  }
+  if (aReport.mOutcome == attempt_outcome::Delivered) {
+    OnPromptSucceeded(aGateway, aRequest, aNow);
+  } else if (!aReport.mHasOutput &&
+             (aReport.mOutcome == attempt_outcome::Broken ||
+              aReport.mOutcome == attempt_outcome::BrokenMidway)) {
+    OnPromptBroken(aGateway, aRequest, aBackend, aNow);
+  }
 }
 
 } // namespace
@@ -527,6 +549,7 @@
   const backend_id backend = request.mBackend;
   ApplyAttemptReport(aGateway, request, aReport, aNow);
   RecordRequestFinished(aGateway, request, aReport, backend, aNow);
+  RecordPromptOutcome(aGateway, request, aReport, backend, aNow);
   FireRequest(aGateway, aReport.mHandle,
               aReport.mOutcome == attempt_outcome::Delivered
                 ? forward_event::Delivered
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -4,6 +4,7 @@
 // gateway.cc          construction, event dispatch, timers, planned stop
 // gateway_request.cc  one request: admission, attempts, end
 // gateway_share.cc    reports between gateways on prompts sent to engines
+// gateway_quarantine.cc  parts of prompts under which servers crash
 // gateway_fund.cc     prepaid totals: grants, transfers between gateways
 // gateway_load.cc     load of this process
 // gateway_follow.cc   watches on the store: configuration, servers, peers
@@ -23,6 +24,7 @@
 #include "absl/time/time.h"
 #include "foxtailquay/gateway.h"
 #include "gateway_charts.h"
+#include "prompt_quarantine.h"
 #include "retry.h"
 #include "routing.h"
 
@@ -236,6 +238,13 @@
   bool mWriteFailed = false;
   absl::Time mNextPeriodicWriteAt = absl::InfinitePast();
 
+  prompt_quarantine mQuarantine;
+  // Suspected parts by backend server, until the server has been probed.
+  std::map<backend_id, std::set<std::uint64_t>> mProbes;
+  // Reports of the write in flight; empty if there is none.
+  std::vector<crash_report> mReportsInFlight;
+  absl::Time mNextReportWriteAt = absl::InfinitePast();
+
   // Lease of the entry in the peer list; 0 if there is none.
   std::uint64_t mLease = 0;
   bool mIsRegistering = false;
@@ -292,6 +301,34 @@
 // Reports the recorded prompts to other gateways once they are due.
 void AdvancePromptReports(gateway& aGateway, absl::Time aNow);
 
+// --- gateway_quarantine.cc --------------------------------------------------
+
+// Checks whether the server of an attempt that broke off before its first
+// output has crashed.
+void OnPromptBroken(gateway& aGateway, const forwarded_request& aRequest,
+                    const backend_id& aBackend, absl::Time aNow);
+void OnServerProbed(gateway& aGateway, const server_probed& aEvent,
+                    absl::Time aNow);
+// Records a complete response to a request to an engine.
+void OnPromptSucceeded(gateway& aGateway, const forwarded_request& aRequest,
+                       absl::Time aNow);
+// Adopts the crash reports in a response on the area Peers.
+void ApplyCrashReports(gateway& aGateway, const directory_response& aResponse,
+                       absl::Time aNow);
+void OnCrashReportWriteResponse(gateway& aGateway,
+                                const crash_report_write_response& aEvent,
+                                absl::Time aNow);
+// Ends quarantines whose time has passed and repeats failed writes.
+void AdvanceQuarantine(gateway& aGateway, absl::Time aNow);
+// Returns the error with which the request must be refused because of its
+// prompt; nothing if it may be sent.
+std::optional<error> CheckPrompt(const gateway& aGateway,
+                                 const forwarded_request& aRequest,
+                                 absl::Time aNow);
+// Returns true if servers have crashed under a part of the prompt.
+bool HasSuspectPrompt(const gateway& aGateway,
+                      const forwarded_request& aRequest);
+
 // --- gateway_fund.cc --------------------------------------------------------
 
 // Reserves the worst-case cost of a request, immediately or after a wait. Fires
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -293,6 +293,15 @@
     IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
     StartStoreCall(mHost.mStore, aAction);
   }
+  void operator()(const crash_report_write& aAction)
+  {
+    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
+    StartStoreCall(mHost.mStore, aAction);
+  }
+  void operator()(const probe_server& aAction)
+  {
+    ProbeServer(mHost.mTraffic, aAction);
+  }
   void operator()(const registration_call& aAction)
   {
     IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
@@ -382,6 +391,8 @@
   return { { gauge::OpenRequests, double(aHost.mSummary.mRequests) },
            { gauge::ControlQueueLength, double(GetSize(aHost.mQueue)) },
            { gauge::ConfigVersion, double(aHost.mSummary.mVersion) },
+           { gauge::QuarantinedPromptParts,
+             double(aHost.mSummary.mQuarantinedParts) },
            { gauge::Ready, aHost.mReady ? 1.0 : 0.0 } };
 }
 
@@ -399,6 +410,7 @@
     absl::StrCat("{\"config_version\":", summary.mVersion,
                  ",\"open_requests\":", summary.mRequests, ",\"backends\":",
                  summary.mBackends, ",\"peers\":", summary.mPeers,
+                 ",\"quarantined_prompt_parts\":", summary.mQuarantinedParts,
                  ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
 }
 
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -62,6 +62,7 @@
         prepend(response.mConfigs, earlierPages.mConfigs);
         prepend(response.mBackends, earlierPages.mBackends);
         prepend(response.mPeers, earlierPages.mPeers);
+        prepend(response.mCrashReports, earlierPages.mCrashReports);
       }
       if (response.mStatus == directory_status::Ok &&
           !page.mNextPageAfter.empty()) {
@@ -87,6 +88,15 @@
                 });
 }
 
+void StartStoreCall(store_link& aLink, const crash_report_write& aWrite)
+{
+  StartHttpCall(aLink, platform::EncodeCrashReportWrite(aWrite),
+                [&aLink](const platform::store_call_response& aResponse) {
+                  aLink.mPost(
+                    crash_report_write_response{ aResponse.mStatus == 200 });
+                });
+}
+
 void StartStoreCall(store_link& aLink, const registration_call& aCall)
 {
   if (aCall.mLease != 0) {
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -96,6 +96,8 @@
   OpenRequests,
   ControlQueueLength,
   ConfigVersion,
+  // Parts of prompts for which requests are refused.
+  QuarantinedPromptParts,
   Ready,
 };
 
@@ -105,6 +107,7 @@
     { { gauge::OpenRequests, "open_requests" },
       { gauge::ControlQueueLength, "control_queue_length" },
       { gauge::ConfigVersion, "config_version" },
+      { gauge::QuarantinedPromptParts, "quarantined_prompt_parts" },
       { gauge::Ready, "ready" } });
 }
 
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -79,6 +79,9 @@
   report.mEvents = aExchange.mEvents;
   report.mFraming = ended->mReader.mFraming;
   report.mPartialEventBytes = aExchange.mPartialEvent.size();
+  report.mHasOutput = ended->mDispatch.mKind == call_kind::Stream
+                        ? ended->mLastEventAt != absl::InfiniteFuture()
+                        : aExchange.mHeadSent;
   // Another request may use the connection only if this request was completely
   // sent and its response was completely read.
   const bool keep = aKeepConnection && ended->mReader.mIsComplete &&
@@ -369,7 +372,7 @@
       active->mAttempt->mChannel != aChannel) {
     return;
   }
-  if (aCause == close_cause::NotConnected) {
+  if (!WasConnected(aCause)) {
     EndAttempt(aTraffic, *active, attempt_outcome::NotSent, false);
     return;
   }
@@ -399,6 +402,26 @@
 
 } // namespace
 
+void ProbeServer(traffic& aTraffic, const probe_server& aProbe)
+{
+  channel_options options;
+  options.mConnectTimeout = kProbeTimeout;
+  const auto report = [&aTraffic, aProbe](bool aIsRefused) {
+    aTraffic.mHooks.mPost(
+      server_probed{ aProbe.mBackend, aProbe.mStartedMs, aIsRefused });
+  };
+  const channel_id id = Connect(aTraffic.mLoop, aProbe.mAddress, options, {});
+  channel_handlers handlers;
+  handlers.mOnConnected = [&aTraffic, id, report] {
+    Close(aTraffic.mLoop, id);
+    report(false);
+  };
+  handlers.mOnClosed = [report](close_cause aCause) {
+    report(aCause == close_cause::Refused);
+  };
+  SetHandlers(aTraffic.mLoop, id, std::move(handlers));
+}
+
 void CancelAttempt(traffic& aTraffic, exchange& aExchange)
 {
   if (!aExchange.mAttempt) {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -8,6 +8,7 @@
 //   SendError(state, action);             // for each send_error
 //   DeliverFailure(state, handle);        // for each deliver_failure
 //   CancelExchange(state, handle);        // for each cancel_request
+//   ProbeServer(state, action);           // for each probe_server
 //   ExpireConnections(state, now);        // every kExpiryInterval
 //
 // All functions must be called on the thread of the loop. Memory is bounded: a
@@ -47,6 +48,8 @@
 // Number of bytes of interim responses and of responses to other requests after
 // which an attempt ends as broken.
 constexpr std::size_t kMaxSkippedBytes = 1 << 20;
+// Time within which a server must accept the connection of a probe.
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(300);
 // Interval of ExpireConnections; the precision of idle and header timeouts.
 constexpr absl::Duration kExpiryInterval = absl::Milliseconds(250);
 // Time for which a stopping gateway waits for the request on a new connection.
@@ -170,6 +173,9 @@
 
 // Starts an attempt. Its outcome is posted as an attempt_report.
 void DispatchExchange(traffic& aTraffic, const dispatch_request& aDispatch);
+// Checks whether the server's host accepts a connection. The result is posted
+// as server_probed.
+void ProbeServer(traffic& aTraffic, const probe_server& aProbe);
 // Sends an error response. If a part of the response was already sent, closes
 // the caller's connection instead, so that the response is cut short. Posts
 // caller_disconnected in both cases.
--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -82,7 +82,7 @@
     OnInputEnded(found->second->mReader);
   }
   // On an established connection, a part of the call may have been sent.
-  FinishCall(aCalls, aChannel, aCause == close_cause::NotConnected, false);
+  FinishCall(aCalls, aChannel, !WasConnected(aCause), false);
 }
 
 std::string EncodeCall(const client_call& aCall)
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -175,7 +175,10 @@
     return;
   }
   if (aFailure) {
-    CloseAndNotify(aLoop, aChannel, close_cause::NotConnected);
+    CloseAndNotify(aLoop, aChannel,
+                   aFailure == asio::error::connection_refused
+                     ? close_cause::Refused
+                     : close_cause::NotConnected);
     return;
   }
   CancelTimer(aLoop, target->mConnectTimer);
@@ -186,6 +189,12 @@
   if (!target->mUnsent.empty()) {
     OnWritable(aLoop, aChannel);
   }
+  // The channel may have failed meanwhile.
+  target = FindChannel(aLoop, aChannel);
+  if (target != nullptr && target->mHandlers.mOnConnected) {
+    const auto onConnected = target->mHandlers.mOnConnected;
+    onConnected();
+  }
 }
 
 } // namespace
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -41,7 +41,9 @@
   Ended,
   // The connection was reset, timed out or failed.
   Broken,
-  // The connection was never established.
+  // The peer's host has refused the connection: no process listens.
+  Refused,
+  // The connection was not established for another reason.
   NotConnected,
 };
 
@@ -50,12 +52,21 @@
   return MakeNameTable<close_cause>(
     { { close_cause::Ended, "ended" },
       { close_cause::Broken, "broken" },
+      { close_cause::Refused, "refused" },
       { close_cause::NotConnected, "not_connected" } });
 }
 
+// Returns true if the connection was established before it was closed.
+constexpr bool WasConnected(close_cause aCause)
+{
+  return aCause == close_cause::Ended || aCause == close_cause::Broken;
+}
+
 // Callbacks of a channel, called on the thread of the loop. Each may be empty.
 struct channel_handlers
 {
+  // Called once when a connection that Connect opened is established.
+  std::function<void()> mOnConnected;
   // Called with the bytes that have arrived.
   std::function<void(std::string_view)> mOnData;
   // Called once when the channel closes, except by Close or CloseWhenDrained.
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -315,6 +315,39 @@
   }
 }
 
+// One watch reports peers and crash reports; neither may be taken for the
+// other.
+BOOST_AUTO_TEST_CASE(crash_reports_round_trip_beside_peers)
+{
+  crash_report_write write;
+  write.mReports = { { 0xdead, "front-a-1", { "i-1/5", "i-2/6" } },
+                     { 0xbeef, "front-a-2", {} } };
+  const auto body = ParseJsonOrFail(EncodeCrashReportWrite(write).mBody);
+  BOOST_REQUIRE(body["puts"].size() == 1U);
+  const std::string key = body["puts"][0]["key"].asString();
+  const std::string value = body["puts"][0]["value"].asString();
+  const std::string removedKey = body["remove"][0].asString();
+  const auto page = DecodeDirectoryPage(
+    { directory_area::Peers, 5, {} },
+    { 200,
+      R"({"events":[{"key":")" + key + R"(","revision":6,"value":")" + value +
+        R"("},{"key":")" + removedKey + R"(","revision":7,"tombstone":true},
+         {"key":"foxtailquay/peers/crashes/none","revision":7,"value":""},
+         {"key":"foxtailquay/peers/p","revision":8,"value":")" +
+        ToBase64(R"({"address":"a:1"})") + R"("}],"store_revision":9})",
+      false });
+  const directory_response& response = page.mResponse;
+  BOOST_REQUIRE(response.mCrashReports.size() == 2U);
+  BOOST_TEST(response.mCrashReports[0].mPart == 0xdeadU);
+  BOOST_TEST(response.mCrashReports[0].mGateway == "front-a-1");
+  BOOST_TEST(response.mCrashReports[0].mCrashes == write.mReports[0].mCrashes,
+             boost::test_tools::per_element());
+  BOOST_TEST(response.mCrashReports[1].mPart == 0xbeefU);
+  BOOST_TEST(response.mCrashReports[1].mCrashes.empty());
+  BOOST_REQUIRE(response.mPeers.size() == 1U);
+  BOOST_TEST(response.mPeers[0].mName == "p");
+}
+
 grant_write MakeGrantWrite()
 {
   grant_write write;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -143,6 +143,16 @@
   FireEvent(aFixture, response);
 }
 
+inline void DeliverPeers(gateway_fixture& aFixture, store_version aRevision,
+                         std::vector<directory_change<gateway_peer>> aChanges)
+{
+  auto response = MakeDirectoryResponse(directory_area::Peers, aRevision, true);
+  response.mPeers = std::move(aChanges);
+  FireEvent(aFixture, response);
+}
+
+// Returns a gateway that has read nothing from the store but its peers, of
+// which there are none.
 inline gateway_fixture MakeStartedGateway(
   const std::string& aName = "g",
   absl::Duration aContactTime = absl::Seconds(3))
@@ -160,6 +170,8 @@
   }
   started.mNode = std::get<0>(std::move(made));
   Start(*started.mNode, started.mNow);
+  DeliverPeers(started, 1, {});
+  started.mActions.clear();
   return started;
 }
 
--- a/tests/gateway_sim/sim_events.cc
+++ b/tests/gateway_sim/sim_events.cc
@@ -40,6 +40,16 @@
   {
     HandleGrantWrite(mSim, mIndex, aAction);
   }
+  void operator()(const crash_report_write& aAction)
+  {
+    HandleCrashReportWrite(mSim, mIndex, aAction);
+  }
+  void operator()(const probe_server& aAction)
+  {
+    const bool isDown = mSim.mServersDown.count(aAction.mBackend.mValue) > 0;
+    DeliverAfter(mSim, kPeerLatency, mIndex,
+                 server_probed{ aAction.mBackend, aAction.mStartedMs, isDown });
+  }
   void operator()(const registration_call& aAction)
   {
     HandleRegistration(mSim, mIndex, aAction);
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -56,6 +56,8 @@
                  const directory_query& aQuery);
 void HandleGrantWrite(fleet_sim& aSim, std::size_t aIndex,
                       const grant_write& aWrite);
+void HandleCrashReportWrite(fleet_sim& aSim, std::size_t aIndex,
+                            const crash_report_write& aWrite);
 void HandleRegistration(fleet_sim& aSim, std::size_t aIndex,
                         const registration_call& aCall);
 void SetPeer(fleet_sim& aSim, const std::string& aName,
--- a/tests/gateway_sim/sim_store.cc
+++ b/tests/gateway_sim/sim_store.cc
@@ -49,6 +49,11 @@
           response.mPeers.push_back({ name, entry.second, entry.first });
         }
       }
+      for (const auto& [key, entry] : store.mCrashReports) {
+        if (entry.second > after && (aAfter || !entry.first.mCrashes.empty())) {
+          response.mCrashReports.push_back(entry.first);
+        }
+      }
       break;
   }
   return response;
@@ -57,7 +62,7 @@
 bool IsEmpty(const directory_response& aResponse)
 {
   return aResponse.mConfigs.empty() && aResponse.mBackends.empty() &&
-         aResponse.mPeers.empty();
+         aResponse.mPeers.empty() && aResponse.mCrashReports.empty();
 }
 
 // Delivers an unavailable response after the timeout.
@@ -162,6 +167,26 @@
   }
 }
 
+void HandleCrashReportWrite(fleet_sim& aSim, std::size_t aIndex,
+                            const crash_report_write& aWrite)
+{
+  if (!CanReachStore(aSim, aIndex)) {
+    DeliverAfter(aSim, kStoreTimeout, aIndex, crash_report_write_response{});
+    return;
+  }
+  ++aSim.mStore.mRevision;
+  for (const crash_report& report : aWrite.mReports) {
+    aSim.mStore.mCrashReports[{ report.mPart, report.mGateway }] = {
+      report, aSim.mStore.mRevision
+    };
+  }
+  SendWatchResponses(aSim);
+  const bool lost =
+    aSim.mStore.mMode == store_mode::LosesResponses && Draw(aSim, 3) == 0;
+  DeliverAfter(aSim, lost ? kStoreTimeout : kStoreLatency, aIndex,
+               crash_report_write_response{ !lost });
+}
+
 void SetPeer(fleet_sim& aSim, const std::string& aName,
              std::optional<gateway_peer> aPeer)
 {
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -133,6 +133,7 @@
   if (executed) {
     ExecuteRequest(aSim, aAction.mHandle, tokens);
   }
+  report.mHasOutput = report.mEvents > 0;
   if (aSim.mFault == injected_fault::HideTokens) {
     report.mEvents = 0;
   }
@@ -175,6 +176,9 @@
                      const send_error& aAction)
 {
   sim_request& request = aSim.mRequests[aAction.mHandle];
+  const bool isQuarantined =
+    aAction.mError.mCode == error_code::PromptQuarantined;
+  aSim.mPrompts.mSoundQuarantined += request.mIsSound && isQuarantined ? 1 : 0;
   if (aAction.mError.mExecuted == executed::No) {
     request.mWasRefused = true;
     if (request.mExecutionCount > 0) {
--- /dev/null
+++ b/tests/prompt_quarantine_test.cc
@@ -0,0 +1,389 @@
+// Guards against requests of one kind that crash one server after the other,
+// and against sound requests that are refused for it: the evidence against
+// parts of prompts, their quarantine, and its end.
+
+#define BOOST_TEST_MODULE prompt_quarantine
+#include <boost/test/unit_test.hpp>
+
+#include "core/prompt_quarantine.h"
+#include "gateway_fixture.h"
+
+namespace foxtailquay {
+namespace {
+
+constexpr std::uint64_t kCommon = 0x10;
+constexpr std::uint64_t kSubject = 0x20;
+constexpr std::uint64_t kOtherSubject = 0x21;
+constexpr std::uint64_t kDeadly = 0xdead;
+// Longer than kCoincidenceTime.
+constexpr absl::Duration kPause = absl::Seconds(1);
+
+prompt_quarantine MakeQuarantine()
+{
+  prompt_quarantine quarantine;
+  const auto charts = ReadChartTexts();
+  auto table = ParseChart(charts.at("prompt_part.yaml"), "prompt_part.yaml",
+                          ListNamesOfChart(quarantine.mChart));
+  BOOST_REQUIRE(IsOk(table));
+  quarantine.mChart.mTable = GetValue(std::move(table));
+  return quarantine;
+}
+
+// Counts crashes aFrom to aFrom + aCount - 1 under each of the parts. Returns
+// the time after the last one.
+absl::Time AddCrashes(prompt_quarantine& aQuarantine,
+                      const std::vector<std::uint64_t>& aParts, int aFrom,
+                      int aCount, absl::Time aStart = kStart)
+{
+  absl::Time now = aStart;
+  for (int i = aFrom; i < aFrom + aCount; ++i) {
+    for (const std::uint64_t part : aParts) {
+      AddOwnCrash(aQuarantine, "g", part, "e" + std::to_string(i) + "/1", now);
+    }
+    now += kPause;
+  }
+  return now;
+}
+
+crash_report MakeReport(std::uint64_t aPart, const std::string& aGateway,
+                        std::vector<std::string> aCrashes)
+{
+  return { aPart, aGateway, std::move(aCrashes) };
+}
+
+BOOST_AUTO_TEST_CASE(a_part_is_quarantined_after_enough_crashes)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  AddCrashes(quarantine, { kDeadly }, 1, 2);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kDeadly }));
+  BOOST_TEST(HasSuspectPart(quarantine, { kCommon, kDeadly }));
+  AddCrashes(quarantine, { kDeadly }, 3, 1, kStart + 2 * kPause);
+  BOOST_TEST((FindQuarantinedPart(quarantine, { kCommon, kDeadly }) ==
+              std::optional<std::uint64_t>(kDeadly)));
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
+}
+
+// A server that crashes once under several attempts has crashed once.
+BOOST_AUTO_TEST_CASE(one_crash_counts_once)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  for (int i = 0; i < 5; ++i) {
+    AddOwnCrash(quarantine, "g", kDeadly, "e1/1", kStart + i * kPause);
+  }
+  ApplyCrashReport(quarantine, MakeReport(kDeadly, "h", { "e1/1" }), kStart);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kDeadly }));
+}
+
+// Servers that crash at the same moment may have lost power together.
+BOOST_AUTO_TEST_CASE(crashes_at_the_same_moment_count_once)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  for (int i = 0; i < 5; ++i) {
+    AddOwnCrash(quarantine, "g", kCommon, "e" + std::to_string(i) + "/1",
+                kStart + i * absl::Milliseconds(10));
+  }
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon }));
+}
+
+// A part that many sound requests have is on every server that crashes.
+BOOST_AUTO_TEST_CASE(a_part_of_recent_complete_responses_is_not_blamed)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  for (int i = 0; i < 10; ++i) {
+    const absl::Time now = kStart + i * kPause;
+    RecordSuccess(quarantine, { kCommon }, now);
+    AddCrashes(quarantine, { kCommon, kDeadly }, i, 1, now + kPause / 2);
+  }
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon }));
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kCommon, kDeadly }).has_value());
+}
+
+// A part may become deadly, for example with a new version of a model.
+BOOST_AUTO_TEST_CASE(an_old_success_does_not_clear_a_part)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  RecordSuccess(quarantine, { kDeadly }, kStart);
+  AddCrashes(quarantine, { kDeadly }, 1, 3, kStart + kRecentSuccessTime);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+}
+
+// Callers whose sound prompts share a part with the deadly ones must be served.
+BOOST_AUTO_TEST_CASE(a_part_that_always_comes_with_the_deadly_one_passes)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  absl::Time now = AddCrashes(quarantine, { kSubject, kDeadly }, 1, 3);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kCommon, kSubject, kDeadly })
+               .has_value());
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
+  // A further crash without the subject decides which one is to blame.
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kOtherSubject, kDeadly }));
+  now = AddCrashes(quarantine, { kOtherSubject, kDeadly }, 4, 1, now);
+  BOOST_TEST(
+    FindQuarantinedPart(quarantine, { kOtherSubject, kDeadly }).has_value());
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
+  // So does a complete response without the deadly part.
+  RecordSuccess(quarantine, { kSubject }, now);
+  BOOST_TEST(!HasSuspectPart(quarantine, { kSubject }));
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+}
+
+// More crashes than are stored must not make a companion look guilty.
+BOOST_AUTO_TEST_CASE(old_crashes_are_dropped_for_all_parts_alike)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  const int many = static_cast<int>(kMaxReportedCrashes) + 4;
+  const absl::Time now = AddCrashes(quarantine, { kSubject, kDeadly }, 1, many);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kSubject }));
+  AddCrashes(quarantine, { kDeadly }, many + 1, 1, now);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kSubject }));
+  BOOST_TEST(MakeCrashReport(quarantine, { kDeadly, "g" }).mCrashes.size() ==
+             kMaxReportedCrashes);
+}
+
+// Each gateway may see one of the crashes only.
+BOOST_AUTO_TEST_CASE(crashes_of_all_gateways_count_together)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  AddCrashes(quarantine, { kDeadly }, 1, 1);
+  ApplyCrashReport(quarantine, MakeReport(kDeadly, "h", { "e2/1" }), kStart);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kDeadly }));
+  ApplyCrashReport(quarantine, MakeReport(kDeadly, "i", { "e3/1" }), kStart);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+}
+
+// A gateway that knows better removes the report of another.
+BOOST_AUTO_TEST_CASE(a_success_withdraws_the_reports_of_all_gateways)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  ApplyCrashReport(quarantine, MakeReport(kSubject, "h", { "e1/1" }), kStart);
+  RecordSuccess(quarantine, { kSubject }, kStart);
+  BOOST_TEST(quarantine.mUnwritten.count({ kSubject, "h" }) == 1U);
+  BOOST_TEST(MakeCrashReport(quarantine, { kSubject, "h" }).mCrashes.empty());
+  // A report that arrives shortly after the success is removed too.
+  ApplyCrashReport(quarantine, MakeReport(kSubject, "i", { "e1/1" }),
+                   kStart + kPause);
+  BOOST_TEST(quarantine.mUnwritten.count({ kSubject, "i" }) == 1U);
+  BOOST_TEST(!HasSuspectPart(quarantine, { kSubject }));
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawn_report_no_longer_counts)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  ApplyCrashReport(
+    quarantine, MakeReport(kSubject, "h", { "e1/1", "e2/1", "e3/1" }), kStart);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kSubject }).has_value());
+  ApplyCrashReport(quarantine, MakeReport(kSubject, "h", {}), kStart);
+  BOOST_TEST(!HasSuspectPart(quarantine, { kSubject }));
+}
+
+// Callers must be served again once the servers are repaired, and a part that
+// still crashes servers must cost few of them.
+BOOST_AUTO_TEST_CASE(a_quarantine_ends_and_the_next_crash_renews_it)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  absl::Time now = AddCrashes(quarantine, { kDeadly }, 1, 3);
+  AdvanceQuarantine(quarantine, now + kQuarantineTime - 2 * kPause);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  now += kQuarantineTime;
+  AdvanceQuarantine(quarantine, now);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kDeadly }));
+  now = AddCrashes(quarantine, { kDeadly }, 4, 1, now);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  now += kQuarantineTime;
+  AdvanceQuarantine(quarantine, now);
+  now += kSuspicionTime;
+  AdvanceQuarantine(quarantine, now);
+  BOOST_TEST(!HasSuspectPart(quarantine, { kDeadly }));
+  BOOST_TEST(quarantine.mUnwritten.count({ kDeadly, "g" }) == 1U);
+}
+
+// The evidence must not grow with the number of different prompts.
+BOOST_AUTO_TEST_CASE(the_number_of_records_is_bounded)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  for (std::uint64_t part = 0; part < 2 * kMaxSuspectParts; ++part) {
+    AddOwnCrash(quarantine, "g", part, "e1/1", kStart);
+  }
+  BOOST_TEST(quarantine.mParts.size() == kMaxSuspectParts);
+  for (std::uint64_t part = 0; part < kMaxSuspectParts; ++part) {
+    RecordSuccess(quarantine, { part }, kStart);
+  }
+  AdvanceQuarantine(quarantine, kStart + kRecentSuccessTime);
+  BOOST_TEST(quarantine.mParts.empty());
+  BOOST_TEST(quarantine.mSuccesses.empty());
+}
+
+// --- A gateway --------------------------------------------------------------
+
+caller_request MakePrompt(gateway_fixture& aFixture,
+                          const std::vector<std::uint64_t>& aParts)
+{
+  caller_request request = MakeCallerRequest(aFixture, "/chat/1");
+  for (const std::uint64_t part : aParts) {
+    request.mPromptParts.push_back({ part, 10 });
+  }
+  request.mPromptParts.push_back({ 0x1000 + request.mHandle, 10 });
+  return request;
+}
+
+// Returns a gateway without prepaid totals, so that no request waits for
+// tokens.
+gateway_fixture MakePromptGateway()
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  traffic_config config = MakeConfig(6);
+  config.mWorkspaces[0].mPrepaid.reset();
+  config.mRoutes[2].mResumable = true;
+  config.mRoutes[2].mMaxAttempts = 2;
+  DeliverConfig(fixture, config, 20);
+  fixture.mActions.clear();
+  return fixture;
+}
+
+// Sends a prompt and breaks its attempt off before its first event. Returns the
+// probe of the server.
+probe_server BreakPrompt(gateway_fixture& aFixture,
+                         const std::vector<std::uint64_t>& aParts)
+{
+  aFixture.mActions.clear();
+  FireEvent(aFixture, MakePrompt(aFixture, aParts));
+  auto report =
+    MakeAttemptReport(TakeOnlyDispatch(aFixture), attempt_outcome::Broken);
+  report.mStatus = 200;
+  FireEvent(aFixture, report);
+  // Taken without the other actions, which the test may check.
+  std::vector<probe_server> probes;
+  for (const gateway_action& action : aFixture.mActions) {
+    if (const auto* probe = std::get_if<probe_server>(&action)) {
+      probes.push_back(*probe);
+    }
+  }
+  BOOST_REQUIRE(probes.size() == 1);
+  return probes[0];
+}
+
+// Lets a server crash under a prompt and return as another incarnation.
+void CrashUnderPrompt(gateway_fixture& aFixture,
+                      const std::vector<std::uint64_t>& aParts, int aNumber)
+{
+  const probe_server probe = BreakPrompt(aFixture, aParts);
+  FireEvent(aFixture, server_probed{ probe.mBackend, probe.mStartedMs, true });
+  backend_entry entry = MakeBackendEntry("engines", probe.mAddress);
+  entry.mStartedMs = aNumber;
+  DeliverBackends(aFixture, 30 + aNumber, false,
+                  { { probe.mBackend.mValue,
+                      static_cast<store_version>(30 + aNumber), entry } });
+  AdvanceTime(aFixture, kPause);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_refuses_prompts_under_which_servers_crash)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  for (int i = 1; i <= 3; ++i) {
+    CrashUnderPrompt(fixture, { kCommon, kDeadly }, i);
+  }
+  // The common part has no complete response here, so that it comes with the
+  // deadly part always.
+  fixture.mActions.clear();
+  FireEvent(fixture, MakePrompt(fixture, { kCommon, kDeadly }));
+  BOOST_TEST(GetSummary(*fixture.mNode).mQuarantinedParts == 2U);
+  const auto errors = TakeActions<send_error>(fixture);
+  BOOST_REQUIRE(errors.size() == 1);
+  BOOST_TEST((errors[0].mError.mCode == error_code::PromptQuarantined));
+  BOOST_TEST((errors[0].mError.mExecuted == executed::No));
+  BOOST_TEST((errors[0].mError.mRetryAfter > kQuarantineTime - 2 * kPause));
+  FireEvent(fixture, MakePrompt(fixture, { kCommon, kSubject }));
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
+}
+
+// A server that breaks responses off but accepts connections has not crashed.
+BOOST_AUTO_TEST_CASE(broken_responses_of_a_running_server_are_no_evidence)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  for (int i = 1; i <= 5; ++i) {
+    const probe_server probe = BreakPrompt(fixture, { kDeadly });
+    FireEvent(fixture,
+              server_probed{ probe.mBackend, probe.mStartedMs, false });
+    AdvanceTime(fixture, kPause);
+  }
+  fixture.mActions.clear();
+  FireEvent(fixture, MakePrompt(fixture, { kDeadly }));
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
+}
+
+// Streams that had begun did not crash the server.
+BOOST_AUTO_TEST_CASE(an_attempt_with_output_is_not_blamed)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  FireEvent(fixture, MakePrompt(fixture, { kSubject }));
+  auto report =
+    MakeAttemptReport(TakeOnlyDispatch(fixture), attempt_outcome::BrokenMidway);
+  report.mHasOutput = true;
+  FireEvent(fixture, report);
+  BOOST_TEST(TakeActions<probe_server>(fixture).empty());
+}
+
+// A request that may be resumed must not take the next server down too.
+BOOST_AUTO_TEST_CASE(a_suspect_prompt_is_not_sent_to_a_second_server)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  CrashUnderPrompt(fixture, { kDeadly }, 1);
+  BreakPrompt(fixture, { kDeadly });
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).empty());
+}
+
+std::vector<crash_report> TakeWrittenReports(gateway_fixture& aFixture)
+{
+  const auto writes = TakeActions<crash_report_write>(aFixture);
+  return writes.empty() ? std::vector<crash_report>{} : writes[0].mReports;
+}
+
+// Other gateways learn of a crash through the store, also after an outage.
+BOOST_AUTO_TEST_CASE(a_crash_report_is_written_until_the_store_confirms_it)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  const probe_server probe = BreakPrompt(fixture, { kDeadly });
+  FireEvent(fixture, server_probed{ probe.mBackend, probe.mStartedMs, true });
+  BOOST_TEST(TakeWrittenReports(fixture).size() == 1U);
+  FireEvent(fixture, crash_report_write_response{ false });
+  AdvanceTime(fixture, 2 * kPause);
+  const auto repeated = TakeWrittenReports(fixture);
+  BOOST_REQUIRE(repeated.size() == 1U);
+  BOOST_TEST(repeated[0].mPart == kDeadly);
+  BOOST_TEST(repeated[0].mGateway == "g");
+  FireEvent(fixture, crash_report_write_response{ true });
+  AdvanceTime(fixture, 2 * kPause);
+  BOOST_TEST(TakeWrittenReports(fixture).empty());
+}
+
+// After a restart, parts that were quarantined must not be in use again.
+BOOST_AUTO_TEST_CASE(a_gateway_reads_crash_reports_before_it_serves)
+{
+  gateway_settings settings;
+  settings.mName = "g";
+  settings.mZone = zone_id{ "z" };
+  auto made = MakeGateway(settings, ReadChartTexts());
+  BOOST_REQUIRE(IsOk(made));
+  gateway_fixture fixture;
+  fixture.mNode = std::get<0>(std::move(made));
+  Start(*fixture.mNode, fixture.mNow);
+  traffic_config config = MakeConfig(6);
+  config.mWorkspaces[0].mPrepaid.reset();
+  DeliverConfig(fixture, config, 20);
+  DeliverBackends(fixture, 20, true,
+                  { { "e1", 4, MakeBackendEntry("engines", "10.0.0.3:1") } });
+  fixture.mActions.clear();
+  FireEvent(fixture, MakePrompt(fixture, { kDeadly }));
+  BOOST_TEST((TakeOnlyErrorCode(fixture) == error_code::NotReady));
+  auto response = MakeDirectoryResponse(directory_area::Peers, 20, true);
+  response.mCrashReports = { MakeReport(kDeadly, "g",
+                                        { "e1/1", "e2/1", "e3/1" }) };
+  FireEvent(fixture, response);
+  fixture.mActions.clear();
+  FireEvent(fixture, MakePrompt(fixture, { kDeadly }));
+  BOOST_TEST((TakeOnlyErrorCode(fixture) == error_code::PromptQuarantined));
+}
+
+} // namespace
+} // namespace foxtailquay
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -340,5 +340,40 @@
              ToName(attempt_outcome::NotSent));
 }
 
+// A crash is confirmed only if no process listens on the server's port.
+BOOST_AUTO_TEST_CASE(a_probe_tells_a_closed_port_from_an_open_one)
+{
+  traffic_fixture fixture;
+  const reserved_port closed;
+  const std::string addresses[] = {
+    "127.0.0.1:" + std::to_string(closed.mPort),
+    "127.0.0.1:" +
+      std::to_string(fixture.mServerAcceptor.local_endpoint().port()),
+  };
+  for (const std::string& address : addresses) {
+    const probe_server probe{ backend_id{ "i-1" }, address, 7 };
+    Post(fixture.mLoop,
+         [&fixture, probe] { ProbeServer(fixture.mTraffic, probe); });
+    const auto probed = AwaitEvent<server_probed>(fixture);
+    BOOST_TEST(probed.mBackend.mValue == "i-1");
+    BOOST_TEST(probed.mStartedMs == 7);
+    BOOST_TEST(probed.mIsRefused == (address == addresses[0]));
+  }
+}
+
+// Only an attempt without output may have crashed its server by its prompt.
+BOOST_AUTO_TEST_CASE(a_report_states_whether_the_attempt_had_output)
+{
+  for (const std::string event : { "", "id: 1\ndata:x\n\n" }) {
+    traffic_fixture fixture;
+    tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+    DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                    call_kind::Stream);
+    RespondOnce(fixture, kResponseHead + "\r\n" + event + "id").close();
+    BOOST_TEST(AwaitEvent<attempt_report>(fixture).mHasOutput ==
+               !event.empty());
+  }
+}
+
 } // namespace
 } // namespace foxtailquay
