Blame only prompts to which the crashed server was beginning to respond

Cause: attempts without a header section were evidence too. On a crowded server, many requests wait. Change: only an attempt whose response had begun is evidence.

--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -480,9 +480,12 @@
   }
   if (aReport.mOutcome == attempt_outcome::Delivered) {
     OnPromptSucceeded(aGateway, aRequest, aNow);
-  } else if (!aReport.mHasOutput &&
-             (aReport.mOutcome == attempt_outcome::Broken ||
-              aReport.mOutcome == attempt_outcome::BrokenMidway)) {
+    return;
+  }
+  const bool isBroken = aReport.mOutcome == attempt_outcome::Broken ||
+                        aReport.mOutcome == attempt_outcome::BrokenMidway;
+  // A request to which the server had not begun to respond was still waiting.
+  if (isBroken && aReport.mStatus != 0 && !aReport.mHasOutput) {
     OnPromptBroken(aGateway, aRequest, aBackend, aNow);
   }
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -303,8 +303,8 @@
 
 // --- gateway_quarantine.cc --------------------------------------------------
 
-// Checks whether the server of an attempt that broke off before its first
-// output has crashed.
+// Checks whether the server has crashed that had begun to respond to the
+// request and whose response broke off before its first output.
 void OnPromptBroken(gateway& aGateway, const forwarded_request& aRequest,
                     const backend_id& aBackend, absl::Time aNow);
 void OnServerProbed(gateway& aGateway, const server_probed& aEvent,
--- a/src/core/prompt_quarantine.h
+++ b/src/core/prompt_quarantine.h
@@ -1,8 +1,8 @@
 // Parts of prompts under which backend servers crash.
 //
 // A request whose prompt crashes the engine that responds to it would crash one
-// engine after the other. A crash is evidence against all parts of the prompts
-// to which the server had not begun to respond. Once enough servers have
+// engine after the other. A crash is evidence against the parts of the prompts
+// to which the server was beginning to respond. Once enough servers have
 // crashed under a part, requests with it are refused.
 //
 //   AddOwnCrash(quarantine, name, part, crash, now);   a crash was confirmed
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -319,11 +319,22 @@
   FireEvent(fixture, MakePrompt(fixture, { kSubject }));
   auto report =
     MakeAttemptReport(TakeOnlyDispatch(fixture), attempt_outcome::BrokenMidway);
+  report.mStatus = 200;
   report.mHasOutput = true;
   FireEvent(fixture, report);
   BOOST_TEST(TakeActions<probe_server>(fixture).empty());
 }
 
+// On a crowded server, many sound requests wait when it crashes.
+BOOST_AUTO_TEST_CASE(a_request_that_waited_at_its_server_is_not_blamed)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  FireEvent(fixture, MakePrompt(fixture, { kSubject }));
+  FireEvent(fixture, MakeAttemptReport(TakeOnlyDispatch(fixture),
+                                       attempt_outcome::Broken));
+  BOOST_TEST(TakeActions<probe_server>(fixture).empty());
+}
+
 // A request that may be resumed must not take the next server down too.
 BOOST_AUTO_TEST_CASE(a_suspect_prompt_is_not_sent_to_a_second_server)
 {
