Spread the removals of crash reports over the fleet

Cause: a part that is sound in many gateways made each of them remove the report of another one at the same moment; at 420 gateways that is more writes than the store takes in a second. Change: the own report is written at once; the reports of others are removed after a random time that grows with the fleet, and not if the removal by another gateway arrives first.

--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -12,6 +12,9 @@
 
 // Largest number of reports in one write. The store accepts at most 32.
 constexpr std::size_t kMaxReportsPerWrite = 16;
+// Mean time between two gateways that remove the same report. In a large fleet,
+// most gateways see the removal by another one before their own is due.
+constexpr absl::Duration kRemovalSpread = absl::Milliseconds(10);
 
 void RecordPartChanges(gateway& aGateway)
 {
@@ -25,23 +28,46 @@
   aGateway.mQuarantine.mChanges.clear();
 }
 
+// Sets the time from which reports of other gateways may be removed.
+void ScheduleRemovals(gateway& aGateway, absl::Time aNow)
+{
+  const std::set<report_key>& unwritten = aGateway.mQuarantine.mUnwritten;
+  const bool hasRemovals = std::any_of(
+    unwritten.begin(), unwritten.end(), [&aGateway](const report_key& aKey) {
+      return aKey.second != aGateway.mSettings.mName;
+    });
+  if (!hasRemovals) {
+    aGateway.mRemoveReportsAt = absl::InfiniteFuture();
+  } else if (aGateway.mRemoveReportsAt == absl::InfiniteFuture()) {
+    std::uniform_real_distribution<double> delay(0,
+                                                 CountGateways(aGateway, aNow));
+    aGateway.mRemoveReportsAt = aNow + kRemovalSpread * delay(aGateway.mRandom);
+  }
+}
+
 // Writes the reports that differ from the store. At most one write is in
 // flight.
 void WriteCrashReports(gateway& aGateway, absl::Time aNow)
 {
-  const std::set<report_key>& unwritten = aGateway.mQuarantine.mUnwritten;
-  if (unwritten.empty() || !aGateway.mReportsInFlight.empty() ||
+  ScheduleRemovals(aGateway, aNow);
+  if (!aGateway.mReportsInFlight.empty() ||
       aNow < aGateway.mNextReportWriteAt) {
     return;
   }
-  for (const report_key& key : unwritten) {
-    aGateway.mReportsInFlight.push_back(
-      MakeCrashReport(aGateway.mQuarantine, key));
+  for (const report_key& key : aGateway.mQuarantine.mUnwritten) {
+    const bool isOwn = key.second == aGateway.mSettings.mName;
+    if (isOwn || aNow >= aGateway.mRemoveReportsAt) {
+      aGateway.mReportsInFlight.push_back(
+        MakeCrashReport(aGateway.mQuarantine, key));
+    }
     if (aGateway.mReportsInFlight.size() == kMaxReportsPerWrite) {
       break;
     }
   }
-  aGateway.mActions.push_back(crash_report_write{ aGateway.mReportsInFlight });
+  if (!aGateway.mReportsInFlight.empty()) {
+    aGateway.mActions.push_back(
+      crash_report_write{ aGateway.mReportsInFlight });
+  }
 }
 
 } // namespace
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -244,6 +244,9 @@
   // Reports of the write in flight; empty if there is none.
   std::vector<crash_report> mReportsInFlight;
   absl::Time mNextReportWriteAt = absl::InfinitePast();
+  // Time from which reports of other gateways may be removed; infinite if there
+  // are none to remove.
+  absl::Time mRemoveReportsAt = absl::InfiniteFuture();
 
   // Lease of the entry in the peer list; 0 if there is none.
   std::uint64_t mLease = 0;
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -162,6 +162,11 @@
 {
   const report_key key{ aReport.mPart, aReport.mGateway };
   if (aQuarantine.mUnwritten.count(key) > 0) {
+    // Another gateway may have removed the report already.
+    if (aReport.mCrashes.empty() &&
+        MakeCrashReport(aQuarantine, key).mCrashes.empty()) {
+      aQuarantine.mUnwritten.erase(key);
+    }
     return;
   }
   if (aReport.mCrashes.empty()) {
--- a/tests/gateway_sim/sim_prompts.cc
+++ b/tests/gateway_sim/sim_prompts.cc
@@ -49,6 +49,12 @@
   return {};
 }
 
+std::size_t DrawGateway(fleet_sim& aSim)
+{
+  return static_cast<std::size_t>(
+    Draw(aSim, static_cast<int>(aSim.mGateways.size())));
+}
+
 // Sends a stream request with these parts and a last one of its own.
 void SendPrompt(fleet_sim& aSim, const std::vector<std::uint64_t>& aParts,
                 bool aIsDeadly)
@@ -79,8 +85,7 @@
       aSim.mNow - counts.mCrashes[4] > 2 * kContactTime) {
     ++counts.mSound;
   }
-  Deliver(aSim, static_cast<std::size_t>(Draw(aSim, aSim.mGateways.size())),
-          request);
+  Deliver(aSim, DrawGateway(aSim), request);
 }
 
 // Sends a request and schedules the next one, up to aEnd.
@@ -108,8 +113,7 @@
   if (aSim.mNow >= aEnd) {
     return;
   }
-  KillGateway(aSim, static_cast<std::size_t>(Draw(aSim, aSim.mGateways.size())),
-              Draw(aSim, 2) == 0);
+  KillGateway(aSim, DrawGateway(aSim), Draw(aSim, 2) == 0);
   Schedule(aSim, absl::Seconds(2) + DrawTime(aSim, absl::Seconds(4)),
            [&aSim, aEnd] { RestartGatewaysPeriodically(aSim, aEnd); });
 }
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -15,6 +15,9 @@
 constexpr std::uint64_t kSubject = 0x20;
 constexpr std::uint64_t kOtherSubject = 0x21;
 constexpr std::uint64_t kDeadly = 0xdead;
+// Time until a change of the store has reached all gateways: the rest between
+// two watches and a call.
+constexpr absl::Duration kMaxWatchDelay = absl::Milliseconds(250);
 // Longer than kCoincidenceTime.
 constexpr absl::Duration kPause = absl::Seconds(1);
 
@@ -368,6 +371,40 @@
   BOOST_TEST(TakeWrittenReports(fixture).empty());
 }
 
+// In a large fleet, hundreds of gateways know at once that a part is sound;
+// they must not all write to the store.
+BOOST_AUTO_TEST_CASE(few_gateways_remove_the_report_of_another)
+{
+  constexpr int kGateways = 400;
+  constexpr int kRounds = 40;
+  gateway_fixture fixture = MakePromptGateway();
+  std::vector<directory_change<gateway_peer>> peers;
+  for (int i = 0; i < kGateways; ++i) {
+    peers.push_back({ "p" + std::to_string(i), 40, gateway_peer{ "a:1" } });
+  }
+  DeliverPeers(fixture, 40, peers);
+  int writes = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    fixture.mActions.clear();
+    FireEvent(fixture, MakePrompt(fixture, { kSubject }));
+    FireEvent(fixture, MakeAttemptReport(TakeOnlyDispatch(fixture),
+                                         attempt_outcome::Delivered));
+    auto response = MakeDirectoryResponse(directory_area::Peers, 50, false);
+    response.mCrashReports = { MakeReport(kSubject, "p1", { "e1/1" }) };
+    FireEvent(fixture, response);
+    AdvanceTime(fixture, kMaxWatchDelay);
+    writes += TakeWrittenReports(fixture).empty() ? 0 : 1;
+    // Another gateway has removed the report.
+    response.mCrashReports = { MakeReport(kSubject, "p1", {}) };
+    FireEvent(fixture, response);
+    FireEvent(fixture, crash_report_write_response{ true });
+    AdvanceTime(fixture, kGateways * absl::Milliseconds(20));
+    BOOST_TEST(TakeWrittenReports(fixture).empty());
+  }
+  // The store takes about as many writes a second as there are gateways.
+  BOOST_TEST(writes <= kRounds / 4);
+}
+
 // After a restart, parts that were quarantined must not be in use again.
 BOOST_AUTO_TEST_CASE(a_gateway_reads_crash_reports_before_it_serves)
 {
