Let the watch on peers end within the contact bound like the others

Cause: a gateway whose watch connection was lost silently could know crash reports 1.7 s later than the contact bound allows: the watch of the area with the peers was held for 3.5 s. Evidence: a_watch_ends_within_the_contact_bound, extended by the comparison of the areas, failed before (3.5 s beside 2 to 3.5 s). Result: gateway_test passes.

--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -23,19 +23,14 @@
 // Time that a call takes at most on top of its wait, and a margin.
 constexpr absl::Duration kWatchMargin = absl::Milliseconds(1500);
 constexpr absl::Duration kMinWatchTime = absl::Seconds(2);
-// The peer list may be older than configuration and servers: a peer that is
-// gone is also found by a failed call.
-constexpr absl::Duration kPeerWatchTime = absl::Milliseconds(3500);
 
 // Returns how long the store may hold a watch without changes. The loss of a
-// watch connection may go unnoticed for as long, so for configuration and
-// servers the time follows from the contact bound.
-absl::Duration ComputeWatchTime(const gateway& aGateway, directory_area aArea)
+// watch connection may go unnoticed for as long, so the time follows from the
+// contact bound.
+absl::Duration ComputeWatchTime(const gateway& aGateway)
 {
-  return aArea == directory_area::Peers
-           ? kPeerWatchTime
-           : std::max(kMinWatchTime,
-                      aGateway.mSettings.mContactTime - kWatchMargin);
+  return std::max(kMinWatchTime,
+                  aGateway.mSettings.mContactTime - kWatchMargin);
 }
 
 struct watch_context
@@ -282,8 +277,8 @@
       aGateway.mActions.push_back(directory_query{ aArea, std::nullopt, {} });
       break;
     case watch_action::Watch:
-      aGateway.mActions.push_back(directory_query{
-        aArea, area.mRevision, ComputeWatchTime(aGateway, aArea) });
+      aGateway.mActions.push_back(
+        directory_query{ aArea, area.mRevision, ComputeWatchTime(aGateway) });
       break;
     case watch_action::Rest:
       area.mRetryAt = aNow + kRestTime;
