--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -67,37 +67,38 @@
 // Guards against requests of one kind that crash one server after the other:
 // once five servers have crashed under a part of a prompt, at most three more
 // requests with it may reach servers, and sound requests must be served.
-void CheckDeadlyPrompts(const char* aCase, bool aRestarts)
+void CheckPoisonousPrompts(const char* aCase, bool aRestarts)
 {
-  for (const auto& pattern : NameTable(deadly_pattern{})) {
+  for (const auto& pattern : NameTable(poisonous_pattern{})) {
     for (std::uint64_t seed = 1; seed <= kPromptSeeds; ++seed) {
       const auto sim = MakeSim(ReadChartTexts(), seed, injected_fault::None);
-      RunDeadlyPrompts(*sim, pattern.mValue, aRestarts, kPromptRunTime);
+      RunPoisonousPrompts(*sim, pattern.mValue, aRestarts, kPromptRunTime);
       const prompt_counts& counts = sim->mPrompts;
       BOOST_TEST_CONTEXT("seed " << seed << ", " << pattern.mName << ", "
                                  << counts.mCrashes.size() << " crashes")
       {
         BOOST_TEST(sim->mViolations.empty());
         const bool isServed = 2 * counts.mSoundDispatched >= counts.mSound;
-        if ((counts.mLateDeadly > 3 || !isServed) &&
+        if ((counts.mLatePoisonous > 3 || !isServed) &&
             IsKnownFailure("gateway_fault_test", aCase)) {
           return;
         }
-        BOOST_TEST(counts.mLateDeadly <= 3);
+        BOOST_TEST(counts.mLatePoisonous <= 3);
         BOOST_TEST(isServed);
       }
     }
   }
 }
 
-BOOST_AUTO_TEST_CASE(a_deadly_part_of_prompts_stops_reaching_servers)
+BOOST_AUTO_TEST_CASE(a_poisonous_part_of_prompts_stops_reaching_servers)
 {
-  CheckDeadlyPrompts("a_deadly_part_of_prompts_stops_reaching_servers", false);
+  CheckPoisonousPrompts("a_poisonous_part_of_prompts_stops_reaching_servers",
+                        false);
 }
 
-BOOST_AUTO_TEST_CASE(a_deadly_part_is_remembered_over_restarts)
+BOOST_AUTO_TEST_CASE(a_poisonous_part_is_remembered_over_restarts)
 {
-  CheckDeadlyPrompts("a_deadly_part_is_remembered_over_restarts", true);
+  CheckPoisonousPrompts("a_poisonous_part_is_remembered_over_restarts", true);
 }
 
 // Guards against sound requests that are refused because servers crash for
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -140,8 +140,8 @@
   // True if an error stated that the request was not executed.
   bool mWasRefused = false;
   // True if a part of the prompt crashes the server that responds to it.
-  bool mIsDeadly = false;
-  // True if the request has a prompt with parts, none of them deadly.
+  bool mIsPoisonous = false;
+  // True if the request has a prompt with parts, none of them poisonous.
   bool mIsSound = false;
 };
 
@@ -155,13 +155,13 @@
   attempt_report mReport;
 };
 
-// What RunDeadlyPrompts observes.
+// What RunPoisonousPrompts observes.
 struct prompt_counts
 {
   std::vector<absl::Time> mCrashes;
-  // Deadly requests that reached servers later than the contact time after the
-  // fifth crash, sent by gateways that had run for that time.
-  int mLateDeadly = 0;
+  // Poisonous requests that reached servers later than the contact time after
+  // the fifth crash, sent by gateways that had run for that time.
+  int mLatePoisonous = 0;
   // Sound requests from twice the contact time after the fifth crash on, and
   // those of them that reached a server.
   int mSound = 0;
@@ -233,32 +233,32 @@
 // random.
 void RunRandomFaults(fleet_sim& aSim, absl::Duration aTime);
 
-// Which parts of the deadly prompts other requests have too.
-enum class deadly_pattern
+// Which parts of the poisonous prompts other requests have too.
+enum class poisonous_pattern
 {
   // Each prompt has another second part, which sound prompts have too.
   VaryingCompanion,
   // All prompts have the same second part, which sound prompts have too.
   FixedCompanion,
-  // The deadly part comes first.
+  // The poisonous part comes first.
   First,
 };
 
-constexpr auto NameTable(deadly_pattern)
+constexpr auto NameTable(poisonous_pattern)
 {
-  using p = deadly_pattern;
+  using p = poisonous_pattern;
   return MakeNameTable<p>({ { p::VaryingCompanion, "varying_companion" },
                             { p::FixedCompanion, "fixed_companion" },
                             { p::First, "first" } });
 }
 
 // Runs for aTime with callers whose prompts consist of parts; a request in
-// twenty has the deadly part. If aRestarts is set, single gateways are killed
-// meanwhile. Counts into mPrompts.
-void RunDeadlyPrompts(fleet_sim& aSim, deadly_pattern aPattern, bool aRestarts,
-                      absl::Duration aTime);
+// twenty has the poisonous part. If aRestarts is set, single gateways are
+// killed meanwhile. Counts into mPrompts.
+void RunPoisonousPrompts(fleet_sim& aSim, poisonous_pattern aPattern,
+                         bool aRestarts, absl::Duration aTime);
 
-// Runs for aTime with the same callers without deadly prompts, while servers
+// Runs for aTime with the same callers without poisonous prompts, while servers
 // crash and attempts break off.
 void RunCrashingServers(fleet_sim& aSim, absl::Duration aTime);
 
--- a/tests/gateway_sim/sim_prompts.cc
+++ b/tests/gateway_sim/sim_prompts.cc
@@ -10,13 +10,13 @@
 namespace {
 
 constexpr std::uint64_t kCommonPart = 0x10;
-constexpr std::uint64_t kDeadlyPart = 0xdead;
+constexpr std::uint64_t kPoisonousPart = 0xdead;
 constexpr std::uint64_t kFirstSubject = 0x100;
 constexpr int kSubjects = 40;
 constexpr token_count kPromptTokens = 300;
 constexpr token_count kAmplePrepaid = 100000000;
-// One request in so many is deadly.
-constexpr int kDeadlyInterval = 20;
+// One request in so many is poisonous.
+constexpr int kPoisonousInterval = 20;
 
 // Adds engines, so that some are up while others are down, and tokens.
 void PrepareForPrompts(fleet_sim& aSim)
@@ -34,17 +34,17 @@
   RunUntil(aSim, aSim.mNow + absl::Seconds(1));
 }
 
-std::vector<std::uint64_t> MakeDeadlyParts(fleet_sim& aSim,
-                                           deadly_pattern aPattern)
+std::vector<std::uint64_t> MakePoisonousParts(fleet_sim& aSim,
+                                              poisonous_pattern aPattern)
 {
   const std::uint64_t subject = kFirstSubject + Draw(aSim, kSubjects);
   switch (aPattern) {
-    case deadly_pattern::VaryingCompanion:
-      return { kCommonPart, subject, kDeadlyPart };
-    case deadly_pattern::FixedCompanion:
-      return { kCommonPart, kFirstSubject, kDeadlyPart };
-    case deadly_pattern::First:
-      return { kDeadlyPart, subject };
+    case poisonous_pattern::VaryingCompanion:
+      return { kCommonPart, subject, kPoisonousPart };
+    case poisonous_pattern::FixedCompanion:
+      return { kCommonPart, kFirstSubject, kPoisonousPart };
+    case poisonous_pattern::First:
+      return { kPoisonousPart, subject };
   }
   return {};
 }
@@ -57,7 +57,7 @@
 
 // Sends a stream request with these parts and a last one of its own.
 void SendPrompt(fleet_sim& aSim, const std::vector<std::uint64_t>& aParts,
-                bool aIsDeadly)
+                bool aIsPoisonous)
 {
   caller_request request;
   request.mHandle = aSim.mNextHandle++;
@@ -78,10 +78,10 @@
   known.mKind = call_kind::Stream;
   known.mPrompt = request.mPromptTokens;
   known.mMaxOutput = request.mMaxOutputTokens;
-  known.mIsDeadly = aIsDeadly;
-  known.mIsSound = !aIsDeadly;
+  known.mIsPoisonous = aIsPoisonous;
+  known.mIsSound = !aIsPoisonous;
   prompt_counts& counts = aSim.mPrompts;
-  if (!aIsDeadly && counts.mCrashes.size() >= 5 &&
+  if (!aIsPoisonous && counts.mCrashes.size() >= 5 &&
       aSim.mNow - counts.mCrashes[4] > 2 * kContactTime) {
     ++counts.mSound;
   }
@@ -90,19 +90,20 @@
 
 // Sends a request and schedules the next one, up to aEnd.
 void SendPromptsPeriodically(fleet_sim& aSim,
-                             std::optional<deadly_pattern> aPattern,
+                             std::optional<poisonous_pattern> aPattern,
                              absl::Time aEnd)
 {
   if (aSim.mNow >= aEnd) {
     return;
   }
-  const bool isDeadly = aPattern && Draw(aSim, kDeadlyInterval) == 0;
-  SendPrompt(aSim,
-             isDeadly ? MakeDeadlyParts(aSim, *aPattern)
-                      : std::vector<std::uint64_t>{ kCommonPart,
-                                                    kFirstSubject +
-                                                      Draw(aSim, kSubjects) },
-             isDeadly);
+  const bool isPoisonous = aPattern && Draw(aSim, kPoisonousInterval) == 0;
+  SendPrompt(
+    aSim,
+    isPoisonous
+      ? MakePoisonousParts(aSim, *aPattern)
+      : std::vector<std::uint64_t>{ kCommonPart,
+                                    kFirstSubject + Draw(aSim, kSubjects) },
+    isPoisonous);
   Schedule(
     aSim, DrawTime(aSim, absl::Milliseconds(40)),
     [&aSim, aPattern, aEnd] { SendPromptsPeriodically(aSim, aPattern, aEnd); });
@@ -130,8 +131,8 @@
 
 } // namespace
 
-void RunDeadlyPrompts(fleet_sim& aSim, deadly_pattern aPattern, bool aRestarts,
-                      absl::Duration aTime)
+void RunPoisonousPrompts(fleet_sim& aSim, poisonous_pattern aPattern,
+                         bool aRestarts, absl::Duration aTime)
 {
   PrepareForPrompts(aSim);
   const absl::Time end = aSim.mNow + aTime;
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -12,8 +12,8 @@
 
 constexpr absl::Duration kPeerTimeout = absl::Milliseconds(600);
 constexpr absl::Duration kRunTime = absl::Milliseconds(300);
-// Time for which a server runs a deadly request before it crashes.
-constexpr absl::Duration kDeadlyRunTime = absl::Milliseconds(50);
+// Time for which a server runs a poisonous request before it crashes.
+constexpr absl::Duration kPoisonousRunTime = absl::Milliseconds(50);
 
 // Executes a request on a backend server and checks the invariants.
 void ExecuteRequest(fleet_sim& aSim, request_handle aHandle,
@@ -77,8 +77,8 @@
   const absl::Duration since = aSim.mNow - counts.mCrashes[kAllowedCrashes - 1];
   const bool isInTouch =
     aSim.mNow - aSim.mGateways[aIndex].mStartedAt > kContactTime;
-  if (request.mIsDeadly && isInTouch && since > kContactTime) {
-    ++counts.mLateDeadly;
+  if (request.mIsPoisonous && isInTouch && since > kContactTime) {
+    ++counts.mLatePoisonous;
   }
   if (request.mIsSound && since > 2 * kContactTime) {
     ++counts.mSoundDispatched;
@@ -100,12 +100,12 @@
     return;
   }
   CountPromptDispatch(aSim, aIndex, aAction.mHandle);
-  if (request.mIsDeadly) {
+  if (request.mIsPoisonous) {
     report.mOutcome = attempt_outcome::Broken;
     report.mStatus = 200;
     ExecuteRequest(aSim, aAction.mHandle, request.mPrompt);
     AddAttempt(aSim, 2 * kRunTime, { aIndex, 0, server, report });
-    Schedule(aSim, kDeadlyRunTime,
+    Schedule(aSim, kPoisonousRunTime,
              [&aSim, server] { CrashServer(aSim, server); });
     return;
   }
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -14,7 +14,7 @@
 constexpr std::uint64_t kCommon = 0x10;
 constexpr std::uint64_t kSubject = 0x20;
 constexpr std::uint64_t kOtherSubject = 0x21;
-constexpr std::uint64_t kDeadly = 0xdead;
+constexpr std::uint64_t kPoisonous = 0xdead;
 // Time until a change of the store has reached all gateways: the rest between
 // two watches and a call.
 constexpr absl::Duration kMaxWatchDelay = absl::Milliseconds(250);
@@ -57,12 +57,12 @@
 BOOST_AUTO_TEST_CASE(a_part_is_quarantined_after_enough_crashes)
 {
   prompt_quarantine quarantine = MakeQuarantine();
-  AddCrashes(quarantine, { kDeadly }, 1, 2);
-  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kDeadly }));
-  BOOST_TEST(HasSuspectPart(quarantine, { kCommon, kDeadly }));
-  AddCrashes(quarantine, { kDeadly }, 3, 1, kStart + 2 * kPause);
-  BOOST_TEST((FindQuarantinedPart(quarantine, { kCommon, kDeadly }) ==
-              std::optional<std::uint64_t>(kDeadly)));
+  AddCrashes(quarantine, { kPoisonous }, 1, 2);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kPoisonous }));
+  BOOST_TEST(HasSuspectPart(quarantine, { kCommon, kPoisonous }));
+  AddCrashes(quarantine, { kPoisonous }, 3, 1, kStart + 2 * kPause);
+  BOOST_TEST((FindQuarantinedPart(quarantine, { kCommon, kPoisonous }) ==
+              std::optional<std::uint64_t>(kPoisonous)));
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
 }
 
@@ -71,10 +71,10 @@
 {
   prompt_quarantine quarantine = MakeQuarantine();
   for (int i = 0; i < 5; ++i) {
-    AddOwnCrash(quarantine, "g", kDeadly, "e1/1", kStart + i * kPause);
+    AddOwnCrash(quarantine, "g", kPoisonous, "e1/1", kStart + i * kPause);
   }
-  ApplyCrashReport(quarantine, MakeReport(kDeadly, "h", { "e1/1" }), kStart);
-  BOOST_TEST(!FindQuarantinedPart(quarantine, { kDeadly }));
+  ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e1/1" }), kStart);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
 }
 
 // Servers that crash at the same moment may have lost power together.
@@ -95,39 +95,41 @@
   for (int i = 0; i < 10; ++i) {
     const absl::Time now = kStart + i * kPause;
     RecordSuccess(quarantine, { kCommon }, now);
-    AddCrashes(quarantine, { kCommon, kDeadly }, i, 1, now + kPause / 2);
+    AddCrashes(quarantine, { kCommon, kPoisonous }, i, 1, now + kPause / 2);
   }
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon }));
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kCommon, kDeadly }).has_value());
+  BOOST_TEST(
+    FindQuarantinedPart(quarantine, { kCommon, kPoisonous }).has_value());
 }
 
-// A part may become deadly, for example with a new version of a model.
+// A part may become poisonous, for example with a new version of a model.
 BOOST_AUTO_TEST_CASE(an_old_success_does_not_clear_a_part)
 {
   prompt_quarantine quarantine = MakeQuarantine();
-  RecordSuccess(quarantine, { kDeadly }, kStart);
-  AddCrashes(quarantine, { kDeadly }, 1, 3, kStart + kRecentSuccessTime);
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  RecordSuccess(quarantine, { kPoisonous }, kStart);
+  AddCrashes(quarantine, { kPoisonous }, 1, 3, kStart + kRecentSuccessTime);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
 }
 
-// Callers whose sound prompts share a part with the deadly ones must be served.
-BOOST_AUTO_TEST_CASE(a_part_that_always_comes_with_the_deadly_one_passes)
+// Callers whose sound prompts share a part with the poisonous ones must be
+// served.
+BOOST_AUTO_TEST_CASE(a_part_that_always_comes_with_the_poisonous_one_passes)
 {
   prompt_quarantine quarantine = MakeQuarantine();
-  absl::Time now = AddCrashes(quarantine, { kSubject, kDeadly }, 1, 3);
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kCommon, kSubject, kDeadly })
+  absl::Time now = AddCrashes(quarantine, { kSubject, kPoisonous }, 1, 3);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kCommon, kSubject, kPoisonous })
                .has_value());
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
   // A further crash without the subject decides which one is to blame.
-  BOOST_TEST(!FindQuarantinedPart(quarantine, { kOtherSubject, kDeadly }));
-  now = AddCrashes(quarantine, { kOtherSubject, kDeadly }, 4, 1, now);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kOtherSubject, kPoisonous }));
+  now = AddCrashes(quarantine, { kOtherSubject, kPoisonous }, 4, 1, now);
   BOOST_TEST(
-    FindQuarantinedPart(quarantine, { kOtherSubject, kDeadly }).has_value());
+    FindQuarantinedPart(quarantine, { kOtherSubject, kPoisonous }).has_value());
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
-  // So does a complete response without the deadly part.
+  // So does a complete response without the poisonous part.
   RecordSuccess(quarantine, { kSubject }, now);
   BOOST_TEST(!HasSuspectPart(quarantine, { kSubject }));
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
 }
 
 // More crashes than are stored must not make a companion look guilty.
@@ -135,12 +137,13 @@
 {
   prompt_quarantine quarantine = MakeQuarantine();
   const int many = static_cast<int>(kMaxReportedCrashes) + 4;
-  const absl::Time now = AddCrashes(quarantine, { kSubject, kDeadly }, 1, many);
+  const absl::Time now =
+    AddCrashes(quarantine, { kSubject, kPoisonous }, 1, many);
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kSubject }));
-  AddCrashes(quarantine, { kDeadly }, many + 1, 1, now);
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  AddCrashes(quarantine, { kPoisonous }, many + 1, 1, now);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kSubject }));
-  BOOST_TEST(MakeCrashReport(quarantine, { kDeadly, "g" }).mCrashes.size() ==
+  BOOST_TEST(MakeCrashReport(quarantine, { kPoisonous, "g" }).mCrashes.size() ==
              kMaxReportedCrashes);
 }
 
@@ -148,11 +151,11 @@
 BOOST_AUTO_TEST_CASE(crashes_of_all_gateways_count_together)
 {
   prompt_quarantine quarantine = MakeQuarantine();
-  AddCrashes(quarantine, { kDeadly }, 1, 1);
-  ApplyCrashReport(quarantine, MakeReport(kDeadly, "h", { "e2/1" }), kStart);
-  BOOST_TEST(!FindQuarantinedPart(quarantine, { kDeadly }));
-  ApplyCrashReport(quarantine, MakeReport(kDeadly, "i", { "e3/1" }), kStart);
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  AddCrashes(quarantine, { kPoisonous }, 1, 1);
+  ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e2/1" }), kStart);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
+  ApplyCrashReport(quarantine, MakeReport(kPoisonous, "i", { "e3/1" }), kStart);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
 }
 
 // A gateway that knows better removes the report of another.
@@ -185,20 +188,20 @@
 BOOST_AUTO_TEST_CASE(a_quarantine_ends_and_the_next_crash_renews_it)
 {
   prompt_quarantine quarantine = MakeQuarantine();
-  absl::Time now = AddCrashes(quarantine, { kDeadly }, 1, 3);
+  absl::Time now = AddCrashes(quarantine, { kPoisonous }, 1, 3);
   AdvanceQuarantine(quarantine, now + kQuarantineTime - 2 * kPause);
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
   now += kQuarantineTime;
   AdvanceQuarantine(quarantine, now);
-  BOOST_TEST(!FindQuarantinedPart(quarantine, { kDeadly }));
-  now = AddCrashes(quarantine, { kDeadly }, 4, 1, now);
-  BOOST_TEST(FindQuarantinedPart(quarantine, { kDeadly }).has_value());
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
+  now = AddCrashes(quarantine, { kPoisonous }, 4, 1, now);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
   now += kQuarantineTime;
   AdvanceQuarantine(quarantine, now);
   now += kSuspicionTime;
   AdvanceQuarantine(quarantine, now);
-  BOOST_TEST(!HasSuspectPart(quarantine, { kDeadly }));
-  BOOST_TEST(quarantine.mUnwritten.count({ kDeadly, "g" }) == 1U);
+  BOOST_TEST(!HasSuspectPart(quarantine, { kPoisonous }));
+  BOOST_TEST(quarantine.mUnwritten.count({ kPoisonous, "g" }) == 1U);
 }
 
 // The evidence must not grow with the number of different prompts.
@@ -284,12 +287,12 @@
 {
   gateway_fixture fixture = MakePromptGateway();
   for (int i = 1; i <= 3; ++i) {
-    CrashUnderPrompt(fixture, { kCommon, kDeadly }, i);
+    CrashUnderPrompt(fixture, { kCommon, kPoisonous }, i);
   }
   // The common part has no complete response here, so that it comes with the
-  // deadly part always.
+  // poisonous part always.
   fixture.mActions.clear();
-  FireEvent(fixture, MakePrompt(fixture, { kCommon, kDeadly }));
+  FireEvent(fixture, MakePrompt(fixture, { kCommon, kPoisonous }));
   BOOST_TEST(GetSummary(*fixture.mNode).mQuarantinedParts == 2U);
   const auto errors = TakeActions<send_error>(fixture);
   BOOST_REQUIRE(errors.size() == 1);
@@ -305,13 +308,13 @@
 {
   gateway_fixture fixture = MakePromptGateway();
   for (int i = 1; i <= 5; ++i) {
-    const probe_server probe = BreakPrompt(fixture, { kDeadly });
+    const probe_server probe = BreakPrompt(fixture, { kPoisonous });
     FireEvent(fixture,
               server_probed{ probe.mBackend, probe.mStartedMs, false });
     AdvanceTime(fixture, kPause);
   }
   fixture.mActions.clear();
-  FireEvent(fixture, MakePrompt(fixture, { kDeadly }));
+  FireEvent(fixture, MakePrompt(fixture, { kPoisonous }));
   BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
 }
 
@@ -342,8 +345,8 @@
 BOOST_AUTO_TEST_CASE(a_suspect_prompt_is_not_sent_to_a_second_server)
 {
   gateway_fixture fixture = MakePromptGateway();
-  CrashUnderPrompt(fixture, { kDeadly }, 1);
-  BreakPrompt(fixture, { kDeadly });
+  CrashUnderPrompt(fixture, { kPoisonous }, 1);
+  BreakPrompt(fixture, { kPoisonous });
   BOOST_TEST(TakeActions<dispatch_request>(fixture).empty());
 }
 
@@ -357,14 +360,14 @@
 BOOST_AUTO_TEST_CASE(a_crash_report_is_written_until_the_store_confirms_it)
 {
   gateway_fixture fixture = MakePromptGateway();
-  const probe_server probe = BreakPrompt(fixture, { kDeadly });
+  const probe_server probe = BreakPrompt(fixture, { kPoisonous });
   FireEvent(fixture, server_probed{ probe.mBackend, probe.mStartedMs, true });
   BOOST_TEST(TakeWrittenReports(fixture).size() == 1U);
   FireEvent(fixture, crash_report_write_response{ false });
   AdvanceTime(fixture, 2 * kPause);
   const auto repeated = TakeWrittenReports(fixture);
   BOOST_REQUIRE(repeated.size() == 1U);
-  BOOST_TEST(repeated[0].mPart == kDeadly);
+  BOOST_TEST(repeated[0].mPart == kPoisonous);
   BOOST_TEST(repeated[0].mGateway == "g");
   FireEvent(fixture, crash_report_write_response{ true });
   AdvanceTime(fixture, 2 * kPause);
@@ -423,14 +426,14 @@
   DeliverBackends(fixture, 20, true,
                   { { "e1", 4, MakeBackendEntry("engines", "10.0.0.3:1") } });
   fixture.mActions.clear();
-  FireEvent(fixture, MakePrompt(fixture, { kDeadly }));
+  FireEvent(fixture, MakePrompt(fixture, { kPoisonous }));
   BOOST_TEST((TakeOnlyErrorCode(fixture) == error_code::NotReady));
   auto response = MakeDirectoryResponse(directory_area::Peers, 20, true);
-  response.mCrashReports = { MakeReport(kDeadly, "g",
+  response.mCrashReports = { MakeReport(kPoisonous, "g",
                                         { "e1/1", "e2/1", "e3/1" }) };
   FireEvent(fixture, response);
   fixture.mActions.clear();
-  FireEvent(fixture, MakePrompt(fixture, { kDeadly }));
+  FireEvent(fixture, MakePrompt(fixture, { kPoisonous }));
   BOOST_TEST((TakeOnlyErrorCode(fixture) == error_code::PromptQuarantined));
 }
 
