Mend what a last reading of the change found

Cause: reading the whole diff. The example at the head of prompt_quarantine.h was garbled by the formatter, the comment on IsDirectoryKnown named two of the three areas, the checks of poisonous prompts still passed over a listed failure although the list no longer has it, and two tests set up the same slow caller. No product code.

--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -387,7 +387,7 @@
 // Returns the number of gateways that are expected to be alive, including this
 // one.
 int CountGateways(const gateway& aGateway, absl::Time aNow);
-// Returns true once a configuration and the list of backend servers were read.
+// Returns true once all areas of the store and a configuration were read.
 bool IsDirectoryKnown(const gateway& aGateway);
 // Excludes a backend server from new requests until the store lists it again.
 void ExcludeBackend(gateway& aGateway, const backend_id& aBackend,
--- a/src/core/prompt_quarantine.h
+++ b/src/core/prompt_quarantine.h
@@ -5,10 +5,10 @@
 // to which the server was beginning to respond. Once enough servers have
 // crashed under a part, requests with it are refused.
 //
-//   AddOwnCrash(quarantine, name, part, crash, now);   a crash was confirmed
-//   ApplyCrashReport(quarantine, report, now);         another gateway's
-//   crashes RecordSuccess(quarantine, parts, now);             a complete
-//   response if (FindQuarantinedPart(quarantine, parts)) { refuse }
+//   AddOwnCrash(quarantine, name, part, crash, now);  // seen by this gateway
+//   ApplyCrashReport(quarantine, report, now);        // seen by another one
+//   RecordSuccess(quarantine, parts, now);            // a complete response
+//   if (FindQuarantinedPart(quarantine, parts)) {}    // refuse the request
 //
 // Parts that always come together have the same crashes, so that the evidence
 // does not tell which one is to blame; only requests with all of them are
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -12,7 +12,6 @@
 
 #include "chart_texts.h"
 #include "gateway_sim/gateway_sim.h"
-#include "known_red.h"
 #include <algorithm>
 #include <cstdlib>
 
@@ -67,7 +66,7 @@
 // Guards against requests of one kind that crash one server after the other:
 // once five servers have crashed under a part of a prompt, at most three more
 // requests with it may reach servers, and sound requests must be served.
-void CheckPoisonousPrompts(const char* aCase, bool aRestarts)
+void CheckPoisonousPrompts(bool aRestarts)
 {
   for (const auto& pattern : NameTable(poisonous_pattern{})) {
     for (std::uint64_t seed = 1; seed <= kPromptSeeds; ++seed) {
@@ -78,13 +77,8 @@
                                  << counts.mCrashes.size() << " crashes")
       {
         BOOST_TEST(sim->mViolations.empty());
-        const bool isServed = 2 * counts.mSoundDispatched >= counts.mSound;
-        if ((counts.mLatePoisonous > 3 || !isServed) &&
-            IsKnownFailure("gateway_fault_test", aCase)) {
-          return;
-        }
         BOOST_TEST(counts.mLatePoisonous <= 3);
-        BOOST_TEST(isServed);
+        BOOST_TEST(2 * counts.mSoundDispatched >= counts.mSound);
       }
     }
   }
@@ -92,13 +86,12 @@
 
 BOOST_AUTO_TEST_CASE(a_poisonous_part_of_prompts_stops_reaching_servers)
 {
-  CheckPoisonousPrompts("a_poisonous_part_of_prompts_stops_reaching_servers",
-                        false);
+  CheckPoisonousPrompts(false);
 }
 
 BOOST_AUTO_TEST_CASE(a_poisonous_part_is_remembered_over_restarts)
 {
-  CheckPoisonousPrompts("a_poisonous_part_is_remembered_over_restarts", true);
+  CheckPoisonousPrompts(true);
 }
 
 // Guards against sound requests that are refused because servers crash for
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -75,9 +75,9 @@
     return;
   }
   const absl::Duration since = aSim.mNow - counts.mCrashes[kAllowedCrashes - 1];
-  const bool isInTouch =
+  const bool hasSettled =
     aSim.mNow - aSim.mGateways[aIndex].mStartedAt > kContactTime;
-  if (request.mIsPoisonous && isInTouch && since > kContactTime) {
+  if (request.mIsPoisonous && hasSettled && since > kContactTime) {
     ++counts.mLatePoisonous;
   }
   if (request.mIsSound && since > 2 * kContactTime) {
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -466,16 +466,23 @@
   BOOST_TEST(report.mEvents == 31);
 }
 
+// Sends a request from a caller with a small receive buffer.
+tcp::socket SendRequestOfSlowCaller(traffic_fixture& aFixture)
+{
+  tcp::socket caller(aFixture.mIo);
+  caller.open(tcp::v4());
+  caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  caller.connect(MakeLoopbackEndpoint(aFixture.mPort.mPort));
+  asio::write(caller, asio::buffer(MakeRequest()));
+  return caller;
+}
+
 // A caller that takes no bytes for a while has not failed.
 BOOST_AUTO_TEST_CASE(a_caller_that_reads_nothing_for_a_while_is_not_cut)
 {
   traffic_fixture fixture;
   const expiry_timer timer(fixture);
-  tcp::socket caller(fixture.mIo);
-  caller.open(tcp::v4());
-  caller.set_option(asio::socket_base::receive_buffer_size(4096));
-  caller.connect(MakeLoopbackEndpoint(fixture.mPort.mPort));
-  asio::write(caller, asio::buffer(MakeRequest()));
+  tcp::socket caller = SendRequestOfSlowCaller(fixture);
   DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
                   call_kind::Idempotent);
   tcp::socket server =
@@ -498,11 +505,7 @@
 {
   traffic_fixture fixture;
   const expiry_timer timer(fixture);
-  tcp::socket caller(fixture.mIo);
-  caller.open(tcp::v4());
-  caller.set_option(asio::socket_base::receive_buffer_size(4096));
-  caller.connect(MakeLoopbackEndpoint(fixture.mPort.mPort));
-  asio::write(caller, asio::buffer(MakeRequest()));
+  tcp::socket caller = SendRequestOfSlowCaller(fixture);
   dispatch_request dispatch = MakeDispatch(
     fixture, AwaitEvent<caller_request>(fixture).mHandle, 1, call_kind::Stream);
   dispatch.mStallTimeout = absl::Milliseconds(400);
