--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -95,6 +95,7 @@
   std::optional<store_version> mAfter;
   // Longest time for which the call waits for changes.
   absl::Duration mMaxWait = absl::ZeroDuration();
+  store_era mEra = 0;
 };
 
 // Writes the grant records of several workspaces in one transaction.
@@ -107,6 +108,36 @@
     grant_plan mPlan;
   };
   std::vector<entry> mEntries;
+  // The write must not take effect in a later era, in which the versions that
+  // it expects may have been given out again.
+  store_era mEra = 0;
+  // True until a write of this gateway has marked the era in the store.
+  bool mMarksEra = false;
+};
+
+// Reads the grant records of all workspaces.
+struct grant_read
+{
+  store_era mEra = 0;
+};
+
+// Sends grant records to another gateway, or asks for those that it knows.
+struct share_grants
+{
+  std::string mPeer;
+  std::string mAddress;
+  store_era mEra = 0;
+  // Identifies the grants that wait for the response; 0 if none do.
+  std::uint64_t mReplication = 0;
+  bool mWantsCopies = false;
+  std::vector<grant_copy> mCopies;
+};
+
+// Responds to grants_shared.
+struct send_share_response
+{
+  std::uint64_t mCall = 0;
+  share_response mResponse;
 };
 
 // Keeps this gateway's entry in the peer list. Without mLease it opens a lease
@@ -114,6 +145,7 @@
 struct registration_call
 {
   std::uint64_t mLease = 0;
+  store_era mEra = 0;
 };
 
 // Responds to tokens_requested.
@@ -162,6 +194,7 @@
 struct crash_report_write
 {
   std::vector<crash_report> mReports;
+  store_era mEra = 0;
 };
 
 // Sets whether the process reports itself as ready.
@@ -208,6 +241,9 @@
   GrantChanged,
   StoreLost,
   StoreRegained,
+  StoreEraChanged,
+  StoreEraIgnored,
+  GrantRecoveryChanged,
   LoadChanged,
   PromptPartChanged,
   RateLimitChanged,
@@ -217,21 +253,25 @@
 constexpr auto NameTable(decision)
 {
   using d = decision;
-  return MakeNameTable<d>({ { d::RequestDispatched, "request_dispatched" },
-                            { d::RequestRefused, "request_refused" },
-                            { d::RequestFinished, "request_finished" },
-                            { d::RequestFailed, "request_failed" },
-                            { d::RequestCancelled, "request_cancelled" },
-                            { d::ConfigApplied, "config_applied" },
-                            { d::BackendChanged, "backend_changed" },
-                            { d::PeerChanged, "peer_changed" },
-                            { d::GrantChanged, "grant_changed" },
-                            { d::StoreLost, "store_lost" },
-                            { d::StoreRegained, "store_regained" },
-                            { d::LoadChanged, "load_changed" },
-                            { d::PromptPartChanged, "prompt_part_changed" },
-                            { d::RateLimitChanged, "rate_limit_changed" },
-                            { d::StopStarted, "stop_started" } });
+  return MakeNameTable<d>(
+    { { d::RequestDispatched, "request_dispatched" },
+      { d::RequestRefused, "request_refused" },
+      { d::RequestFinished, "request_finished" },
+      { d::RequestFailed, "request_failed" },
+      { d::RequestCancelled, "request_cancelled" },
+      { d::ConfigApplied, "config_applied" },
+      { d::BackendChanged, "backend_changed" },
+      { d::PeerChanged, "peer_changed" },
+      { d::GrantChanged, "grant_changed" },
+      { d::StoreLost, "store_lost" },
+      { d::StoreRegained, "store_regained" },
+      { d::StoreEraChanged, "store_era_changed" },
+      { d::StoreEraIgnored, "store_era_ignored" },
+      { d::GrantRecoveryChanged, "grant_recovery_changed" },
+      { d::LoadChanged, "load_changed" },
+      { d::PromptPartChanged, "prompt_part_changed" },
+      { d::RateLimitChanged, "rate_limit_changed" },
+      { d::StopStarted, "stop_started" } });
 }
 
 // A decision for the log, with the inputs that led to it.
@@ -246,9 +286,10 @@
   std::variant<send_error, deliver_failure, cancel_request, dispatch_request,
                directory_query, grant_write, registration_call,
                send_token_response, request_tokens, return_tokens,
-               report_prompts, probe_server, crash_report_write,
-               deregistration_call, set_ready, set_closing, set_limits,
-               stop_finished, decision_record>;
+               report_prompts, probe_server, crash_report_write, grant_read,
+               share_grants, send_share_response, deregistration_call,
+               set_ready, set_closing, set_limits, stop_finished,
+               decision_record>;
 
 using gateway_actions = std::vector<gateway_action>;
 
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -197,6 +197,15 @@
       { directory_status::Unavailable, "unavailable" } });
 }
 
+// The eras of the store at both ends of a call.
+struct response_era
+{
+  // Era that the gateway knew when it made the call.
+  store_era mKnown = 0;
+  // Era that the response states; absent if it states none.
+  std::optional<store_era> mStated = std::nullopt;
+};
+
 // One changed entry of an area.
 template<typename Entry>
 struct directory_change
@@ -233,12 +242,14 @@
   std::vector<directory_change<gateway_peer>> mPeers;
   // Part of the area Peers.
   std::vector<crash_report> mCrashReports;
+  response_era mEra = {};
 };
 
 // Response to a crash_report_write.
 struct crash_report_write_response
 {
   bool mIsWritten = false;
+  response_era mEra = {};
 };
 
 // Response to probe_server.
@@ -267,6 +278,58 @@
   grant_outcome mOutcome = grant_outcome::Unknown;
   store_version mRevision = 0;
   std::vector<grant_state> mStates;
+  response_era mEra = {};
+};
+
+// Response to a grant_read.
+struct grants_read
+{
+  // False if the records could not be read.
+  bool mIsRead = false;
+  std::vector<grant_state> mStates;
+  response_era mEra = {};
+};
+
+// A grant record that a gateway knows.
+struct grant_copy
+{
+  workspace_id mWorkspace;
+  grant_record mRecord;
+};
+
+// Another gateway sends grant records, or asks for those that this one knows.
+struct grants_shared
+{
+  // Identifies the call to which send_share_response responds.
+  std::uint64_t mCall = 0;
+  store_era mEra = 0;
+  bool mWantsCopies = false;
+  std::vector<grant_copy> mCopies;
+};
+
+// Response to grants_shared.
+struct share_response
+{
+  // Era of the store that the responding gateway knows.
+  store_era mEra = 0;
+  // First era in which the responding process read all grant records; 0 if it
+  // has not read them yet.
+  store_era mFirstEra = 0;
+  // The newest records that it knows, if they were wanted.
+  std::vector<grant_copy> mCopies;
+  // Names of the gateways that it knows.
+  std::vector<std::string> mGateways;
+};
+
+// The response to share_grants. mResponse is absent if the peer did not
+// respond.
+struct share_response_received
+{
+  std::string mPeer;
+  // mReplication and mEra of the action.
+  std::uint64_t mReplication = 0;
+  store_era mEra = 0;
+  std::optional<share_response> mResponse;
 };
 
 // Outcome of a call on a lease.
@@ -290,6 +353,7 @@
 {
   lease_status mStatus = lease_status::Unavailable;
   std::uint64_t mLease = 0;
+  response_era mEra = {};
 };
 
 // Another gateway requests tokens of a workspace.
@@ -373,7 +437,8 @@
                directory_response, grant_write_response, registration_response,
                tokens_requested, tokens_returned, token_response_received,
                prompts_reported, load_measured, server_probed,
-               crash_report_write_response, gateway_tick, stop_requested>;
+               crash_report_write_response, grants_read, grants_shared,
+               share_response_received, gateway_tick, stop_requested>;
 
 } // namespace foxtailquay
 
--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -29,6 +29,24 @@
 // priority only. No process holds that last part, so a loss of processes or
 // machines cannot lose it.
 //
+// The store may return to an older state, in which records that it had
+// acknowledged are missing. It is then in a new era. Each record states its era
+// and its place in the sequence of writes, so that the newest known copy of a
+// record of the last era can be found. The first write in the new era takes
+// over that copy, in which each live holder states its own entry anew. Until
+// then nothing is granted:
+//
+//   StartEra(share, era);
+//   ... each newest record that another router knows:
+//   AddCopy(share, record);
+//   ... the record as stored in the new era:
+//   AdoptRecord(share, record, version);
+//   ... PlanGrant plans the write that takes over the newest copy.
+//
+// A copy is known after the loss of its writer only if other routers hold it.
+// The caller therefore withholds granted tokens with WithholdTokens until
+// enough of them do, and then calls ReleaseTokens.
+//
 // Plain structs, not thread-safe. Memory: one entry per router and workspace.
 
 #ifndef FOXTAILQUAY_GRANT_H
@@ -88,8 +106,15 @@
   std::map<std::string, grant_entry> mEntries;
   // Tokens that earlier incarnations may have spent.
   token_count mClosed = 0;
+  // Era of the store in which the record was written.
+  store_era mEra = 0;
+  // Number of writes of the record, over all eras.
+  std::uint64_t mSequence = 0;
 };
 
+// Returns true if aLeft was written after aRight.
+bool IsNewer(const grant_record& aLeft, const grant_record& aRight);
+
 // Returns the tokens that may have been spent or may still be spent by any
 // holder.
 token_count ComputeTotal(const grant_record& aRecord);
@@ -146,9 +171,17 @@
   // of mEntry is mFreeTokens plus mUsedTokens, except while a return is
   // being written.
   token_count mUsedTokens = 0;
+  // Tokens granted and withheld until other routers hold a copy of the record.
+  token_count mWithheldTokens = 0;
   // This router's entry as last read from the store.
   grant_entry mEntry;
   grant_record mRecord;
+  // Newest record that this router knows from any source.
+  grant_record mCopy;
+  // Era to which mVersion belongs.
+  store_era mEra = 0;
+  // True if the stored record may lack mEntry since the era began.
+  bool mMustRestate = false;
   store_version mVersion = 0;
   std::optional<pending_grant> mPending;
   // Demand by priority in tokens per second, averaged, as of mRateAt.
@@ -229,6 +262,31 @@
 token_count EstimateDemand(const grant_share& aShare, absl::Duration aTime,
                            const grant_options& aOptions, absl::Time aNow);
 
+// Withholds free tokens until ReleaseTokens. Precondition: 0 <= aAmount <=
+// mFreeTokens.
+void WithholdTokens(grant_share& aShare, token_count aAmount);
+
+// Makes withheld tokens available. Precondition: 0 <= aAmount <=
+// mWithheldTokens.
+void ReleaseTokens(grant_share& aShare, token_count aAmount);
+
+// Begins an era of the store. A write without a known outcome and withheld
+// tokens are given up: they were never spent. The stored version is unknown
+// until AdoptRecord.
+void StartEra(grant_share& aShare, const grant_holder& aHolder, store_era aEra);
+
+// Adds a record that another router knows.
+void AddCopy(grant_share& aShare, const grant_record& aRecord);
+
+// Adopts the record as read in the present era; version 0 and an empty record
+// if there is none. Precondition: no write is pending.
+void AdoptRecord(grant_share& aShare, const grant_record& aRecord,
+                 store_version aVersion);
+
+// Returns true if the record must be written in the present era before anything
+// is granted: it is from an earlier one.
+bool IsFromEarlierEra(const grant_share& aShare);
+
 // Returns false while the known grants exceed the total, as after an operator
 // has lowered it. Free tokens must then be returned and not spent.
 bool MaySpend(const grant_share& aShare, token_count aPrepaid);
@@ -249,7 +307,8 @@
 // or is not known yet.
 bool HasEarlierEntries(const grant_share& aShare, const grant_holder& aHolder);
 
-// Returns the next write, if one is useful. It requests more tokens if
+// Returns the next write, if one is useful. Takes over a record of an earlier
+// era first, if aIsCoordinator or aIsPeriodic. It requests more tokens if
 // aIsCoordinator, returns free tokens if the record exceeds aPrepaid, moves the
 // limit, and closes the entries of earlier incarnations. With aIsPeriodic,
 // which is due every kLimitInterval, it also requests tokens up to the horizon.
--- a/include/foxtailquay/types.h
+++ b/include/foxtailquay/types.h
@@ -24,6 +24,10 @@
 using incarnation_number = std::uint64_t;
 // Version of a store value; 0 means that the key does not exist.
 using store_version = std::uint64_t;
+// Number of a continuous history of the store, which rises when the store
+// returns to an older state. Versions of different eras are not comparable.
+// 0: the store has not stated one.
+using store_era = std::uint64_t;
 // Version of the configuration document; 0 means that none is known.
 using config_version = std::uint64_t;
 // Identifies one caller request within one process.
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -39,7 +39,8 @@
          ParseChartFile(aTexts, "directory.yaml", charts.mWatch),
          ParseChartFile(aTexts, "gateway_load.yaml", charts.mLoad),
          ParseChartFile(aTexts, "backend_server.yaml", charts.mBackend),
-         ParseChartFile(aTexts, "rate_limit.yaml", charts.mRate) }) {
+         ParseChartFile(aTexts, "rate_limit.yaml", charts.mRate),
+         ParseChartFile(aTexts, "grant_recovery.yaml", charts.mRecovery) }) {
     if (!IsOk(loaded)) {
       return GetError(loaded);
     }
@@ -115,6 +116,7 @@
     AdvanceStop(aGateway, aNow);
   }
   AdvanceWatches(aGateway, aNow);
+  AdvanceRecovery(aGateway, aNow);
 }
 
 struct event_handler
@@ -181,6 +183,18 @@
   {
     OnCrashReportWriteResponse(mGateway, aEvent, mNow);
   }
+  void operator()(const grants_read& aEvent)
+  {
+    OnGrantsRead(mGateway, aEvent, mNow);
+  }
+  void operator()(const grants_shared& aEvent)
+  {
+    OnGrantsShared(mGateway, aEvent, mNow);
+  }
+  void operator()(const share_response_received& aEvent)
+  {
+    OnShareResponse(mGateway, aEvent, mNow);
+  }
   void operator()(const gateway_tick&) { AdvanceGateway(mGateway, mNow); }
   void operator()(const stop_requested&) { OnStopRequested(mGateway, mNow); }
 };
@@ -257,6 +271,7 @@
   aGateway.mHolder.mStart = { aGateway.mSettings.mBoot,
                               MakeGrantClock(aGateway, aNow).mSteadyMs };
   StartWatches(aGateway, aNow);
+  StartRecovery(aGateway, aNow);
   AdvanceWatches(aGateway, aNow);
   gateway_actions actions;
   actions.swap(aGateway.mActions);
@@ -275,7 +290,8 @@
 
 absl::Time GetNextWakeTime(const gateway& aGateway)
 {
-  absl::Time next = std::min(aGateway.mNextTickAt, aGateway.mReportAt);
+  absl::Time next = std::min(
+    { aGateway.mNextTickAt, aGateway.mReportAt, aGateway.mRecovery.mRetryAt });
   if (!aGateway.mDeadlines.empty()) {
     next = std::min(next, aGateway.mDeadlines.begin()->first);
   }
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -1,5 +1,6 @@
 // Enumerations of the charts of a gateway: charts/forwarded_request.yaml,
-// charts/directory.yaml and charts/gateway_load.yaml. The health of backend
+// charts/directory.yaml, charts/gateway_load.yaml and
+// charts/grant_recovery.yaml. The health of backend
 // servers uses charts/backend_server.yaml (backend_health.h), their rate limits
 // charts/rate_limit.yaml (rate_limit.h), the quarantine of prompts
 // charts/prompt_part.yaml (prompt_quarantine.h).
@@ -121,6 +122,7 @@
   HistoryLost,
   Failed,
   PauseOver,
+  EraChanged,
 };
 
 constexpr auto NameTable(watch_event)
@@ -129,7 +131,8 @@
   return MakeNameTable<e>({ { e::Answered, "answered" },
                             { e::HistoryLost, "history_lost" },
                             { e::Failed, "failed" },
-                            { e::PauseOver, "pause_over" } });
+                            { e::PauseOver, "pause_over" },
+                            { e::EraChanged, "era_changed" } });
 }
 
 enum class watch_guard
@@ -224,6 +227,75 @@
 
 using load_chart = chart<load_status, load_event, load_guard, load_action>;
 
+enum class recovery_status
+{
+  Reading,
+  Collecting,
+  Whole,
+};
+
+constexpr auto NameTable(recovery_status)
+{
+  using s = recovery_status;
+  return MakeNameTable<s>({ { s::Reading, "reading" },
+                            { s::Collecting, "collecting" },
+                            { s::Whole, "whole" } });
+}
+
+enum class recovery_event
+{
+  RecordsRead,
+  ReadFailed,
+  PeerAnswered,
+  RetryDue,
+  EraChanged,
+};
+
+constexpr auto NameTable(recovery_event)
+{
+  using e = recovery_event;
+  return MakeNameTable<e>({ { e::RecordsRead, "records_read" },
+                            { e::ReadFailed, "read_failed" },
+                            { e::PeerAnswered, "peer_answered" },
+                            { e::RetryDue, "retry_due" },
+                            { e::EraChanged, "era_changed" } });
+}
+
+enum class recovery_guard
+{
+  // No record of an earlier era can be missing.
+  IsKnown,
+  // Enough gateways have said which records they know.
+  HasAnswers,
+};
+
+constexpr auto NameTable(recovery_guard)
+{
+  using g = recovery_guard;
+  return MakeNameTable<g>(
+    { { g::IsKnown, "is_known" }, { g::HasAnswers, "has_answers" } });
+}
+
+enum class recovery_action
+{
+  Read,
+  AskPeers,
+  Schedule,
+  Resume,
+};
+
+constexpr auto NameTable(recovery_action)
+{
+  using a = recovery_action;
+  return MakeNameTable<a>({ { a::Read, "read" },
+                            { a::AskPeers, "ask_peers" },
+                            { a::Schedule, "schedule" },
+                            { a::Resume, "resume" } });
+}
+
+using recovery_chart =
+  chart<recovery_status, recovery_event, recovery_guard, recovery_action>;
+
 struct gateway_charts
 {
   forward_chart mForward;
@@ -231,6 +303,7 @@
   load_chart mLoad;
   backend_chart mBackend;
   rate_chart mRate;
+  recovery_chart mRecovery;
 };
 
 } // namespace foxtailquay
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -110,6 +110,10 @@
 void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
                    std::string_view aCause)
 {
+  const auto listing = aGateway.mListings.find(aBackend);
+  if (listing != aGateway.mListings.end()) {
+    AddRemovedNotice(aGateway, aBackend, listing->second.mEntry);
+  }
   aGateway.mListings.erase(aBackend);
   aGateway.mViews.erase(aBackend);
   RecordDecision(aGateway, decision::BackendChanged,
@@ -162,7 +166,7 @@
 
 void ApplyBackend(gateway& aGateway,
                   const directory_change<backend_entry>& aChange,
-                  absl::Time aNow)
+                  bool aIsComplete, absl::Time aNow)
 {
   const backend_id id{ aChange.mName };
   auto listing = aGateway.mListings.find(id);
@@ -171,7 +175,11 @@
     return;
   }
   if (aChange.mEntry) {
-    UpdateBackend(aGateway, id, AddNotice(aGateway, id, *aChange.mEntry),
+    // Within one era, an entry that is listed again was written again.
+    const bool isChange =
+      !aIsComplete || !GetArea(aGateway, directory_area::Backends).mIsFirstRead;
+    UpdateBackend(aGateway, id,
+                  AddNotice(aGateway, id, *aChange.mEntry, isChange),
                   aChange.mRevision, aNow);
     return;
   }
@@ -289,7 +297,7 @@
     peers = AddRemovals(std::move(peers), known, aResponse.mRevision);
   }
   for (const auto& change : backends) {
-    ApplyBackend(aGateway, change, aNow);
+    ApplyBackend(aGateway, change, aResponse.mComplete, aNow);
   }
   for (const auto& change : peers) {
     ApplyPeer(aGateway, change, aNow);
@@ -319,7 +327,9 @@
                absl::Time aNow)
 {
   GetArea(aGateway, aQuery.mArea).mCalledAt = aNow;
-  aGateway.mActions.push_back(aQuery);
+  directory_query query = aQuery;
+  query.mEra = aGateway.mEra;
+  aGateway.mActions.push_back(query);
 }
 
 void PerformAction(gateway& aGateway, directory_area aArea,
@@ -342,6 +352,7 @@
       area.mRevision = aResponse.mRevision;
       area.mComplete = true;
       Apply(aGateway, aResponse, aNow);
+      area.mIsFirstRead = false;
       break;
     case watch_action::Schedule:
       Schedule(aGateway, area, aNow);
@@ -418,9 +429,39 @@
   }
 }
 
+void RestartWatches(gateway& aGateway, absl::Time aNow)
+{
+  KeepLeavingNotices(aGateway);
+  for (auto& listing : aGateway.mListings) {
+    listing.second.mRevision = 0;
+  }
+  for (auto& peer : aGateway.mPeers) {
+    peer.second.mRevision = 0;
+  }
+  aGateway.mLease = 0;
+  aGateway.mIsRegistering = false;
+  HastenRegistration(aGateway, aNow);
+  for (const auto& entry : NameTable(directory_area{})) {
+    watched_area& area = GetArea(aGateway, entry.mValue);
+    area.mRevision.reset();
+    area.mRetryAt = absl::InfiniteFuture();
+    area.mConnectedSince = aNow;
+    area.mIsFirstRead = true;
+    FireArea(aGateway, entry.mValue, watch_event::EraChanged, {}, aNow);
+  }
+}
+
 void OnDirectoryResponse(gateway& aGateway, const directory_response& aResponse,
                          absl::Time aNow)
 {
+  const era_match match = MatchEra(aGateway, aResponse.mEra, aNow);
+  if (match == era_match::Superseded) {
+    return;
+  }
+  if (match == era_match::Unsound) {
+    FireArea(aGateway, aResponse.mArea, watch_event::Failed, {}, aNow);
+    return;
+  }
   const bool isConnected = aResponse.mStatus != directory_status::Unavailable;
   RecordConnection(aGateway, aResponse.mArea, isConnected, aNow);
   FireArea(aGateway, aResponse.mArea, ToEvent(aResponse.mStatus), aResponse,
@@ -445,7 +486,8 @@
   if (!aGateway.mIsRegistering && !aGateway.mStopping &&
       aNow >= aGateway.mNextRegistrationAt) {
     aGateway.mIsRegistering = true;
-    aGateway.mActions.push_back(registration_call{ aGateway.mLease });
+    aGateway.mActions.push_back(
+      registration_call{ aGateway.mLease, aGateway.mEra });
   }
 }
 
@@ -471,6 +513,9 @@
                             const registration_response& aResponse,
                             absl::Time aNow)
 {
+  if (MatchEra(aGateway, aResponse.mEra, aNow) == era_match::Superseded) {
+    return;
+  }
   aGateway.mIsRegistering = false;
   switch (aResponse.mStatus) {
     case lease_status::Held:
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -108,18 +108,28 @@
 void AcquireTokens(gateway& aGateway, const workspace_id& aWorkspace,
                    absl::Time aNow);
 
+grant_write MakeGrantWrite(const gateway& aGateway)
+{
+  grant_write write;
+  write.mEra = aGateway.mEra;
+  write.mMarksEra = aGateway.mMarksEra;
+  return write;
+}
+
 // Writes the grants of all workspaces that need a write. At most one write
 // is in flight.
 void WriteGrants(gateway& aGateway, absl::Time aNow)
 {
   if (!aGateway.mEntriesInFlight.empty() || aNow < aGateway.mNextWriteAt ||
-      IsReturningGrants(aGateway)) {
+      IsReturningGrants(aGateway) || !MayWriteGrants(aGateway) ||
+      aGateway.mWorkspaceTokens.empty()) {
     return;
   }
   const bool isPeriodic = aNow >= aGateway.mNextPeriodicWriteAt;
-  grant_write write;
+  grant_write write = MakeGrantWrite(aGateway);
   for (auto& entry : aGateway.mWorkspaceTokens) {
     workspace_tokens& tokens = entry.second;
+    tokens.mShare.mEra = aGateway.mEra;
     // A gateway that gets token requests acts in place of a coordinator that
     // cannot transfer tokens.
     const bool isCoordinator =
@@ -207,9 +217,11 @@
     return_tokens{ coordinator.mAddress, aWorkspace, surplus });
 }
 
-// Applies the outcome of a grant write to the tokens of one workspace.
-void ApplyWriteOutcome(gateway& aGateway, const grant_write::entry& aEntry,
-                       const grant_write_response& aEvent)
+// Applies the outcome of a grant write to the tokens of one workspace. Returns
+// the number of tokens that the write has granted.
+token_count ApplyWriteOutcome(gateway& aGateway,
+                              const grant_write::entry& aEntry,
+                              const grant_write_response& aEvent)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aEntry.mWorkspace];
   const token_count before = tokens.mShare.mFreeTokens;
@@ -242,8 +254,10 @@
         { "out", absl::StrCat(tokens.mShare.mUsedTokens) },
         { "granted_to_all", absl::StrCat(ComputeTotal(tokens.mShare.mRecord)) },
         { "prepaid", absl::StrCat(tokens.mPrepaid) },
-        { "revision", absl::StrCat(tokens.mShare.mVersion) } });
+        { "revision", absl::StrCat(tokens.mShare.mVersion) },
+        { "era", absl::StrCat(tokens.mShare.mRecord.mEra) } });
   }
+  return std::max<token_count>(0, tokens.mShare.mFreeTokens - before);
 }
 
 } // namespace
@@ -304,21 +318,37 @@
 void OnGrantWriteResponse(gateway& aGateway, const grant_write_response& aEvent,
                           absl::Time aNow)
 {
+  const era_match match = MatchEra(aGateway, aEvent.mEra, aNow);
+  if (match == era_match::Superseded) {
+    return;
+  }
+  if (match == era_match::Unsound) {
+    grant_write_response unknown;
+    unknown.mEra.mKnown = aGateway.mEra;
+    OnGrantWriteResponse(aGateway, unknown, aNow);
+    return;
+  }
   std::vector<grant_write::entry> entries;
   entries.swap(aGateway.mEntriesInFlight);
+  aGateway.mMarksEra =
+    aGateway.mMarksEra && aEvent.mOutcome != grant_outcome::Written;
   const bool failed = aEvent.mOutcome == grant_outcome::Unknown ||
                       aEvent.mOutcome == grant_outcome::NotWritten;
   aGateway.mWriteFailed = failed;
   aGateway.mNextWriteAt =
     aNow + (failed ? kInitialBackoff * 2 : kWriteInterval);
+  std::vector<grant_replication::amount> granted;
   for (const grant_write::entry& entry : entries) {
-    ApplyWriteOutcome(aGateway, entry, aEvent);
+    const token_count tokens = ApplyWriteOutcome(aGateway, entry, aEvent);
+    const bool isKnown = aEvent.mOutcome == grant_outcome::Written ||
+                         aEvent.mOutcome == grant_outcome::Conflict;
+    if (tokens > 0 && isKnown) {
+      granted.push_back({ entry.mWorkspace, tokens });
+    }
   }
+  ReplicateGrants(aGateway, std::move(granted), aNow);
   for (const grant_write::entry& entry : entries) {
-    ReserveForWaiters(aGateway, entry.mWorkspace, false, aNow);
-    if (!aGateway.mWorkspaceTokens[entry.mWorkspace].mWaiters.empty()) {
-      AcquireTokens(aGateway, entry.mWorkspace, aNow);
-    }
+    ResumeWaiters(aGateway, entry.mWorkspace, aNow);
   }
   if (aEvent.mOutcome == grant_outcome::Conflict) {
     aGateway.mNextWriteAt = aNow;
@@ -328,6 +358,15 @@
   WriteGrants(aGateway, aNow);
 }
 
+void ResumeWaiters(gateway& aGateway, const workspace_id& aWorkspace,
+                   absl::Time aNow)
+{
+  ReserveForWaiters(aGateway, aWorkspace, false, aNow);
+  if (!aGateway.mWorkspaceTokens[aWorkspace].mWaiters.empty()) {
+    AcquireTokens(aGateway, aWorkspace, aNow);
+  }
+}
+
 void OnTokensRequested(gateway& aGateway, const tokens_requested& aEvent,
                        absl::Time aNow)
 {
@@ -409,6 +448,7 @@
       ReturnToCoordinator(aGateway, workspace.mId, 0, aNow);
     }
   }
+  ReviewRecovery(aGateway, aNow);
   WriteGrants(aGateway, aNow);
 }
 
@@ -433,7 +473,7 @@
 bool ReturnAllTokens(gateway& aGateway, absl::Time aNow)
 {
   bool done = aGateway.mEntriesInFlight.empty();
-  grant_write write;
+  grant_write write = MakeGrantWrite(aGateway);
   for (auto& entry : aGateway.mWorkspaceTokens) {
     ReturnToCoordinator(aGateway, entry.first, 0, aNow);
     if (!aGateway.mEntriesInFlight.empty() ||
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -66,7 +66,7 @@
   }
   if (!aGateway.mReportsInFlight.empty()) {
     aGateway.mActions.push_back(
-      crash_report_write{ aGateway.mReportsInFlight });
+      crash_report_write{ aGateway.mReportsInFlight, aGateway.mEra });
   }
 }
 
@@ -151,6 +151,16 @@
   WriteCrashReports(aGateway, aNow);
 }
 
+void RestartCrashReports(gateway& aGateway)
+{
+  aGateway.mReportsInFlight.clear();
+  for (const auto& part : aGateway.mQuarantine.mParts) {
+    for (const auto& report : part.second.mCrashes) {
+      aGateway.mQuarantine.mUnwritten.insert({ part.first, report.first });
+    }
+  }
+}
+
 void ApplyCrashReports(gateway& aGateway, const directory_response& aResponse,
                        absl::Time aNow)
 {
@@ -180,6 +190,9 @@
                                 const crash_report_write_response& aEvent,
                                 absl::Time aNow)
 {
+  if (MatchEra(aGateway, aEvent.mEra, aNow) == era_match::Superseded) {
+    return;
+  }
   const std::vector<crash_report> sent = std::move(aGateway.mReportsInFlight);
   aGateway.mReportsInFlight.clear();
   if (!aEvent.mIsWritten) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -9,6 +9,8 @@
 // gateway_waiters.cc  requests and gateways that wait for tokens
 // gateway_load.cc     load of this process
 // gateway_follow.cc   watches on the store: configuration, servers, peers
+// gateway_era.cc      returns of the store to an older state
+// gateway_recovery.cc grant records after such a return, copies of records
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_STATE_H
 #define FOXTAILQUAY_CORE_GATEWAY_STATE_H
@@ -76,8 +78,9 @@
 // not grow with the fleet. The other gateways still receive the load that the
 // engines state.
 constexpr std::size_t kMaxReportTargets = 8;
-// Largest number of entries in one write. The store accepts at most 32.
-constexpr std::size_t kMaxGrantEntries = 16;
+// Largest number of records in one write. The store accepts at most 32 rows in
+// all: a condition and a value for each record, and those on eras.
+constexpr std::size_t kMaxGrantEntries = 12;
 // Fractions of the fleet-wide retry limit that are used. The rest covers
 // gateways that do not have each other in their peer lists yet.
 constexpr double kRepeatRatioFraction = 0.7;
@@ -189,6 +192,8 @@
   int mFailedCalls = 0;
   // True once a complete copy has been read.
   bool mComplete = false;
+  // True until a complete copy has been read in the present era of the store.
+  bool mIsFirstRead = true;
 };
 
 // A backend server as listed in the store.
@@ -209,6 +214,10 @@
   std::int64_t mStartedMs = 0;
   std::string mAddress;
   bool mIsLeaving = false;
+  // True if its entry was removed in an era of the store that has ended. An
+  // older state of the store may list it again, which says nothing; only an
+  // entry that is written anew does.
+  bool mIsRemoved = false;
   absl::Time mBackoffUntil = absl::InfinitePast();
   // Time at which the notice is forgotten because the store no longer lists the
   // server; infinite while it does.
@@ -226,6 +235,44 @@
   bool mHasExpired = false;
 };
 
+// Granted tokens that are withheld until enough gateways have a copy of the
+// record.
+struct grant_replication
+{
+  struct amount
+  {
+    workspace_id mWorkspace;
+    token_count mTokens = 0;
+  };
+  std::vector<amount> mAmounts;
+  // Copies that are still needed.
+  int mMissingCopies = 0;
+  // Calls without an outcome yet.
+  int mOpenCalls = 0;
+};
+
+// What this gateway knows of the grant records of all workspaces.
+struct grant_recovery
+{
+  recovery_status mStatus = recovery_status::Reading;
+  // True once this process has read all records.
+  bool mHasRead = false;
+  // Era in which it first did; 0 before, and if the store stated none.
+  store_era mFirstEra = 0;
+  // Start of the present recovery.
+  absl::Time mStartedAt = absl::InfinitePast();
+  absl::Time mRetryAt = absl::InfiniteFuture();
+  // First era of each gateway that has answered in this recovery.
+  std::map<std::string, store_era> mAnswers;
+  // Gateways whose last call failed in this recovery.
+  std::set<std::string> mFailed;
+  // Gateways that others have named in this recovery.
+  std::set<std::string> mNamed;
+  // Grants that wait for copies.
+  std::map<std::uint64_t, grant_replication> mReplications;
+  std::uint64_t mLastReplication = 0;
+};
+
 // Load of this process.
 struct load_state
 {
@@ -248,6 +295,16 @@
   routing_options mRouting;
   grant_holder mHolder;
 
+  // Era of the store to which all versions in this state belong; 0 before the
+  // first response that states one.
+  store_era mEra = 0;
+  // The first era that was stated.
+  store_era mFirstEra = 0;
+  // Era that was last stated and ignored, since it is lower.
+  std::optional<store_era> mIgnoredEra;
+  // True until a grant write has marked the era in the store.
+  bool mMarksEra = true;
+  grant_recovery mRecovery;
   std::array<watched_area, CountEnumerators<directory_area>()> mAreas;
   // Table of the current configuration; absent before the first one.
   std::optional<route_table> mTable;
@@ -340,9 +397,14 @@
 void ApplyStatement(gateway& aGateway, const forwarded_request& aRequest,
                     const server_statement& aStatement, absl::Time aNow);
 // Returns aEntry with what the incarnation has stated of itself, and forgets
-// what an earlier one has.
+// what an earlier one has. aIsChange: the entry was written just now, and not
+// only found in the store.
 backend_entry AddNotice(gateway& aGateway, const backend_id& aBackend,
-                        backend_entry aEntry);
+                        backend_entry aEntry, bool aIsChange);
+// Remembers over a change of the era that the server leaves or is gone.
+void KeepLeavingNotices(gateway& aGateway);
+void AddRemovedNotice(gateway& aGateway, const backend_id& aBackend,
+                      const backend_entry& aEntry);
 // Forgets what servers have stated that have not been listed for long.
 void AdvanceNotices(gateway& aGateway, absl::Time aNow);
 // Records that a request is being sent to the server, if that states a rate
@@ -381,6 +443,8 @@
 void OnServerProbed(gateway& aGateway, const server_probed& aEvent,
                     absl::Time aNow);
 // Adopts the crash reports in a response on the area Peers.
+// Writes all known reports again, since the store may have lost them.
+void RestartCrashReports(gateway& aGateway);
 void ApplyCrashReports(gateway& aGateway, const directory_response& aResponse,
                        absl::Time aNow);
 void OnCrashReportWriteResponse(gateway& aGateway,
@@ -429,6 +493,63 @@
 // nothing is left to return.
 bool ReturnAllTokens(gateway& aGateway, absl::Time aNow);
 
+// Tries again to serve the waiters of a workspace after tokens became
+// available.
+void ResumeWaiters(gateway& aGateway, const workspace_id& aWorkspace,
+                   absl::Time aNow);
+
+// --- gateway_era.cc ---------------------------------------------------------
+
+// How the eras of a response fit the present era.
+enum class era_match
+{
+  Current,
+  // The call was made in an earlier era; what it concerned has been started
+  // anew.
+  Superseded,
+  // The response states an era that has ended.
+  Unsound,
+};
+
+constexpr auto NameTable(era_match)
+{
+  using m = era_match;
+  return MakeNameTable<m>({ { m::Current, "current" },
+                            { m::Superseded, "superseded" },
+                            { m::Unsound, "unsound" } });
+}
+
+// Compares the eras of a response. Begins the stated era if it is later than
+// the present one.
+era_match MatchEra(gateway& aGateway, const response_era& aEra,
+                   absl::Time aNow);
+// Begins the era if it is later than the present one. aCause: who stated it.
+void ObserveEra(gateway& aGateway, store_era aEra, std::string_view aCause,
+                absl::Time aNow);
+
+// --- gateway_recovery.cc ----------------------------------------------------
+
+// Starts to read the grant records and to collect copies from other gateways.
+void StartRecovery(gateway& aGateway, absl::Time aNow);
+void OnGrantsRead(gateway& aGateway, const grants_read& aEvent,
+                  absl::Time aNow);
+void OnGrantsShared(gateway& aGateway, const grants_shared& aEvent,
+                    absl::Time aNow);
+void OnShareResponse(gateway& aGateway, const share_response_received& aEvent,
+                     absl::Time aNow);
+// Looks again whether records may be missing, after a configuration has named
+// the workspaces.
+void ReviewRecovery(gateway& aGateway, absl::Time aNow);
+// Repeats calls of the recovery that are due.
+void AdvanceRecovery(gateway& aGateway, absl::Time aNow);
+// Returns true if this gateway may write grants.
+bool MayWriteGrants(const gateway& aGateway);
+// Withholds the tokens and sends the records to other gateways. Releases the
+// tokens at once if there are none.
+void ReplicateGrants(gateway& aGateway,
+                     std::vector<grant_replication::amount> aAmounts,
+                     absl::Time aNow);
+
 // --- gateway_load.cc --------------------------------------------------------
 
 void OnLoadMeasured(gateway& aGateway, const load_measured& aEvent,
@@ -438,6 +559,9 @@
 
 // --- gateway_follow.cc ------------------------------------------------------
 
+// Forgets all positions in the store, reads all areas anew and registers again.
+// Entries that the store has lost count as expired for a while.
+void RestartWatches(gateway& aGateway, absl::Time aNow);
 // Reads all areas of the store.
 void StartWatches(gateway& aGateway, absl::Time aNow);
 void OnDirectoryResponse(gateway& aGateway, const directory_response& aResponse,
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -197,7 +197,7 @@
 }
 
 backend_entry AddNotice(gateway& aGateway, const backend_id& aBackend,
-                        backend_entry aEntry)
+                        backend_entry aEntry, bool aIsChange)
 {
   const auto notice = aGateway.mNotices.find(aBackend);
   if (notice == aGateway.mNotices.end()) {
@@ -208,10 +208,32 @@
     aGateway.mNotices.erase(notice);
     return aEntry;
   }
-  aEntry.mLeaving = aEntry.mLeaving || notice->second.mIsLeaving;
+  if (aIsChange) {
+    notice->second.mIsRemoved = false;
+  }
+  aEntry.mLeaving =
+    aEntry.mLeaving || notice->second.mIsLeaving || notice->second.mIsRemoved;
   return aEntry;
 }
 
+void KeepLeavingNotices(gateway& aGateway)
+{
+  for (const listed_server& server : aGateway.mListings) {
+    if (server.second.mEntry.mLeaving) {
+      GetOrCreateNotice(aGateway, server).mIsLeaving = true;
+    }
+  }
+}
+
+void AddRemovedNotice(gateway& aGateway, const backend_id& aBackend,
+                      const backend_entry& aEntry)
+{
+  server_notice& notice = aGateway.mNotices[aBackend];
+  notice.mStartedMs = aEntry.mStartedMs;
+  notice.mAddress = aEntry.mAddress;
+  notice.mIsRemoved = true;
+}
+
 void AdvanceNotices(gateway& aGateway, absl::Time aNow)
 {
   for (auto it = aGateway.mNotices.begin(); it != aGateway.mNotices.end();) {
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 
 namespace foxtailquay {
 
@@ -72,16 +73,38 @@
          absl::ToInt64Milliseconds(kLimitValidity);
 }
 
+// Returns the record on which the next write is based: the known one or, if it
+// is from an earlier era, the newest copy. A limit that was set in the earlier
+// era and lost allowed more than an older one that was not lost, so that the
+// limits of such a copy bound nothing.
+grant_record MakeBaseRecord(const grant_share& aShare)
+{
+  if (!IsFromEarlierEra(aShare)) {
+    return aShare.mRecord;
+  }
+  grant_record record =
+    IsNewer(aShare.mCopy, aShare.mRecord) ? aShare.mCopy : aShare.mRecord;
+  for (auto& entry : record.mEntries) {
+    entry.second.mLimit = entry.second.mGranted;
+    entry.second.mLimitSetAt = {};
+  }
+  return record;
+}
+
 // Returns the known record without entries of earlier incarnations and, if
 // aHasEntry, with aEntry as the entry of aHolder.
 grant_record MakeRecord(const grant_share& aShare, const grant_holder& aHolder,
                         const grant_entry& aEntry, bool aHasEntry)
 {
-  grant_record record = aShare.mRecord;
+  grant_record record = MakeBaseRecord(aShare);
   CloseEarlierEntries(record, aHolder);
   if (aHasEntry) {
     record.mEntries[aHolder.mId] = aEntry;
+  } else if (aShare.mMustRestate) {
+    record.mEntries.erase(aHolder.mId);
   }
+  record.mEra = aShare.mEra;
+  ++record.mSequence;
   return record;
 }
 
@@ -166,17 +189,29 @@
                                   absl::ToDoubleSeconds(aTime));
 }
 
+void SetRecord(grant_share& aShare, const grant_record& aRecord,
+               store_version aVersion)
+{
+  aShare.mRecord = aRecord;
+  aShare.mVersion = aVersion;
+  AddCopy(aShare, aRecord);
+}
+
 // Updates the share from the stored record and resolves the pending write.
 void UpdateRecord(grant_share& aShare, const grant_holder& aHolder,
                   const grant_record& aRecord, store_version aVersion)
 {
   const bool unchanged =
-    aShare.mPending && aVersion <= aShare.mPending->mExpected;
-  aShare.mRecord = aRecord;
-  aShare.mVersion = aVersion;
+    aShare.mPending && aVersion == aShare.mPending->mExpected;
+  SetRecord(aShare, aRecord, aVersion);
   if (unchanged) {
     return;
   }
+  if (aShare.mMustRestate) {
+    // The writes that restate the entry change no grant.
+    aShare.mPending.reset();
+    return;
+  }
   const auto found = aRecord.mEntries.find(aHolder.mId);
   // Without a pending write the entry changes only if another process closed
   // it. The tokens then stay with this holder.
@@ -223,6 +258,11 @@
                                   static_cast<double>(aPrepaid));
 }
 
+token_count GetHeldTokens(const grant_share& aShare)
+{
+  return aShare.mFreeTokens + aShare.mWithheldTokens;
+}
+
 // Returns the number of tokens to hold for aNeeded and the demand of the
 // priorities higher than aEnd, if aRoom tokens are left to grant.
 token_count ComputeTokensToHold(const grant_share& aShare, int aEnd,
@@ -230,9 +270,9 @@
                                 token_count aPrepaid,
                                 const grant_options& aOptions, absl::Time aNow)
 {
-  const auto maxHeld =
-    static_cast<token_count>(aOptions.mMaxHeldFraction *
-                             static_cast<double>(aRoom + aShare.mFreeTokens));
+  const auto maxHeld = static_cast<token_count>(
+    aOptions.mMaxHeldFraction *
+    static_cast<double>(aRoom + GetHeldTokens(aShare)));
   const token_count demand = std::max(
     ComputeInitialGrant(aPrepaid, aOptions),
     EstimateDemandBefore(aShare, aEnd, aOptions.mHorizon, aOptions, aNow));
@@ -245,27 +285,79 @@
                                  token_count aPrepaid, bool aIsPeriodic,
                                  const grant_options& aOptions, absl::Time aNow)
 {
+  const token_count held = GetHeldTokens(aShare);
   const token_count required = aShare.mNeeded + aShare.mHeadroom;
   const token_count room = std::max<token_count>(
     0, aRoom - ComputeReserved(aShare, aPrepaid, aOptions));
   token_count missing = 0;
-  if (aIsPeriodic || aShare.mFreeTokens < required) {
+  if (aIsPeriodic || held < required) {
     const token_count hold =
       ComputeTokensToHold(aShare, kRequestPriorities, aShare.mNeeded, room,
                           aPrepaid, aOptions, aNow);
-    missing = std::min(room, std::max(required, hold) - aShare.mFreeTokens);
+    missing = std::min(room, std::max(required, hold) - held);
   }
-  if (aIsPeriodic || aShare.mFreeTokens < aShare.mHighestPriorityNeeded) {
+  if (aIsPeriodic || held < aShare.mHighestPriorityNeeded) {
     const token_count hold = ComputeTokensToHold(
       aShare, FindHighestPriorityEnd(aShare), aShare.mHighestPriorityNeeded,
       aRoom, aPrepaid, aOptions, aNow);
-    missing = std::max(missing, std::min(aRoom, hold - aShare.mFreeTokens));
+    missing = std::max(missing, std::min(aRoom, hold - held));
   }
   return missing;
 }
 
 } // namespace
 
+bool IsNewer(const grant_record& aLeft, const grant_record& aRight)
+{
+  return std::tie(aLeft.mEra, aLeft.mSequence) >
+         std::tie(aRight.mEra, aRight.mSequence);
+}
+
+bool IsFromEarlierEra(const grant_share& aShare)
+{
+  const bool isKnown = aShare.mVersion != 0 || aShare.mCopy.mSequence != 0;
+  return isKnown && aShare.mRecord.mEra != aShare.mEra;
+}
+
+void WithholdTokens(grant_share& aShare, token_count aAmount)
+{
+  aShare.mFreeTokens -= aAmount;
+  aShare.mWithheldTokens += aAmount;
+}
+
+void ReleaseTokens(grant_share& aShare, token_count aAmount)
+{
+  aShare.mFreeTokens += aAmount;
+  aShare.mWithheldTokens -= aAmount;
+}
+
+void StartEra(grant_share& aShare, const grant_holder& aHolder, store_era aEra)
+{
+  aShare.mPending.reset();
+  aShare.mWithheldTokens = 0;
+  // The holder knows its own grant, whatever the store has lost.
+  aShare.mEntry = {};
+  aShare.mEntry.mGranted = aShare.mFreeTokens + aShare.mUsedTokens;
+  aShare.mEntry.mLimit = aShare.mEntry.mGranted;
+  aShare.mMustRestate =
+    aShare.mEntry.mGranted != 0 || aShare.mCopy.mEntries.count(aHolder.mId) > 0;
+  aShare.mEra = aEra;
+  aShare.mVersion = 0;
+}
+
+void AddCopy(grant_share& aShare, const grant_record& aRecord)
+{
+  if (IsNewer(aRecord, aShare.mCopy)) {
+    aShare.mCopy = aRecord;
+  }
+}
+
+void AdoptRecord(grant_share& aShare, const grant_record& aRecord,
+                 store_version aVersion)
+{
+  SetRecord(aShare, aRecord, aVersion);
+}
+
 token_count ComputeTotal(const grant_record& aRecord)
 {
   token_count total = aRecord.mClosed;
@@ -349,7 +441,7 @@
 
 bool IsExhausted(const grant_share& aShare, token_count aPrepaid)
 {
-  return aShare.mVersion > 0 && !aShare.mPending &&
+  return aShare.mVersion > 0 && !aShare.mPending && !IsFromEarlierEra(aShare) &&
          ComputeTotal(aShare.mRecord) >= aPrepaid;
 }
 
@@ -383,6 +475,13 @@
   if (aShare.mPending) {
     return PlanResolvingWrite(aShare, aHolder);
   }
+  if (IsFromEarlierEra(aShare) || aShare.mMustRestate) {
+    // The coordinator writes first, so that not all gateways do.
+    return aIsCoordinator || aIsPeriodic
+             ? std::make_optional(
+                 PlanWrite(aShare, aHolder, 0, aShare.mEntry.mGranted, aClock))
+             : std::nullopt;
+  }
   const token_count initial = ComputeInitialGrant(aPrepaid, aOptions);
   const token_count margin =
     aShare.mNeeded +
@@ -412,7 +511,8 @@
                                      const grant_holder& aHolder,
                                      const grant_clock& aClock)
 {
-  if (aShare.mPending || aShare.mFreeTokens <= 0 || aShare.mVersion == 0) {
+  if (aShare.mPending || aShare.mFreeTokens <= 0 || aShare.mVersion == 0 ||
+      IsFromEarlierEra(aShare) || aShare.mMustRestate) {
     return std::nullopt;
   }
   return PlanWrite(aShare, aHolder, -aShare.mFreeTokens, 0, aClock);
@@ -424,6 +524,9 @@
 {
   switch (aOutcome) {
     case grant_outcome::Written:
+      aShare.mMustRestate = false;
+      UpdateRecord(aShare, aHolder, aRecord, aVersion);
+      break;
     case grant_outcome::Conflict:
       UpdateRecord(aShare, aHolder, aRecord, aVersion);
       break;
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -230,6 +230,27 @@
     });
 }
 
+void ShareGrants(gateway_host& aHost, const share_grants& aAction)
+{
+  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
+  StartCall(
+    aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeShareGrants(aAction)),
+    [&aHost, peer = aAction.mPeer, replication = aAction.mReplication,
+     era = aAction.mEra](const call_response& aResponse) {
+      share_response_received received{ peer, replication, era, std::nullopt };
+      if (aResponse.mStatus == 200) {
+        auto decoded = DecodeShareResponse(aResponse.mBody);
+        if (IsOk(decoded)) {
+          received.mResponse = GetValue(std::move(decoded));
+        }
+      }
+      if (!received.mResponse) {
+        IncrementCounter(*aHost.mMetrics, counter::PeersUnreachable);
+      }
+      PostEvent(aHost, std::move(received));
+    });
+}
+
 void ReportPrompts(gateway_host& aHost, const report_prompts& aAction)
 {
   const std::string body = EncodeReportPrompts(aAction);
@@ -314,6 +335,17 @@
   {
     StartStoreCall(mHost.mStore, aAction);
   }
+  void operator()(const grant_read& aAction)
+  {
+    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
+    StartStoreCall(mHost.mStore, aAction);
+  }
+  void operator()(const share_grants& aAction) { ShareGrants(mHost, aAction); }
+  void operator()(const send_share_response& aAction)
+  {
+    SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
+                 EncodeShareResponse(aAction.mResponse));
+  }
   void operator()(const send_token_response& aAction)
   {
     SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
@@ -380,6 +412,11 @@
     PostEvent(aHost, *request);
     return;
   }
+  if (auto* grants = std::get_if<grants_shared>(&message)) {
+    grants->mCall = aCall.mChannel;
+    PostEvent(aHost, std::move(*grants));
+    return;
+  }
   if (auto* returned = std::get_if<tokens_returned>(&message)) {
     PostEvent(aHost, std::move(*returned));
   } else {
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -32,10 +32,23 @@
      onResponse = std::move(aOnResponse)](const call_response& aResponse) {
       aLink.mOnCall(aResponse.mStatus == 0 || aResponse.mStatus >= 429,
                     MonotonicNow() - start);
-      onResponse({ aResponse.mStatus, aResponse.mBody, aResponse.mNotSent });
+      onResponse({ aResponse.mStatus, aResponse.mBody, aResponse.mNotSent,
+                   aResponse.mHead });
     });
 }
 
+response_era GetEra(store_era aKnown,
+                    const platform::store_call_response& aResponse)
+{
+  return { aKnown, platform::DecodeEra(aResponse) };
+}
+
+// Returns true if the store changed its era between two pages of one read.
+bool HasEraChanged(const response_era& aEarlier, const response_era& aLater)
+{
+  return aEarlier.mStated != aLater.mStated;
+}
+
 // Reads the pages of a directory after aAfter one by one and posts them as one
 // response. aEarlierPages holds the pages that were read before.
 void ReadPage(store_link& aLink, const directory_query& aQuery,
@@ -47,6 +60,10 @@
       const platform::store_call_response& aResponse) mutable {
       auto page = platform::DecodeDirectoryPage(aQuery, aResponse);
       directory_response& response = page.mResponse;
+      response.mEra = GetEra(aQuery.mEra, aResponse);
+      if (!aAfter.empty() && HasEraChanged(earlierPages.mEra, response.mEra)) {
+        response.mStatus = directory_status::Unavailable;
+      }
       if (!aAfter.empty() && response.mStatus == directory_status::Ok) {
         // The watch starts at the first page's revision, so that it reports
         // changes that happen while later pages are read.
@@ -70,6 +87,33 @@
     });
 }
 
+// Reads the pages of the grant records after aAfter one by one and posts them
+// as one response.
+void ReadGrants(store_link& aLink, const grant_read& aRead,
+                const std::string& aAfter, grants_read aEarlierPages)
+{
+  StartHttpCall(
+    aLink, platform::EncodeGrantRead(aAfter),
+    [&aLink, aRead, aAfter, earlierPages = std::move(aEarlierPages)](
+      const platform::store_call_response& aResponse) mutable {
+      auto page = platform::DecodeGrantsPage(aResponse);
+      grants_read& response = page.mResponse;
+      response.mEra = GetEra(aRead.mEra, aResponse);
+      if (!aAfter.empty() && HasEraChanged(earlierPages.mEra, response.mEra)) {
+        response.mIsRead = false;
+      }
+      response.mStates.insert(
+        response.mStates.begin(),
+        std::make_move_iterator(earlierPages.mStates.begin()),
+        std::make_move_iterator(earlierPages.mStates.end()));
+      if (response.mIsRead && !page.mNextPageAfter.empty()) {
+        ReadGrants(aLink, aRead, page.mNextPageAfter, std::move(response));
+        return;
+      }
+      aLink.mPost(std::move(response));
+    });
+}
+
 } // namespace
 
 void StartStoreCall(store_link& aLink, const directory_query& aQuery)
@@ -80,45 +124,61 @@
 void StartStoreCall(store_link& aLink, const grant_write& aWrite)
 {
   StartHttpCall(aLink, platform::EncodeGrantWrite(aWrite),
-                [&aLink](const platform::store_call_response& aResponse) {
-                  aLink.mPost(platform::DecodeGrantWrite(aResponse));
+                [&aLink, era = aWrite.mEra](
+                  const platform::store_call_response& aResponse) {
+                  auto written = platform::DecodeGrantWrite(aResponse);
+                  written.mEra = GetEra(era, aResponse);
+                  aLink.mPost(std::move(written));
                 });
 }
 
+void StartStoreCall(store_link& aLink, const grant_read& aRead)
+{
+  ReadGrants(aLink, aRead, "", {});
+}
+
 void StartStoreCall(store_link& aLink, const crash_report_write& aWrite)
 {
   StartHttpCall(aLink, platform::EncodeCrashReportWrite(aWrite),
-                [&aLink](const platform::store_call_response& aResponse) {
-                  aLink.mPost(
-                    crash_report_write_response{ aResponse.mStatus == 200 });
+                [&aLink, era = aWrite.mEra](
+                  const platform::store_call_response& aResponse) {
+                  aLink.mPost(crash_report_write_response{
+                    aResponse.mStatus == 200, GetEra(era, aResponse) });
                 });
 }
 
 void StartStoreCall(store_link& aLink, const registration_call& aCall)
 {
   if (aCall.mLease != 0) {
-    StartHttpCall(aLink, platform::EncodeRenewLease(aCall.mLease),
-                  [&aLink, lease = aCall.mLease](
-                    const platform::store_call_response& aResponse) {
-                    aLink.mPost(registration_response{
-                      platform::DecodeLeaseStatus(aResponse), lease });
-                  });
+    StartHttpCall(
+      aLink, platform::EncodeRenewLease(aCall.mLease),
+      [&aLink, aCall](const platform::store_call_response& aResponse) {
+        aLink.mPost(
+          registration_response{ platform::DecodeLeaseStatus(aResponse),
+                                 aCall.mLease, GetEra(aCall.mEra, aResponse) });
+      });
     return;
   }
   StartHttpCall(
     aLink, platform::EncodeOpenLease(kRegistrationLeaseTime),
-    [&aLink](const platform::store_call_response& aResponse) {
+    [&aLink, aCall](const platform::store_call_response& aResponse) {
       const auto lease = platform::DecodeLeaseId(aResponse);
+      const response_era era = GetEra(aCall.mEra, aResponse);
       if (!lease) {
-        aLink.mPost(registration_response{ lease_status::Unavailable, 0 });
+        aLink.mPost(registration_response{ lease_status::Unavailable, 0, era });
         return;
       }
       StartHttpCall(
         aLink,
         platform::EncodePeerEntry(aLink.mName, aLink.mPeerAddress, *lease),
-        [&aLink, lease = *lease](const platform::store_call_response& aEntry) {
+        [&aLink, lease = *lease,
+         era](const platform::store_call_response& aEntry) {
+          // In a later era, the lease may belong to another gateway.
+          const response_era entryEra = GetEra(era.mKnown, aEntry);
           aLink.mPost(registration_response{
-            platform::DecodeLeaseStatus(aEntry), lease });
+            HasEraChanged(era, entryEra) ? lease_status::Ended
+                                         : platform::DecodeLeaseStatus(aEntry),
+            lease, entryEra });
         });
     });
 }
--- a/src/daemon/store_link.h
+++ b/src/daemon/store_link.h
@@ -35,6 +35,7 @@
 
 void StartStoreCall(store_link& aLink, const directory_query& aQuery);
 void StartStoreCall(store_link& aLink, const grant_write& aWrite);
+void StartStoreCall(store_link& aLink, const grant_read& aRead);
 void StartStoreCall(store_link& aLink, const crash_report_write& aWrite);
 void StartStoreCall(store_link& aLink, const registration_call& aCall);
 void StartStoreCall(store_link& aLink, const deregistration_call& aCall);
--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -47,6 +47,7 @@
   response.mNotSent = aNotSent;
   if (call->mReader.mIsComplete) {
     response.mStatus = call->mReader.mHead.mStatus;
+    response.mHead = std::move(call->mReader.mHead);
     response.mBody = std::move(call->mReader.mBody);
   }
   if (aKeep) {
--- a/src/transport/client_call.h
+++ b/src/transport/client_call.h
@@ -20,6 +20,7 @@
 #include "absl/time/time.h"
 #include "transport/connection_pool.h"
 #include "transport/event_loop.h"
+#include "transport/http_reader.h"
 
 namespace foxtailquay {
 
@@ -42,6 +43,8 @@
 {
   // HTTP status; 0 without a complete response.
   int mStatus = 0;
+  // Header section of a complete response.
+  message_head mHead;
   std::string mBody;
   // True if there is no response and no byte of the call was sent.
   bool mNotSent = false;
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -1,6 +1,7 @@
 #include "wire/gateway_codec.h"
 
 #include "wire/document_codec.h"
+#include "wire/grant_codec.h"
 #include "json/json.h"
 
 namespace foxtailquay {
@@ -10,6 +11,7 @@
 constexpr char kAskTokensMethod[] = "ask_tokens";
 constexpr char kReturnTokensMethod[] = "return_tokens";
 constexpr char kSharePromptsMethod[] = "share_prompts";
+constexpr char kShareGrantsMethod[] = "share_grants";
 
 Json::Value MakeTokenParams(const workspace_id& aWorkspace, token_count aAmount)
 {
@@ -29,6 +31,27 @@
   return ToText(call);
 }
 
+std::string EncodeResult(const Json::Value& aResult)
+{
+  Json::Value response(Json::objectValue);
+  response["jsonrpc"] = "2.0";
+  response["id"] = 1;
+  response["result"] = aResult;
+  return ToText(response);
+}
+
+Json::Value EncodeCopies(const std::vector<grant_copy>& aCopies)
+{
+  Json::Value copies(Json::arrayValue);
+  for (const grant_copy& each : aCopies) {
+    Json::Value copy(Json::objectValue);
+    copy["workspace"] = each.mWorkspace.mValue;
+    copy["record"] = EncodeGrantRecord(each.mRecord);
+    copies.append(std::move(copy));
+  }
+  return copies;
+}
+
 error MakeProtocolError(std::string aDetail)
 {
   return error{ error_code::ProtocolViolation, executed::No, "tokens",
@@ -68,8 +91,48 @@
   return EncodeCall(kSharePromptsMethod, params);
 }
 
+std::string EncodeShareGrants(const share_grants& aCall)
+{
+  Json::Value params(Json::objectValue);
+  params["era"] = Json::UInt64(aCall.mEra);
+  params["wants_copies"] = aCall.mWantsCopies;
+  params["copies"] = EncodeCopies(aCall.mCopies);
+  return EncodeCall(kShareGrantsMethod, params);
+}
+
 namespace {
 
+// Returns the copies; absent if a field is missing or has another type.
+std::optional<std::vector<grant_copy>> DecodeCopies(const Json::Value& aCopies)
+{
+  if (!aCopies.isArray()) {
+    return std::nullopt;
+  }
+  std::vector<grant_copy> copies;
+  for (const Json::Value& each : aCopies) {
+    if (!each.isObject() || !each["workspace"].isString() ||
+        !each["record"].isObject()) {
+      return std::nullopt;
+    }
+    copies.push_back({ workspace_id{ each["workspace"].asString() },
+                       DecodeGrantRecord(each["record"]) });
+  }
+  return copies;
+}
+
+result<gateway_message> DecodeGrants(const Json::Value& aParams)
+{
+  auto copies = DecodeCopies(aParams["copies"]);
+  if (!aParams["era"].isUInt64() || !aParams["wants_copies"].isBool() ||
+      !copies) {
+    return MakeProtocolError("a field of shared grants is missing or has "
+                             "another type");
+  }
+  return gateway_message(grants_shared{ 0, aParams["era"].asUInt64(),
+                                        aParams["wants_copies"].asBool(),
+                                        *std::move(copies) });
+}
+
 result<gateway_message> DecodeTokens(const std::string& aMethod,
                                      const Json::Value& aParams)
 {
@@ -135,6 +198,9 @@
   if (method == kSharePromptsMethod) {
     return DecodePrompts(call["params"]);
   }
+  if (method == kShareGrantsMethod) {
+    return DecodeGrants(call["params"]);
+  }
   if (method == kAskTokensMethod || method == kReturnTokensMethod) {
     return DecodeTokens(method, call["params"]);
   }
@@ -147,11 +213,49 @@
   result["amount"] = Json::Int64(aResponse.mAmount);
   result["exhausted"] = aResponse.mExhausted;
   result["store_lost"] = aResponse.mStoreUnavailable;
-  Json::Value response(Json::objectValue);
-  response["jsonrpc"] = "2.0";
-  response["id"] = 1;
-  response["result"] = result;
-  return ToText(response);
+  return EncodeResult(result);
+}
+
+std::string EncodeShareResponse(const share_response& aResponse)
+{
+  Json::Value result(Json::objectValue);
+  result["era"] = Json::UInt64(aResponse.mEra);
+  result["first_era"] = Json::UInt64(aResponse.mFirstEra);
+  result["copies"] = EncodeCopies(aResponse.mCopies);
+  result["gateways"] = Json::Value(Json::arrayValue);
+  for (const std::string& name : aResponse.mGateways) {
+    result["gateways"].append(name);
+  }
+  return EncodeResult(result);
+}
+
+result<share_response> DecodeShareResponse(const std::string& aText)
+{
+  auto parsed = ParseJson(aText);
+  if (!IsOk(parsed)) {
+    return GetError(parsed);
+  }
+  const Json::Value& body = GetValue(parsed);
+  if (!body.isObject() || !body["result"].isObject()) {
+    return MakeProtocolError("missing result in the response");
+  }
+  const Json::Value& result = body["result"];
+  auto copies = DecodeCopies(result["copies"]);
+  if (!result["era"].isUInt64() || !result["first_era"].isUInt64() ||
+      !result["gateways"].isArray() || !copies) {
+    return MakeProtocolError("a field of the response is missing or has "
+                             "another type");
+  }
+  share_response response{ result["era"].asUInt64(),
+                           result["first_era"].asUInt64(),
+                           *std::move(copies),
+                           {} };
+  for (const Json::Value& name : result["gateways"]) {
+    if (name.isString()) {
+      response.mGateways.push_back(name.asString());
+    }
+  }
+  return response;
 }
 
 result<token_response> DecodeTokenResponse(const std::string& aText)
--- a/src/wire/gateway_codec.h
+++ b/src/wire/gateway_codec.h
@@ -1,5 +1,6 @@
 // Encodes and decodes the JSON-RPC 2.0 messages between gateways: requests for
-// tokens, returned tokens, and reports of the prompts sent to engines.
+// tokens, returned tokens, reports of the prompts sent to engines, and copies
+// of grant records.
 //
 // The JSON-RPC envelope is made with jsoncpp alone, because libjsonrpccpp needs
 // the response when its handler returns, whereas a response here may wait for
@@ -23,11 +24,13 @@
 std::string EncodeRequestTokens(const request_tokens& aCall);
 std::string EncodeReturnTokens(const return_tokens& aCall);
 std::string EncodeReportPrompts(const report_prompts& aCall);
+std::string EncodeShareGrants(const share_grants& aCall);
 
-using gateway_message =
-  std::variant<tokens_requested, tokens_returned, prompts_reported>;
+using gateway_message = std::variant<tokens_requested, tokens_returned,
+                                     prompts_reported, grants_shared>;
 
-// Decodes a call. tokens_requested::mCall is 0; the calling code sets it.
+// Decodes a call. mCall of tokens_requested and grants_shared is 0; the calling
+// code sets it.
 // Errors: ProtocolViolation.
 result<gateway_message> DecodeGatewayCall(const std::string& aText);
 
@@ -36,6 +39,11 @@
 // Decodes that response. Errors: ProtocolViolation.
 result<token_response> DecodeTokenResponse(const std::string& aText);
 
+// Returns the text of the response to shared grants.
+std::string EncodeShareResponse(const share_response& aResponse);
+// Decodes that response. Errors: ProtocolViolation.
+result<share_response> DecodeShareResponse(const std::string& aText);
+
 } // namespace foxtailquay
 
 #endif
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -449,6 +449,58 @@
   }
 }
 
+// Returns a response with the value as the store's era.
+store_call_response MakeEraResponse(const std::string& aEra)
+{
+  store_call_response response{ 200, "{}", false, {} };
+  response.mHead.mFields = { { "store-era", aEra } };
+  return response;
+}
+
+BOOST_AUTO_TEST_CASE(the_era_of_the_store_is_read_from_any_response)
+{
+  BOOST_TEST(*DecodeEra(MakeEraResponse("7")) == 7U);
+  BOOST_TEST(*DecodeEra(MakeEraResponse("18446744073709551615")) ==
+             ~std::uint64_t{ 0 });
+  for (const char* malformed :
+       { "", "x", "-1", "1.5", "18446744073709551616" }) {
+    BOOST_TEST(!DecodeEra(MakeEraResponse(malformed)), malformed);
+  }
+  BOOST_TEST(!DecodeEra({ 200, "{}", false }));
+}
+
+// A write that takes effect late, in a later era in which its expected revision
+// was given out again, would replace a record that it does not know.
+BOOST_AUTO_TEST_CASE(a_grant_write_requires_that_no_later_era_is_marked)
+{
+  grant_write write;
+  write.mEntries = { { workspace_id{ "w" }, { 12, {} } } };
+  write.mEra = 5;
+  write.mMarksEra = true;
+  const std::string body = EncodeGrantWrite(write).mBody;
+  BOOST_TEST((body.find(R"({"key":"foxtailquay/eras/6","revision":0})") !=
+              std::string::npos));
+  BOOST_TEST((body.find(R"("key":"foxtailquay/eras/5")") != std::string::npos));
+  BOOST_TEST((body.find(R"("key":"foxtailquay/eras/2")") != std::string::npos));
+}
+
+BOOST_AUTO_TEST_CASE(grant_records_are_read_page_by_page)
+{
+  const std::string body =
+    R"({"store_revision":9,"more_pages":true,"items":[)"
+    R"({"key":"foxtailquay/grants/w","revision":8,"value":"eyJjbG9zZWQiOjUsImVyYSI6Mywic2VxdWVuY2UiOjR9"}]})";
+  const auto page = DecodeGrantsPage({ 200, body, false });
+  BOOST_TEST(page.mResponse.mIsRead);
+  BOOST_REQUIRE(page.mResponse.mStates.size() == 1U);
+  BOOST_TEST(page.mResponse.mStates[0].mWorkspace.mValue == "w");
+  BOOST_TEST(page.mResponse.mStates[0].mVersion == 8U);
+  BOOST_TEST(page.mResponse.mStates[0].mRecord.mClosed == 5);
+  BOOST_TEST(page.mResponse.mStates[0].mRecord.mEra == 3U);
+  BOOST_TEST(page.mResponse.mStates[0].mRecord.mSequence == 4U);
+  BOOST_TEST(page.mNextPageAfter == "foxtailquay/grants/w");
+  BOOST_TEST(!DecodeGrantsPage({ 503, "", false }).mResponse.mIsRead);
+}
+
 BOOST_AUTO_TEST_CASE(ended_lease_differs_from_unavailable_store)
 {
   BOOST_TEST((DecodeLeaseStatus({ 404, "", false }) == lease_status::Ended));
@@ -492,6 +544,34 @@
   BOOST_TEST(prompts[0].mPrefixes == call.mPrompts[0].mPrefixes);
 }
 
+BOOST_AUTO_TEST_CASE(shared_grants_round_trip)
+{
+  grant_copy copy{ workspace_id{ "w" }, {} };
+  copy.mRecord.mEra = 2;
+  copy.mRecord.mSequence = 31;
+  copy.mRecord.mClosed = 17;
+  copy.mRecord.mEntries["g/1"] = { 400, 300, { "boot", 9 } };
+  const auto call =
+    DecodeGatewayCall(EncodeShareGrants({ "p", "a", 2, 6, true, { copy } }));
+  BOOST_REQUIRE(IsOk(call));
+  const auto& shared = std::get<grants_shared>(GetValue(call));
+  BOOST_TEST(shared.mEra == 2U);
+  BOOST_TEST(shared.mWantsCopies);
+  BOOST_REQUIRE(shared.mCopies.size() == 1U);
+  const grant_record& record = shared.mCopies[0].mRecord;
+  BOOST_TEST(record.mSequence == 31U);
+  BOOST_TEST(record.mClosed == 17);
+  BOOST_TEST(record.mEntries.at("g/1").mGranted == 400);
+  BOOST_TEST(record.mEntries.at("g/1").mLimitSetAt.mSteadyMs == 9);
+  const auto response =
+    DecodeShareResponse(EncodeShareResponse({ 2, 1, { copy }, { "g", "h" } }));
+  BOOST_REQUIRE(IsOk(response));
+  BOOST_TEST(GetValue(response).mFirstEra == 1U);
+  BOOST_TEST(GetValue(response).mCopies.size() == 1U);
+  BOOST_TEST(GetValue(response).mGateways.size() == 2U);
+  BOOST_TEST(!IsOk(DecodeShareResponse(R"({"result":{"era":1}})")));
+}
+
 // A negative amount would create tokens.
 BOOST_AUTO_TEST_CASE(malformed_gateway_calls_are_rejected)
 {
@@ -503,6 +583,8 @@
     R"({"method":"other","params":{"workspace":"w","amount":1}})",
     R"({"method":"ask_tokens","params":{"workspace":"w","amount":1}})",
     R"({"method":"share_prompts","params":{}})",
+    R"({"method":"share_grants","params":{"era":-1,"wants_copies":true}})",
+    R"({"method":"share_grants","params":{"era":1,"copies":[{"record":1}]}})",
     R"({"method":"share_prompts","params":{"prompts":[{"backend":1}]}})",
   };
   for (const char* text : cases) {
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -81,6 +81,20 @@
              [](fleet_sim& aSim) { RunConfigurationChanges(aSim, kRunTime); });
 }
 
+// Guards against overspent totals, and gateways that stop granting tokens,
+// after the store has returned to an older state and lost acknowledged grants,
+// beside outages, lost responses, kills and power losses.
+BOOST_AUTO_TEST_CASE(totals_hold_when_the_store_returns_to_an_older_state)
+{
+  for (const std::size_t gateways : { 1, 3, 5 }) {
+    const auto run = [](fleet_sim& aSim) {
+      RunStoreReturns(aSim, kRunTime);
+      BOOST_TEST(aSim.mServed > 0);
+    };
+    CheckSeeds(kSeeds, run, gateways);
+  }
+}
+
 // A fleet and the rate that its servers state.
 struct limited_fleet
 {
@@ -179,6 +193,8 @@
       &RunRandomFaults },
     { injected_fault::HideTokens, violated_invariant::Overspent,
       &RunRandomFaults },
+    { injected_fault::HideEras, violated_invariant::Overspent,
+      &RunStoreReturns },
     { injected_fault::DenySending, violated_invariant::ExecutedTwice,
       &RunRandomFaults },
     { injected_fault::HideLimits, violated_invariant::LimitExceeded,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -151,8 +151,8 @@
   FireEvent(aFixture, response);
 }
 
-// Returns a gateway that has read nothing from the store but its peers, of
-// which there are none.
+// Returns a gateway that has read nothing from the store but its peers and the
+// grant records, of which there are none.
 inline gateway_fixture MakeStartedGateway(
   const std::string& aName = "g",
   absl::Duration aContactTime = absl::Seconds(3))
@@ -171,6 +171,9 @@
   started.mNode = std::get<0>(std::move(made));
   Start(*started.mNode, started.mNow);
   DeliverPeers(started, 1, {});
+  grants_read noGrants;
+  noGrants.mIsRead = true;
+  FireEvent(started, noGrants);
   started.mActions.clear();
   return started;
 }
--- a/tests/gateway_sim/gateway_sim.cc
+++ b/tests/gateway_sim/gateway_sim.cc
@@ -112,6 +112,21 @@
   Schedule(aSim, absl::Milliseconds(5), [&aSim] { TickPeriodically(aSim); });
 }
 
+constexpr absl::Duration kMaxReturnAge = absl::Seconds(15);
+constexpr absl::Duration kMaxReturnTime = absl::Seconds(3);
+
+// Returns the store to an older state now and then.
+void ReturnStorePeriodically(fleet_sim& aSim)
+{
+  constexpr absl::Duration kMinInterval = absl::Seconds(4);
+  constexpr absl::Duration kMaxExtraTime = absl::Seconds(16);
+  Schedule(aSim, kMinInterval + DrawTime(aSim, kMaxExtraTime), [&aSim] {
+    ReturnStore(aSim, DrawTime(aSim, kMaxReturnAge),
+                DrawTime(aSim, kMaxReturnTime));
+    ReturnStorePeriodically(aSim);
+  });
+}
+
 } // namespace
 
 std::size_t DrawGateway(fleet_sim& aSim)
@@ -227,6 +242,13 @@
   RunUntil(aSim, aSim.mNow + aTime);
 }
 
+void RunStoreReturns(fleet_sim& aSim, absl::Duration aTime)
+{
+  KeepSnapshotsPeriodically(aSim);
+  ReturnStorePeriodically(aSim);
+  RunRandomFaults(aSim, aTime);
+}
+
 void CheckService(fleet_sim& aSim)
 {
   if (!aSim.mViolations.empty()) {
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -46,6 +46,8 @@
   HideLimits,
   // The gateways do not see that servers leave or back off.
   HideNotices,
+  // The store does not state that it has returned to an older state.
+  HideEras,
 };
 
 constexpr auto NameTable(injected_fault)
@@ -58,7 +60,8 @@
                             { f::HideTokens, "hide_tokens" },
                             { f::DelayTimeouts, "delay_timeouts" },
                             { f::HideLimits, "hide_limits" },
-                            { f::HideNotices, "hide_notices" } });
+                            { f::HideNotices, "hide_notices" },
+                            { f::HideEras, "hide_eras" } });
 }
 
 // The invariants that the simulation checks.
@@ -137,6 +140,17 @@
   std::map<std::pair<std::uint64_t, std::string>,
            std::pair<crash_report, store_version>>
     mCrashReports;
+  // Rises when the store returns to an older state.
+  store_era mEra = 1;
+  // Eras that grant writes have marked.
+  std::set<store_era> mMarkedEras;
+};
+
+// An older state of the store.
+struct sim_snapshot
+{
+  absl::Time mAt;
+  sim_store mStore;
 };
 
 // The time for which a server wants no requests from a gateway.
@@ -153,6 +167,8 @@
   store_version mAfter = 0;
   // Time at which the store responds without changes.
   absl::Time mEndsAt;
+  // Era that the gateway knew.
+  store_era mEra = 0;
 };
 
 // A gateway process.
@@ -260,6 +276,8 @@
   // A heap; the earliest event is at the front.
   std::vector<sim_event> mQueue;
   sim_store mStore;
+  // Oldest first.
+  std::deque<sim_snapshot> mSnapshots;
   std::vector<sim_gateway> mGateways;
   std::map<request_handle, sim_request> mRequests;
   request_handle mNextHandle = 1;
@@ -275,6 +293,14 @@
     workspace_id mWorkspace;
   };
   std::map<std::uint64_t, token_call> mCalls;
+  // A call with grant records without a response yet.
+  struct share_call
+  {
+    std::size_t mFrom = 0;
+    int mIncarnation = 0;
+    share_response_received mResponse;
+  };
+  std::map<std::uint64_t, share_call> mShareCalls;
   std::uint64_t mNextCall = 1;
   std::map<std::uint64_t, sim_attempt> mAttempts;
   std::uint64_t mNextAttempt = 1;
@@ -302,6 +328,10 @@
 // random.
 void RunRandomFaults(fleet_sim& aSim, absl::Duration aTime);
 
+// Like RunRandomFaults, while the store also returns to older states now and
+// then and loses what the gateways wrote meanwhile.
+void RunStoreReturns(fleet_sim& aSim, absl::Duration aTime);
+
 // Which parts of the poisonous prompts other requests have too.
 enum class poisonous_pattern
 {
--- a/tests/gateway_sim/sim_events.cc
+++ b/tests/gateway_sim/sim_events.cc
@@ -40,6 +40,18 @@
   {
     HandleGrantWrite(mSim, mIndex, aAction);
   }
+  void operator()(const grant_read& aAction)
+  {
+    HandleGrantRead(mSim, mIndex, aAction);
+  }
+  void operator()(const share_grants& aAction)
+  {
+    ShareGrants(mSim, mIndex, aAction);
+  }
+  void operator()(const send_share_response& aAction)
+  {
+    SendShareResponse(mSim, aAction.mCall, aAction.mResponse);
+  }
   void operator()(const crash_report_write& aAction)
   {
     HandleCrashReportWrite(mSim, mIndex, aAction);
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -65,6 +65,8 @@
                  const directory_query& aQuery);
 void HandleGrantWrite(fleet_sim& aSim, std::size_t aIndex,
                       const grant_write& aWrite);
+void HandleGrantRead(fleet_sim& aSim, std::size_t aIndex,
+                     const grant_read& aRead);
 void HandleCrashReportWrite(fleet_sim& aSim, std::size_t aIndex,
                             const crash_report_write& aWrite);
 void HandleRegistration(fleet_sim& aSim, std::size_t aIndex,
@@ -78,6 +80,11 @@
 // Makes the store unavailable for aTime, in which the leases of all peer list
 // entries run out.
 void ExpirePeers(fleet_sim& aSim, absl::Duration aTime);
+// Keeps a copy of the store now and then, for ReturnStore.
+void KeepSnapshotsPeriodically(fleet_sim& aSim);
+// Makes the store unavailable for aDown, after which it is as it was aAge ago.
+// The operator and the servers write their entries again.
+void ReturnStore(fleet_sim& aSim, absl::Duration aAge, absl::Duration aDown);
 // Makes the connections of the gateway's watches silent: the watches fail when
 // the transport ends them.
 void SilenceWatches(fleet_sim& aSim, std::size_t aIndex);
@@ -121,6 +128,12 @@
 // after a timeout.
 void RequestTokens(fleet_sim& aSim, std::size_t aIndex,
                    const request_tokens& aAction);
+// Sends grant records to another gateway. Without a response the call fails
+// after a timeout.
+void ShareGrants(fleet_sim& aSim, std::size_t aIndex,
+                 const share_grants& aAction);
+void SendShareResponse(fleet_sim& aSim, std::uint64_t aCall,
+                       std::optional<share_response> aResponse);
 // Ends the call aCall. aResponse is absent if the other gateway did not
 // respond.
 void SendTokenResponse(fleet_sim& aSim, std::uint64_t aCall,
--- a/tests/gateway_sim/sim_store.cc
+++ b/tests/gateway_sim/sim_store.cc
@@ -16,15 +16,29 @@
          !aSim.mGateways[aIndex].mIsDisconnected;
 }
 
+// Returns the eras of a response to a call that was made in aKnown.
+response_era GetEra(const fleet_sim& aSim, store_era aKnown)
+{
+  return { aKnown, aSim.mFault == injected_fault::HideEras
+                     ? std::nullopt
+                     : std::make_optional(aSim.mStore.mEra) };
+}
+
 // Returns the contents of an area that changed after aAfter; all of it if
 // aAfter is absent.
 directory_response ReadArea(const fleet_sim& aSim, directory_area aArea,
-                            std::optional<store_version> aAfter)
+                            std::optional<store_version> aAfter,
+                            store_era aKnownEra)
 {
   const sim_store& store = aSim.mStore;
   const store_version after = aAfter.value_or(0);
   directory_response response;
   response.mArea = aArea;
+  response.mEra = GetEra(aSim, aKnownEra);
+  if (after > store.mRevision) {
+    response.mStatus = directory_status::HistoryLost;
+    return response;
+  }
   response.mStatus = directory_status::Ok;
   response.mComplete = !aAfter;
   response.mRevision = store.mRevision;
@@ -64,10 +78,12 @@
 }
 
 // Delivers an unavailable response after the timeout.
-void SendFailure(fleet_sim& aSim, std::size_t aIndex, directory_area aArea)
+void SendFailure(fleet_sim& aSim, std::size_t aIndex, directory_area aArea,
+                 store_era aKnownEra)
 {
   directory_response failed;
   failed.mArea = aArea;
+  failed.mEra.mKnown = aKnownEra;
   DeliverAfter(aSim, kStoreResponseTime, aIndex, failed);
 }
 
@@ -75,8 +91,9 @@
 grant_write_response WriteRecords(fleet_sim& aSim, const grant_write& aWrite)
 {
   sim_store& store = aSim.mStore;
-  bool matches = true;
+  bool matches = store.mMarkedEras.count(aWrite.mEra + 1) == 0;
   grant_write_response result;
+  result.mEra = GetEra(aSim, aWrite.mEra);
   for (const grant_write::entry& entry : aWrite.mEntries) {
     const sim_record& record = store.mGrants[entry.mWorkspace];
     matches = matches && record.mVersion == entry.mPlan.mExpected;
@@ -88,6 +105,9 @@
     return result;
   }
   ++store.mRevision;
+  for (store_era i = 0; aWrite.mMarksEra && i < 4 && i < aWrite.mEra; ++i) {
+    store.mMarkedEras.insert(aWrite.mEra - i);
+  }
   for (const grant_write::entry& entry : aWrite.mEntries) {
     store.mGrants[entry.mWorkspace] = { entry.mPlan.mRecord, store.mRevision };
   }
@@ -104,8 +124,10 @@
   for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
     auto watches = aSim.mGateways[i].mWatches;
     for (const auto& [area, watch] : watches) {
-      directory_response response = ReadArea(aSim, area, watch.mAfter);
-      if (CanReachStore(aSim, i) && !IsEmpty(response)) {
+      directory_response response =
+        ReadArea(aSim, area, watch.mAfter, watch.mEra);
+      const bool isLost = response.mStatus == directory_status::HistoryLost;
+      if (CanReachStore(aSim, i) && (isLost || !IsEmpty(response))) {
         aSim.mGateways[i].mWatches.erase(area);
         DeliverAfter(aSim, kStoreLatency, i, std::move(response));
       }
@@ -120,6 +142,7 @@
   for (const auto& [area, watch] : gateway.mWatches) {
     directory_response failed;
     failed.mArea = area;
+    failed.mEra.mKnown = watch.mEra;
     absl::Duration left = watch.mEndsAt + kStoreResponseTime - aSim.mNow;
     if (aSim.mFault == injected_fault::DelayTimeouts) {
       left += kDelay;
@@ -133,30 +156,34 @@
                  const directory_query& aQuery)
 {
   if (!CanReachStore(aSim, aIndex)) {
-    SendFailure(aSim, aIndex, aQuery.mArea);
+    SendFailure(aSim, aIndex, aQuery.mArea, aQuery.mEra);
     return;
   }
-  directory_response response = ReadArea(aSim, aQuery.mArea, aQuery.mAfter);
-  if (!aQuery.mAfter || !IsEmpty(response)) {
+  directory_response response =
+    ReadArea(aSim, aQuery.mArea, aQuery.mAfter, aQuery.mEra);
+  if (!aQuery.mAfter || !IsEmpty(response) ||
+      response.mStatus == directory_status::HistoryLost) {
     DeliverAfter(aSim, kStoreLatency, aIndex, std::move(response));
     return;
   }
   sim_gateway& gateway = aSim.mGateways[aIndex];
   gateway.mWatches[aQuery.mArea] = { *aQuery.mAfter,
-                                     aSim.mNow + aQuery.mMaxWait };
+                                     aSim.mNow + aQuery.mMaxWait, aQuery.mEra };
   const int start = gateway.mIncarnation;
   Schedule(aSim, aQuery.mMaxWait, [&aSim, aIndex, start, aQuery] {
     sim_gateway& waiting = aSim.mGateways[aIndex];
     const auto watch = waiting.mWatches.find(aQuery.mArea);
     if (waiting.mIncarnation != start || watch == waiting.mWatches.end() ||
-        watch->second.mAfter != *aQuery.mAfter) {
+        watch->second.mAfter != *aQuery.mAfter ||
+        watch->second.mEra != aQuery.mEra) {
       return;
     }
     waiting.mWatches.erase(watch);
     if (CanReachStore(aSim, aIndex)) {
-      Deliver(aSim, aIndex, ReadArea(aSim, aQuery.mArea, aQuery.mAfter));
+      Deliver(aSim, aIndex,
+              ReadArea(aSim, aQuery.mArea, aQuery.mAfter, aQuery.mEra));
     } else {
-      SendFailure(aSim, aIndex, aQuery.mArea);
+      SendFailure(aSim, aIndex, aQuery.mArea, aQuery.mEra);
     }
   });
 }
@@ -166,6 +193,7 @@
 {
   grant_write_response unknown;
   unknown.mOutcome = grant_outcome::Unknown;
+  unknown.mEra.mKnown = aWrite.mEra;
   const bool lost =
     aSim.mStore.mMode == store_mode::LosesResponses && Draw(aSim, 3) == 0;
   if (!CanReachStore(aSim, aIndex)) {
@@ -182,12 +210,33 @@
   }
 }
 
+void HandleGrantRead(fleet_sim& aSim, std::size_t aIndex,
+                     const grant_read& aRead)
+{
+  grants_read response;
+  response.mEra.mKnown = aRead.mEra;
+  if (!CanReachStore(aSim, aIndex)) {
+    DeliverAfter(aSim, kStoreResponseTime, aIndex, response);
+    return;
+  }
+  response.mIsRead = true;
+  response.mEra = GetEra(aSim, aRead.mEra);
+  for (const auto& [workspace, record] : aSim.mStore.mGrants) {
+    if (record.mVersion != 0) {
+      response.mStates.push_back(
+        { workspace, record.mVersion, record.mRecord });
+    }
+  }
+  DeliverAfter(aSim, kStoreLatency, aIndex, std::move(response));
+}
+
 void HandleCrashReportWrite(fleet_sim& aSim, std::size_t aIndex,
                             const crash_report_write& aWrite)
 {
   if (!CanReachStore(aSim, aIndex)) {
-    DeliverAfter(aSim, kStoreResponseTime, aIndex,
-                 crash_report_write_response{});
+    DeliverAfter(
+      aSim, kStoreResponseTime, aIndex,
+      crash_report_write_response{ false, { aWrite.mEra, std::nullopt } });
     return;
   }
   ++aSim.mStore.mRevision;
@@ -200,7 +249,7 @@
   const bool lost =
     aSim.mStore.mMode == store_mode::LosesResponses && Draw(aSim, 3) == 0;
   DeliverAfter(aSim, lost ? kStoreResponseTime : kStoreLatency, aIndex,
-               crash_report_write_response{ !lost });
+               crash_report_write_response{ !lost, GetEra(aSim, aWrite.mEra) });
 }
 
 void SetPeer(fleet_sim& aSim, const std::string& aName,
@@ -229,10 +278,47 @@
   });
 }
 
+void KeepSnapshotsPeriodically(fleet_sim& aSim)
+{
+  constexpr absl::Duration kInterval = absl::Milliseconds(200);
+  constexpr std::size_t kSnapshots = 80;
+  aSim.mSnapshots.push_back({ aSim.mNow, aSim.mStore });
+  if (aSim.mSnapshots.size() > kSnapshots) {
+    aSim.mSnapshots.pop_front();
+  }
+  Schedule(aSim, kInterval, [&aSim] { KeepSnapshotsPeriodically(aSim); });
+}
+
+void ReturnStore(fleet_sim& aSim, absl::Duration aAge, absl::Duration aDown)
+{
+  aSim.mStore.mMode = store_mode::Unresponsive;
+  const absl::Time from = aSim.mNow - aAge;
+  while (aSim.mSnapshots.size() > 1 && aSim.mSnapshots.back().mAt > from) {
+    aSim.mSnapshots.pop_back();
+  }
+  sim_store restored = aSim.mSnapshots.back().mStore;
+  Schedule(aSim, aDown, [&aSim, restored = std::move(restored)] {
+    const sim_store lost = std::move(aSim.mStore);
+    aSim.mStore = restored;
+    sim_store& store = aSim.mStore;
+    store.mMode = store_mode::Up;
+    store.mEra = lost.mEra + 1;
+    store.mDisturbedUntil = std::max(lost.mDisturbedUntil, aSim.mNow);
+    store.mConfigTimes = lost.mConfigTimes;
+    store.mConfig = lost.mConfig;
+    store.mConfigRevision = ++store.mRevision;
+    for (const auto& [name, entry] : lost.mBackends) {
+      store.mBackends[name] = { entry.first, ++store.mRevision };
+    }
+    SendWatchResponses(aSim);
+  });
+}
+
 void HandleRegistration(fleet_sim& aSim, std::size_t aIndex,
                         const registration_call& aCall)
 {
   registration_response response;
+  response.mEra.mKnown = aCall.mEra;
   if (!CanReachStore(aSim, aIndex)) {
     DeliverAfter(aSim, kStoreResponseTime, aIndex, response);
     return;
@@ -244,6 +330,7 @@
   response.mStatus =
     aSim.mStore.mPeers[name].first ? lease_status::Held : lease_status::Ended;
   response.mLease = 1;
+  response.mEra = GetEra(aSim, aCall.mEra);
   DeliverAfter(aSim, kStoreLatency, aIndex, response);
 }
 
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -277,4 +277,39 @@
            [&aSim, call] { SendTokenResponse(aSim, call, std::nullopt); });
 }
 
+void SendShareResponse(fleet_sim& aSim, std::uint64_t aCall,
+                       std::optional<share_response> aResponse)
+{
+  const auto found = aSim.mShareCalls.find(aCall);
+  if (found == aSim.mShareCalls.end()) {
+    return;
+  }
+  fleet_sim::share_call call = std::move(found->second);
+  aSim.mShareCalls.erase(found);
+  if (aSim.mGateways[call.mFrom].mIncarnation != call.mIncarnation) {
+    return;
+  }
+  const absl::Duration latency =
+    aResponse ? kPeerLatency : absl::ZeroDuration();
+  call.mResponse.mResponse = std::move(aResponse);
+  DeliverAfter(aSim, latency, call.mFrom, call.mResponse);
+}
+
+void ShareGrants(fleet_sim& aSim, std::size_t aIndex,
+                 const share_grants& aAction)
+{
+  const std::uint64_t call = aSim.mNextCall++;
+  aSim.mShareCalls[call] = { aIndex,
+                             aSim.mGateways[aIndex].mIncarnation,
+                             { aAction.mPeer, aAction.mReplication,
+                               aAction.mEra, std::nullopt } };
+  if (const auto peer = FindGateway(aSim, aAction.mAddress)) {
+    DeliverAfter(aSim, kPeerLatency, *peer,
+                 grants_shared{ call, aAction.mEra, aAction.mWantsCopies,
+                                aAction.mCopies });
+  }
+  Schedule(aSim, kPeerTimeout,
+           [&aSim, call] { SendShareResponse(aSim, call, std::nullopt); });
+}
+
 } // namespace foxtailquay::gateway_sim
--- a/tests/grant_test.cc
+++ b/tests/grant_test.cc
@@ -559,5 +559,118 @@
   BOOST_TEST(served > kPrepaid * token_count{ kSeeds } / 4);
 }
 
+// Returns the share of a router that was granted aAmount in era 1, with the
+// record at version 1.
+grant_share MakeShareInFirstEra(const grant_holder& aHolder,
+                                token_count aAmount)
+{
+  grant_share share;
+  StartEra(share, aHolder, 1);
+  share.mNeeded = aAmount;
+  const auto plan =
+    PlanGrant(share, aHolder, kPrepaid, true, true, kOptions, MakeClock(0));
+  BOOST_REQUIRE(plan);
+  RecordGrantWrite(share, aHolder, grant_outcome::Written, plan->mRecord, 1);
+  share.mNeeded = 0;
+  return share;
+}
+
+// Writes the plan to a store that has nothing else, and returns the record.
+grant_record TakeOver(grant_share& aShare, const grant_holder& aHolder)
+{
+  const auto plan =
+    PlanGrant(aShare, aHolder, kPrepaid, true, false, kOptions, MakeClock(900));
+  BOOST_REQUIRE(plan);
+  RecordGrantWrite(aShare, aHolder, grant_outcome::Written, plan->mRecord, 2);
+  return plan->mRecord;
+}
+
+// Seen on the users' platform: after the store had returned to an older state,
+// a write at a version above the stored one never ended, so that nothing was
+// granted any more.
+BOOST_AUTO_TEST_CASE(a_write_ends_at_a_version_below_the_expected_one)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  grant_share share = MakeGrantedShare(holder, 500);
+  share.mVersion = 144;
+  share.mNeeded = 2 * share.mFreeTokens;
+  BOOST_REQUIRE(
+    PlanGrant(share, holder, kPrepaid, true, false, kOptions, MakeClock(10)));
+  grant_record older;
+  older.mEntries["a/1"].mGranted = 100;
+  RecordGrantWrite(share, holder, grant_outcome::Conflict, older, 94);
+  BOOST_TEST(!share.mPending);
+  BOOST_TEST(share.mVersion == 94U);
+}
+
+// A holder knows its own grant; the older record would grant the difference to
+// others.
+BOOST_AUTO_TEST_CASE(a_holder_restates_its_grant_in_a_new_era)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  grant_share share = MakeShareInFirstEra(holder, 500);
+  const token_count granted = share.mEntry.mGranted;
+  BOOST_TEST(Reserve(share, 200, MakeClock(10)));
+  StartEra(share, holder, 2);
+  AdoptRecord(share, {}, 0);
+  const grant_record record = TakeOver(share, holder);
+  BOOST_TEST(record.mEra == 2U);
+  BOOST_TEST(record.mEntries.at("a/1").mGranted == granted);
+  BOOST_TEST(share.mUsedTokens == 200);
+  BOOST_TEST(!IsFromEarlierEra(share));
+}
+
+// What a dead holder may have spent is only in the copies of others.
+BOOST_AUTO_TEST_CASE(the_newest_copy_is_taken_over_in_a_new_era)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  grant_share share = MakeShareInFirstEra(holder, 500);
+  grant_record older = share.mRecord;
+  older.mSequence = 0;
+  StartEra(share, holder, 2);
+  for (const std::uint64_t sequence : { 7, 9, 8 }) {
+    grant_record copy = share.mCopy;
+    copy.mEra = 1;
+    copy.mSequence = sequence;
+    copy.mClosed = static_cast<token_count>(sequence);
+    copy.mEntries["dead/1"] = { 1000 + static_cast<token_count>(sequence),
+                                10,
+                                { "boot", 800 } };
+    AddCopy(share, copy);
+  }
+  AdoptRecord(share, older, 1);
+  const grant_record record = TakeOver(share, holder);
+  BOOST_TEST(record.mClosed == 9);
+  BOOST_TEST(record.mEntries.at("dead/1").mGranted == 1009);
+}
+
+// A limit that was set later may have been lost with the store's newest state.
+BOOST_AUTO_TEST_CASE(limits_of_an_earlier_era_do_not_bound_what_was_spent)
+{
+  const grant_holder dead = MakeHolder("a/1");
+  const grant_record record = MakeShareInFirstEra(dead, 500).mRecord;
+  const grant_holder restarted = MakeHolder("a/2", 700);
+  grant_share share;
+  StartEra(share, restarted, 2);
+  AdoptRecord(share, record, 1);
+  const grant_record taken = TakeOver(share, restarted);
+  BOOST_TEST(taken.mEntries.count("a/1") == 0U);
+  BOOST_TEST(taken.mClosed == record.mEntries.at("a/1").mGranted);
+}
+
+// Granted tokens of which no other router knows are given up, since the new
+// record does not count them.
+BOOST_AUTO_TEST_CASE(withheld_tokens_are_given_up_in_a_new_era)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  grant_share share = MakeShareInFirstEra(holder, 500);
+  const token_count granted = share.mEntry.mGranted;
+  WithholdTokens(share, 300);
+  BOOST_TEST(!Reserve(share, granted, MakeClock(10)));
+  StartEra(share, holder, 2);
+  BOOST_TEST(share.mEntry.mGranted == granted - 300);
+  BOOST_TEST(share.mWithheldTokens == 0);
+}
+
 } // namespace
 } // namespace foxtailquay
