--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -150,12 +150,45 @@
     R"({"service":"s","address":"a:1","zone":"z","slots":"1","state":"ready"})",
     R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"odd"})",
     R"({"service":["s"],"address":"a:1","zone":"z","slots":1,"state":"ready"})",
+    R"({"service":"s","address":"a","zone":"z","slots":1,"state":"ready"})",
+    R"({"service":"s","address":"a:70000","zone":"z","slots":1,"state":"ready"})",
+    R"({"service":"s","address":"a:0","zone":"z","slots":1,"state":"ready"})",
+    R"({"service":"s","address":"a:1","zone":"z","slots":1e30,"state":"ready"})",
+    R"({"service":"s","address":"a:1","zone":"z","slots":-1,"state":"ready"})",
   };
   for (const char* text : cases) {
     BOOST_TEST(!DecodeBackend(ParseJsonOrFail(text)), text);
   }
 }
 
+// Seen by other operators: processes that read a list with one odd entry ended
+// again and again, or followed the list no more.
+BOOST_AUTO_TEST_CASE(an_odd_entry_hides_no_other_entry)
+{
+  const std::string sound =
+    R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready"})";
+  const std::string odd[] = {
+    std::string(100000, '['),
+    R"({"service":"s","address":"a:1","zone":"z","slots":1,"born":1e999})",
+    R"({"service":"s","address":"a:99999","zone":"z","slots":1})",
+    "\xff\xfe",
+    "",
+  };
+  for (const std::string& value : odd) {
+    const std::string body = absl::StrCat(
+      R"({"store_revision":9,"items":[{"key":"servers/i1","revision":7,"value":")",
+      absl::Base64Escape(value),
+      R"("},{"key":"servers/i2","revision":8,"value":")",
+      absl::Base64Escape(sound), R"("}]})");
+    const auto page = DecodeDirectoryPage(
+      { directory_area::Backends, std::nullopt, {} }, { 200, body, false });
+    BOOST_TEST((page.mResponse.mStatus == directory_status::Ok));
+    BOOST_REQUIRE(page.mResponse.mBackends.size() == 2U);
+    BOOST_TEST(!page.mResponse.mBackends[0].mEntry);
+    BOOST_TEST(page.mResponse.mBackends[1].mEntry.has_value());
+  }
+}
+
 // --- Requests and responses -------------------------------------------------
 
 message_head MakeRequestHead(std::vector<header_field> aFields)
