--- a/standins/users_platform.cc
+++ b/standins/users_platform.cc
@@ -12,7 +12,7 @@
 
 // Maximum number of concurrent calls: three watches for each of a few gateways,
 // other calls, and those on silent connections.
-constexpr std::size_t kThreads = 96;
+constexpr std::size_t kThreads = 256;
 // Tokens that one event of a stream costs.
 constexpr int kTokensPerEvent = 7;
 
