Take over the copy of a grant record if a late write has its place

A grant write of the earlier era that takes effect after the return, but before the new era is marked, gets the same number in the sequence as a write that was lost, and was taken for the newest record; what the lost write had granted was granted again.

With equal numbers, the copy of another gateway now counts. grant_test a_late_write_does_not_replace_the_copy_of_a_lost_one and gateway_fault_test a_late_write_does_not_replace_grants_that_were_lost failed before and pass.

--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -76,14 +76,15 @@
 // Returns the record on which the next write is based: the known one or, if it
 // is from an earlier era, the newest copy. A limit that was set in the earlier
 // era and lost allowed more than an older one that was not lost, so that the
-// limits of such a copy bound nothing.
+// limits of such a copy bound nothing. A write of the earlier era that took
+// effect late may have the place of one that was lost, so that the copy counts.
 grant_record MakeBaseRecord(const grant_share& aShare)
 {
   if (!IsFromEarlierEra(aShare)) {
     return aShare.mRecord;
   }
   grant_record record =
-    IsNewer(aShare.mCopy, aShare.mRecord) ? aShare.mCopy : aShare.mRecord;
+    IsNewer(aShare.mRecord, aShare.mCopy) ? aShare.mRecord : aShare.mCopy;
   for (auto& entry : record.mEntries) {
     entry.second.mLimit = entry.second.mGranted;
     entry.second.mLimitSetAt = {};
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -95,6 +95,17 @@
   }
 }
 
+// With this seed, a grant write of an earlier era that took effect late was
+// taken for the newest record, and total w0 was overspent.
+BOOST_AUTO_TEST_CASE(a_late_write_does_not_replace_grants_that_were_lost)
+{
+  const auto sim = MakeSim(ReadChartTexts(), 100409, injected_fault::None);
+  RunStoreReturns(*sim, kRunTime);
+  for (const violation& each : sim->mViolations) {
+    BOOST_ERROR(each.mDetail);
+  }
+}
+
 // A fleet and the rate that its servers state.
 struct limited_fleet
 {
--- a/tests/grant_test.cc
+++ b/tests/grant_test.cc
@@ -644,6 +644,22 @@
   BOOST_TEST(record.mEntries.at("dead/1").mGranted == 1009);
 }
 
+// A write of the earlier era may take effect late, after the return, and then
+// has the same place in the sequence as a write that was lost.
+BOOST_AUTO_TEST_CASE(a_late_write_does_not_replace_the_copy_of_a_lost_one)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  grant_share share = MakeShareInFirstEra(holder, 500);
+  grant_record lost = share.mRecord;
+  lost.mSequence = 9;
+  grant_record late = lost;
+  lost.mEntries["dead/1"].mGranted = 1000;
+  AddCopy(share, lost);
+  StartEra(share, holder, 2);
+  AdoptRecord(share, late, 1);
+  BOOST_TEST(TakeOver(share, holder).mEntries.count("dead/1") == 1U);
+}
+
 // A limit that was set later may have been lost with the store's newest state.
 BOOST_AUTO_TEST_CASE(limits_of_an_earlier_era_do_not_bound_what_was_spent)
 {
