--- a/review/common/standins.cpp
+++ b/review/common/standins.cpp
@@ -707,7 +707,7 @@
 {
   if (mPid > 0) {
     kill(mPid, SIGKILL);
-    await_end(5);
+    AwaitEnd(5);
   }
 }
 
@@ -717,7 +717,7 @@
   kill(mPid, aNumber);
 }
 
-bool gateway::await_end(double aTimeout)
+bool gateway::AwaitEnd(double aTimeout)
 {
   const double end = Now() + aTimeout;
   while (mPid > 0 && Now() < end) {
--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -201,7 +201,7 @@
   void Start();
   void Signal(int aNumber);
   // Waits for the end of the process. Returns false after the timeout.
-  bool await_end(double aTimeout);
+  bool AwaitEnd(double aTimeout);
 
 private:
   record& mLog;
