--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -21,8 +21,10 @@
 constexpr int kTokensPerEvent = 7;
 // Memory of a worker, in tokens.
 constexpr double kMemoryTokens = 408575;
-constexpr int kRequesters = 6;
-constexpr int kWithoutLimit = 2;
+constexpr int kRequesters = 8;
+constexpr int kWithoutLimit = 3;
+// Time in which a worker rejects a request, the way to another zone included.
+constexpr double kRejectTime = 0.005;
 constexpr double kLength = 40;
 constexpr double kQuietTime = 15;
 
@@ -40,6 +42,7 @@
     std::stod(counts) + std::stod(counts.substr(counts.find(',') + 1));
   if (most > kMemoryTokens) {
     // Larger than the memory: rejected as if the worker were full.
+    Sleep(kRejectTime);
     aSelf.Log().Line("worker %s rejects %s", aSelf.Id().c_str(), id.c_str());
     aCaller.Send("HTTP/1.1 503 Service Unavailable\r\n"
                  "Foxtailquay-Attempt-Id: " +
