Review, case 4: a drill with a kill of all gateways doubles a total

Tried: a store that comes back from a copy without grant records while the four gateways are killed (review/4/run.sh).

--- a/review/common/standins.cpp
+++ b/review/common/standins.cpp
@@ -445,6 +445,28 @@
   mChanged.notify_all();
 }
 
+void store::TakeCopy()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mCopy = mItems;
+  mCopyRevision = mRevision;
+  mLog.Line("store: a copy is taken at revision %ju",
+            std::uintmax_t{ mRevision });
+}
+
+void store::Restore()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mLog.Line("store returns from revision %ju to its copy of revision %ju",
+            std::uintmax_t{ mRevision }, std::uintmax_t{ mCopyRevision });
+  mItems = mCopy;
+  mRevision = mCopyRevision;
+  mHistory.clear();
+  mHistoryStart = mRevision;
+  mLeases.clear();
+  ++mEra;
+}
+
 void store::Serve(connection& aCaller)
 {
   message call;
@@ -458,9 +480,11 @@
       mChanged.wait(lock, [this] { return !mSilent || mStopping; });
       return;
     }
+    const std::string era = std::to_string(mEra);
     lock.unlock();
     if (!aCaller.Send("HTTP/1.1 " + std::to_string(status) +
-                      " Answer\r\nContent-Type: application/json\r\n"
+                      " Answer\r\nStore-Era: " + std::to_string(mEra) +
+                      "\r\nContent-Type: application/json\r\n"
                       "Content-Length: " +
                       std::to_string(body.size()) + "\r\n\r\n" + body)) {
       return;
@@ -503,6 +527,11 @@
     out["store_revision"] = Json::UInt64(mRevision);
   } else if (path == "/-/kv-watch") {
     const std::uint64_t after = std::stoull("0" + query["after"]);
+    if (after > mRevision || after < mHistoryStart) {
+      aStatus = 410;
+      aBody = "{}";
+      return true;
+    }
     const double end = Now() + std::stod("0" + query["wait_ms"]) / 1000;
     out["events"] = Json::Value(Json::arrayValue);
     for (;;) {
--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -130,6 +130,11 @@
   // While silent, the store executes and answers nothing. Calls that arrive
   // meanwhile are lost.
   void SetSilent(bool aSilent);
+  // Keeps a copy of the present state.
+  void TakeCopy();
+  // Returns to the copy, in the next era: what was written since is lost, and
+  // all leases. Revisions are given out again.
+  void Restore();
 
 private:
   struct item
@@ -153,6 +158,11 @@
   std::uint64_t mRevision = 100;
   std::uint64_t mNextLease = 1;
   std::map<std::uint64_t, bool> mLeases;
+  std::map<std::string, item> mCopy;
+  std::uint64_t mCopyRevision = 0;
+  // Watches from before this revision get 410.
+  std::uint64_t mHistoryStart = 0;
+  std::uint64_t mEra = 1;
   bool mSilent = false;
   bool mStopping = false;
   std::unique_ptr<listener> mListener;
