--- a/review/common/standins.cpp
+++ b/review/common/standins.cpp
@@ -16,6 +16,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -721,6 +722,8 @@
   const std::string output = mFolder + "/log";
   mPid = fork();
   if (mPid == 0) {
+    // The gateway ends with this process, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int fd = open(output.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
     dup2(fd, 1);
     dup2(fd, 2);
