Count crashes of servers that had not completed a header section

Cause: a crash was evidence against a request only if the header section of its response was complete. Every earlier crash, before the first byte or inside the header section, looked like a request that waited.

Change: evidence has two strengths. An attempt that broke off after the first byte of its response is strong evidence, one without any byte is weak. Three crashes with strong evidence, or five of any, quarantine a part. A part that was waiting at the crashes of another one passes, weak evidence does not clear a part with strong evidence, and requests that waited at a server that leaves are no evidence.

The test a_request_that_waited_at_its_server_is_not_blamed asked that such an attempt is not even probed. A crash before the first byte can't be told from waiting, so that this is what kept the fault alive. It now asks that requests that waited at 15 crashes, with a complete response after each four, are served; a_part_that_waited_at_the_same_crashes_passes covers a crash with a culprit.

--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -119,6 +119,8 @@
   body_framing mFraming = body_framing::Unknown;
   // Received bytes of a stream event that did not arrive completely.
   std::size_t mPartialEventBytes = 0;
+  // True if a byte of the response arrived in this attempt.
+  bool mHasBegun = false;
   // True if an event of the stream, or a part of a plain response that was
   // relayed, arrived in this attempt.
   bool mHasOutput = false;
@@ -216,6 +218,37 @@
   std::optional<Entry> mEntry;
 };
 
+// What the crash of a server shows about a request that it had, the weakest
+// evidence first.
+enum class crash_evidence
+{
+  // No byte of the response had arrived: the request may only have waited.
+  NoResponse,
+  // The server had begun to respond to the request.
+  ResponseBegun,
+};
+
+constexpr auto NameTable(crash_evidence)
+{
+  return MakeNameTable<crash_evidence>(
+    { { crash_evidence::NoResponse, "no_response" },
+      { crash_evidence::ResponseBegun, "response_begun" } });
+}
+
+// A crash of a backend server under a part of prompts.
+struct server_crash
+{
+  // Identifies the crashed incarnation of the server.
+  std::string mIncarnation;
+  crash_evidence mEvidence = crash_evidence::ResponseBegun;
+};
+
+inline bool operator==(const server_crash& aLeft, const server_crash& aRight)
+{
+  return aLeft.mIncarnation == aRight.mIncarnation &&
+         aLeft.mEvidence == aRight.mEvidence;
+}
+
 // Crashes of backend servers under a part of prompts, as reported by one
 // gateway.
 struct crash_report
@@ -223,9 +256,8 @@
   // Hash of the part.
   std::uint64_t mPart = 0;
   std::string mGateway;
-  // Identifies the crashed incarnations of servers. Empty if the report was
-  // removed, or is to be removed.
-  std::vector<std::string> mCrashes;
+  // Empty if the report was removed, or is to be removed.
+  std::vector<server_crash> mCrashes;
 };
 
 // Response to a directory_query.
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -19,11 +19,13 @@
 void RecordPartChanges(gateway& aGateway)
 {
   for (const part_change& change : aGateway.mQuarantine.mChanges) {
-    RecordDecision(aGateway, decision::PromptPartChanged,
-                   { { "part", absl::StrCat(absl::Hex(change.mPart)) },
-                     { "state", std::string(ToName(change.mStatus)) },
-                     { "cause", std::string(ToName(change.mCause)) },
-                     { "crashes", absl::StrCat(change.mCrashes) } });
+    RecordDecision(
+      aGateway, decision::PromptPartChanged,
+      { { "part", absl::StrCat(absl::Hex(change.mPart)) },
+        { "state", std::string(ToName(change.mStatus)) },
+        { "cause", std::string(ToName(change.mCause)) },
+        { "crashes", absl::StrCat(change.mCrashes) },
+        { "response_begun", absl::StrCat(change.mStrongCrashes) } });
   }
   aGateway.mQuarantine.mChanges.clear();
 }
@@ -70,15 +72,20 @@
   }
 }
 
-// Probes the server that had begun to respond to the request and whose response
-// broke off before its first output.
+// Probes a server whose response broke off before its first output.
 void ProbeBrokenServer(gateway& aGateway, const forwarded_request& aRequest,
-                       const backend_id& aBackend, absl::Time aNow)
+                       const backend_id& aBackend, crash_evidence aEvidence,
+                       absl::Time aNow)
 {
   const auto listing = aGateway.mListings.find(aBackend);
   if (listing == aGateway.mListings.end()) {
     return;
   }
+  // A server that leaves ends with requests that wait.
+  if (listing->second.mEntry.mLeaving &&
+      aEvidence == crash_evidence::NoResponse) {
+    return;
+  }
   std::vector<std::uint64_t> suspects =
     ListSharedParts(aRequest.mCaller.mPromptParts);
   suspects.erase(std::remove_if(suspects.begin(), suspects.end(),
@@ -91,7 +98,11 @@
     return;
   }
   const auto [probe, isNew] = aGateway.mProbes.try_emplace(aBackend);
-  probe->second.insert(suspects.begin(), suspects.end());
+  for (const std::uint64_t part : suspects) {
+    crash_evidence& known =
+      probe->second.try_emplace(part, aEvidence).first->second;
+    known = std::max(known, aEvidence);
+  }
   if (isNew) {
     aGateway.mActions.push_back(
       probe_server{ aBackend, listing->second.mEntry.mAddress,
@@ -123,9 +134,11 @@
   }
   const bool isBroken = aReport.mOutcome == attempt_outcome::Broken ||
                         aReport.mOutcome == attempt_outcome::BrokenMidway;
-  // A request to which the server had not begun to respond was still waiting.
-  if (isBroken && aReport.mStatus != 0 && !aReport.mHasOutput) {
-    ProbeBrokenServer(aGateway, aRequest, aBackend, aNow);
+  if (isBroken && !aReport.mHasOutput) {
+    ProbeBrokenServer(aGateway, aRequest, aBackend,
+                      aReport.mHasBegun ? crash_evidence::ResponseBegun
+                                        : crash_evidence::NoResponse,
+                      aNow);
   }
 }
 
@@ -136,16 +149,16 @@
   if (probe == aGateway.mProbes.end()) {
     return;
   }
-  const std::set<std::uint64_t> suspects = std::move(probe->second);
+  const suspect_parts suspects = std::move(probe->second);
   aGateway.mProbes.erase(probe);
   if (!aEvent.mIsRefused) {
     return;
   }
   const std::string crash =
     absl::StrCat(aEvent.mBackend.mValue, "/", aEvent.mStartedMs);
-  for (const std::uint64_t part : suspects) {
-    AddOwnCrash(aGateway.mQuarantine, aGateway.mSettings.mName, part, crash,
-                aNow);
+  for (const auto& [part, evidence] : suspects) {
+    AddOwnCrash(aGateway.mQuarantine, aGateway.mSettings.mName, part,
+                { crash, evidence }, aNow);
   }
   RecordPartChanges(aGateway);
   WriteCrashReports(aGateway, aNow);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -336,7 +336,7 @@
 
   prompt_quarantine mQuarantine;
   // Suspected parts by backend server, until the server has been probed.
-  std::map<backend_id, std::set<std::uint64_t>> mProbes;
+  std::map<backend_id, suspect_parts> mProbes;
   // Reports of the write in flight; empty if there is none.
   std::vector<crash_report> mReportsInFlight;
   absl::Time mNextReportWriteAt = absl::InfinitePast();
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -6,21 +6,45 @@
 
 namespace {
 
-// Returns the crashes that any gateway has reported.
-std::set<std::string> ListCrashes(const part_record& aRecord)
+// Returns the crashed incarnations that any gateway has reported with this
+// evidence or stronger one.
+std::set<std::string> ListCrashes(const part_record& aRecord,
+                                  crash_evidence aEvidence)
 {
   std::set<std::string> crashes;
   for (const auto& report : aRecord.mCrashes) {
-    crashes.insert(report.second.begin(), report.second.end());
+    for (const server_crash& crash : report.second) {
+      if (crash.mEvidence >= aEvidence) {
+        crashes.insert(crash.mIncarnation);
+      }
+    }
   }
   return crashes;
 }
 
+// Returns true if aAfter has a crash with this evidence that aBefore has not.
+bool HasNewCrash(const part_record& aBefore, const part_record& aAfter,
+                 crash_evidence aEvidence)
+{
+  const std::set<std::string> before = ListCrashes(aBefore, aEvidence);
+  const std::set<std::string> after = ListCrashes(aAfter, aEvidence);
+  return !std::includes(before.begin(), before.end(), after.begin(),
+                        after.end());
+}
+
+bool HasEnoughStrongEvidence(const part_record& aRecord)
+{
+  return ListCrashes(aRecord, crash_evidence::ResponseBegun).size() >=
+         kQuarantineCrashes;
+}
+
 bool EvaluateGuard(part_guard aGuard, const part_record& aRecord)
 {
   switch (aGuard) {
     case part_guard::CrashesReached:
-      return ListCrashes(aRecord).size() >= kQuarantineCrashes;
+      return HasEnoughStrongEvidence(aRecord) ||
+             ListCrashes(aRecord, crash_evidence::NoResponse).size() >=
+               kQuarantineAnyCrashes;
   }
   return false;
 }
@@ -51,7 +75,9 @@
   }
   if (record.mStatus != before || aEvent == part_event::ServerCrashed) {
     aQuarantine.mChanges.push_back(
-      { aPart, record.mStatus, ListCrashes(record).size(), aEvent });
+      { aPart, record.mStatus,
+        ListCrashes(record, crash_evidence::NoResponse).size(),
+        ListCrashes(record, crash_evidence::ResponseBegun).size(), aEvent });
   }
   if (record.mStatus == part_status::Trusted) {
     aQuarantine.mParts.erase(found);
@@ -72,6 +98,15 @@
            : nullptr;
 }
 
+std::vector<server_crash>::iterator FindCrash(
+  std::vector<server_crash>& aCrashes, const std::string& aIncarnation)
+{
+  return std::find_if(aCrashes.begin(), aCrashes.end(),
+                      [&aIncarnation](const server_crash& aEach) {
+                        return aEach.mIncarnation == aIncarnation;
+                      });
+}
+
 // Removes a crash from the reports of this gateway on all parts. If it were
 // removed from one only, parts that always come together would seem to have
 // different crashes.
@@ -83,8 +118,8 @@
     if (report == part.second.mCrashes.end()) {
       continue;
     }
-    std::vector<std::string>& crashes = report->second;
-    const auto found = std::find(crashes.begin(), crashes.end(), aCrash);
+    std::vector<server_crash>& crashes = report->second;
+    const auto found = FindCrash(crashes, aCrash);
     if (found != crashes.end()) {
       crashes.erase(found);
       aQuarantine.mUnwritten.insert({ part.first, aOwnName });
@@ -92,25 +127,43 @@
   }
 }
 
+// Returns true if a report of this gateway on aCrash would add nothing: it is
+// known, or it may have the same cause as the last one.
+bool IsCounted(const part_record& aRecord, const server_crash& aCrash,
+               absl::Time aNow)
+{
+  if (ListCrashes(aRecord, aCrash.mEvidence).count(aCrash.mIncarnation) > 0) {
+    return true;
+  }
+  const bool isStronger = ListCrashes(aRecord, crash_evidence::NoResponse)
+                              .count(aCrash.mIncarnation) > 0 ||
+                          aCrash.mEvidence > aRecord.mLastOwnEvidence;
+  return !isStronger && aNow - aRecord.mLastOwnCrashAt < kCoincidenceTime;
+}
+
 bool Contains(const std::vector<std::uint64_t>& aParts, std::uint64_t aPart)
 {
   return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
 }
 
 // Returns true if a part that is not among aParts has all crashes of aPart, and
-// so may be the one to blame for them.
+// so may be the one to blame for them. Where the evidence against aPart is
+// strong, weaker evidence against other parts says nothing.
 bool MayBeBlameless(const prompt_quarantine& aQuarantine, std::uint64_t aPart,
                     const part_record& aRecord,
                     const std::vector<std::uint64_t>& aParts)
 {
-  const std::set<std::string> crashes = ListCrashes(aRecord);
+  const crash_evidence evidence = HasEnoughStrongEvidence(aRecord)
+                                    ? crash_evidence::ResponseBegun
+                                    : crash_evidence::NoResponse;
+  const std::set<std::string> crashes = ListCrashes(aRecord, evidence);
   return std::any_of(
     aQuarantine.mParts.begin(), aQuarantine.mParts.end(),
     [&](const auto& aOther) {
       if (aOther.first == aPart || Contains(aParts, aOther.first)) {
         return false;
       }
-      const std::set<std::string> others = ListCrashes(aOther.second);
+      const std::set<std::string> others = ListCrashes(aOther.second, evidence);
       return std::includes(others.begin(), others.end(), crashes.begin(),
                            crashes.end());
     });
@@ -137,21 +190,27 @@
 }
 
 void AddOwnCrash(prompt_quarantine& aQuarantine, const std::string& aOwnName,
-                 std::uint64_t aPart, const std::string& aCrash,
+                 std::uint64_t aPart, const server_crash& aCrash,
                  absl::Time aNow)
 {
   part_record* record = HasRecentSuccess(aQuarantine, aPart, aNow)
                           ? nullptr
                           : FindOrAddRecord(aQuarantine, aPart);
-  if (record == nullptr || ListCrashes(*record).count(aCrash) > 0 ||
-      aNow - record->mLastOwnCrashAt < kCoincidenceTime) {
+  if (record == nullptr || IsCounted(*record, aCrash, aNow)) {
     return;
   }
   record->mLastOwnCrashAt = aNow;
-  std::vector<std::string>& crashes = record->mCrashes[aOwnName];
-  crashes.push_back(aCrash);
+  record->mLastOwnEvidence = aCrash.mEvidence;
+  std::vector<server_crash>& crashes = record->mCrashes[aOwnName];
+  const auto known = FindCrash(crashes, aCrash.mIncarnation);
+  if (known != crashes.end()) {
+    known->mEvidence = aCrash.mEvidence;
+  } else {
+    crashes.push_back(aCrash);
+  }
   if (crashes.size() > kMaxReportedCrashes) {
-    ForgetOwnCrash(aQuarantine, aOwnName, std::string(crashes.front()));
+    ForgetOwnCrash(aQuarantine, aOwnName,
+                   std::string(crashes.front().mIncarnation));
   }
   aQuarantine.mUnwritten.insert({ aPart, aOwnName });
   FirePart(aQuarantine, aPart, part_event::ServerCrashed, aNow);
@@ -188,11 +247,10 @@
   if (record == nullptr) {
     return;
   }
-  const std::set<std::string> before = ListCrashes(*record);
+  const part_record before = *record;
   record->mCrashes[aReport.mGateway] = aReport.mCrashes;
-  const std::set<std::string> after = ListCrashes(*record);
-  if (!std::includes(before.begin(), before.end(), after.begin(),
-                     after.end())) {
+  if (HasNewCrash(before, *record, crash_evidence::NoResponse) ||
+      HasNewCrash(before, *record, crash_evidence::ResponseBegun)) {
     FirePart(aQuarantine, aReport.mPart, part_event::ServerCrashed, aNow);
   }
 }
--- a/src/core/prompt_quarantine.h
+++ b/src/core/prompt_quarantine.h
@@ -2,8 +2,9 @@
 //
 // A request whose prompt crashes the engine that responds to it would crash one
 // engine after the other. A crash is evidence against the parts of the prompts
-// to which the server was beginning to respond. Once enough servers have
-// crashed under a part, requests with it are refused.
+// that the server had and to which it had sent no output. Where it had begun to
+// respond, the evidence is strong; otherwise the request may only have waited.
+// Once enough servers have crashed under a part, requests with it are refused.
 //
 //   AddOwnCrash(quarantine, name, part, crash, now);  // seen by this gateway
 //   ApplyCrashReport(quarantine, report, now);        // seen by another one
@@ -36,9 +37,13 @@
 
 namespace foxtailquay {
 
-// Number of crashes after which a part is quarantined. Two may be a
-// coincidence.
+// Number of crashes after which a part is quarantined if the servers had begun
+// to respond. Two may be a coincidence.
 constexpr std::size_t kQuarantineCrashes = 3;
+// Number of crashes after which a part is quarantined whether or not the
+// servers had begun to respond. Sound requests that wait at a server crash with
+// it too, but rarely so often without a complete response in between.
+constexpr std::size_t kQuarantineAnyCrashes = 5;
 // Time for which requests with a part are refused after its last crash.
 constexpr absl::Duration kQuarantineTime = absl::Minutes(2);
 // Time without a crash after which the crashes of a part that is not
@@ -123,13 +128,17 @@
 {
   part_status mStatus = part_status::Trusted;
   // Crashes by the gateway that reported them, oldest first.
-  std::map<std::string, std::vector<std::string>> mCrashes;
+  std::map<std::string, std::vector<server_crash>> mCrashes;
   // End of the present state.
   absl::Time mUntil = absl::InfiniteFuture();
-  // Time of the last crash that this gateway has counted.
+  // Time and evidence of the last crash that this gateway has counted.
   absl::Time mLastOwnCrashAt = absl::InfinitePast();
+  crash_evidence mLastOwnEvidence = crash_evidence::NoResponse;
 };
 
+// Parts that a crash may have been due to, with the evidence against each.
+using suspect_parts = std::map<std::uint64_t, crash_evidence>;
+
 // Identifies the report of a gateway on a part.
 using report_key = std::pair<std::uint64_t, std::string>;
 
@@ -139,6 +148,8 @@
   std::uint64_t mPart = 0;
   part_status mStatus = part_status::Trusted;
   std::size_t mCrashes = 0;
+  // Those of the crashes for which the evidence is strong.
+  std::size_t mStrongCrashes = 0;
   part_event mCause = part_event::ServerCrashed;
 };
 
@@ -165,11 +176,11 @@
 bool HasRecentSuccess(const prompt_quarantine& aQuarantine, std::uint64_t aPart,
                       absl::Time aNow);
 
-// Counts a crash under aPart that gateway aOwnName, this one, has observed.
-// aCrash identifies the crashed incarnation of the server; a second report of
-// it is ignored. No effect after a recent success.
+// Counts a crash under aPart that gateway aOwnName, this one, has observed. A
+// second report of a crash only counts if its evidence is stronger. No effect
+// after a recent success.
 void AddOwnCrash(prompt_quarantine& aQuarantine, const std::string& aOwnName,
-                 std::uint64_t aPart, const std::string& aCrash,
+                 std::uint64_t aPart, const server_crash& aCrash,
                  absl::Time aNow);
 
 // Adopts the report of a gateway from the store. One that this gateway has not
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -90,6 +90,7 @@
   report.mEvents = aExchange.mEvents;
   report.mFraming = ended->mReader.mFraming;
   report.mPartialEventBytes = aExchange.mPartialEvent.size();
+  report.mHasBegun = ended->mReader.mHasStarted && !ended->mSkipResponse;
   report.mHasOutput = ended->mDispatch.mKind == call_kind::Stream
                         ? ended->mLastEventAt != absl::InfiniteFuture()
                         : aExchange.mHeadSent;
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -143,14 +143,16 @@
 // Guards against requests of one kind that crash one server after the other:
 // once five servers have crashed under a part of a prompt, at most three more
 // requests with it may reach servers, and sound requests must be served.
-void CheckPoisonousPrompts(bool aRestarts)
+void CheckPoisonousPrompts(crash_moment aMoment, bool aRestarts)
 {
   for (const auto& pattern : NameTable(poisonous_pattern{})) {
     for (std::uint64_t seed = 1; seed <= kPromptSeeds; ++seed) {
       const auto sim = MakeSim(ReadChartTexts(), seed, injected_fault::None);
-      RunPoisonousPrompts(*sim, pattern.mValue, aRestarts, kPromptRunTime);
+      RunPoisonousPrompts(*sim, { pattern.mValue, aMoment }, aRestarts,
+                          kPromptRunTime);
       const prompt_counts& counts = sim->mPrompts;
       BOOST_TEST_CONTEXT("seed " << seed << ", " << pattern.mName << ", "
+                                 << ToName(aMoment) << ", "
                                  << counts.mCrashes.size() << " crashes")
       {
         BOOST_TEST(sim->mViolations.empty());
@@ -163,12 +165,21 @@
 
 BOOST_AUTO_TEST_CASE(a_poisonous_part_of_prompts_stops_reaching_servers)
 {
-  CheckPoisonousPrompts(false);
+  CheckPoisonousPrompts(crash_moment::AfterHeaderSection, false);
+}
+
+// Guards against crashes that are not counted because no complete header
+// section had arrived: such a request looks like one that waited.
+BOOST_AUTO_TEST_CASE(crashes_before_the_end_of_the_header_section_count)
+{
+  CheckPoisonousPrompts(crash_moment::BeforeResponse, false);
+  CheckPoisonousPrompts(crash_moment::InHeaderSection, false);
 }
 
 BOOST_AUTO_TEST_CASE(a_poisonous_part_is_remembered_over_restarts)
 {
-  CheckPoisonousPrompts(true);
+  CheckPoisonousPrompts(crash_moment::AfterHeaderSection, true);
+  CheckPoisonousPrompts(crash_moment::BeforeResponse, true);
 }
 
 // Guards against sound requests that are refused because servers crash for
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -233,6 +233,24 @@
   std::deque<absl::Time> mArrivals;
 };
 
+// How much of its response a server has sent when a poisonous request crashes
+// it.
+enum class crash_moment
+{
+  BeforeResponse,
+  InHeaderSection,
+  AfterHeaderSection,
+};
+
+constexpr auto NameTable(crash_moment)
+{
+  using m = crash_moment;
+  return MakeNameTable<m>(
+    { { m::BeforeResponse, "before_response" },
+      { m::InHeaderSection, "in_header_section" },
+      { m::AfterHeaderSection, "after_header_section" } });
+}
+
 // What RunPoisonousPrompts observes.
 struct prompt_counts
 {
@@ -246,6 +264,8 @@
   int mSoundDispatched = 0;
   // Sound requests that were refused because of their prompt.
   int mSoundQuarantined = 0;
+  // When poisonous requests crash their servers.
+  crash_moment mMoment = crash_moment::AfterHeaderSection;
 };
 
 // A function that runs at mAt. mSequence orders events of the same time.
@@ -351,10 +371,17 @@
                             { p::First, "first" } });
 }
 
+// How poisonous requests come and what they do.
+struct poisonous_requests
+{
+  poisonous_pattern mPattern = poisonous_pattern::VaryingCompanion;
+  crash_moment mMoment = crash_moment::AfterHeaderSection;
+};
+
 // Runs for aTime with callers whose prompts consist of parts; a request in
 // twenty has the poisonous part. If aRestarts is set, single gateways are
 // killed meanwhile. Counts into mPrompts.
-void RunPoisonousPrompts(fleet_sim& aSim, poisonous_pattern aPattern,
+void RunPoisonousPrompts(fleet_sim& aSim, const poisonous_requests& aRequests,
                          bool aRestarts, absl::Duration aTime);
 
 // Runs for aTime with the same callers without poisonous prompts, while servers
--- a/tests/gateway_sim/sim_prompts.cc
+++ b/tests/gateway_sim/sim_prompts.cc
@@ -125,12 +125,13 @@
 
 } // namespace
 
-void RunPoisonousPrompts(fleet_sim& aSim, poisonous_pattern aPattern,
+void RunPoisonousPrompts(fleet_sim& aSim, const poisonous_requests& aRequests,
                          bool aRestarts, absl::Duration aTime)
 {
   PrepareForPrompts(aSim);
+  aSim.mPrompts.mMoment = aRequests.mMoment;
   const absl::Time end = aSim.mNow + aTime;
-  SendPromptsPeriodically(aSim, aPattern, end);
+  SendPromptsPeriodically(aSim, aRequests.mPattern, end);
   if (aRestarts) {
     RestartGatewaysPeriodically(aSim, end);
   }
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -114,8 +114,10 @@
     return;
   }
   if (request.mIsPoisonous) {
+    const crash_moment moment = aSim.mPrompts.mMoment;
     report.mOutcome = attempt_outcome::Broken;
-    report.mStatus = 200;
+    report.mStatus = moment == crash_moment::AfterHeaderSection ? 200 : 0;
+    report.mHasBegun = moment != crash_moment::BeforeResponse;
     ExecuteRequest(aSim, aAction.mHandle, request.mPrompt);
     AddAttempt(aSim, 2 * kRunTime, { aIndex, 0, server, report });
     Schedule(aSim, kPoisonousRunTime,
@@ -169,6 +171,12 @@
     if (attempt.mServer != aServer) {
       continue;
     }
+    // The server had not begun to respond to some of the sound requests.
+    if (aSim.mRequests[attempt.mReport.mHandle].mIsSound &&
+        Draw(aSim, 3) == 0) {
+      attempt.mReport.mEvents = 0;
+      attempt.mReport.mHasOutput = false;
+    }
     attempt.mReport.mOutcome = attempt.mReport.mEvents > 0
                                  ? attempt_outcome::BrokenMidway
                                  : attempt_outcome::Broken;
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -36,22 +36,38 @@
 // the time after the last one.
 absl::Time AddCrashes(prompt_quarantine& aQuarantine,
                       const std::vector<std::uint64_t>& aParts, int aFrom,
-                      int aCount, absl::Time aStart = kStart)
+                      int aCount, absl::Time aStart = kStart,
+                      crash_evidence aEvidence = crash_evidence::ResponseBegun)
 {
   absl::Time now = aStart;
   for (int i = aFrom; i < aFrom + aCount; ++i) {
     for (const std::uint64_t part : aParts) {
-      AddOwnCrash(aQuarantine, "g", part, "e" + std::to_string(i) + "/1", now);
+      AddOwnCrash(aQuarantine, "g", part,
+                  { "e" + std::to_string(i) + "/1", aEvidence }, now);
     }
     now += kPause;
   }
   return now;
 }
 
+// Counts crashes as AddCrashes does, of servers that had not begun to respond.
+absl::Time AddUnansweredCrashes(prompt_quarantine& aQuarantine,
+                                const std::vector<std::uint64_t>& aParts,
+                                int aFrom, int aCount,
+                                absl::Time aStart = kStart)
+{
+  return AddCrashes(aQuarantine, aParts, aFrom, aCount, aStart,
+                    crash_evidence::NoResponse);
+}
+
 crash_report MakeReport(std::uint64_t aPart, const std::string& aGateway,
-                        std::vector<std::string> aCrashes)
+                        const std::vector<std::string>& aCrashes)
 {
-  return { aPart, aGateway, std::move(aCrashes) };
+  crash_report report{ aPart, aGateway, {} };
+  for (const std::string& crash : aCrashes) {
+    report.mCrashes.push_back({ crash, crash_evidence::ResponseBegun });
+  }
+  return report;
 }
 
 BOOST_AUTO_TEST_CASE(a_part_is_quarantined_after_enough_crashes)
@@ -71,7 +87,7 @@
 {
   prompt_quarantine quarantine = MakeQuarantine();
   for (int i = 0; i < 5; ++i) {
-    AddOwnCrash(quarantine, "g", kPoisonous, "e1/1", kStart + i * kPause);
+    AddOwnCrash(quarantine, "g", kPoisonous, { "e1/1" }, kStart + i * kPause);
   }
   ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e1/1" }), kStart);
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
@@ -82,7 +98,7 @@
 {
   prompt_quarantine quarantine = MakeQuarantine();
   for (int i = 0; i < 5; ++i) {
-    AddOwnCrash(quarantine, "g", kCommon, "e" + std::to_string(i) + "/1",
+    AddOwnCrash(quarantine, "g", kCommon, { "e" + std::to_string(i) + "/1" },
                 kStart + i * absl::Milliseconds(10));
   }
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon }));
@@ -204,12 +220,67 @@
   BOOST_TEST(quarantine.mUnwritten.count({ kPoisonous, "g" }) == 1U);
 }
 
+// Guards against crashes before the header section of the response is complete:
+// they are weaker evidence, but they count.
+BOOST_AUTO_TEST_CASE(crashes_before_any_response_quarantine_a_part_later)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  const absl::Time now = AddUnansweredCrashes(
+    quarantine, { kPoisonous }, 1, static_cast<int>(kQuarantineAnyCrashes) - 1);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
+  AddUnansweredCrashes(quarantine, { kPoisonous },
+                       static_cast<int>(kQuarantineAnyCrashes), 1, now);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
+}
+
+// Guards against sound requests that are blamed because they waited at servers
+// that the poisonous part crashed, and against poisonous requests that pass
+// because of them.
+BOOST_AUTO_TEST_CASE(a_part_that_waited_at_the_same_crashes_passes)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  for (int i = 1; i <= 8; ++i) {
+    const absl::Time now = kStart + i * kPause;
+    AddCrashes(quarantine, { kPoisonous }, i, 1, now);
+    AddUnansweredCrashes(quarantine, { kSubject }, i, 1, now);
+  }
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
+  BOOST_TEST(
+    FindQuarantinedPart(quarantine, { kCommon, kPoisonous }).has_value());
+}
+
+// Guards against weak evidence that hides strong evidence on the same crash or
+// on one at the same moment.
+BOOST_AUTO_TEST_CASE(stronger_evidence_replaces_weaker)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  for (int i = 1; i <= 3; ++i) {
+    const absl::Time now = kStart + i * kPause;
+    AddUnansweredCrashes(quarantine, { kPoisonous }, i, 1, now);
+    BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
+    AddCrashes(quarantine, { kPoisonous }, i, 1, now);
+  }
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
+}
+
+// Each gateway may have seen another sign of the same crash.
+BOOST_AUTO_TEST_CASE(evidence_of_other_gateways_counts_by_its_strength)
+{
+  prompt_quarantine quarantine = MakeQuarantine();
+  AddUnansweredCrashes(quarantine, { kPoisonous }, 1, 3);
+  ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e1/1", "e2/1" }),
+                   kStart);
+  BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
+  ApplyCrashReport(quarantine, MakeReport(kPoisonous, "i", { "e3/1" }), kStart);
+  BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
+}
+
 // The evidence must not grow with the number of different prompts.
 BOOST_AUTO_TEST_CASE(the_number_of_records_is_bounded)
 {
   prompt_quarantine quarantine = MakeQuarantine();
   for (std::uint64_t part = 0; part < 2 * kMaxSuspectParts; ++part) {
-    AddOwnCrash(quarantine, "g", part, "e1/1", kStart);
+    AddOwnCrash(quarantine, "g", part, { "e1/1" }, kStart);
   }
   BOOST_TEST(quarantine.mParts.size() == kMaxSuspectParts);
   for (std::uint64_t part = 0; part < kMaxSuspectParts; ++part) {
@@ -247,16 +318,18 @@
   return fixture;
 }
 
-// Sends a prompt and breaks its attempt off before its first event. Returns the
-// probe of the server.
+// Sends a prompt and breaks its attempt off before its first event, by default
+// after the header section of the response. Returns the probe of the server.
 probe_server BreakPrompt(gateway_fixture& aFixture,
-                         const std::vector<std::uint64_t>& aParts)
+                         const std::vector<std::uint64_t>& aParts,
+                         bool aHasBegun = true)
 {
   aFixture.mActions.clear();
   FireEvent(aFixture, MakePrompt(aFixture, aParts));
   auto report =
     MakeAttemptReport(TakeOnlyDispatch(aFixture), attempt_outcome::Broken);
-  report.mStatus = 200;
+  report.mStatus = aHasBegun ? 200 : 0;
+  report.mHasBegun = aHasBegun;
   FireEvent(aFixture, report);
   // Taken without the other actions, which the test may check.
   std::vector<probe_server> probes;
@@ -271,9 +344,10 @@
 
 // Lets a server crash under a prompt and return as another incarnation.
 void CrashUnderPrompt(gateway_fixture& aFixture,
-                      const std::vector<std::uint64_t>& aParts, int aNumber)
+                      const std::vector<std::uint64_t>& aParts, int aNumber,
+                      bool aHasBegun = true)
 {
-  const probe_server probe = BreakPrompt(aFixture, aParts);
+  const probe_server probe = BreakPrompt(aFixture, aParts, aHasBegun);
   FireEvent(aFixture, server_probed{ probe.mBackend, probe.mStartedMs, true });
   backend_entry entry = MakeBackendEntry("engines", probe.mAddress);
   entry.mStartedMs = aNumber;
@@ -333,14 +407,52 @@
 
 // On a crowded server, many sound requests wait when it crashes.
 BOOST_AUTO_TEST_CASE(a_request_that_waited_at_its_server_is_not_blamed)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  // More crashes than lead to a quarantine, with complete responses in between.
+  for (int i = 1; i <= 3 * static_cast<int>(kQuarantineAnyCrashes); ++i) {
+    CrashUnderPrompt(fixture, { kSubject }, i, false);
+    if (i % 4 == 0) {
+      fixture.mActions.clear();
+      FireEvent(fixture, MakePrompt(fixture, { kSubject }));
+      FireEvent(fixture, MakeAttemptReport(TakeOnlyDispatch(fixture),
+                                           attempt_outcome::Delivered));
+      AdvanceTime(fixture, kRecentSuccessTime);
+    }
+  }
+  fixture.mActions.clear();
+  FireEvent(fixture, MakePrompt(fixture, { kSubject }));
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
+}
+
+// A server that leaves as planned ends with the requests that wait there.
+BOOST_AUTO_TEST_CASE(a_request_that_waited_at_a_leaving_server_is_not_blamed)
 {
   gateway_fixture fixture = MakePromptGateway();
   FireEvent(fixture, MakePrompt(fixture, { kSubject }));
-  FireEvent(fixture, MakeAttemptReport(TakeOnlyDispatch(fixture),
-                                       attempt_outcome::Broken));
+  const dispatch_request dispatch = TakeOnlyDispatch(fixture);
+  backend_entry entry = MakeBackendEntry("engines", dispatch.mAddress);
+  entry.mLeaving = true;
+  DeliverBackends(fixture, 30, false,
+                  { { dispatch.mBackend.mValue, 30, entry } });
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeAttemptReport(dispatch, attempt_outcome::Broken));
   BOOST_TEST(TakeActions<probe_server>(fixture).empty());
 }
 
+// Guards against a part that crashes servers before they have sent a byte: its
+// requests must not reach one server after the other.
+BOOST_AUTO_TEST_CASE(a_gateway_refuses_prompts_that_crash_before_any_response)
+{
+  gateway_fixture fixture = MakePromptGateway();
+  for (int i = 1; i <= static_cast<int>(kQuarantineAnyCrashes); ++i) {
+    CrashUnderPrompt(fixture, { kPoisonous }, i, false);
+  }
+  fixture.mActions.clear();
+  FireEvent(fixture, MakePrompt(fixture, { kPoisonous }));
+  BOOST_TEST((TakeOnlyErrorCode(fixture) == error_code::PromptQuarantined));
+}
+
 // A request that may be resumed must not take the next server down too.
 BOOST_AUTO_TEST_CASE(a_suspect_prompt_is_not_sent_to_a_second_server)
 {
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -361,20 +361,37 @@
   }
 }
 
-// Only an attempt without output may have crashed its server by its prompt.
-BOOST_AUTO_TEST_CASE(a_report_states_whether_the_attempt_had_output)
+// Only an attempt without output may have crashed its server by its prompt, and
+// the evidence is stronger if its response had begun.
+BOOST_AUTO_TEST_CASE(a_report_states_how_far_the_response_came)
 {
   const std::string head = kResponseHead + "\r\n";
-  for (const std::string event : { "", "id: 1\ndata:x\n\n" }) {
+  const std::string event = "id: 1\ndata:x\n\n";
+  for (const std::string& sent :
+       { std::string(), std::string("H"), head.substr(0, head.size() - 1), head,
+         head + event.substr(0, 3), head + event }) {
     traffic_fixture fixture;
     tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
     DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
                     call_kind::Stream);
-    RespondOnce(fixture, head + event).close();
-    BOOST_TEST(AwaitEvent<attempt_report>(fixture).mHasOutput ==
-               !event.empty());
+    RespondOnce(fixture, sent).close();
+    const auto report = AwaitEvent<attempt_report>(fixture);
+    BOOST_TEST(report.mHasBegun == !sent.empty());
+    BOOST_TEST(report.mHasOutput == (sent == head + event));
   }
 }
 
+// Guards against blaming a request for an interim response, which a server may
+// send before it runs the request.
+BOOST_AUTO_TEST_CASE(an_interim_response_does_not_begin_the_response)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                  call_kind::Stream);
+  RespondOnce(fixture, "HTTP/1.1 102 Processing\r\n\r\n").close();
+  BOOST_TEST(!AwaitEvent<attempt_report>(fixture).mHasBegun);
+}
+
 } // namespace
 } // namespace foxtailquay
