Give a further attempt at the same address a new connection

Cause: responses on a kept connection are told apart by the caller's attempt id, which all attempts of a request share. After a rejection the connection went back to the pool, and the next attempt at the same address (another entry with that address, or the same server) took it again. A late copy of the rejection was then taken for the response to the second attempt.

Change: an exchange remembers the addresses that it was sent to, and a further attempt at one of them takes no idle connection. If a server's places are all taken, an idle connection is closed for it.

--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -403,6 +403,18 @@
   EndAttempt(aTraffic, *active, ComputeBrokenOutcome(*active), false);
 }
 
+// All attempts of an exchange have the same id, so that a late copy of the
+// response to an earlier one could not be told apart from the response to a
+// later one on the same connection.
+channel_choice ChooseChannel(const exchange& aExchange,
+                             const std::string& aAddress)
+{
+  const auto& tried = aExchange.mTriedAddresses;
+  return std::find(tried.begin(), tried.end(), aAddress) == tried.end()
+           ? channel_choice::IdleOrNew
+           : channel_choice::New;
+}
+
 channel_handlers MakeServerHandlers(traffic& aTraffic, request_handle aHandle,
                                     channel_id aChannel)
 {
@@ -483,7 +495,8 @@
   active->mPartialEvent.clear();
   const pooled_channel channel =
     AcquireChannel(aTraffic.mLoop, aTraffic.mPool, aDispatch.mAddress,
-                   aDispatch.mMaxConnections, channel_options{});
+                   aDispatch.mMaxConnections, channel_options{},
+                   ChooseChannel(*active, aDispatch.mAddress));
   active->mAttempt = std::make_unique<attempt>();
   attempt& started = *active->mAttempt;
   started.mDispatch = aDispatch;
@@ -506,6 +519,7 @@
     active->mRequest, active->mBody.size(), aDispatch,
     aDispatch.mDeadline - MonotonicNow(), active->mLastEventId);
   Send(aTraffic.mLoop, channel.mId, head + active->mBody);
+  active->mTriedAddresses.push_back(aDispatch.mAddress);
 }
 
 } // namespace foxtailquay
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -110,6 +111,8 @@
   std::string mBody;
   std::string mAttemptId;
   absl::Time mArrivedAt;
+  // Addresses to which the request was sent.
+  std::vector<std::string> mTriedAddresses;
   // The attempt in progress; null between attempts.
   std::unique_ptr<attempt> mAttempt;
   // The failure response of the last attempt, held until deliver_failure.
--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -111,7 +111,9 @@
   channel_options options;
   options.mConnectTimeout = aCall.mConnectTimeout;
   const channel_id id =
-    AcquireChannel(aCalls.mLoop, aCalls.mPool, aCall.mAddress, 0, options).mId;
+    AcquireChannel(aCalls.mLoop, aCalls.mPool, aCall.mAddress, 0, options,
+                   channel_choice::IdleOrNew)
+      .mId;
   running_call_ptr call(new running_call);
   call->mAddress = aCall.mAddress;
   call->mOnDone = std::move(aOnDone);
--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -30,15 +30,21 @@
 
 pooled_channel AcquireChannel(event_loop& aLoop, connection_pool& aPool,
                               const std::string& aAddress, int aMaxOpen,
-                              const channel_options& aOptions)
+                              const channel_options& aOptions,
+                              channel_choice aChoice)
 {
   address_pool& pool = aPool.mAddresses[aAddress];
   const absl::Time now = MonotonicNow();
-  while (!pool.mIdle.empty()) {
+  const auto isFull = [&pool, aMaxOpen] {
+    return aMaxOpen > 0 && pool.mOpenCount >= aMaxOpen;
+  };
+  while (!pool.mIdle.empty() &&
+         (aChoice == channel_choice::IdleOrNew || isFull())) {
     const idle_channel last = pool.mIdle.back();
     pool.mIdle.pop_back();
     // Bytes that arrived since the last response belong to no call.
-    if (last.mExpiresAt > now && IsOpen(aLoop, last.mId) &&
+    if (aChoice == channel_choice::IdleOrNew && last.mExpiresAt > now &&
+        IsOpen(aLoop, last.mId) &&
         PeekInput(aLoop, last.mId) == unread_input::Nothing) {
       ClearHasSent(aLoop, last.mId);
       return { last.mId, true };
@@ -46,7 +52,7 @@
     Close(aLoop, last.mId);
     --pool.mOpenCount;
   }
-  if (aMaxOpen > 0 && pool.mOpenCount >= aMaxOpen) {
+  if (isFull()) {
     return {};
   }
   ++pool.mOpenCount;
--- a/src/transport/connection_pool.h
+++ b/src/transport/connection_pool.h
@@ -19,6 +19,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "foxtailquay/name_table.h"
 #include "transport/event_loop.h"
 
 namespace foxtailquay {
@@ -45,6 +46,21 @@
   absl::flat_hash_map<std::string, address_pool> mAddresses;
 };
 
+// Which connections AcquireChannel may return.
+enum class channel_choice
+{
+  IdleOrNew,
+  // Only a new one, on which no response to an earlier call can arrive.
+  New,
+};
+
+constexpr auto NameTable(channel_choice)
+{
+  return MakeNameTable<channel_choice>(
+    { { channel_choice::IdleOrNew, "idle_or_new" },
+      { channel_choice::New, "new" } });
+}
+
 // Result of AcquireChannel.
 struct pooled_channel
 {
@@ -54,11 +70,13 @@
   bool mIsReused = false;
 };
 
-// Returns an idle connection to aAddress if there is one, otherwise a new one,
-// unless aMaxOpen connections are open. aMaxOpen 0 means no limit.
+// Returns an idle connection to aAddress if there is one and aChoice allows it,
+// otherwise a new one, unless aMaxOpen connections are in use. aMaxOpen 0 means
+// no limit.
 pooled_channel AcquireChannel(event_loop& aLoop, connection_pool& aPool,
                               const std::string& aAddress, int aMaxOpen,
-                              const channel_options& aOptions);
+                              const channel_options& aOptions,
+                              channel_choice aChoice);
 
 // Keeps the connection for reuse for aIdleTime. Precondition: the last response
 // was read to its end, and no bytes are left to send.
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -112,6 +112,65 @@
   BOOST_REQUIRE(poll(&waiting, 1, static_cast<int>(limit.count())) == 1);
 }
 
+// Guards against an order that is refused as not run while it runs: a server
+// that was restarted at its address sends the rejection of the order's first
+// attempt once more, where the response to the second one is expected.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_rejection_does_not_end_the_next_attempt)
+{
+  const std::string rejections[] = {
+    "HTTP/1.1 421 Misdirected\r\nFoxtailquay-Attempt-Id: a1\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\nFoxtailquay-Attempt-Id: a1\r\n"
+    "Foxtailquay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 500 Oops\r\nFoxtailquay-Attempt-Id: a1\r\n"
+    "Foxtailquay-Server-Seal: s1\r\nContent-Length: 0\r\n\r\n",
+  };
+  for (const std::string& rejection : rejections) {
+    BOOST_TEST_CONTEXT(rejection)
+    {
+      traffic_fixture fixture;
+      tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+      const auto request = AwaitEvent<caller_request>(fixture);
+      DispatchAttempt(fixture, request.mHandle, 1, call_kind::NonIdempotent);
+      tcp::socket first = RespondOnce(fixture, rejection);
+      AwaitEvent<attempt_report>(fixture);
+      DispatchAttempt(fixture, request.mHandle, 2, call_kind::NonIdempotent);
+      AwaitReadable(fixture.mServerAcceptor);
+      asio::write(first, asio::buffer(rejection));
+      RespondOnce(fixture, kResponseHead + kOkBody);
+      BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+                 ToName(attempt_outcome::Delivered));
+    }
+  }
+}
+
+// Guards against a request that cannot be sent again because its idle
+// connection takes the only place.
+BOOST_AUTO_TEST_CASE(an_idle_connection_makes_room_for_a_new_one)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  const auto request = AwaitEvent<caller_request>(fixture);
+  const auto dispatch = [&](int aAttempt) {
+    dispatch_request action =
+      MakeDispatch(fixture, request.mHandle, aAttempt, call_kind::Idempotent);
+    action.mMaxConnections = 1;
+    Post(fixture.mLoop,
+         [&fixture, action] { DispatchExchange(fixture.mTraffic, action); });
+  };
+  dispatch(1);
+  tcp::socket first =
+    RespondOnce(fixture, "HTTP/1.1 503 Busy\r\nFoxtailquay-Attempt-Id: a1\r\n"
+                         "Foxtailquay-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+  AwaitEvent<attempt_report>(fixture);
+  dispatch(2);
+  AwaitReadable(fixture.mServerAcceptor);
+  RespondOnce(fixture, kResponseHead + kOkBody);
+  BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+             ToName(attempt_outcome::Delivered));
+}
+
 // Bytes that arrive while a connection is idle may still be unread when the
 // connection is taken for the next request.
 BOOST_AUTO_TEST_CASE(a_connection_with_unread_bytes_is_not_reused)
