Limit token counts so that their sums cannot overflow

Cause: prompt and output tokens were added without a bound. With 2^63-1 output tokens the sum was negative, and reserving it added tokens to the free ones.

A request that needs more than the complete total is refused with 402 at once; it made its gateway gather the tokens of all others before.

--- a/include/foxtailquay/types.h
+++ b/include/foxtailquay/types.h
@@ -19,6 +19,27 @@
 
 // Amount in budget tokens.
 using token_count = std::int64_t;
+// Largest amount that is computed with. Counts from outside are lowered to it,
+// so that a sum of two is far from the end of the type's range.
+constexpr token_count kMaxTokenCount = token_count{ 1 } << 53;
+
+// Returns the sum, at most kMaxTokenCount. Preconditions: neither count is
+// negative. Thread-safe.
+constexpr token_count AddTokens(token_count aLeft, token_count aRight)
+{
+  return aLeft >= kMaxTokenCount || aRight >= kMaxTokenCount - aLeft
+           ? kMaxTokenCount
+           : aLeft + aRight;
+}
+
+// Returns the product, at most kMaxTokenCount. Preconditions: neither factor is
+// negative. Thread-safe.
+constexpr token_count MultiplyTokens(token_count aTokens, std::int64_t aFactor)
+{
+  return aFactor != 0 && aTokens > kMaxTokenCount / aFactor ? kMaxTokenCount
+                                                            : aTokens * aFactor;
+}
+
 // Number of a process start, allocated from the member list; a higher one is
 // newer.
 using incarnation_number = std::uint64_t;
--- a/src/core/account.cc
+++ b/src/core/account.cc
@@ -49,7 +49,7 @@
   if (!target.mTopUps.emplace(aOp.mTopUpId, aOp.mAmount).second) {
     return op_outcome::AlreadyApplied;
   }
-  target.mPaidIn += aOp.mAmount;
+  target.mPaidIn = AddTokens(target.mPaidIn, aOp.mAmount);
   return op_outcome::Applied;
 }
 
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -186,7 +186,9 @@
     ComputeRequiredHeadroom(tokens.mShare, priority, options, aNow) -
     tokens.mShare.mFreeTokens;
   for (const token_waiter& waiter : tokens.mWaiters) {
-    shortage += waiter.mPriority == priority ? waiter.mAmount : 0;
+    shortage =
+      std::min(kMaxTokenCount,
+               shortage + (waiter.mPriority == priority ? waiter.mAmount : 0));
   }
   if (shortage <= 0) {
     return;
@@ -301,8 +303,9 @@
   }
   const token_count output =
     std::min(aRequest.mCaller.mMaxOutputTokens,
-             aRequest.mEvents * aRequest.mTokensPerEvent);
-  return std::min(aRequest.mReserved, aRequest.mCaller.mPromptTokens + output);
+             MultiplyTokens(aRequest.mTokensPerEvent, aRequest.mEvents));
+  return std::min(aRequest.mReserved,
+                  AddTokens(aRequest.mCaller.mPromptTokens, output));
 }
 
 void SettleRequest(gateway& aGateway, forwarded_request& aRequest)
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -112,7 +112,7 @@
   token_count length = 0;
   for (const prompt_part& part : aRequest.mCaller.mPromptParts) {
     query.mSharedTokens = length;
-    length += part.mTokens;
+    length = AddTokens(length, part.mTokens);
     query.mPrefixes.push_back(part.mHash);
     query.mPrefixTokens.push_back(length);
   }
@@ -158,14 +158,14 @@
     aRequest.mMaxConnections = service->mMaxConnections;
   }
   if (aRequest.mIsEngine) {
-    aRequest.mWorstCaseCost =
-      aRequest.mCaller.mPromptTokens + aRequest.mCaller.mMaxOutputTokens;
+    aRequest.mWorstCaseCost = AddTokens(aRequest.mCaller.mPromptTokens,
+                                        aRequest.mCaller.mMaxOutputTokens);
   }
 }
 
 // Finds the route and the workspace that pays, and sets the fields that depend
 // on them. Errors: ShuttingDown, NotReady, NotFound, Unauthorized,
-// PromptQuarantined.
+// BudgetExhausted, PromptQuarantined.
 result<success> Admit(gateway& aGateway, forwarded_request& aRequest,
                       absl::Time aNow)
 {
@@ -204,6 +204,12 @@
   }
   aRequest.mService = ChooseService(caller, *route);
   ApplyServiceSettings(aGateway, aRequest);
+  if (aRequest.mIsPrepaid && aRequest.mWorstCaseCost > *payer->mPrepaid) {
+    return MakeError(error_code::BudgetExhausted, executed::No,
+                     absl::StrCat("the request needs ", aRequest.mWorstCaseCost,
+                                  " tokens, the prepaid total is ",
+                                  *payer->mPrepaid));
+  }
   if (aRequest.mIsEngine) {
     if (auto refusal = CheckPrompt(aGateway, aRequest, aNow)) {
       return *std::move(refusal);
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -147,9 +147,10 @@
   aTokens.mShare.mHighestPriorityNeeded = 0;
   aTokens.mShare.mHeadroom = 0;
   for (const token_waiter& waiter : aTokens.mWaiters) {
-    aTokens.mShare.mNeeded += waiter.mAmount;
+    aTokens.mShare.mNeeded = AddTokens(aTokens.mShare.mNeeded, waiter.mAmount);
     if (!HasHigherPriorityDemand(aTokens.mShare, waiter.mPriority)) {
-      aTokens.mShare.mHighestPriorityNeeded += waiter.mAmount;
+      aTokens.mShare.mHighestPriorityNeeded =
+        AddTokens(aTokens.mShare.mHighestPriorityNeeded, waiter.mAmount);
     }
     aTokens.mShare.mHeadroom =
       std::max(aTokens.mShare.mHeadroom,
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -186,8 +186,12 @@
 {
   const double rate =
     std::accumulate(aShare.mRates.begin(), aShare.mRates.begin() + aEnd, 0.0);
-  return static_cast<token_count>(rate * ComputeDecay(aShare, aOptions, aNow) *
-                                  absl::ToDoubleSeconds(aTime));
+  // A number beyond the range of the type would be converted without a defined
+  // result.
+  return static_cast<token_count>(
+    std::min(static_cast<double>(kMaxTokenCount),
+             rate * ComputeDecay(aShare, aOptions, aNow) *
+               absl::ToDoubleSeconds(aTime)));
 }
 
 void SetRecord(grant_share& aShare, const grant_record& aRecord,
--- a/src/core/router_budget.cc
+++ b/src/core/router_budget.cc
@@ -60,7 +60,7 @@
   for (request_handle handle : aShare.mWaiting) {
     const auto found = aState.mRequests.find(handle);
     if (found != aState.mRequests.end()) {
-      needed += found->second.mWorstCaseCost;
+      needed = AddTokens(needed, found->second.mWorstCaseCost);
     }
   }
   return std::max<token_count>(0, needed - ComputeFreeTokens(aShare));
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -1,5 +1,7 @@
 #include "wire/gateway_codec.h"
 
+#include <algorithm>
+
 #include "wire/document_codec.h"
 #include "wire/grant_codec.h"
 #include "json/json.h"
@@ -141,7 +143,8 @@
     return MakeProtocolError("a field is missing or has another type");
   }
   const workspace_id workspace{ aParams["workspace"].asString() };
-  const token_count amount = aParams["amount"].asInt64();
+  const token_count amount =
+    std::min(kMaxTokenCount, aParams["amount"].asInt64());
   if (aMethod == kReturnTokensMethod) {
     return gateway_message(tokens_returned{ workspace, amount });
   }
@@ -169,7 +172,7 @@
     }
     sent_prompt prompt;
     prompt.mBackend = backend_id{ each["backend"].asString() };
-    prompt.mTokens = each["tokens"].asInt64();
+    prompt.mTokens = std::min(kMaxTokenCount, each["tokens"].asInt64());
     for (const Json::Value& prefix : each["prefixes"]) {
       if (!prefix.isUInt64()) {
         return MakeProtocolError("a prefix of a prompt has another type");
@@ -274,8 +277,8 @@
   const auto flag = [&result](const char* aName) {
     return result[aName].isBool() && result[aName].asBool();
   };
-  return token_response{ result["amount"].asInt64(), flag("exhausted"),
-                         flag("store_lost") };
+  return token_response{ std::min(kMaxTokenCount, result["amount"].asInt64()),
+                         flag("exhausted"), flag("store_lost") };
 }
 
 } // namespace foxtailquay
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -222,6 +222,76 @@
   BOOST_TEST(request.mPromptParts[1].mTokens == 410);
 }
 
+// The largest number, half of it, one past 64 bits and a longer one.
+const char* const kHugeNumbers[] = { "9223372036854775807",
+                                     "4611686018427387904",
+                                     "18446744073709551616",
+                                     "99999999999999999999999999999999" };
+
+// Guards against counts whose sum overflows, and against refusing a request as
+// malformed because it states no limit of its own.
+BOOST_AUTO_TEST_CASE(huge_counts_of_a_request_are_limited)
+{
+  for (const std::string number : kHugeNumbers) {
+    const auto read = DecodeRequest(MakeRequestHead(
+      { { "Foxtailquay-Attempt-Id", "1" },
+        { "Foxtailquay-Deadline-Ms", number },
+        { "Foxtailquay-Token-Count", number + "," + number },
+        { "Foxtailquay-Prompt-Prefix", "1:" + number + ",2:" + number } }));
+    BOOST_REQUIRE(IsOk(read));
+    const caller_request& request = GetValue(read);
+    BOOST_TEST(request.mPromptTokens == kMaxTokenCount);
+    BOOST_TEST(request.mMaxOutputTokens == kMaxTokenCount);
+    BOOST_TEST(request.mPromptParts.back().mTokens == kMaxTokenCount);
+    BOOST_TEST((*request.mCallerTimeout > absl::Hours(1)));
+  }
+}
+
+// Guards against a load whose sum overflows.
+BOOST_AUTO_TEST_CASE(huge_numbers_of_a_server_are_limited)
+{
+  for (const std::string number : kHugeNumbers) {
+    message_head head;
+    head.mStatus = 200;
+    head.mFields = { { "Foxtailquay-Server-Load", number + "," + number },
+                     { "Keep-Alive", "timeout=" + number } };
+    const response_info info = DecodeResponse(head);
+    BOOST_REQUIRE(info.mLoad);
+    BOOST_TEST(info.mLoad->mRunning > 0);
+    BOOST_TEST(info.mLoad->mRunning + info.mLoad->mQueued > 0);
+    BOOST_TEST((*info.mKeepAliveTimeout > absl::Hours(1)));
+  }
+  message_head negative;
+  negative.mFields = { { "Foxtailquay-Server-Load", "-5,3,8" } };
+  BOOST_TEST(!DecodeResponse(negative).mLoad);
+}
+
+// Guards against totals that are too large to compute with and are taken for
+// none, and against limits that overflow their type.
+BOOST_AUTO_TEST_CASE(huge_numbers_of_a_configuration_are_limited)
+{
+  for (const std::string number : kHugeNumbers) {
+    const auto config = DecodeConfig(ParseJsonOrFail(
+      R"({"version":7,"routes":[
+        {"name":"r1","host":"h.example","prefix":"/a/","kind":"stream",
+         "service":"s1","priority":)" +
+      number + R"(,"max_attempts":)" + number + R"(}],
+       "services":[{"name":"s1","max_conns":)" +
+      number + R"(,"engine":{"slots":)" + number + R"(,"stride":)" + number +
+      R"(}}],"limits":{"max_header_bytes":-1},
+       "tenants":[{"name":"w1","prepaid":)" +
+      number + "}]}"));
+    BOOST_REQUIRE(config);
+    BOOST_TEST(config->mRoutes[0].mPriority > 0);
+    BOOST_TEST(config->mRoutes[0].mMaxAttempts > 1);
+    BOOST_TEST(config->mServices[0].mMaxConnections > 1);
+    BOOST_TEST(config->mServices[0].mSlots > 1);
+    BOOST_TEST(config->mServices[0].mTokensPerEvent == kMaxTokenCount);
+    BOOST_TEST(*config->mWorkspaces[0].mPrepaid == kMaxTokenCount);
+    BOOST_TEST(config->mLimits.mMaxHeaderBytes == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(errors_name_the_malformed_header)
 {
   const header_field cases[] = {
--- a/tests/gateway_model_test.cc
+++ b/tests/gateway_model_test.cc
@@ -6,6 +6,8 @@
 #define BOOST_TEST_MODULE gateway_model
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 #include "gateway_fixture.h"
 
 namespace foxtailquay {
@@ -360,6 +362,42 @@
   BOOST_TEST((AskForTokens(fixture, exhausted) == error_code::RateLimited));
 }
 
+// Guards against stated sizes whose sum overflows: they reserved a negative
+// number of tokens, which lifted the total for all other requests.
+BOOST_AUTO_TEST_CASE(a_request_of_any_stated_size_takes_no_tokens_it_cannot_pay)
+{
+  constexpr token_count kLargest = std::numeric_limits<token_count>::max();
+  const token_count sizes[] = { kLargest, kLargest / 2 + 1, kMaxTokenCount,
+                                kPrepaid + 1 };
+  for (const token_count size : sizes) {
+    for (const token_count prompt :
+         { token_count{ 0 }, token_count{ 100 }, size }) {
+      gateway_fixture fixture = MakeFundedGateway();
+      fixture.mActions.clear();
+      FireEvent(fixture, MakeChatRequest(fixture, prompt, size));
+      // Refused at once: it can never be served.
+      BOOST_TEST((TakeOnlyErrorCode(fixture) == error_code::BudgetExhausted));
+      FireEvent(fixture, MakeChatRequest(fixture, 100, kPrepaid - 100));
+      BOOST_TEST(TakeActions<dispatch_request>(fixture).empty());
+    }
+  }
+}
+
+// Guards against a sum over waiting requests that overflows.
+BOOST_AUTO_TEST_CASE(token_arithmetic_ends_at_its_limit)
+{
+  constexpr token_count kLargest = std::numeric_limits<token_count>::max();
+  BOOST_TEST(AddTokens(3, 4) == 7);
+  BOOST_TEST(AddTokens(kLargest, 1) == kMaxTokenCount);
+  BOOST_TEST(AddTokens(1, kLargest) == kMaxTokenCount);
+  BOOST_TEST(AddTokens(kLargest, kLargest) == kMaxTokenCount);
+  BOOST_TEST(AddTokens(kMaxTokenCount - 1, 1) == kMaxTokenCount);
+  BOOST_TEST(MultiplyTokens(3, 4) == 12);
+  BOOST_TEST(MultiplyTokens(kMaxTokenCount, 0) == 0);
+  BOOST_TEST(MultiplyTokens(kLargest, kLargest) == kMaxTokenCount);
+  BOOST_TEST(MultiplyTokens(2, kMaxTokenCount) == kMaxTokenCount);
+}
+
 // The state of a total does not depend on what a single caller asks for.
 BOOST_AUTO_TEST_CASE(a_coordinator_states_that_the_total_is_used_up)
 {
