Read a connection once per turn of the event loop

What callers saw: while a faulty server sent bytes without end, requests to other, sound servers got no answer (the users measured 1 of 2 answered in 7 s beside 60 such connections).

Cause: a readable connection was read until a read was short. A peer that sends faster than its bytes are parsed keeps the traffic thread, and other connections, timers and actions of the control thread wait.

--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -50,33 +50,29 @@
   }
 }
 
+// Reads once and then waits again, so that a peer that sends faster than its
+// bytes are processed does not keep the thread.
 void OnReadable(event_loop& aLoop, channel_id aChannel)
 {
+  channel* target = FindChannel(aLoop, aChannel);
+  if (target == nullptr || target->mIsReadingPaused) {
+    return;
+  }
   auto& readBuffer = aLoop.mImpl->mReadBuffer;
-  while (channel* target = FindChannel(aLoop, aChannel)) {
-    if (target->mIsReadingPaused) {
-      return;
-    }
-    loop_failure failure;
-    const std::size_t size =
-      target->mSocket.read_some(asio::buffer(readBuffer), failure);
-    if (IsTransient(failure)) {
-      WaitToRead(aLoop, aChannel);
-      return;
-    }
-    if (failure) {
-      CloseAndNotify(aLoop, aChannel,
-                     failure == asio::error::eof ? close_cause::Ended
-                                                 : close_cause::Broken);
-      return;
-    }
+  loop_failure failure;
+  const std::size_t size =
+    target->mSocket.read_some(asio::buffer(readBuffer), failure);
+  if (failure && !IsTransient(failure)) {
+    CloseAndNotify(aLoop, aChannel,
+                   failure == asio::error::eof ? close_cause::Ended
+                                               : close_cause::Broken);
+    return;
+  }
+  if (!failure) {
     aLoop.mImpl->mReceivedBytes += size;
     DeliverData(*target, std::string_view(readBuffer.data(), size));
-    if (size < readBuffer.size()) {
-      WaitToRead(aLoop, aChannel);
-      return;
-    }
   }
+  WaitToRead(aLoop, aChannel);
 }
 
 // Calls aOnReady once the socket is ready for aFor. aWaiting is the channel's
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -8,6 +8,8 @@
 
 #include <poll.h>
 
+#include <atomic>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -251,6 +253,130 @@
   }
 }
 
+// Connects a server that sends without end until the object is destroyed.
+struct endless_server
+{
+  endless_server(traffic_fixture& aFixture, call_kind aKind,
+                 const std::string& aStart, std::string aRepeated)
+    : mCaller(SendCallerBytes(aFixture, MakeRequest()))
+  {
+    DispatchAttempt(aFixture, AwaitEvent<caller_request>(aFixture).mHandle, 1,
+                    aKind);
+    mServer = std::make_unique<tcp::socket>(aFixture.mServerAcceptor.accept());
+    ReadUntil(*mServer, "body");
+    asio::write(*mServer, asio::buffer(aStart));
+    mSender = std::thread([this, repeated = std::move(aRepeated)] {
+      boost::system::error_code failure;
+      while (!failure) {
+        asio::write(*mServer, asio::buffer(repeated), failure);
+      }
+    });
+    mReader = std::thread([this] { ReadUntil(mCaller, ""); });
+  }
+  ~endless_server()
+  {
+    boost::system::error_code ignored;
+    mServer->shutdown(tcp::socket::shutdown_both, ignored);
+    mCaller.shutdown(tcp::socket::shutdown_both, ignored);
+    mSender.join();
+    mReader.join();
+  }
+  tcp::socket mCaller;
+  std::unique_ptr<tcp::socket> mServer;
+  std::thread mSender;
+  std::thread mReader;
+};
+
+// Guards against a server that sends faster than its bytes are processed and so
+// keeps the traffic thread: other work of the thread must get its turn.
+BOOST_AUTO_TEST_CASE(a_channel_that_always_has_bytes_leaves_turns_to_others)
+{
+  constexpr int kMaxReadsPerTurn = 4;
+  traffic_fixture fixture;
+  std::atomic<int> reads{ 0 };
+  std::atomic<int> readsAtTurn{ 0 };
+  channel_handlers handlers;
+  handlers.mOnData = [&](std::string_view) {
+    if (++reads == 1) {
+      Post(fixture.mLoop, [&] { readsAtTurn = reads.load(); });
+    }
+    // The peer sends more meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  };
+  const std::string address =
+    "127.0.0.1:" +
+    std::to_string(fixture.mServerAcceptor.local_endpoint().port());
+  Post(fixture.mLoop,
+       [&] { Connect(fixture.mLoop, address, channel_options{}, handlers); });
+  tcp::socket server = fixture.mServerAcceptor.accept();
+  const std::string block(std::size_t{ 1 } << 20, 'x');
+  for (int i = 0; i < 8; ++i) {
+    asio::write(server, asio::buffer(block));
+  }
+  BOOST_TEST(readsAtTurn > 0);
+  BOOST_TEST(readsAtTurn <= kMaxReadsPerTurn);
+}
+
+// Sends a request to a sound server and returns the time until its response.
+std::chrono::steady_clock::duration MeasureSoundRequest(
+  traffic_fixture& aFixture)
+{
+  tcp::acceptor acceptor(aFixture.mIo, MakeLoopbackEndpoint(0));
+  const auto start = std::chrono::steady_clock::now();
+  tcp::socket caller = SendCallerBytes(aFixture, MakeRequest());
+  dispatch_request dispatch =
+    MakeDispatch(aFixture, AwaitEvent<caller_request>(aFixture).mHandle, 1,
+                 call_kind::Idempotent);
+  dispatch.mAddress =
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  Post(aFixture.mLoop, [&aFixture, dispatch] {
+    DispatchExchange(aFixture.mTraffic, dispatch);
+  });
+  AwaitReadable(acceptor);
+  tcp::socket server = acceptor.accept();
+  ReadUntil(server, "body");
+  asio::write(server, asio::buffer(kResponseHead + kOkBody));
+  ReadUntil(caller, "ok");
+  return std::chrono::steady_clock::now() - start;
+}
+
+// Guards against servers whose bytes without end stop the requests of other
+// callers.
+BOOST_AUTO_TEST_CASE(sound_requests_are_answered_beside_endless_responses)
+{
+  // The time limits of callers are longer.
+  constexpr auto kMaxTime = std::chrono::seconds(1);
+  constexpr int kEndlessServers = 12;
+  constexpr int kSoundRequests = 10;
+  std::string tinyChunks;
+  std::string comments;
+  for (int i = 0; i < 1000; ++i) {
+    tinyChunks += "1;x=" + std::string(1000, 'x') + "\r\ny\r\n";
+    comments += ": x\n\n";
+  }
+  const std::string chunk = "4000\r\n" + std::string(16384, 'x') + "\r\n";
+  const endless_case cases[] = {
+    { "chunks with long extensions", call_kind::Idempotent,
+      kResponseHead + kChunked, tinyChunks },
+    { "comments", call_kind::Stream, kResponseHead + "\r\n", comments },
+    { "body", call_kind::Idempotent, kResponseHead + kChunked, chunk },
+  };
+  for (const endless_case& each : cases) {
+    BOOST_TEST_CONTEXT(each.mName)
+    {
+      traffic_fixture fixture;
+      std::vector<std::unique_ptr<endless_server>> servers;
+      for (int i = 0; i < kEndlessServers; ++i) {
+        servers.push_back(std::make_unique<endless_server>(
+          fixture, each.mKind, each.mStart, each.mRepeated));
+      }
+      for (int i = 0; i < kSoundRequests; ++i) {
+        BOOST_TEST((MeasureSoundRequest(fixture) < kMaxTime));
+      }
+    }
+  }
+}
+
 // A caller that does not read a response without end must not make the gateway
 // buffer it.
 BOOST_AUTO_TEST_CASE(an_endless_response_waits_for_its_caller)
