End attempts whose servers send framing or comments without end

What callers saw: a server that sends one-byte chunks with long extensions, or comments of a stream, kept the traffic thread busy until the time limit of each request, and slowed the requests of others down.

Cause: limits applied to header sections, single chunk headers and trailers, events and held bodies. Framing in total, and comments, had none.

Change: an attempt counts the content of its response and the other bytes. After 1 MB of the latter it ends as broken, if they are more than 16 times the content, so that small chunks and streams with many comments pass.

--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -187,7 +187,10 @@
     if (!parsed.mId.empty()) {
       aExchange.mLastEventId = std::string(parsed.mId);
     }
-    if (!parsed.mIsComment) {
+    if (parsed.mIsComment) {
+      aExchange.mAttempt->mContentBytes -= size;
+      aExchange.mAttempt->mOverheadBytes += size;
+    } else {
       ++aExchange.mEvents;
       aExchange.mAttempt->mLastEventAt = MonotonicNow();
     }
@@ -335,6 +338,25 @@
   }
 }
 
+// Parses received bytes and counts what they are.
+void ParseResponse(attempt& aAttempt)
+{
+  const std::size_t received = aAttempt.mInput.size();
+  const std::size_t held = aAttempt.mReader.mBody.size();
+  ParseInput(aAttempt.mReader, aAttempt.mInput);
+  const std::size_t content = aAttempt.mReader.mBody.size() - held;
+  aAttempt.mContentBytes += content;
+  aAttempt.mOverheadBytes += received - aAttempt.mInput.size() - content;
+}
+
+// Returns true if the server sends bytes that lead to nothing.
+bool IsWithoutProgress(const attempt& aAttempt)
+{
+  return aAttempt.mSkippedBytes > kMaxSkippedBytes ||
+         (aAttempt.mOverheadBytes > kMaxOverheadBytes &&
+          aAttempt.mOverheadBytes / kMaxOverheadRatio > aAttempt.mContentBytes);
+}
+
 // Parses received bytes and relays the response.
 void ReadResponse(traffic& aTraffic, request_handle aHandle,
                   channel_id aChannel)
@@ -345,13 +367,13 @@
     }
     attempt& current = *active->mAttempt;
     const std::size_t received = current.mInput.size();
-    ParseInput(current.mReader, current.mInput);
+    ParseResponse(current);
     DecodeResponseInfo(*active);
     if (current.mSkipResponse) {
       current.mSkippedBytes += received - current.mInput.size();
     }
     if (current.mReader.mFailure != reader_failure::None ||
-        current.mSkippedBytes > kMaxSkippedBytes) {
+        IsWithoutProgress(current)) {
       EndAttempt(aTraffic, *active, ComputeBrokenOutcome(*active), false);
       return;
     }
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -49,6 +49,11 @@
 // Number of bytes of interim responses and of responses to other requests after
 // which an attempt ends as broken.
 constexpr std::size_t kMaxSkippedBytes = 1 << 20;
+// Number of bytes of a response without content (framing, comments of a stream)
+// after which an attempt ends as broken, if they are more than
+// kMaxOverheadRatio times its content.
+constexpr std::size_t kMaxOverheadBytes = 1 << 20;
+constexpr std::size_t kMaxOverheadRatio = 16;
 // Time within which a server must accept the connection of a probe.
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(300);
 // Interval of ExpireConnections; the precision of idle and header timeouts.
@@ -97,6 +102,9 @@
   bool mSkipResponse = false;
   // Number of bytes received before the response of the attempt.
   std::size_t mSkippedBytes = 0;
+  // Number of bytes of the response that are content, and of the others.
+  std::size_t mContentBytes = 0;
+  std::size_t mOverheadBytes = 0;
   // Time at which the last complete stream event arrived; InfiniteFuture before
   // the first one.
   absl::Time mLastEventAt = absl::InfiniteFuture();
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -227,6 +227,10 @@
       block },
     { "chunk extension", stream, kResponseHead + kChunked + "4;", block },
     { "trailers", stream, kResponseHead + kChunked + "0\r\n", "X-More: 1\r\n" },
+    { "extensions of small chunks", plain, kResponseHead + kChunked,
+      "1;x=" + std::string(1000, 'x') + "\r\ny\r\n" },
+    { "comments of a stream", stream, kResponseHead + kChunked,
+      "8\r\n: more\n\n\r\n" },
     { "failure response", plain,
       "HTTP/1.1 500 Oops\r\nFoxtailquay-Attempt-Id: a1\r\n"
       "Foxtailquay-Server-Seal: s\r\n" +
@@ -253,6 +257,42 @@
   }
 }
 
+// Guards against a limit on useless bytes that cuts sound responses: small
+// chunks, and a stream with more comments than events.
+BOOST_AUTO_TEST_CASE(a_response_with_much_framing_is_delivered)
+{
+  std::string smallChunks;
+  std::string commentedEvents;
+  for (int i = 1; i <= 300000; ++i) {
+    smallChunks += "1\r\nx\r\n";
+  }
+  for (int i = 1; i <= 100000; ++i) {
+    commentedEvents +=
+      ": wait\n\n: wait\n\nid: " + std::to_string(i) + "\ndata: x\n\n";
+  }
+  const endless_case cases[] = {
+    { "small chunks", call_kind::Idempotent, kResponseHead + kChunked,
+      smallChunks + "0\r\n\r\n" },
+    { "comments", call_kind::Stream, kResponseHead + "\r\n", commentedEvents },
+  };
+  for (const endless_case& each : cases) {
+    BOOST_TEST_CONTEXT(each.mName)
+    {
+      traffic_fixture fixture;
+      tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+      DispatchAttempt(fixture, AwaitEvent<caller_request>(fixture).mHandle, 1,
+                      each.mKind);
+      std::thread reader([&caller] { ReadUntil(caller, "\r\n0\r\n\r\n"); });
+      RespondOnce(fixture, each.mStart + each.mRepeated).close();
+      BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+                 ToName(attempt_outcome::Delivered));
+      boost::system::error_code ignored;
+      caller.shutdown(tcp::socket::shutdown_both, ignored);
+      reader.join();
+    }
+  }
+}
+
 // Connects a server that sends without end until the object is destroyed.
 struct endless_server
 {
