Bound the bytes that all connections together hold

What callers saw: nothing yet; other operators' machines ran out of memory under servers that send without end. Here each connection kept to its limits (up to 0.8 MB for a relayed success), so that some hundred of them would have filled the smallest machine.

Cause: nothing bounded the sum over connections, neither of responses in transit nor of request bodies.

Change: once requests and responses in transit take an eighth of the machine's memory, each connection may hold 32 KB in each direction. Beyond that, reading from the server waits, a response that can't be relayed yet ends as broken, and a larger request body is refused with 503 and Retry-After. The sum is computed for connections that hold more than 32 KB only.

--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -661,6 +661,7 @@
   host->mStore.mPost = [&reference](gateway_event aEvent) {
     PostEvent(reference, std::move(aEvent));
   };
+  host->mTraffic.mMaxBufferedBytes = ComputeMaxBufferedBytes();
   host->mTraffic.mHooks.mPost = [&reference](gateway_event aEvent) {
     return PostEvent(reference, std::move(aEvent));
   };
--- a/src/daemon/process_load.cc
+++ b/src/daemon/process_load.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <unistd.h>
+
 #include "runtime/clock.h"
 
 namespace foxtailquay {
@@ -13,6 +15,10 @@
 // delayed by less while it has spare time.
 constexpr absl::Duration kMaxTimerDelay = absl::Milliseconds(150);
 
+// Part of the machine's memory for requests and responses in transit. The
+// buffers that hold them may be twice as large.
+constexpr std::size_t kBufferedFraction = 8;
+
 double ComputeFraction(double aUsed, double aLimit)
 {
   return aLimit > 0 ? aUsed / aLimit : 0;
@@ -25,6 +31,13 @@
   return { MonotonicNow(), GetTotals(aLoop) };
 }
 
+std::size_t ComputeMaxBufferedBytes()
+{
+  const auto pages = static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES));
+  const auto pageBytes = static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  return pages * pageBytes / kBufferedFraction;
+}
+
 load_measured ComputeLoad(const process_limits& aLimits,
                           const process_usage& aFrom, const process_usage& aTo)
 {
--- a/src/daemon/process_load.h
+++ b/src/daemon/process_load.h
@@ -37,6 +37,10 @@
 
 process_usage MeasureUsage(const event_loop& aLoop);
 
+// Returns the number of bytes of requests and responses that a process may hold
+// on this machine: a part of its memory. Thread-safe.
+std::size_t ComputeMaxBufferedBytes();
+
 // Returns the load between two measurements that a timer of kLoadInterval
 // separates.
 load_measured ComputeLoad(const process_limits& aLimits,
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -201,7 +201,7 @@
     SendChunk(aTraffic, aExchange, std::string_view(pending).substr(0, end));
     pending.erase(0, end);
   }
-  return pending.size() <= kMaxHeldBytes;
+  return !IsBufferFull(aTraffic, pending.size(), kMaxHeldBytes);
 }
 
 void FinishStreamResponse(traffic& aTraffic, exchange& aExchange)
@@ -307,15 +307,16 @@
          (isEmpty || !aExchange.mPartialEvent.empty());
 }
 
-// Relays the parsed part of the response to the caller. A plain response up to
-// kMaxHeldBytes, or one that may not be relayed, is held until it is complete.
+// Relays the parsed part of the response to the caller. A plain response, or
+// one that may not be relayed, is held until it is complete or too large.
 void RelayResponse(traffic& aTraffic, exchange& aExchange)
 {
   attempt& current = *aExchange.mAttempt;
   if (!MayRelay(current.mResponseInfo)) {
     if (current.mReader.mIsComplete) {
       HoldFailure(aTraffic, aExchange);
-    } else if (current.mReader.mBody.size() > kMaxHeldBytes) {
+    } else if (IsBufferFull(aTraffic, current.mReader.mBody.size(),
+                            kMaxHeldBytes)) {
       EndAttempt(aTraffic, aExchange, attempt_outcome::Broken, false);
     }
     return;
@@ -331,7 +332,8 @@
   }
   if (current.mReader.mIsComplete) {
     FinishPlainResponse(aTraffic, aExchange);
-  } else if (current.mReader.mBody.size() > kMaxHeldBytes) {
+  } else if (IsBufferFull(aTraffic, current.mReader.mBody.size(),
+                          kMaxHeldBytes)) {
     SendChunkedHead(aTraffic, aExchange);
     SendChunk(aTraffic, aExchange, current.mReader.mBody);
     current.mReader.mBody.clear();
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Time after which callers may repeat a request that was refused for the load
+// of this process.
+constexpr absl::Duration kOverloadRetryAfter = absl::Milliseconds(500);
+
 void ReadNextRequest(traffic& aTraffic, channel_id aChannel);
 
 caller_connection* FindCaller(traffic& aTraffic, channel_id aChannel)
@@ -52,6 +56,13 @@
                 absl::ZeroDuration() };
 }
 
+error MakeOverloadError(std::string aDetail)
+{
+  error overload = MakeRequestError(error_code::Overloaded, std::move(aDetail));
+  overload.mRetryAfter = kOverloadRetryAfter;
+  return overload;
+}
+
 // Returns the error for a request that the reader rejected.
 error MakeReaderError(reader_failure aFailure)
 {
@@ -93,10 +104,9 @@
   const request_handle handle = started->mHandle;
   aTraffic.mExchanges[handle] = std::move(started);
   if (!aTraffic.mHooks.mPost(std::move(request))) {
-    SendError(aTraffic, { handle,
-                          { error_code::Overloaded, executed::No, "",
-                            "too many requests are waiting for a decision",
-                            absl::Milliseconds(500) } });
+    SendError(aTraffic,
+              { handle, MakeOverloadError(
+                          "too many requests are waiting for a decision") });
   }
 }
 
@@ -134,6 +144,11 @@
                   MakeReaderError(caller->mReader.mFailure));
   } else if (caller->mReader.mIsComplete) {
     StartExchange(aTraffic, *caller);
+  } else if (IsBufferFull(aTraffic, caller->mReader.mBody.size(),
+                          aTraffic.mLimits.mMaxBodyBytes)) {
+    RejectRequest(aTraffic, aChannel,
+                  MakeOverloadError("too many bytes of requests and responses "
+                                    "are held"));
   }
 }
 
@@ -199,12 +214,40 @@
   return found == aTraffic.mExchanges.end() ? nullptr : found->second.get();
 }
 
+std::size_t MeasureBufferedBytes(const traffic& aTraffic)
+{
+  std::size_t bytes = 0;
+  for (const auto& each : aTraffic.mCallers) {
+    const caller_connection& caller = *each.second;
+    bytes += caller.mInput.size() + caller.mReader.mBody.size() +
+             GetUnsentBytes(aTraffic.mLoop, each.first);
+  }
+  for (const auto& each : aTraffic.mExchanges) {
+    const exchange& active = *each.second;
+    bytes += active.mBody.size() + active.mHeldBody.size() +
+             active.mPartialEvent.size();
+    if (active.mAttempt) {
+      bytes +=
+        active.mAttempt->mInput.size() + active.mAttempt->mReader.mBody.size();
+    }
+  }
+  return bytes;
+}
+
+bool IsBufferFull(const traffic& aTraffic, std::size_t aBytes, std::size_t aMax)
+{
+  return aBytes > aMax ||
+         (aBytes > kMinBufferedBytes &&
+          MeasureBufferedBytes(aTraffic) > aTraffic.mMaxBufferedBytes);
+}
+
 void SendToCaller(traffic& aTraffic, exchange& aExchange,
                   std::string_view aBytes)
 {
   Send(aTraffic.mLoop, aExchange.mCaller, aBytes);
   if (aExchange.mAttempt &&
-      GetUnsentBytes(aTraffic.mLoop, aExchange.mCaller) > kMaxUnsentBytes) {
+      IsBufferFull(aTraffic, GetUnsentBytes(aTraffic.mLoop, aExchange.mCaller),
+                   kMaxUnsentBytes)) {
     SetReadingPaused(aTraffic.mLoop, aExchange.mAttempt->mChannel, true);
   }
 }
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -13,7 +13,9 @@
 //
 // All functions must be called on the thread of the loop. Memory is bounded: a
 // caller's request by the configured limits, a response in transit by
-// kMaxHeldBytes or kMaxUnsentBytes on each of its two connections.
+// kMaxHeldBytes or kMaxUnsentBytes on each of its two connections. Once all
+// exchanges together hold mMaxBufferedBytes, each is limited to
+// kMinBufferedBytes, and larger requests are refused.
 //
 // traffic.cc   callers: reading requests, error responses, idle connections
 // attempt.cc   attempts: sending a request, reading and relaying its response
@@ -43,6 +45,9 @@
 // A plain response up to this size is held until it is complete, so that a
 // broken one is not relayed.
 constexpr std::size_t kMaxHeldBytes = 256 << 10;
+// Number of bytes that an exchange may hold in each direction although all
+// exchanges together hold more than they should.
+constexpr std::size_t kMinBufferedBytes = 32 << 10;
 // Number of bytes received from a caller ahead of its current response above
 // which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
@@ -165,6 +170,9 @@
   event_loop& mLoop;
   traffic_hooks mHooks;
   caller_limits mLimits;
+  // Number of bytes of requests and responses that all exchanges together may
+  // hold before each of them is limited.
+  std::size_t mMaxBufferedBytes = 16 << 20;
   connection_pool mPool;
   absl::flat_hash_map<channel_id, std::unique_ptr<caller_connection>> mCallers;
   absl::flat_hash_map<request_handle, std::unique_ptr<exchange>> mExchanges;
@@ -201,6 +209,10 @@
 // on a new connection, and all responses are sent.
 bool IsDrained(const traffic& aTraffic, absl::Time aNow);
 
+// Returns the number of bytes of requests and responses that are held. Takes
+// time proportional to the number of connections.
+std::size_t MeasureBufferedBytes(const traffic& aTraffic);
+
 // Closes connections whose timeouts have passed at aNow and ends attempts whose
 // streams have stalled.
 void ExpireConnections(traffic& aTraffic, absl::Time aNow);
@@ -210,8 +222,13 @@
 // Returns the exchange; null if it has ended.
 exchange* FindExchange(traffic& aTraffic, request_handle aHandle);
 
-// Sends bytes of the response. Pauses reading from the server if more than
-// kMaxUnsentBytes are unsent.
+// Returns true if an exchange that holds aBytes in one direction must not hold
+// more: it has reached aMax, or kMinBufferedBytes while all exchanges together
+// hold mMaxBufferedBytes.
+bool IsBufferFull(const traffic& aTraffic, std::size_t aBytes,
+                  std::size_t aMax);
+// Sends bytes of the response. Pauses reading from the server if too many are
+// unsent.
 void SendToCaller(traffic& aTraffic, exchange& aExchange,
                   std::string_view aBytes);
 // Returns true if the caller's connection must be closed after this response.
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -9,6 +9,7 @@
 #include <poll.h>
 
 #include <atomic>
+#include <future>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -297,7 +298,8 @@
 struct endless_server
 {
   endless_server(traffic_fixture& aFixture, call_kind aKind,
-                 const std::string& aStart, std::string aRepeated)
+                 const std::string& aStart, std::string aRepeated,
+                 bool aCallerReads = true)
     : mCaller(SendCallerBytes(aFixture, MakeRequest()))
   {
     DispatchAttempt(aFixture, AwaitEvent<caller_request>(aFixture).mHandle, 1,
@@ -311,7 +313,9 @@
         asio::write(*mServer, asio::buffer(repeated), failure);
       }
     });
-    mReader = std::thread([this] { ReadUntil(mCaller, ""); });
+    if (aCallerReads) {
+      mReader = std::thread([this] { ReadUntil(mCaller, ""); });
+    }
   }
   ~endless_server()
   {
@@ -319,7 +323,9 @@
     mServer->shutdown(tcp::socket::shutdown_both, ignored);
     mCaller.shutdown(tcp::socket::shutdown_both, ignored);
     mSender.join();
-    mReader.join();
+    if (mReader.joinable()) {
+      mReader.join();
+    }
   }
   tcp::socket mCaller;
   std::unique_ptr<tcp::socket> mServer;
@@ -417,6 +423,78 @@
   }
 }
 
+// Returns what the traffic layer holds, as seen on its thread.
+std::size_t MeasureHeldBytes(traffic_fixture& aFixture)
+{
+  std::promise<std::size_t> measured;
+  Post(aFixture.mLoop, [&aFixture, &measured] {
+    measured.set_value(MeasureBufferedBytes(aFixture.mTraffic));
+  });
+  return measured.get_future().get();
+}
+
+// Guards against a process that runs out of memory although each connection
+// keeps to its limit: the sum over all connections must be bounded too.
+BOOST_AUTO_TEST_CASE(endless_responses_together_fill_no_more_than_their_memory)
+{
+  constexpr int kEndlessServers = 24;
+  constexpr std::size_t kMaxBytes = 1 << 20;
+  const std::string chunk = "4000\r\n" + std::string(16384, 'x') + "\r\n";
+  const endless_case cases[] = {
+    { "successes", call_kind::Idempotent, kResponseHead + kChunked, chunk },
+    { "events", call_kind::Stream, kResponseHead + "\r\n",
+      "data:" + std::string(16000, 'x') + "\n\n" },
+  };
+  for (const endless_case& each : cases) {
+    BOOST_TEST_CONTEXT(each.mName)
+    {
+      traffic_fixture fixture;
+      fixture.mTraffic.mMaxBufferedBytes = kMaxBytes;
+      std::vector<std::unique_ptr<endless_server>> servers;
+      std::size_t held = 0;
+      for (int i = 0; i < kEndlessServers; ++i) {
+        servers.push_back(std::make_unique<endless_server>(
+          fixture, each.mKind, each.mStart, each.mRepeated, false));
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+        held = std::max(held, MeasureHeldBytes(fixture));
+      }
+      // Each exchange may hold its least and one read more on each side, and
+      // the first of them their most.
+      BOOST_TEST(held < kMaxBytes + kMaxHeldBytes + kMaxUnsentBytes +
+                          kEndlessServers * 4 * kMinBufferedBytes);
+      BOOST_TEST(held > kMaxBytes);
+    }
+  }
+}
+
+// Guards against callers whose bodies together fill the memory: they are told
+// to come back, and small requests are served.
+BOOST_AUTO_TEST_CASE(large_requests_are_refused_while_too_many_bytes_are_held)
+{
+  constexpr std::size_t kMaxBytes = 1 << 20;
+  constexpr std::size_t kBodyBytes = 600 << 10;
+  traffic_fixture fixture;
+  fixture.mTraffic.mMaxBufferedBytes = kMaxBytes;
+  const std::string head =
+    "POST /p/1 HTTP/1.1\r\nHost: h\r\nFoxtailquay-Attempt-Id: a1\r\n"
+    "Content-Length: " +
+    std::to_string(2 * kBodyBytes) + "\r\n\r\n";
+  const std::string half(kBodyBytes, 'x');
+  tcp::socket first = SendCallerBytes(fixture, head + half);
+  const auto end = std::chrono::steady_clock::now() + kMaxSendTime;
+  while (MeasureHeldBytes(fixture) < kBodyBytes &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  tcp::socket second = SendCallerBytes(fixture, head + half);
+  const std::string response = ReadUntil(second, "}");
+  BOOST_TEST(response.find("HTTP/1.1 503") == 0U);
+  BOOST_TEST(response.find("Retry-After") != std::string::npos);
+  BOOST_TEST(response.find(R"("ran":"no")") != std::string::npos);
+  tcp::socket small = SendCallerBytes(fixture, MakeRequest());
+  AwaitEvent<caller_request>(fixture);
+}
+
 // A caller that does not read a response without end must not make the gateway
 // buffer it.
 BOOST_AUTO_TEST_CASE(an_endless_response_waits_for_its_caller)
