Read released connections even if reading was paused

Cause: reading from a server is paused while too many bytes to its caller are unsent. If the last bytes of a response caused the pause, the connection went back to the pool while it was paused, and nothing resumed it.

Change: releasing a connection ends the pause.

--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -77,6 +77,7 @@
     RemoveFromPool(aPool, aAddress, aChannel);
   };
   SetHandlers(aLoop, aChannel, std::move(handlers));
+  SetReadingPaused(aLoop, aChannel, false);
   aPool.mAddresses[aAddress].mIdle.push_back(
     { aChannel, MonotonicNow() + aIdleTime });
 }
--- a/src/transport/connection_pool.h
+++ b/src/transport/connection_pool.h
@@ -78,7 +78,8 @@
                               const channel_options& aOptions,
                               channel_choice aChoice);
 
-// Keeps the connection for reuse for aIdleTime. Precondition: the last response
+// Keeps the connection for reuse for aIdleTime, and reads from it even if that
+// was paused. Precondition: the last response
 // was read to its end, and no bytes are left to send.
 void ReleaseChannel(event_loop& aLoop, connection_pool& aPool,
                     const std::string& aAddress, channel_id aChannel,
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -386,6 +386,45 @@
   return std::chrono::steady_clock::now() - start;
 }
 
+// Guards against requests that are executed and never answered: reading from
+// their connection was paused for the slow caller of the request before.
+BOOST_AUTO_TEST_CASE(a_paused_connection_is_read_again_after_its_release)
+{
+  traffic_fixture fixture;
+  event_loop& loop = fixture.mLoop;
+  connection_pool& pool = fixture.mTraffic.mPool;
+  const std::string address =
+    "127.0.0.1:" +
+    std::to_string(fixture.mServerAcceptor.local_endpoint().port());
+  const auto acquire = [&] {
+    return AcquireChannel(loop, pool, address, 0, channel_options{},
+                          channel_choice::IdleOrNew)
+      .mId;
+  };
+  std::promise<void> isReused;
+  std::promise<void> hasData;
+  Post(loop, [&] {
+    const channel_id first = acquire();
+    channel_handlers handlers;
+    handlers.mOnConnected = [&, first] {
+      SetReadingPaused(loop, first, true);
+      ReleaseChannel(loop, pool, address, first, absl::Seconds(10));
+      const channel_id second = acquire();
+      BOOST_TEST(second == first);
+      channel_handlers next;
+      next.mOnData = [&](std::string_view) { hasData.set_value(); };
+      SetHandlers(loop, second, std::move(next));
+      isReused.set_value();
+    };
+    SetHandlers(loop, first, std::move(handlers));
+  });
+  tcp::socket server = fixture.mServerAcceptor.accept();
+  isReused.get_future().wait();
+  asio::write(server, asio::buffer("x", 1));
+  BOOST_TEST(
+    (hasData.get_future().wait_for(kMaxSendTime) == std::future_status::ready));
+}
+
 // Guards against servers whose bytes without end stop the requests of other
 // callers.
 BOOST_AUTO_TEST_CASE(sound_requests_are_answered_beside_endless_responses)
