Reject transfer codings other than chunked

Cause: Boost.Beast takes a request whose transfer coding does not end with "chunked" for one without a body.

Change: http_reader reports a message as malformed if it has any transfer coding but "chunked" alone.

Measured: traffic_test ambiguous_requests_are_rejected got no refusal for the new cases before and ran into its time limit.

--- a/src/transport/http_reader.cc
+++ b/src/transport/http_reader.cc
@@ -95,6 +95,23 @@
                             : body_framing::Length;
 }
 
+// Returns true if the message has a transfer coding other than "chunked" alone.
+// The library takes a request with such a coding for one without a body.
+bool HasUnknownCoding(const message_head& aHead)
+{
+  int codings = 0;
+  for (const header_field& field : aHead.mFields) {
+    if (!IsSameFieldName(field.mName, "Transfer-Encoding")) {
+      continue;
+    }
+    ++codings;
+    if (codings > 1 || !IsSameFieldName(field.mValue, "chunked")) {
+      return true;
+    }
+  }
+  return false;
+}
+
 template<typename Parser>
 void UpdateState(http_reader& aReader, const Parser& aParser)
 {
@@ -141,6 +158,10 @@
                          ? reader_failure::BodyTooLarge
                          : reader_failure::HeaderTooLarge;
   }
+  if (!aReader.mIsHeadComplete && aParser.is_header_done() &&
+      HasUnknownCoding(aReader.mHead)) {
+    aReader.mFailure = reader_failure::Malformed;
+  }
   UpdateState(aReader, aParser);
 }
 
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -7,9 +7,10 @@
 //
 // Beast rejects messages that two parsers could split differently: conflicting
 // or repeated lengths, a length together with chunks, and malformed chunk
-// sizes. A message that is cut short is never reported as complete. Memory is
-// bounded by the limits; a user that removes the bytes of mBody as they arrive
-// needs less. Not thread-safe.
+// sizes; the reader rejects transfer codings other than chunked. A message that
+// is cut short is never reported as complete. Memory is bounded by the limits;
+// a user that removes the bytes of mBody as they arrive needs less. Not
+// thread-safe.
 
 #ifndef FOXTAILQUAY_TRANSPORT_HTTP_READER_H
 #define FOXTAILQUAY_TRANSPORT_HTTP_READER_H
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -123,6 +123,14 @@
     start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
     start + "Content-Length: -1\r\n\r\n",
     start + "Bad Header: x\r\n\r\n",
+    start + "Transfer-Encoding: gzip\r\n\r\nbody",
+    start + "Transfer-Encoding: identity\r\n\r\nbody",
+    start + "Transfer-Encoding: xchunked\r\n\r\nbody",
+    start + "Transfer-Encoding: chunked, gzip\r\n\r\nbody",
+    start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    start + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\n",
+    start + "Transfer-Encoding:\r\n\r\nbody",
     "POST /p/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
   };
   for (const std::string& each : cases) {
