Report what the server of a continued stream states at its start

Cause: first_byte carries a server's statement to the control thread and was posted once per exchange, with the header section for the caller. The response that continues a stream has none.

Change: first_byte is posted once per attempt.

--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -124,10 +124,24 @@
                             "\r\n"));
 }
 
+// Posts first_byte, once per attempt: each server of a stream that continues
+// states something of its own.
+void PostStart(traffic& aTraffic, const exchange& aExchange)
+{
+  attempt& current = *aExchange.mAttempt;
+  if (!current.mIsStartPosted) {
+    current.mIsStartPosted = true;
+    aTraffic.mHooks.mPost(first_byte{
+      aExchange.mHandle, current.mDispatch.mAttempt,
+      current.mResponseInfo.mLoad, current.mResponseInfo.mStatement });
+  }
+}
+
 // Sends the header section of a chunked response to the caller, once per
 // exchange, and posts first_byte.
 void SendChunkedHead(traffic& aTraffic, exchange& aExchange)
 {
+  PostStart(aTraffic, aExchange);
   if (aExchange.mHeadSent) {
     return;
   }
@@ -139,9 +153,6 @@
   SendToCaller(aTraffic, aExchange,
                platform::EncodeResponseHead(current.mReader.mHead, std::nullopt,
                                             NeedsClose(aTraffic, aExchange)));
-  aTraffic.mHooks.mPost(first_byte{
-    aExchange.mHandle, current.mDispatch.mAttempt, current.mResponseInfo.mLoad,
-    current.mResponseInfo.mStatement });
 }
 
 // What one event of a stream states.
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -102,6 +102,8 @@
   platform::response_info mResponseInfo;
   // True if mResponseInfo is decoded from the response that is being read.
   bool mHasResponseInfo = false;
+  // True if first_byte is posted for this attempt.
+  bool mIsStartPosted = false;
   // True if the response is interim (1xx) or belongs to another request. It is
   // read and discarded.
   bool mSkipResponse = false;
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -389,6 +389,26 @@
   }
 }
 
+// Guards against requests to a server that leaves, as it says in the response
+// with which it continues a stream: the statement must not wait for the end.
+BOOST_AUTO_TEST_CASE(a_continued_stream_states_what_its_server_states)
+{
+  traffic_fixture fixture;
+  tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+  const auto request = AwaitEvent<caller_request>(fixture);
+  DispatchAttempt(fixture, request.mHandle, 1, call_kind::Stream);
+  RespondOnce(fixture, kResponseHead + "\r\nid: 1\ndata:x\n\nid: 2").close();
+  BOOST_TEST(!AwaitEvent<first_byte>(fixture).mStatement.mIsLeaving);
+  AwaitEvent<attempt_report>(fixture);
+  DispatchAttempt(fixture, request.mHandle, 2, call_kind::Stream);
+  const tcp::socket server =
+    RespondOnce(fixture, kResponseHead + "Server-Leaving: 1\r\n\r\n"
+                                         "id: 2\ndata:x\n\n");
+  const auto start = AwaitEvent<first_byte>(fixture);
+  BOOST_TEST(start.mAttempt == 2);
+  BOOST_TEST(start.mStatement.mIsLeaving);
+}
+
 // Guards against blaming a request for an interim response, which a server may
 // send before it runs the request.
 BOOST_AUTO_TEST_CASE(an_interim_response_does_not_begin_the_response)
