Count responses to callers that have left the books

The bytes that all connections hold did not include responses whose exchange has ended and whose connection is closed once they are sent.

Change: the unsent bytes of all channels of the loop count.

Measured: hostile_peer_test endless_responses_together_fill_no_more_than_their_ memory and large_requests_are_refused_while_too_many_bytes_are_held pass; no test covers the closed connections.

--- a/src/daemon/process_load.h
+++ b/src/daemon/process_load.h
@@ -6,7 +6,7 @@
 //   load_measured load = ComputeLoad(limits, before, after);
 //
 // MeasureUsage must be called on the thread of the loop; ComputeLoad is a pure
-// function.
+// function; ComputeMaxBufferedBytes may be called on any thread.
 
 #ifndef FOXTAILQUAY_DAEMON_PROCESS_LOAD_H
 #define FOXTAILQUAY_DAEMON_PROCESS_LOAD_H
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -216,11 +216,10 @@
 
 std::size_t MeasureBufferedBytes(const traffic& aTraffic)
 {
-  std::size_t bytes = 0;
+  std::size_t bytes = CountUnsentBytes(aTraffic.mLoop);
   for (const auto& each : aTraffic.mCallers) {
     const caller_connection& caller = *each.second;
-    bytes += caller.mInput.size() + caller.mReader.mBody.size() +
-             GetUnsentBytes(aTraffic.mLoop, each.first);
+    bytes += caller.mInput.size() + caller.mReader.mBody.size();
   }
   for (const auto& each : aTraffic.mExchanges) {
     const exchange& active = *each.second;
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -361,6 +361,15 @@
   });
 }
 
+std::size_t CountUnsentBytes(const event_loop& aLoop)
+{
+  std::size_t bytes = 0;
+  for (const auto& each : aLoop.mImpl->mChannels) {
+    bytes += each.second->mUnsent.size();
+  }
+  return bytes;
+}
+
 unread_input PeekInput(const event_loop& aLoop, channel_id aChannel)
 {
   channel* target = FindChannel(aLoop, aChannel);
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -147,6 +147,10 @@
 
 loop_totals GetTotals(const event_loop& aLoop);
 
+// Returns the number of buffered bytes of all channels. Takes time proportional
+// to their number.
+std::size_t CountUnsentBytes(const event_loop& aLoop);
+
 // Returns true if any channel has buffered bytes.
 bool HasUnsentBytes(const event_loop& aLoop);
 
