--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -115,6 +115,18 @@
   BOOST_REQUIRE(poll(&waiting, 1, static_cast<int>(limit.count())) == 1);
 }
 
+// Starts an attempt that may use one connection to the server.
+void DispatchOnOneConnection(traffic_fixture& aFixture, request_handle aHandle,
+                             int aAttempt)
+{
+  dispatch_request dispatch =
+    MakeDispatch(aFixture, aHandle, aAttempt, call_kind::NonIdempotent);
+  dispatch.mMaxConnections = 1;
+  Post(aFixture.mLoop, [&aFixture, dispatch] {
+    DispatchExchange(aFixture.mTraffic, dispatch);
+  });
+}
+
 // Guards against an order that is refused as not run while it runs: a server
 // that was restarted at its address sends the rejection of the order's first
 // attempt once more, where the response to the second one is expected.
@@ -153,21 +165,14 @@
 {
   traffic_fixture fixture;
   tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
-  const auto request = AwaitEvent<caller_request>(fixture);
-  const auto dispatch = [&](int aAttempt) {
-    dispatch_request action =
-      MakeDispatch(fixture, request.mHandle, aAttempt, call_kind::Idempotent);
-    action.mMaxConnections = 1;
-    Post(fixture.mLoop,
-         [&fixture, action] { DispatchExchange(fixture.mTraffic, action); });
-  };
-  dispatch(1);
-  tcp::socket first =
+  const request_handle handle = AwaitEvent<caller_request>(fixture).mHandle;
+  DispatchOnOneConnection(fixture, handle, 1);
+  const tcp::socket first =
     RespondOnce(fixture, "HTTP/1.1 503 Busy\r\nFoxtailquay-Attempt-Id: a1\r\n"
                          "Foxtailquay-Not-Executed: 1\r\n"
                          "Content-Length: 0\r\n\r\n");
   AwaitEvent<attempt_report>(fixture);
-  dispatch(2);
+  DispatchOnOneConnection(fixture, handle, 2);
   AwaitReadable(fixture.mServerAcceptor);
   RespondOnce(fixture, kResponseHead + kOkBody);
   BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
