--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/substitute.h"
 #include "platform/config_codec.h"
 #include "platform/node_file.h"
 #include "platform/request_codec.h"
@@ -232,12 +234,13 @@
 // malformed because it states no limit of its own.
 BOOST_AUTO_TEST_CASE(huge_counts_of_a_request_are_limited)
 {
-  for (const std::string number : kHugeNumbers) {
+  for (const char* number : kHugeNumbers) {
     const auto read = DecodeRequest(MakeRequestHead(
       { { "Foxtailquay-Attempt-Id", "1" },
         { "Foxtailquay-Deadline-Ms", number },
-        { "Foxtailquay-Token-Count", number + "," + number },
-        { "Foxtailquay-Prompt-Prefix", "1:" + number + ",2:" + number } }));
+        { "Foxtailquay-Token-Count", absl::StrCat(number, ",", number) },
+        { "Foxtailquay-Prompt-Prefix",
+          absl::StrCat("1:", number, ",2:", number) } }));
     BOOST_REQUIRE(IsOk(read));
     const caller_request& request = GetValue(read);
     BOOST_TEST(request.mPromptTokens == kMaxTokenCount);
@@ -250,11 +253,12 @@
 // Guards against a load whose sum overflows.
 BOOST_AUTO_TEST_CASE(huge_numbers_of_a_server_are_limited)
 {
-  for (const std::string number : kHugeNumbers) {
+  for (const char* number : kHugeNumbers) {
     message_head head;
     head.mStatus = 200;
-    head.mFields = { { "Foxtailquay-Server-Load", number + "," + number },
-                     { "Keep-Alive", "timeout=" + number } };
+    head.mFields = { { "Foxtailquay-Server-Load",
+                       absl::StrCat(number, ",", number) },
+                     { "Keep-Alive", absl::StrCat("timeout=", number) } };
     const response_info info = DecodeResponse(head);
     BOOST_REQUIRE(info.mLoad);
     BOOST_TEST(info.mLoad->mRunning > 0);
@@ -270,17 +274,16 @@
 // none, and against limits that overflow their type.
 BOOST_AUTO_TEST_CASE(huge_numbers_of_a_configuration_are_limited)
 {
-  for (const std::string number : kHugeNumbers) {
-    const auto config = DecodeConfig(ParseJsonOrFail(
+  for (const char* number : kHugeNumbers) {
+    const auto config = DecodeConfig(ParseJsonOrFail(absl::Substitute(
       R"({"version":7,"routes":[
         {"name":"r1","host":"h.example","prefix":"/a/","kind":"stream",
-         "service":"s1","priority":)" +
-      number + R"(,"max_attempts":)" + number + R"(}],
-       "services":[{"name":"s1","max_conns":)" +
-      number + R"(,"engine":{"slots":)" + number + R"(,"stride":)" + number +
-      R"(}}],"limits":{"max_header_bytes":-1},
-       "tenants":[{"name":"w1","prepaid":)" +
-      number + "}]}"));
+         "service":"s1","priority":$0,"max_attempts":$0}],
+       "services":[{"name":"s1","max_conns":$0,
+                    "engine":{"slots":$0,"stride":$0}}],
+       "limits":{"max_header_bytes":-1},
+       "tenants":[{"name":"w1","prepaid":$0}]})",
+      number)));
     BOOST_REQUIRE(config);
     BOOST_TEST(config->mRoutes[0].mPriority > 0);
     BOOST_TEST(config->mRoutes[0].mMaxAttempts > 1);
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -456,6 +456,7 @@
     {
       traffic_fixture fixture;
       std::vector<std::unique_ptr<endless_server>> servers;
+      servers.reserve(kEndlessServers);
       for (int i = 0; i < kEndlessServers; ++i) {
         servers.push_back(std::make_unique<endless_server>(
           fixture, each.mKind, each.mStart, each.mRepeated));
@@ -481,7 +482,7 @@
 // keeps to its limit: the sum over all connections must be bounded too.
 BOOST_AUTO_TEST_CASE(endless_responses_together_fill_no_more_than_their_memory)
 {
-  constexpr int kEndlessServers = 24;
+  constexpr std::size_t kEndlessServers = 24;
   constexpr std::size_t kMaxBytes = 1 << 20;
   const std::string chunk = "4000\r\n" + std::string(16384, 'x') + "\r\n";
   const endless_case cases[] = {
@@ -496,7 +497,7 @@
       fixture.mTraffic.mMaxBufferedBytes = kMaxBytes;
       std::vector<std::unique_ptr<endless_server>> servers;
       std::size_t held = 0;
-      for (int i = 0; i < kEndlessServers; ++i) {
+      for (std::size_t i = 0; i < kEndlessServers; ++i) {
         servers.push_back(std::make_unique<endless_server>(
           fixture, each.mKind, each.mStart, each.mRepeated, false));
         std::this_thread::sleep_for(std::chrono::milliseconds(40));
