--- a/tests/traffic_fixture.h
+++ b/tests/traffic_fixture.h
@@ -17,6 +17,8 @@
 #include <mutex>
 #include <string>
 
+#include <poll.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -37,6 +39,10 @@
   "HTTP/1.1 200 OK\r\nFoxtailquay-Attempt-Id: a1\r\n"
   "Foxtailquay-Server-Seal: s1\r\n";
 
+// Time for which a peer sends at most.
+constexpr auto kMaxSendTime = std::chrono::seconds(4);
+inline const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+
 inline tcp::endpoint MakeLoopbackEndpoint(unsigned short aPort)
 {
   return { asio::ip::address_v4::loopback(), aPort };
@@ -177,6 +183,15 @@
   return socket;
 }
 
+// Waits until a connection can be accepted; fails after kMaxSendTime.
+inline void AwaitReadable(tcp::acceptor& aAcceptor)
+{
+  pollfd waiting{ aAcceptor.native_handle(), POLLIN, 0 };
+  const auto limit =
+    std::chrono::duration_cast<std::chrono::milliseconds>(kMaxSendTime);
+  BOOST_REQUIRE(poll(&waiting, 1, static_cast<int>(limit.count())) == 1);
+}
+
 inline const std::string kOkBody = "Content-Length: 2\r\n\r\nok";
 
 inline std::string MakeResponseHead(const std::string& aAttemptId)
