Let two tests' fixtures end before what their threads use

The loop's thread of a_channel_that_always_has_bytes_leaves_turns_to_others and a_paused_connection_is_read_again_after_its_release could use counters and promises that were already destroyed, since they were declared after the fixture.

--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -186,9 +186,10 @@
 BOOST_AUTO_TEST_CASE(a_channel_that_always_has_bytes_leaves_turns_to_others)
 {
   constexpr int kMaxReadsPerTurn = 4;
-  traffic_fixture fixture;
+  // The fixture, whose thread uses these, ends before them.
   std::atomic<int> reads{ 0 };
   std::atomic<int> readsAtTurn{ 0 };
+  traffic_fixture fixture;
   channel_handlers handlers;
   handlers.mOnData = [&](std::string_view) {
     if (++reads == 1) {
--- a/tests/hostile_peer_test.cc
+++ b/tests/hostile_peer_test.cc
@@ -73,6 +73,9 @@
 // their connection was paused for the slow caller of the request before.
 BOOST_AUTO_TEST_CASE(a_paused_connection_is_read_again_after_its_release)
 {
+  // The fixture, whose thread uses these, ends before them.
+  std::promise<void> isReused;
+  std::promise<void> hasData;
   traffic_fixture fixture;
   event_loop& loop = fixture.mLoop;
   connection_pool& pool = fixture.mTraffic.mPool;
@@ -84,8 +87,6 @@
                           channel_choice::IdleOrNew)
       .mId;
   };
-  std::promise<void> isReused;
-  std::promise<void> hasData;
   Post(loop, [&] {
     const channel_id first = acquire();
     channel_handlers handlers;
