Use the slowness that servers state in the choice of a server

Cause: the fourth figure of the load header, how long work takes on the server now, was dropped. A server that is 2.5 times as slow for 0.6 s received as many requests as the others.

Change: the figure is decoded and changes the estimated delay by at most the time for which it is expected to hold; its weight falls evenly to zero within 0.6 s. A load that was stated at the start of a response is no longer recorded again at its end, which gave it a wrong age.

Servers that state no fourth figure are chosen as before.

--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -80,6 +80,8 @@
 {
   int mRunning = 0;
   int mQueued = 0;
+  // Time that work takes on the server now, as a multiple of its usual time.
+  double mSlowness = 1;
 };
 
 // What a backend server stated about itself in a response.
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -393,7 +393,10 @@
 {
   aRequest.mEvents = std::max(aRequest.mEvents, aReport.mEvents);
   const backend_id backend = aRequest.mBackend;
-  RecordLoad(aGateway, backend, aReport.mLoad, aNow);
+  // The load of a response whose start was reported is as old as that start.
+  if (!aRequest.mHasResponseStarted) {
+    RecordLoad(aGateway, backend, aReport.mLoad, aNow);
+  }
   if (aReport.mStatement) {
     ApplyStatement(aGateway, aRequest, *aReport.mStatement, aNow);
   }
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -152,6 +152,7 @@
   report.mQueued = aLoad->mQueued;
   report.mLoadedModels = view->second.mConfig.mModels;
   RecordLoadReport(view->second, report, aNow);
+  RecordSlowness(view->second.mSlowness, aLoad->mSlowness, aNow);
 }
 
 void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -540,17 +540,19 @@
   const double slots =
     std::max(1.0, aView.mConfig.mMaxConcurrency * (1 - reserve));
   const double load = EstimateLoad(aView, aRoutersPerBackend, aOptions, aNow);
-  delay += aOptions.mFullLoadPenalty * (load / slots);
-  delay +=
+  absl::Duration work = aOptions.mFullLoadPenalty * (load / slots);
+  work +=
     aOptions.mRunTime *
     (ComputeExpectedExcess(load + 1 - slots, aOptions.mLoadError) / slots);
   if (aQuery.mKind == backend_kind::Engine) {
     const double tokens = static_cast<double>(EstimateUncachedTokens(
                             aView, aQuery, aOptions, aNow)) +
                           EstimatePrefillBacklog(aView, aOptions, aNow);
-    delay += absl::Seconds(tokens / aOptions.mPrefillTokensPerSecond);
+    work += absl::Seconds(tokens / aOptions.mPrefillTokensPerSecond);
+  } else {
+    work += aOptions.mCallTime;
   }
-  return delay;
+  return delay + work + EstimateSlowdown(aView.mSlowness, work, aNow);
 }
 
 void RecordLoadReport(backend_view& aView, const load_report& aReport,
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -31,6 +31,7 @@
 #include "foxtailquay/config.h"
 #include "foxtailquay/messages.h"
 #include "rate_limit.h"
+#include "slowness.h"
 
 namespace foxtailquay {
 
@@ -85,6 +86,8 @@
   // Added to the estimated delay of a backend server in state Suspect.
   absl::Duration mSuspectPenalty = absl::Milliseconds(500);
   double mPrefillTokensPerSecond = 8000;
+  // Time that a call of a plain service takes.
+  absl::Duration mCallTime = absl::Milliseconds(60);
   // Fraction of the slots of a server that batch requests leave to the other
   // priority classes.
   double mBatchReserveFraction = 0.1;
@@ -148,6 +151,8 @@
   int mEjections = 0;
   // Limit that the server states.
   rate_limit mRateLimit;
+  // Its present speed, as it states it.
+  stated_slowness mSlowness;
   // Time before which the server wants no requests of this router.
   absl::Time mBackoffUntil = absl::InfinitePast();
   // Successful runs since the start of state Probing.
--- /dev/null
+++ b/src/core/slowness.h
@@ -0,0 +1,44 @@
+// How long work takes on a backend server now, as the server states it.
+//
+//   RecordSlowness(slowness, stated, now);            // a response arrived
+//   work += EstimateSlowdown(slowness, work, now);    // in an estimate
+//
+// A server is slow for short times, so what it stated loses its meaning soon. A
+// statement changes an estimate by at most the time for which it is expected to
+// hold. All functions take constant time. Not thread-safe.
+
+#ifndef FOXTAILQUAY_CORE_SLOWNESS_H
+#define FOXTAILQUAY_CORE_SLOWNESS_H
+
+#include "absl/time/time.h"
+
+namespace foxtailquay {
+
+// Time for which servers are slow or fast at a time.
+constexpr absl::Duration kSlownessPeriod = absl::Milliseconds(600);
+// Range of the factors that are taken into account. A factor beyond it is a
+// false statement, or leaves the server no work in either case.
+constexpr double kMinSlowness = 0.25;
+constexpr double kMaxSlowness = 10;
+
+struct stated_slowness
+{
+  // Time that work takes, as a multiple of its usual time.
+  double mFactor = 1;
+  absl::Time mStatedAt = absl::InfinitePast();
+};
+
+// Records a statement that was received at aNow.
+void RecordSlowness(stated_slowness& aSlowness, double aFactor,
+                    absl::Time aNow);
+
+// Returns the additional time for work that usually takes aWork; negative if
+// the server is faster than usual, zero if it has stated nothing within
+// kSlownessPeriod. The moment of the statement within its period is unknown, so
+// the probability that it still holds falls evenly with its age.
+absl::Duration EstimateSlowdown(const stated_slowness& aSlowness,
+                                absl::Duration aWork, absl::Time aNow);
+
+} // namespace foxtailquay
+
+#endif
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -270,6 +270,27 @@
   BOOST_TEST(!DecodeResponse(negative).mLoad);
 }
 
+// Guards against a server that is slow for a moment and is used as if it were
+// not, and against a load that is dropped because of a malformed figure.
+BOOST_AUTO_TEST_CASE(decodes_how_long_work_takes_on_a_server)
+{
+  const std::pair<const char*, double> cases[] = {
+    { "3,1,8,250", 2.5 },   { "3,1,8, 40 ", 0.4 }, { "3,1,8,100", 1 },
+    { "3,1,8", 1 },         { "3,1,8,", 1 },       { "3,1,8,0", 1 },
+    { "3,1,8,-250", 1 },    { "3,1,8,2.5", 1 },    { "3,1,8,slow", 1 },
+    { "3,1,8,250,7", 2.5 },
+  };
+  for (const auto& [text, factor] : cases) {
+    message_head head;
+    head.mFields = { { "Foxtailquay-Server-Load", text } };
+    const response_info info = DecodeResponse(head);
+    BOOST_REQUIRE_MESSAGE(info.mLoad, text);
+    BOOST_TEST(info.mLoad->mRunning == 3);
+    BOOST_TEST(info.mLoad->mQueued == 1);
+    BOOST_TEST(info.mLoad->mSlowness == factor, text);
+  }
+}
+
 // Guards against totals that are too large to compute with and are taken for
 // none, and against limits that overflow their type.
 BOOST_AUTO_TEST_CASE(huge_numbers_of_a_configuration_are_limited)
