Wait longer in watches and check the store by lease renewals

Three watches that ended after 2.15 s cost 1.4 calls per second and gateway, because a connection that had gone silent showed only when the call on it timed out.

Watches now wait 20 s. The lease of the peer list entry is renewed every 0.8 s at most, at a tenth of the price, with a timeout of 0.8 s. After a call without a response, the first call that has one starts the waiting calls anew. A directory query replaces the one on its area that is in progress. The first watch after a failure is short, because its response shows that the store is reached again. A renewal is also made beside each watch, so that a disturbance that loses the watch is noticed. In a planned stop, which has no renewals, watches are as short as before. Connections to the store count as broken after 2 s without an acknowledgement.

store_contact_test replaces the test of the former watch time: it runs each kind of failure over all phases of the timers, with silent pooled connections and a slow store.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -86,7 +86,13 @@
 // which a watch is held. It covers the response time of a slow store.
 constexpr absl::Duration kStoreResponseTime = absl::Milliseconds(1200);
 
-// Reads an area of the store or waits for changes in it.
+// Time after which a renewal of the registration counts as failed. It is three
+// times the response time of a store that is 60 times slower than usual (4 ms),
+// and short, because it adds to the time until a silent connection is noticed.
+constexpr absl::Duration kHeartbeatTimeout = absl::Milliseconds(800);
+
+// Reads an area of the store or waits for changes in it. Replaces the query on
+// the area that is in progress, whose response is not delivered any more.
 struct directory_query
 {
   directory_area mArea = directory_area::Configuration;
@@ -141,7 +147,8 @@
 };
 
 // Keeps this gateway's entry in the peer list. Without mLease it opens a lease
-// and writes the entry; otherwise it renews the lease.
+// and writes the entry; otherwise it renews the lease. Its calls end after
+// kHeartbeatTimeout.
 struct registration_call
 {
   std::uint64_t mLease = 0;
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -68,10 +68,7 @@
   RecordDecision(
     aGateway, decision::StopStarted,
     { { "open_requests", std::to_string(aGateway.mRequests.size()) } });
-  if (aGateway.mLease != 0) {
-    aGateway.mActions.push_back(deregistration_call{ aGateway.mLease });
-    aGateway.mLease = 0;
-  }
+  EndRegistration(aGateway, aNow);
 }
 
 // Ends a planned stop once no requests are open, but not before the load
@@ -116,6 +113,7 @@
     AdvanceStop(aGateway, aNow);
   }
   AdvanceWatches(aGateway, aNow);
+  AdvanceRegistration(aGateway, aNow);
   AdvanceRecovery(aGateway, aNow);
 }
 
@@ -147,6 +145,11 @@
   void operator()(const grant_write_response& aEvent)
   {
     OnGrantWriteResponse(mGateway, aEvent, mNow);
+    if (aEvent.mOutcome == grant_outcome::Unknown) {
+      OnStoreCallFailed(mGateway, mNow);
+    } else if (aEvent.mOutcome == grant_outcome::NotWritten) {
+      CheckStoreNow(mGateway, mNow);
+    }
     if (IsReturningGrants(mGateway)) {
       AdvanceStop(mGateway, mNow);
     }
@@ -182,10 +185,16 @@
   void operator()(const crash_report_write_response& aEvent)
   {
     OnCrashReportWriteResponse(mGateway, aEvent, mNow);
+    if (!aEvent.mIsWritten) {
+      OnStoreCallFailed(mGateway, mNow);
+    }
   }
   void operator()(const grants_read& aEvent)
   {
     OnGrantsRead(mGateway, aEvent, mNow);
+    if (!aEvent.mIsRead) {
+      OnStoreCallFailed(mGateway, mNow);
+    }
   }
   void operator()(const grants_shared& aEvent)
   {
@@ -273,6 +282,7 @@
   StartWatches(aGateway, aNow);
   StartRecovery(aGateway, aNow);
   AdvanceWatches(aGateway, aNow);
+  AdvanceRegistration(aGateway, aNow);
   gateway_actions actions;
   actions.swap(aGateway.mActions);
   return actions;
@@ -290,8 +300,9 @@
 
 absl::Time GetNextWakeTime(const gateway& aGateway)
 {
-  absl::Time next = std::min(
-    { aGateway.mNextTickAt, aGateway.mReportAt, aGateway.mRecovery.mRetryAt });
+  absl::Time next = std::min({ aGateway.mNextTickAt, aGateway.mReportAt,
+                               aGateway.mRecovery.mRetryAt,
+                               GetNextRegistrationTime(aGateway) });
   if (!aGateway.mDeadlines.empty()) {
     next = std::min(next, aGateway.mDeadlines.begin()->first);
   }
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -123,6 +123,8 @@
   Failed,
   PauseOver,
   EraChanged,
+  // The store responds again after a failure from before which the call waits.
+  StoreAnswered,
 };
 
 constexpr auto NameTable(watch_event)
@@ -132,7 +134,8 @@
                             { e::HistoryLost, "history_lost" },
                             { e::Failed, "failed" },
                             { e::PauseOver, "pause_over" },
-                            { e::EraChanged, "era_changed" } });
+                            { e::EraChanged, "era_changed" },
+                            { e::StoreAnswered, "store_answered" } });
 }
 
 enum class watch_guard
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -1,5 +1,4 @@
-// Watches of a gateway on the store: configuration, backend servers and peers,
-// and the registration of this gateway in the peer list.
+// Watches of a gateway on the store: configuration, backend servers and peers.
 
 #include <algorithm>
 
@@ -28,15 +27,28 @@
 // that was removed meanwhile is no longer used. All must end within the
 // shortest contact time (3 s).
 constexpr absl::Duration kMaxWatchBackoff = absl::Milliseconds(600);
-
-// Returns how long the store may hold a watch without changes. A connection may
-// become silent without a reset, which shows only when the call times out. The
-// next call must be answered within the contact time nevertheless.
-absl::Duration ComputeWatchTime(const gateway& aGateway)
-{
-  return std::max(kMinWatchTime, aGateway.mSettings.mContactTime - kRestTime -
-                                   kStoreResponseTime - kInitialBackoff -
-                                   kReconnectTime);
+// Time for which the store holds a watch without changes. Each watch is a
+// priced call, so it is long; the store allows 30 s. Renewals of the
+// registration show whether the store can still be reached.
+constexpr absl::Duration kWatchTime = absl::Seconds(20);
+// Time of the first watch after a failure. Its response shows that the store is
+// reached again.
+constexpr absl::Duration kFirstWatchTime = absl::Milliseconds(200);
+
+// Returns how long the store may hold a watch without changes. Without renewals
+// of the registration, a silent connection shows only when the call times out.
+// The next call must be answered within the contact time nevertheless.
+absl::Duration ComputeWatchTime(const gateway& aGateway,
+                                const watched_area& aArea)
+{
+  if (!aArea.mIsConnected) {
+    return kFirstWatchTime;
+  }
+  return aGateway.mStopping
+           ? std::max(kMinWatchTime, aGateway.mSettings.mContactTime -
+                                       kRestTime - kStoreResponseTime -
+                                       kInitialBackoff - kReconnectTime)
+           : kWatchTime;
 }
 
 struct watch_context
@@ -246,16 +258,6 @@
   return aChanges;
 }
 
-// The lease of the peer list entry may have run out while the store was
-// unavailable, and other gateways count on the list.
-void HastenRegistration(gateway& aGateway, absl::Time aNow)
-{
-  std::uniform_real_distribution<double> part(0, 1);
-  aGateway.mNextRegistrationAt =
-    std::min(aGateway.mNextRegistrationAt,
-             aNow + kReconnectTime * part(aGateway.mRandom));
-}
-
 // Notices if the entry of this gateway was removed although its lease is held.
 void CheckOwnEntry(gateway& aGateway, const directory_response& aResponse,
                    absl::Time aNow)
@@ -326,7 +328,10 @@
 void CallStore(gateway& aGateway, const directory_query& aQuery,
                absl::Time aNow)
 {
-  GetArea(aGateway, aQuery.mArea).mCalledAt = aNow;
+  watched_area& area = GetArea(aGateway, aQuery.mArea);
+  area.mCalledAt = aNow;
+  area.mMaxWait = aQuery.mMaxWait;
+  area.mRetryAt = absl::InfiniteFuture();
   directory_query query = aQuery;
   query.mEra = aGateway.mEra;
   aGateway.mActions.push_back(query);
@@ -342,7 +347,12 @@
       CallStore(aGateway, { aArea, std::nullopt, {} }, aNow);
       break;
     case watch_action::Watch:
-      CallStore(aGateway, { aArea, area.mRevision, ComputeWatchTime(aGateway) },
+      // A disturbance that is shorter than the interval of renewals may lose
+      // the call, so a renewal is made beside it.
+      aGateway.mHasUncheckedWatch = true;
+      CheckStoreNow(aGateway, aNow);
+      CallStore(aGateway,
+                { aArea, area.mRevision, ComputeWatchTime(aGateway, area) },
                 aNow);
       break;
     case watch_action::Rest:
@@ -389,34 +399,49 @@
   return absl::StrCat(absl::ToInt64Milliseconds(aTime));
 }
 
-void RecordConnection(gateway& aGateway, directory_area aArea,
-                      bool aIsConnected, absl::Time aNow)
+void RecordRegained(gateway& aGateway, directory_area aArea, absl::Time aNow)
 {
   watched_area& area = GetArea(aGateway, aArea);
-  area.mFailedCalls += aIsConnected ? 0 : 1;
-  if (area.mIsConnected == aIsConnected) {
+  if (area.mIsConnected) {
     return;
   }
-  area.mIsConnected = aIsConnected;
-  decision_inputs inputs = { { "area", std::string(ToName(aArea)) },
-                             { "revision",
-                               absl::StrCat(area.mRevision.value_or(0)) } };
-  if (aIsConnected) {
-    inputs.push_back({ "lost_ms", ToMilliseconds(aNow - area.mLostSince) });
-    inputs.push_back({ "failed_calls", absl::StrCat(area.mFailedCalls) });
-    area.mConnectedSince = aNow;
-    area.mBackoff = absl::ZeroDuration();
-    area.mFailedCalls = 0;
-    if (aArea == directory_area::Peers) {
-      HastenRegistration(aGateway, aNow);
-    }
-  } else {
-    inputs.push_back({ "waited_ms", ToMilliseconds(aNow - area.mCalledAt) });
-    area.mLostSince = area.mCalledAt;
+  RecordDecision(aGateway, decision::StoreRegained,
+                 { { "area", std::string(ToName(aArea)) },
+                   { "revision", absl::StrCat(area.mRevision.value_or(0)) },
+                   { "lost_ms", ToMilliseconds(aNow - area.mLostSince) },
+                   { "failed_calls", absl::StrCat(area.mFailedCalls) } });
+  area.mIsConnected = true;
+  area.mConnectedSince = aNow;
+  area.mBackoff = absl::ZeroDuration();
+  area.mFailedCalls = 0;
+  if (aArea == directory_area::Peers) {
+    // The lease of the peer list entry may have run out while the store was
+    // unavailable, and other gateways count on the list.
+    HastenRegistration(aGateway, aNow);
   }
-  RecordDecision(aGateway,
-                 aIsConnected ? decision::StoreRegained : decision::StoreLost,
-                 std::move(inputs));
+}
+
+// aSince: start of the call that failed.
+void RecordLost(gateway& aGateway, directory_area aArea, absl::Time aSince,
+                absl::Time aNow)
+{
+  watched_area& area = GetArea(aGateway, aArea);
+  if (!area.mIsConnected) {
+    return;
+  }
+  RecordDecision(aGateway, decision::StoreLost,
+                 { { "area", std::string(ToName(aArea)) },
+                   { "revision", absl::StrCat(area.mRevision.value_or(0)) },
+                   { "waited_ms", ToMilliseconds(aNow - aSince) } });
+  area.mIsConnected = false;
+  area.mLostSince = aSince;
+}
+
+// Returns true if the failed call had no response within its time. Any faster
+// failure is an explicit sign, which other calls would get too.
+bool HasTimedOut(const watched_area& aArea, absl::Time aNow)
+{
+  return aNow - aArea.mCalledAt >= aArea.mMaxWait + kStoreResponseTime;
 }
 
 } // namespace
@@ -440,6 +465,7 @@
   }
   aGateway.mLease = 0;
   aGateway.mIsRegistering = false;
+  aGateway.mIsStoreFailing = false;
   HastenRegistration(aGateway, aNow);
   for (const auto& entry : NameTable(directory_area{})) {
     watched_area& area = GetArea(aGateway, entry.mValue);
@@ -462,10 +488,41 @@
     FireArea(aGateway, aResponse.mArea, watch_event::Failed, {}, aNow);
     return;
   }
+  watched_area& area = GetArea(aGateway, aResponse.mArea);
+  const absl::Time calledAt = area.mCalledAt;
   const bool isConnected = aResponse.mStatus != directory_status::Unavailable;
-  RecordConnection(aGateway, aResponse.mArea, isConnected, aNow);
+  const bool hasTimedOut = !isConnected && HasTimedOut(area, aNow);
+  if (isConnected) {
+    RecordRegained(aGateway, aResponse.mArea, aNow);
+  } else {
+    ++area.mFailedCalls;
+    RecordLost(aGateway, aResponse.mArea, calledAt, aNow);
+  }
   FireArea(aGateway, aResponse.mArea, ToEvent(aResponse.mStatus), aResponse,
            aNow);
+  if (isConnected) {
+    OnStoreCallAnswered(aGateway, calledAt, aNow);
+  } else if (hasTimedOut) {
+    OnStoreCallFailed(aGateway, aNow);
+  } else {
+    CheckStoreNow(aGateway, aNow);
+  }
+}
+
+void RestartWaitingCalls(gateway& aGateway, absl::Time aBefore, absl::Time aNow)
+{
+  for (const auto& entry : NameTable(directory_area{})) {
+    if (GetArea(aGateway, entry.mValue).mCalledAt < aBefore) {
+      FireArea(aGateway, entry.mValue, watch_event::StoreAnswered, {}, aNow);
+    }
+  }
+}
+
+void MarkStoreLost(gateway& aGateway, absl::Time aSince, absl::Time aNow)
+{
+  for (const auto& entry : NameTable(directory_area{})) {
+    RecordLost(aGateway, entry.mValue, aSince, aNow);
+  }
 }
 
 void AdvanceWatches(gateway& aGateway, absl::Time aNow)
@@ -483,12 +540,6 @@
       RemoveBackend(aGateway, backend_id(listing->first), "entry expired");
     }
   }
-  if (!aGateway.mIsRegistering && !aGateway.mStopping &&
-      aNow >= aGateway.mNextRegistrationAt) {
-    aGateway.mIsRegistering = true;
-    aGateway.mActions.push_back(
-      registration_call{ aGateway.mLease, aGateway.mEra });
-  }
 }
 
 void RemoveExpiredPeers(gateway& aGateway, absl::Time aNow)
@@ -509,33 +560,6 @@
   }
 }
 
-void OnRegistrationResponse(gateway& aGateway,
-                            const registration_response& aResponse,
-                            absl::Time aNow)
-{
-  if (MatchEra(aGateway, aResponse.mEra, aNow) == era_match::Superseded) {
-    return;
-  }
-  aGateway.mIsRegistering = false;
-  switch (aResponse.mStatus) {
-    case lease_status::Held:
-      aGateway.mLease = aResponse.mLease;
-      aGateway.mNextRegistrationAt = aNow + kRegistrationInterval;
-      break;
-    case lease_status::Ended:
-      aGateway.mLease = 0;
-      aGateway.mNextRegistrationAt = aNow;
-      break;
-    case lease_status::Unavailable:
-      aGateway.mNextRegistrationAt = aNow + kMaxBackoff;
-      break;
-  }
-  if (aGateway.mStopping && aGateway.mLease != 0) {
-    aGateway.mActions.push_back(deregistration_call{ aGateway.mLease });
-    aGateway.mLease = 0;
-  }
-}
-
 int CountGateways(const gateway& aGateway, absl::Time aNow)
 {
   int routers = 1;
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -52,7 +52,7 @@
   explicit gateway_host(const platform::node_file& aNode)
     : mNode(aNode)
     , mCalls(mLoop)
-    , mStore{ mCalls, aNode.mStoreAddress, aNode.mName, "", {}, {} }
+    , mStore{ mCalls, aNode.mStoreAddress, aNode.mName, "", {}, {}, {} }
     , mTraffic(mLoop, {})
     , mReadyService(mLoop, {})
     , mPeerService(mLoop, {})
@@ -492,7 +492,10 @@
     return;
   }
   aHost.mNode = GetValue(read);
-  aHost.mStore.mAddress = aHost.mNode.mStoreAddress;
+  if (aHost.mStore.mAddress != aHost.mNode.mStoreAddress) {
+    aHost.mStore.mAddress = aHost.mNode.mStoreAddress;
+    EndQueries(aHost.mStore);
+  }
   Log(log_component::Daemon, log_level::Info, log_event::SettingsReloaded,
       { { "store", aHost.mNode.mStoreAddress } });
 }
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -13,11 +13,15 @@
 // that an outage does not change the peer list.
 constexpr absl::Duration kRegistrationLeaseTime = absl::Seconds(60);
 
+// Time after which a connection counts as broken if the store's host
+// acknowledges neither data nor keep-alive probes. Watches wait for longer.
+constexpr absl::Duration kUnresponsiveTimeout = absl::Seconds(2);
+
 using on_store_response =
   std::function<void(const platform::store_call_response&)>;
 
-void StartHttpCall(store_link& aLink, const platform::store_call& aCall,
-                   on_store_response aOnResponse)
+channel_id StartHttpCall(store_link& aLink, const platform::store_call& aCall,
+                         absl::Duration aTimeout, on_store_response aOnResponse)
 {
   client_call call;
   call.mAddress = aLink.mAddress;
@@ -25,8 +29,9 @@
   call.mTarget = aCall.mTarget;
   call.mBody = aCall.mBody;
   call.mConnectTimeout = kConnectTimeout;
-  call.mTimeout = kStoreResponseTime + aCall.mMaxHoldTime;
-  StartCall(
+  call.mTimeout = aTimeout + aCall.mMaxHoldTime;
+  call.mUnresponsiveTimeout = kUnresponsiveTimeout;
+  return StartCall(
     aLink.mCalls, call,
     [&aLink, start = MonotonicNow(),
      onResponse = std::move(aOnResponse)](const call_response& aResponse) {
@@ -49,13 +54,20 @@
   return aEarlier.mStated != aLater.mStated;
 }
 
+running_query& GetQuery(store_link& aLink, directory_area aArea)
+{
+  return aLink.mQueries[static_cast<std::size_t>(aArea)];
+}
+
 // Reads the pages of a directory after aAfter one by one and posts them as one
 // response. aEarlierPages holds the pages that were read before.
 void ReadPage(store_link& aLink, const directory_query& aQuery,
               const std::string& aAfter, directory_response aEarlierPages)
 {
-  StartHttpCall(
-    aLink, platform::EncodeDirectoryQuery(aQuery, aAfter),
+  running_query& running = GetQuery(aLink, aQuery.mArea);
+  running.mEra = aQuery.mEra;
+  running.mCall = StartHttpCall(
+    aLink, platform::EncodeDirectoryQuery(aQuery, aAfter), kStoreResponseTime,
     [&aLink, aQuery, aAfter, earlierPages = std::move(aEarlierPages)](
       const platform::store_call_response& aResponse) mutable {
       auto page = platform::DecodeDirectoryPage(aQuery, aResponse);
@@ -83,6 +95,7 @@
         ReadPage(aLink, aQuery, page.mNextPageAfter, std::move(response));
         return;
       }
+      GetQuery(aLink, aQuery.mArea).mCall = 0;
       aLink.mPost(std::move(response));
     });
 }
@@ -93,7 +106,7 @@
                 const std::string& aAfter, grants_read aEarlierPages)
 {
   StartHttpCall(
-    aLink, platform::EncodeGrantRead(aAfter),
+    aLink, platform::EncodeGrantRead(aAfter), kStoreResponseTime,
     [&aLink, aRead, aAfter, earlierPages = std::move(aEarlierPages)](
       const platform::store_call_response& aResponse) mutable {
       auto page = platform::DecodeGrantsPage(aResponse);
@@ -118,12 +131,13 @@
 
 void StartStoreCall(store_link& aLink, const directory_query& aQuery)
 {
+  AbandonCall(aLink.mCalls, GetQuery(aLink, aQuery.mArea).mCall);
   ReadPage(aLink, aQuery, "", {});
 }
 
 void StartStoreCall(store_link& aLink, const grant_write& aWrite)
 {
-  StartHttpCall(aLink, platform::EncodeGrantWrite(aWrite),
+  StartHttpCall(aLink, platform::EncodeGrantWrite(aWrite), kStoreResponseTime,
                 [&aLink, era = aWrite.mEra](
                   const platform::store_call_response& aResponse) {
                   auto written = platform::DecodeGrantWrite(aResponse);
@@ -139,19 +153,20 @@
 
 void StartStoreCall(store_link& aLink, const crash_report_write& aWrite)
 {
-  StartHttpCall(aLink, platform::EncodeCrashReportWrite(aWrite),
-                [&aLink, era = aWrite.mEra](
-                  const platform::store_call_response& aResponse) {
-                  aLink.mPost(crash_report_write_response{
-                    aResponse.mStatus == 200, GetEra(era, aResponse) });
-                });
+  StartHttpCall(
+    aLink, platform::EncodeCrashReportWrite(aWrite), kStoreResponseTime,
+    [&aLink,
+     era = aWrite.mEra](const platform::store_call_response& aResponse) {
+      aLink.mPost(crash_report_write_response{ aResponse.mStatus == 200,
+                                               GetEra(era, aResponse) });
+    });
 }
 
 void StartStoreCall(store_link& aLink, const registration_call& aCall)
 {
   if (aCall.mLease != 0) {
     StartHttpCall(
-      aLink, platform::EncodeRenewLease(aCall.mLease),
+      aLink, platform::EncodeRenewLease(aCall.mLease), kHeartbeatTimeout,
       [&aLink, aCall](const platform::store_call_response& aResponse) {
         aLink.mPost(
           registration_response{ platform::DecodeLeaseStatus(aResponse),
@@ -160,7 +175,7 @@
     return;
   }
   StartHttpCall(
-    aLink, platform::EncodeOpenLease(kRegistrationLeaseTime),
+    aLink, platform::EncodeOpenLease(kRegistrationLeaseTime), kHeartbeatTimeout,
     [&aLink, aCall](const platform::store_call_response& aResponse) {
       const auto lease = platform::DecodeLeaseId(aResponse);
       const response_era era = GetEra(aCall.mEra, aResponse);
@@ -171,6 +186,7 @@
       StartHttpCall(
         aLink,
         platform::EncodePeerEntry(aLink.mName, aLink.mPeerAddress, *lease),
+        kHeartbeatTimeout,
         [&aLink, lease = *lease,
          era](const platform::store_call_response& aEntry) {
           // In a later era, the lease may belong to another gateway.
@@ -186,9 +202,25 @@
 void StartStoreCall(store_link& aLink, const deregistration_call& aCall)
 {
   StartHttpCall(aLink, platform::EncodeEndLease(aCall.mLease),
-                [](const platform::store_call_response&) {
+                kStoreResponseTime, [](const platform::store_call_response&) {
                   // If the request fails, the lease expires by itself.
                 });
 }
 
+void EndQueries(store_link& aLink)
+{
+  for (const auto& entry : NameTable(directory_area{})) {
+    running_query& running = GetQuery(aLink, entry.mValue);
+    if (running.mCall == 0) {
+      continue;
+    }
+    AbandonCall(aLink.mCalls, running.mCall);
+    running.mCall = 0;
+    directory_response failed;
+    failed.mArea = entry.mValue;
+    failed.mEra.mKnown = running.mEra;
+    aLink.mPost(std::move(failed));
+  }
+}
+
 } // namespace foxtailquay
--- a/src/daemon/store_link.h
+++ b/src/daemon/store_link.h
@@ -5,11 +5,13 @@
 //   StartStoreCall(link, query);
 //
 // The response of each call except a deregistration is passed to mPost as one
-// event. Not thread-safe: use only on the event loop's thread.
+// event. A directory query replaces the one on the same area that is in
+// progress. Not thread-safe: use only on the event loop's thread.
 
 #ifndef FOXTAILQUAY_DAEMON_STORE_LINK_H
 #define FOXTAILQUAY_DAEMON_STORE_LINK_H
 
+#include <array>
 #include <functional>
 #include <string>
 
@@ -19,6 +21,15 @@
 
 namespace foxtailquay {
 
+// A directory query in progress.
+struct running_query
+{
+  // 0 if there is none.
+  channel_id mCall = 0;
+  // Era that the gateway knew.
+  store_era mEra = 0;
+};
+
 struct store_link
 {
   client_calls& mCalls;
@@ -31,6 +42,7 @@
   // Called with the result and duration of each HTTP call, for metrics. The
   // duration of a watch includes the time that the store held the request.
   std::function<void(bool aFailed, absl::Duration)> mOnCall;
+  std::array<running_query, CountEnumerators<directory_area>()> mQueries;
 };
 
 void StartStoreCall(store_link& aLink, const directory_query& aQuery);
@@ -40,6 +52,9 @@
 void StartStoreCall(store_link& aLink, const registration_call& aCall);
 void StartStoreCall(store_link& aLink, const deregistration_call& aCall);
 
+// Ends the directory queries in progress as failed, since mAddress has changed.
+void EndQueries(store_link& aLink);
+
 } // namespace foxtailquay
 
 #endif
--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -105,11 +105,12 @@
 
 } // namespace
 
-void StartCall(client_calls& aCalls, const client_call& aCall,
-               std::function<void(const call_response&)> aOnDone)
+channel_id StartCall(client_calls& aCalls, const client_call& aCall,
+                     std::function<void(const call_response&)> aOnDone)
 {
   channel_options options;
   options.mConnectTimeout = aCall.mConnectTimeout;
+  options.mUnresponsiveTimeout = aCall.mUnresponsiveTimeout;
   const channel_id id =
     AcquireChannel(aCalls.mLoop, aCalls.mPool, aCall.mAddress, 0, options,
                    channel_choice::IdleOrNew)
@@ -133,6 +134,19 @@
   };
   SetHandlers(aCalls.mLoop, id, std::move(handlers));
   Send(aCalls.mLoop, id, EncodeCall(aCall));
+  return id;
+}
+
+void AbandonCall(client_calls& aCalls, channel_id aChannel)
+{
+  const auto found = aCalls.mRunning.find(aChannel);
+  if (found == aCalls.mRunning.end()) {
+    return;
+  }
+  const running_call_ptr call = std::move(found->second);
+  aCalls.mRunning.erase(found);
+  CancelTimer(aCalls.mLoop, call->mTimer);
+  CloseChannel(aCalls.mLoop, aCalls.mPool, call->mAddress, aChannel);
 }
 
 } // namespace foxtailquay
--- a/src/transport/client_call.h
+++ b/src/transport/client_call.h
@@ -36,6 +36,9 @@
   absl::Duration mConnectTimeout = absl::Milliseconds(500);
   // Time from the start of the call to the end of its response.
   absl::Duration mTimeout = absl::Seconds(2);
+  // Approximate time after which a new connection counts as broken if the
+  // peer's host acknowledges nothing.
+  absl::Duration mUnresponsiveTimeout = absl::Seconds(3);
 };
 
 // Outcome of a call.
@@ -72,10 +75,14 @@
   absl::flat_hash_map<channel_id, running_call_ptr> mRunning;
 };
 
-// Starts a call. aOnDone is called once, from the loop and never from
-// StartCall.
-void StartCall(client_calls& aCalls, const client_call& aCall,
-               std::function<void(const call_response&)> aOnDone);
+// Starts a call and returns its channel, which identifies it. aOnDone is called
+// once, from the loop and never from StartCall, unless the call is abandoned.
+channel_id StartCall(client_calls& aCalls, const client_call& aCall,
+                     std::function<void(const call_response&)> aOnDone);
+
+// Closes the connection of a running call, whose aOnDone is then not called.
+// Has no effect if the call has ended.
+void AbandonCall(client_calls& aCalls, channel_id aChannel);
 
 } // namespace foxtailquay
 
--- a/tests/gateway_sim/gateway_sim.cc
+++ b/tests/gateway_sim/gateway_sim.cc
@@ -155,6 +155,7 @@
   gateway.mIsAlive = false;
   ++gateway.mIncarnation;
   gateway.mWatches.clear();
+  gateway.mHasSilentPool = false;
   gateway.mToldLimits.clear();
   gateway.mToldLeaving.clear();
   gateway.mBackoffs.clear();
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -40,7 +40,7 @@
   DenySending,
   // Backend servers use more tokens than they report.
   HideTokens,
-  // A watch on a silent connection ends later than the transport ends it.
+  // A call on a silent connection ends later than the transport ends it.
   DelayTimeouts,
   // The gateways do not see the rate limits that servers state.
   HideLimits,
@@ -111,6 +111,8 @@
   Unresponsive,
   // Some writes take effect without a response, immediately or later.
   LosesResponses,
+  // Watches hear of no changes.
+  HoldsWatches,
 };
 
 // A stored grant record.
@@ -127,6 +129,8 @@
   store_version mRevision = 1;
   traffic_config mConfig;
   store_version mConfigRevision = 0;
+  // Watches from before this revision fail, since the history was dropped.
+  store_version mHistoryStart = 0;
   // Time of each version, in order.
   std::vector<std::pair<absl::Time, config_version>> mConfigTimes;
   // End of the last fault of the store.
@@ -169,6 +173,8 @@
   absl::Time mEndsAt;
   // Era that the gateway knew.
   store_era mEra = 0;
+  // Number of the query.
+  std::uint64_t mQuery = 0;
 };
 
 // A gateway process.
@@ -194,6 +200,11 @@
   bool mIsDisconnected = false;
   config_version mVersion = 0;
   std::map<directory_area, sim_watch> mWatches;
+  // Numbers of the last query on each area, which replaces earlier ones.
+  std::map<directory_area, std::uint64_t> mQueries;
+  // True while its pool has silent connections: calls get no response until one
+  // has failed.
+  bool mHasSilentPool = false;
   // End of the last fault of its connections.
   absl::Time mDisturbedUntil = absl::InfinitePast();
 };
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -88,6 +88,10 @@
 // Makes the connections of the gateway's watches silent: the watches fail when
 // the transport ends them.
 void SilenceWatches(fleet_sim& aSim, std::size_t aIndex);
+// Makes all open connections of the gateway silent, also those in its pool.
+void SilenceConnections(fleet_sim& aSim, std::size_t aIndex);
+// Drops the history and cuts all watches.
+void DropHistory(fleet_sim& aSim);
 
 // --- sim_limits.cc ----------------------------------------------------------
 
