--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -148,7 +148,7 @@
   store_era mEra = 0;
 };
 
-// Responds to tokens_requested.
+// Responds to tokens_requested and tokens_recalled.
 struct send_token_response
 {
   std::uint64_t mCall = 0;
@@ -163,9 +163,26 @@
   workspace_id mWorkspace;
   token_count mAmount = 0;
   int mPriority = 0;
+  // Part of mAmount that requests wait for; 0 for a refill.
+  token_count mNeeded = 0;
+  // Name of this gateway and the number of tokens that are free here.
+  std::string mFrom = {};
+  token_count mHeld = 0;
+  token_call mKind = token_call::Need;
 };
 
-// Returns tokens to another gateway.
+// Asks another gateway to return tokens of a workspace that it does not need.
+struct recall_tokens
+{
+  std::string mPeer;
+  std::string mAddress;
+  workspace_id mWorkspace;
+  // True if the total has no tokens left to grant.
+  bool mIsUsedUp = false;
+};
+
+// Sends tokens to another gateway that has not requested them: returned ones,
+// or a first part.
 struct return_tokens
 {
   std::string mAddress;
@@ -239,6 +256,8 @@
   BackendChanged,
   PeerChanged,
   GrantChanged,
+  TokensPlaced,
+  TokensRecalled,
   StoreLost,
   StoreRegained,
   StoreEraChanged,
@@ -263,6 +282,8 @@
       { d::BackendChanged, "backend_changed" },
       { d::PeerChanged, "peer_changed" },
       { d::GrantChanged, "grant_changed" },
+      { d::TokensPlaced, "tokens_placed" },
+      { d::TokensRecalled, "tokens_recalled" },
       { d::StoreLost, "store_lost" },
       { d::StoreRegained, "store_regained" },
       { d::StoreEraChanged, "store_era_changed" },
@@ -285,11 +306,11 @@
 using gateway_action =
   std::variant<send_error, deliver_failure, cancel_request, dispatch_request,
                directory_query, grant_write, registration_call,
-               send_token_response, request_tokens, return_tokens,
-               report_prompts, probe_server, crash_report_write, grant_read,
-               share_grants, send_share_response, deregistration_call,
-               set_ready, set_closing, set_limits, stop_finished,
-               decision_record>;
+               send_token_response, request_tokens, recall_tokens,
+               return_tokens, report_prompts, probe_server, crash_report_write,
+               grant_read, share_grants, send_share_response,
+               deregistration_call, set_ready, set_closing, set_limits,
+               stop_finished, decision_record>;
 
 using gateway_actions = std::vector<gateway_action>;
 
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -388,6 +388,24 @@
   response_era mEra = {};
 };
 
+// Why a gateway calls another one for tokens.
+enum class token_call
+{
+  // Requests wait for them.
+  Need,
+  // To hold enough of them, ahead of need.
+  Refill,
+  // To get back what the other gateway does not need.
+  Recall,
+};
+
+constexpr auto NameTable(token_call)
+{
+  using c = token_call;
+  return MakeNameTable<c>(
+    { { c::Need, "need" }, { c::Refill, "refill" }, { c::Recall, "recall" } });
+}
+
 // Another gateway requests tokens of a workspace.
 struct tokens_requested
 {
@@ -397,6 +415,23 @@
   token_count mAmount = 0;
   // Priority of the requests that need the tokens, in [0, kRequestPriorities).
   int mPriority = 0;
+  // Part of mAmount that requests wait for; the rest is ahead of need. Absent
+  // if the other gateway does not state it: requests wait for all of it.
+  std::optional<token_count> mNeeded = std::nullopt;
+  // Name of the other gateway and the number of tokens that are free there.
+  // Empty if it does not state them.
+  std::string mPeer = {};
+  token_count mHeld = 0;
+};
+
+// Another gateway recalls tokens of a workspace.
+struct tokens_recalled
+{
+  // Identifies the call to which send_token_response responds.
+  std::uint64_t mCall = 0;
+  workspace_id mWorkspace;
+  // True if the total has no tokens left to grant, so that little is retained.
+  bool mIsUsedUp = false;
 };
 
 // Another gateway returns tokens to this one.
@@ -418,13 +453,14 @@
   bool mStoreUnavailable = false;
 };
 
-// The response to request_tokens. mResponse is absent if the peer did not
-// respond.
+// The response to request_tokens or recall_tokens. mResponse is absent if the
+// peer did not respond.
 struct token_response_received
 {
   std::string mPeer;
   workspace_id mWorkspace;
   std::optional<token_response> mResponse;
+  token_call mKind = token_call::Need;
 };
 
 // A prompt that a gateway has sent to an engine.
@@ -467,10 +503,11 @@
 using gateway_event =
   std::variant<caller_request, attempt_report, first_byte, caller_disconnected,
                directory_response, grant_write_response, registration_response,
-               tokens_requested, tokens_returned, token_response_received,
-               prompts_reported, load_measured, server_probed,
-               crash_report_write_response, grants_read, grants_shared,
-               share_response_received, gateway_tick, stop_requested>;
+               tokens_requested, tokens_recalled, tokens_returned,
+               token_response_received, prompts_reported, load_measured,
+               server_probed, crash_report_write_response, grants_read,
+               grants_shared, share_response_received, gateway_tick,
+               stop_requested>;
 
 } // namespace foxtailquay
 
--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -193,6 +193,12 @@
   token_count mHighestPriorityNeeded = 0;
   // Tokens that the waiting requests must leave free.
   token_count mHeadroom = 0;
+  // Tokens that planned transfers to other routers need beyond mNeeded. They
+  // are granted within mMaxHeldFraction only.
+  token_count mPlanned = 0;
+  // Tokens to hold besides, for the holder's own demand and for expected
+  // transfers; if absent, the demand over mHorizon.
+  std::optional<token_count> mTokensToHold;
 };
 
 // The current time on both clocks.
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -159,6 +159,10 @@
   {
     OnTokensRequested(mGateway, aEvent, mNow);
   }
+  void operator()(const tokens_recalled& aEvent)
+  {
+    OnTokensRecalled(mGateway, aEvent, mNow);
+  }
   void operator()(const tokens_returned& aEvent)
   {
     OnTokensReturned(mGateway, aEvent, mNow);
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -4,105 +4,18 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "gateway_coordinator.h"
+#include "gateway_placement.h"
 #include "gateway_state.h"
 #include "gateway_waiters.h"
-#include "xxhash.h"
 
 namespace foxtailquay {
 
 namespace {
 
-// Demand, as a time, for which free tokens are retained when there are more
-// than twice as many. The rest is returned to the coordinator.
-constexpr absl::Duration kRetainedTime = absl::Seconds(1);
 // Shortest interval between two grant writes of this gateway.
 constexpr absl::Duration kWriteInterval = absl::Milliseconds(25);
 
-// Time for which a coordinator is used before it is computed again. The
-// computation takes time proportional to the number of gateways, and the
-// periodic work needs the coordinators of all workspaces.
-constexpr absl::Duration kCoordinatorTime = absl::Milliseconds(200);
-
-std::uint64_t ComputeHashWeight(const std::string& aRouter,
-                                std::uint64_t aWorkspaceHash)
-{
-  return XXH64(aRouter.data(), aRouter.size(), aWorkspaceHash);
-}
-
-// The gateway that is the coordinator of a workspace.
-struct coordinator_choice
-{
-  // Name of the peer; empty if this gateway is the coordinator.
-  std::string mPeer;
-  std::string mAddress;
-};
-
-// Returns true if aPeer gets no requests for tokens of aWorkspace at aNow.
-bool IsAvoided(const gateway& aGateway, const workspace_id& aWorkspace,
-               const std::string& aPeer, absl::Time aNow)
-{
-  const auto tokens = aGateway.mWorkspaceTokens.find(aWorkspace);
-  if (tokens == aGateway.mWorkspaceTokens.end()) {
-    return false;
-  }
-  const auto avoided = tokens->second.mAvoidUntil.find(aPeer);
-  return avoided != tokens->second.mAvoidUntil.end() && aNow < avoided->second;
-}
-
-// Returns the coordinator of a workspace, which is the gateway that requests
-// grants for it. It is chosen by rendezvous hashing over the live gateways that
-// can transfer tokens. Two gateways may disagree for a while; each then spends
-// only its own grants.
-coordinator_choice FindCoordinator(const gateway& aGateway,
-                                   const workspace_id& aWorkspace,
-                                   bool aMayBeLocal, absl::Time aNow)
-{
-  coordinator_choice coordinator;
-  const std::uint64_t workspace =
-    XXH64(aWorkspace.mValue.data(), aWorkspace.mValue.size(), 0);
-  std::uint64_t best = 0;
-  if (aMayBeLocal && !aGateway.mStopping) {
-    best = ComputeHashWeight(aGateway.mSettings.mName, workspace);
-  }
-  for (const auto& peer : aGateway.mPeers) {
-    const std::uint64_t weight = ComputeHashWeight(peer.first, workspace);
-    if (aNow >= peer.second.mSuspectUntil && weight > best &&
-        !IsAvoided(aGateway, aWorkspace, peer.first, aNow)) {
-      best = weight;
-      coordinator = { peer.first, peer.second.mPeer.mAddress };
-    }
-  }
-  return coordinator;
-}
-
-coordinator_choice FindCoordinator(const gateway& aGateway,
-                                   const workspace_id& aWorkspace,
-                                   absl::Time aNow)
-{
-  return FindCoordinator(aGateway, aWorkspace, true, aNow);
-}
-
-// Returns true if this gateway was the coordinator when that was last computed,
-// at most kCoordinatorTime ago. An outdated answer is safe, as is a
-// disagreement between gateways.
-bool IsCoordinator(const gateway& aGateway, const workspace_id& aWorkspace,
-                   workspace_tokens& aTokens, absl::Time aNow)
-{
-  if (aNow >= aTokens.mCoordinatorUntil) {
-    aTokens.mIsCoordinator =
-      FindCoordinator(aGateway, aWorkspace, aNow).mPeer.empty();
-    aTokens.mCoordinatorUntil = aNow + kCoordinatorTime;
-  }
-  return aTokens.mIsCoordinator;
-}
-
-token_count EstimateWorkspaceDemand(const grant_share& aShare,
-                                    const gateway& aGateway,
-                                    absl::Duration aTime, absl::Time aNow)
-{
-  return EstimateDemand(aShare, aTime, aGateway.mSettings.mGrants, aNow);
-}
-
 // Starts to acquire the tokens that the waiters need, by a grant write or from
 // another gateway.
 void AcquireTokens(gateway& aGateway, const workspace_id& aWorkspace,
@@ -136,18 +49,24 @@
       IsCoordinator(aGateway, entry.first, tokens, aNow) ||
       HasPeerWaiting(tokens);
     UpdateNeededTokens(tokens, aGateway.mSettings.mGrants, aNow);
+    UpdatePlannedTokens(tokens);
+    const bool isDue = isPeriodic && !(entry.first < aGateway.mPeriodicFrom);
     auto plan = PlanGrant(tokens.mShare, aGateway.mHolder, tokens.mPrepaid,
-                          isCoordinator, isPeriodic, aGateway.mSettings.mGrants,
+                          isCoordinator, isDue, aGateway.mSettings.mGrants,
                           MakeGrantClock(aGateway, aNow));
     if (plan) {
       write.mEntries.push_back({ entry.first, std::move(*plan) });
     }
     if (write.mEntries.size() == kMaxGrantEntries) {
+      // The next write continues after this workspace. If each write began
+      // with the first one, those beyond the first twelve would get none.
+      aGateway.mPeriodicFrom = std::max(aGateway.mPeriodicFrom, entry.first);
       break;
     }
   }
   if (isPeriodic && write.mEntries.size() < kMaxGrantEntries) {
     aGateway.mNextPeriodicWriteAt = aNow + kLimitInterval;
+    aGateway.mPeriodicFrom = {};
   }
   if (!write.mEntries.empty()) {
     aGateway.mEntriesInFlight = write.mEntries;
@@ -155,21 +74,54 @@
   }
 }
 
+// Returns true if the tokens that are free or may still be granted do not cover
+// the waiters.
+bool LacksTokens(const workspace_tokens& aTokens)
+{
+  const grant_share& share = aTokens.mShare;
+  token_count needed = 0;
+  for (const token_waiter& waiter : aTokens.mWaiters) {
+    needed = AddTokens(needed, waiter.mAmount);
+  }
+  return share.mVersion > 0 && !share.mPending && !IsFromEarlierEra(share) &&
+         needed > share.mFreeTokens + share.mWithheldTokens + aTokens.mPrepaid -
+                    ComputeTotal(share.mRecord);
+}
+
+// Ends the waiters for whose priority no tokens are left to grant, after the
+// other gateways have returned what they do not need soon.
+void RecallIfUsedUp(gateway& aGateway, const workspace_id& aWorkspace,
+                    absl::Time aNow)
+{
+  const workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  const bool isShort = LacksTokens(tokens) ||
+                       HasExhaustedWaiter(tokens, aGateway.mSettings.mGrants);
+  if (!isShort || !RecallTokens(aGateway, aWorkspace, true, aNow)) {
+    EndExhaustedWaiters(aGateway, aWorkspace, aNow);
+  }
+}
+
 void AcquireTokens(gateway& aGateway, const workspace_id& aWorkspace,
                    absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
-  coordinator_choice coordinator = FindCoordinator(aGateway, aWorkspace, aNow);
-  if (coordinator.mPeer.empty() && !IsStoreUnavailable(aGateway)) {
-    EndExhaustedWaiters(aGateway, aWorkspace, aNow);
-    WriteGrants(aGateway, aNow);
-    return;
-  }
+  coordinator_choice coordinator =
+    FindCoordinator(aGateway, aWorkspace, true, token_call::Need, aNow);
   if (coordinator.mPeer.empty()) {
+    if (!IsStoreUnavailable(aGateway)) {
+      RecallIfUsedUp(aGateway, aWorkspace, aNow);
+      WriteGrants(aGateway, aNow);
+      return;
+    }
+    if (RecallTokens(aGateway, aWorkspace,
+                     IsExhausted(tokens.mShare, tokens.mPrepaid), aNow)) {
+      return;
+    }
     // Peers may still reach the store. Requests of other gateways are not
     // forwarded to them; those gateways try other peers themselves.
     EndPeerWaiters(aGateway, aWorkspace, aNow);
-    coordinator = FindCoordinator(aGateway, aWorkspace, false, aNow);
+    coordinator =
+      FindCoordinator(aGateway, aWorkspace, false, token_call::Need, aNow);
   }
   if (coordinator.mPeer.empty()) {
     ReserveForWaiters(aGateway, aWorkspace, true, aNow);
@@ -194,11 +146,11 @@
     return;
   }
   tokens.mIsRequesting = true;
-  aGateway.mActions.push_back(
-    request_tokens{ coordinator.mPeer, coordinator.mAddress, aWorkspace,
-                    shortage + EstimateWorkspaceDemand(tokens.mShare, aGateway,
-                                                       kTransferMargin, aNow),
-                    priority });
+  // The waiters take all free tokens, so that the target is missing as well.
+  aGateway.mActions.push_back(request_tokens{
+    coordinator.mPeer, coordinator.mAddress, aWorkspace,
+    AddTokens(shortage, tokens.mTarget), priority, shortage,
+    aGateway.mSettings.mName, tokens.mShare.mFreeTokens, token_call::Need });
 }
 
 // Returns the free tokens above aRetained to the coordinator.
@@ -207,7 +159,7 @@
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
   const coordinator_choice coordinator =
-    FindCoordinator(aGateway, aWorkspace, aNow);
+    FindCoordinator(aGateway, aWorkspace, true, token_call::Need, aNow);
   const grant_clock clock = MakeGrantClock(aGateway, aNow);
   const token_count surplus = std::min(tokens.mShare.mFreeTokens - aRetained,
                                        ComputeAvailable(tokens.mShare, clock));
@@ -285,6 +237,8 @@
   }
   const workspace_id workspace = aRequest.mWorkspace;
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[workspace];
+  RecordOwnDemand(aGateway, tokens, aRequest.mWorstCaseCost,
+                  aRequest.mRoutePriority, aNow);
   tokens.mWaiters.push_back(
     { handle, 0, aRequest.mWorstCaseCost, aRequest.mRoutePriority,
       std::min(aRequest.mDeadline, aNow + kFundingTimeout) });
@@ -357,6 +311,9 @@
     aGateway.mNextWriteAt = aNow;
     // The periodic part of the failed write is due again.
     aGateway.mNextPeriodicWriteAt = aNow;
+    if (!entries.empty()) {
+      aGateway.mPeriodicFrom = entries.front().mWorkspace;
+    }
   }
   WriteGrants(aGateway, aNow);
 }
@@ -383,16 +340,29 @@
     return;
   }
   workspace_tokens& tokens = found->second;
-  tokens.mWaiters.push_back({ 0, aEvent.mCall, aEvent.mAmount, aEvent.mPriority,
-                              aNow + kFundingTimeout / 2 });
+  const token_count needed =
+    std::min(aEvent.mAmount, aEvent.mNeeded.value_or(aEvent.mAmount));
+  if (needed <= 0) {
+    ServeRefill(aGateway, aEvent, tokens, aNow);
+    WriteGrants(aGateway, aNow);
+    return;
+  }
+  tokens.mWaiters.push_back({ 0, aEvent.mCall, needed, aEvent.mPriority,
+                              aNow + kFundingTimeout / 2, aEvent.mPeer,
+                              aEvent.mAmount - needed });
   ReserveForWaiters(aGateway, aEvent.mWorkspace, false, aNow);
   if (IsStoreUnavailable(aGateway)) {
+    if (HasPeerWaiting(tokens) &&
+        RecallTokens(aGateway, aEvent.mWorkspace,
+                     IsExhausted(tokens.mShare, tokens.mPrepaid), aNow)) {
+      return;
+    }
     // The requesting gateway tries another peer. Token requests are not
     // forwarded to a third gateway.
     EndPeerWaiters(aGateway, aEvent.mWorkspace, aNow);
     return;
   }
-  EndExhaustedWaiters(aGateway, aEvent.mWorkspace, aNow);
+  RecallIfUsedUp(aGateway, aEvent.mWorkspace, aNow);
   WriteGrants(aGateway, aNow);
 }
 
@@ -408,22 +378,35 @@
                      absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aEvent.mWorkspace];
+  if (aEvent.mResponse) {
+    TrustPeer(aGateway, aEvent.mPeer);
+    AddReceivedTokens(tokens.mShare, aEvent.mResponse->mAmount);
+  } else {
+    SuspectPeer(aGateway, aEvent.mPeer, aNow);
+  }
+  const bool isAway = aEvent.mResponse && aEvent.mResponse->mStoreUnavailable;
+  if (isAway) {
+    tokens.mAvoidUntil[aEvent.mPeer] = aNow + kAvoidTime;
+  }
+  switch (aEvent.mKind) {
+    case token_call::Recall:
+      RecordRecallResponse(aGateway, aEvent, aNow);
+      ResumeWaiters(aGateway, aEvent.mWorkspace, aNow);
+      return;
+    case token_call::Refill:
+      RecordRefill(tokens,
+                   aEvent.mResponse &&
+                     aEvent.mResponse->mAmount >= tokens.mRefillAmount,
+                   aNow);
+      ReserveForWaiters(aGateway, aEvent.mWorkspace, false, aNow);
+      return;
+    case token_call::Need:
+      break;
+  }
   tokens.mIsRequesting = false;
   RecordExhaustion(tokens, aEvent.mResponse && aEvent.mResponse->mExhausted,
                    aNow);
-  if (!aEvent.mResponse) {
-    auto peer = aGateway.mPeers.find(aEvent.mPeer);
-    if (peer != aGateway.mPeers.end()) {
-      peer->second.mSuspectUntil = aNow + kSuspectTime;
-      RecordDecision(aGateway, decision::PeerChanged,
-                     { { "peer", aEvent.mPeer }, { "state", "suspect" } });
-    }
-    AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
-    return;
-  }
-  AddReceivedTokens(tokens.mShare, aEvent.mResponse->mAmount);
-  if (aEvent.mResponse->mStoreUnavailable) {
-    tokens.mAvoidUntil[aEvent.mPeer] = aNow + kAvoidTime;
+  if (!aEvent.mResponse || isAway) {
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
     return;
   }
@@ -447,6 +430,7 @@
       RecordExhaustion(tokens, false, aNow);
     }
     tokens.mPrepaid = *workspace.mPrepaid;
+    ScheduleFirstParts(tokens, aNow);
     if (lowered) {
       ReturnToCoordinator(aGateway, workspace.mId, 0, aNow);
     }
@@ -457,17 +441,20 @@
 
 void AdvanceGrants(gateway& aGateway, absl::Time aNow)
 {
+  aGateway.mMessagesLeft = kMaxTokenMessages;
   for (auto& entry : aGateway.mWorkspaceTokens) {
+    workspace_tokens& tokens = entry.second;
+    UpdateTargets(aGateway, tokens, aNow);
     ReserveForWaiters(aGateway, entry.first, false, aNow);
-    const workspace_tokens& tokens = entry.second;
+    PlaceFirstParts(aGateway, entry.first, aNow);
     if (!tokens.mWaiters.empty()) {
       AcquireTokens(aGateway, entry.first, aNow);
       continue;
     }
-    const token_count keep =
-      EstimateWorkspaceDemand(tokens.mShare, aGateway, kRetainedTime, aNow);
-    if (tokens.mShare.mFreeTokens > 2 * keep) {
-      ReturnToCoordinator(aGateway, entry.first, keep, aNow);
+    RefillTokens(aGateway, entry.first, aNow);
+    const token_count retained = ComputeRetained(aGateway, tokens, aNow);
+    if (tokens.mShare.mFreeTokens > kReturnFactor * retained) {
+      ReturnToCoordinator(aGateway, entry.first, retained, aNow);
     }
   }
   WriteGrants(aGateway, aNow);
--- /dev/null
+++ b/src/core/gateway_placement.cc
@@ -0,0 +1,412 @@
+#include "gateway_placement.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "gateway_coordinator.h"
+#include "gateway_waiters.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Time from the first configuration with a workspace to its first parts. Within
+// it, gateways that start together have registered and know each other.
+constexpr absl::Duration kPlacementDelay = absl::Milliseconds(1500);
+// Time from then on after which parts are not sent any more: callers may have
+// come, and the gateways request what they need.
+constexpr absl::Duration kPlacementTime = absl::Seconds(10);
+// Fraction of a total that gateways may have been granted while they started
+// and did not know each other yet. If more is granted, the record is older than
+// this start.
+constexpr double kMaxStartFraction = 0.2;
+// Demand, as a time, for which a gateway retains tokens in a recall of a total
+// that is used up.
+constexpr absl::Duration kUsedUpRetainedTime = absl::Seconds(1);
+// If so few gateways have requested tokens this time after the first request,
+// the workspace arrives at them only. Of a workspace that arrives at all
+// gateways, three have requested tokens by then, at two requests a second.
+constexpr std::size_t kFewRequesters = 2;
+constexpr absl::Duration kRequestersTime = absl::Seconds(2);
+// Shortest interval between two recalls of a workspace.
+constexpr absl::Duration kRecallInterval = absl::Seconds(1);
+// Time for which the outcome of a recall counts: two intervals, so that a
+// coordinator with waiting requests always knows a recent one.
+constexpr absl::Duration kRecallValidity = absl::Seconds(2);
+// Largest number of gateways that one recall asks.
+constexpr std::size_t kMaxRecalledPeers = 128;
+
+token_count ComputeOwnPart(const gateway& aGateway,
+                           const workspace_tokens& aTokens)
+{
+  return ComputeEqualPart(aTokens.mPrepaid, CountListedGateways(aGateway));
+}
+
+void UpdateTarget(gateway& aGateway, workspace_tokens& aTokens, absl::Time aNow)
+{
+  const token_count target =
+    ComputeTarget(aTokens.mDemand, aGateway.mTrafficSince,
+                  ComputeOwnPart(aGateway, aTokens), aNow);
+  const token_count startPart = aNow - aGateway.mTrafficSince < kIdleTime
+                                  ? aTokens.mPlacement.mStartPart
+                                  : 0;
+  aTokens.mTarget = std::max(
+    startPart, std::min(target, ComputeEqualPart(aTokens.mPrepaid, 1)));
+}
+
+// Returns the tokens that can be transferred now without those that this
+// gateway holds for its own callers.
+token_count ComputeSpare(const gateway& aGateway,
+                         const workspace_tokens& aTokens, absl::Time aNow)
+{
+  return std::min(
+    aTokens.mShare.mFreeTokens - aTokens.mTarget,
+    ComputeAvailable(aTokens.mShare, MakeGrantClock(aGateway, aNow)));
+}
+
+// Returns the tokens of the total that are not granted.
+token_count ComputeRoom(const workspace_tokens& aTokens)
+{
+  return std::max<token_count>(0, aTokens.mPrepaid -
+                                    ComputeTotal(aTokens.mShare.mRecord));
+}
+
+// Returns true if tokens of the total were granted before this process started.
+bool IsKnownTotal(const workspace_tokens& aTokens)
+{
+  const grant_record& record = aTokens.mShare.mRecord;
+  return record.mClosed != 0 ||
+         static_cast<double>(ComputeTotal(record)) >
+           kMaxStartFraction * static_cast<double>(aTokens.mPrepaid);
+}
+
+// Returns true if so few gateways have demand that the parts of the others are
+// better recalled at once.
+bool HasFewRequesters(const workspace_tokens& aTokens, absl::Time aNow)
+{
+  return aTokens.mRequesters.size() <= kFewRequesters &&
+         aNow - aTokens.mRequestedSince >= kRequestersTime;
+}
+
+// Chooses the gateways that get first parts. Their order is random and thus
+// independent of zones, so that parts for fewer gateways are spread over them.
+void PlanFirstParts(gateway& aGateway, const workspace_id& aWorkspace,
+                    workspace_tokens& aTokens)
+{
+  first_placement& placement = aTokens.mPlacement;
+  const placement_parts parts =
+    PlanParts(ComputeRoom(aTokens), CountListedGateways(aGateway));
+  placement.mIsPlanned = true;
+  placement.mPart = parts.mPart;
+  for (const auto& peer : aGateway.mPeers) {
+    placement.mTargets.push_back(peer.first);
+  }
+  std::shuffle(placement.mTargets.begin(), placement.mTargets.end(),
+               aGateway.mRandom);
+  // The coordinator keeps one of the parts.
+  placement.mTargets.resize(
+    std::min(placement.mTargets.size(),
+             static_cast<std::size_t>(std::max(0, parts.mGateways - 1))));
+  UpdatePlannedTokens(aTokens);
+  RecordDecision(aGateway, decision::TokensPlaced,
+                 { { "workspace", aWorkspace.mValue },
+                   { "part", absl::StrCat(placement.mPart) },
+                   { "gateways", absl::StrCat(placement.mTargets.size()) },
+                   { "prepaid", absl::StrCat(aTokens.mPrepaid) } });
+}
+
+void EndPlacement(workspace_tokens& aTokens)
+{
+  aTokens.mPlacement.mDueAt = absl::InfiniteFuture();
+  aTokens.mPlacement.mTargets.clear();
+  UpdatePlannedTokens(aTokens);
+}
+
+} // namespace
+
+void RecordOwnDemand(gateway& aGateway, workspace_tokens& aTokens,
+                     token_count aAmount, int aPriority, absl::Time aNow)
+{
+  aGateway.mTrafficSince = std::min(aGateway.mTrafficSince, aNow);
+  // A request above the total is never served.
+  AddDemand(aTokens.mDemand, std::min(aAmount, aTokens.mPrepaid), aNow);
+  aTokens.mPriority = aPriority;
+  UpdateTarget(aGateway, aTokens, aNow);
+}
+
+void UpdatePlannedTokens(workspace_tokens& aTokens)
+{
+  const first_placement& placement = aTokens.mPlacement;
+  const token_count parts =
+    placement.mPart * static_cast<token_count>(placement.mTargets.size());
+  aTokens.mShare.mPlanned =
+    AddTokens(parts, std::max(aTokens.mUnserved, aTokens.mUnservedBefore));
+}
+
+void UpdateTargets(gateway& aGateway, workspace_tokens& aTokens,
+                   absl::Time aNow)
+{
+  UpdateTarget(aGateway, aTokens, aNow);
+  aTokens.mShare.mTokensToHold = AddTokens(
+    aTokens.mTarget,
+    EstimateMean(aTokens.mTransfers, aGateway.mTrafficSince, kPoolTime, aNow));
+  aTokens.mUnservedBefore = aTokens.mUnserved;
+  aTokens.mUnserved = 0;
+  UpdatePlannedTokens(aTokens);
+}
+
+void ScheduleFirstParts(workspace_tokens& aTokens, absl::Time aNow)
+{
+  if (!aTokens.mPlacement.mIsNamed) {
+    aTokens.mPlacement.mIsNamed = true;
+    aTokens.mPlacement.mDueAt = aNow + kPlacementDelay;
+  }
+}
+
+void PlaceFirstParts(gateway& aGateway, const workspace_id& aWorkspace,
+                     absl::Time aNow)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  first_placement& placement = tokens.mPlacement;
+  if (aNow < placement.mDueAt) {
+    return;
+  }
+  if (!placement.mIsPlanned && MayWriteGrants(aGateway) &&
+      IsKnownTotal(tokens)) {
+    // Other gateways may hold their parts. Each requests its own if it needs
+    // one.
+    const token_count part =
+      ComputeEqualPart(ComputeRoom(tokens), CountListedGateways(aGateway));
+    placement.mStartPart = part < kMinUsefulPart ? 0 : part;
+    EndPlacement(tokens);
+    return;
+  }
+  if (aNow >= placement.mDueAt + kPlacementTime || aGateway.mStopping ||
+      !IsCoordinator(aGateway, aWorkspace, tokens, aNow)) {
+    EndPlacement(tokens);
+    return;
+  }
+  if (!MayWriteGrants(aGateway) || IsStoreUnavailable(aGateway) ||
+      !MaySpend(tokens.mShare, tokens.mPrepaid)) {
+    return;
+  }
+  if (!placement.mIsPlanned) {
+    PlanFirstParts(aGateway, aWorkspace, tokens);
+  }
+  const grant_clock clock = MakeGrantClock(aGateway, aNow);
+  while (!placement.mTargets.empty() && aGateway.mMessagesLeft > 0 &&
+         ComputeSpare(aGateway, tokens, aNow) >= placement.mPart &&
+         Reserve(tokens.mShare, placement.mPart, clock)) {
+    const auto peer = aGateway.mPeers.find(placement.mTargets.back());
+    AddHolding(tokens.mHoldings, placement.mTargets.back(), placement.mPart,
+               aNow);
+    placement.mTargets.pop_back();
+    if (peer == aGateway.mPeers.end()) {
+      AddReceivedTokens(tokens.mShare, placement.mPart);
+      continue;
+    }
+    --aGateway.mMessagesLeft;
+    aGateway.mActions.push_back(return_tokens{ peer->second.mPeer.mAddress,
+                                               aWorkspace, placement.mPart });
+  }
+  UpdatePlannedTokens(tokens);
+  if (placement.mTargets.empty()) {
+    EndPlacement(tokens);
+  }
+}
+
+void RefillTokens(gateway& aGateway, const workspace_id& aWorkspace,
+                  absl::Time aNow)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  const token_count free = tokens.mShare.mFreeTokens;
+  if (tokens.mIsRefilling || aNow < tokens.mNextRefillAt ||
+      tokens.mIsRequesting || aGateway.mStopping ||
+      aGateway.mMessagesLeft <= 0 || tokens.mTarget <= 0 ||
+      static_cast<double>(free) >=
+        kRefillFraction * static_cast<double>(tokens.mTarget) ||
+      !MaySpend(tokens.mShare, tokens.mPrepaid)) {
+    return;
+  }
+  const coordinator_choice coordinator =
+    FindCoordinator(aGateway, aWorkspace, true, token_call::Refill, aNow);
+  if (coordinator.mPeer.empty()) {
+    return;
+  }
+  --aGateway.mMessagesLeft;
+  tokens.mIsRefilling = true;
+  tokens.mRefillAmount = tokens.mTarget - free;
+  aGateway.mActions.push_back(request_tokens{
+    coordinator.mPeer, coordinator.mAddress, aWorkspace, tokens.mTarget - free,
+    tokens.mPriority, 0, aGateway.mSettings.mName, free, token_call::Refill });
+}
+
+token_count ComputeRetained(const gateway& aGateway,
+                            const workspace_tokens& aTokens, absl::Time aNow)
+{
+  const token_count retained =
+    HasDemand(aTokens.mDemand, aNow) ? aTokens.mTarget : 0;
+  // The first requests do not show the demand yet.
+  return aNow - aGateway.mTrafficSince < kIdleTime
+           ? std::max(retained, ComputeOwnPart(aGateway, aTokens))
+           : retained;
+}
+
+token_count TakeSpareTokens(gateway& aGateway, workspace_tokens& aTokens,
+                            token_count aAmount, int aPriority, absl::Time aNow)
+{
+  const token_count taken =
+    std::min(aAmount, ComputeSpare(aGateway, aTokens, aNow));
+  if (taken <= 0 || !MaySpend(aTokens.mShare, aTokens.mPrepaid) ||
+      !Reserve(aTokens.mShare, taken, MakeGrantClock(aGateway, aNow))) {
+    return 0;
+  }
+  RecordDemand(aTokens.mShare, taken, aPriority, aGateway.mSettings.mGrants,
+               aNow);
+  AddDemand(aTokens.mTransfers, taken, aNow);
+  return taken;
+}
+
+token_count LimitAheadOfNeed(const workspace_tokens& aTokens,
+                             token_count aAmount, absl::Time aNow)
+{
+  const token_count own = std::min(aTokens.mTarget, aTokens.mShare.mFreeTokens);
+  // Free tokens above the own target are to be transferred, as are those that
+  // are not granted.
+  const token_count room =
+    AddTokens(ComputeRoom(aTokens),
+              std::max<token_count>(0, aTokens.mShare.mFreeTokens - own));
+  return std::min(aAmount,
+                  ComputeTransferable(aTokens.mHoldings, room, own, aNow));
+}
+
+void RecordRefill(workspace_tokens& aTokens, bool aIsComplete, absl::Time aNow)
+{
+  aTokens.mIsRefilling = false;
+  aTokens.mShortRefills = aIsComplete ? 0 : aTokens.mShortRefills + 1;
+  // The first two repetitions come at the next ticks.
+  constexpr int kMaxDoublings = 3;
+  const int doublings = std::min(aTokens.mShortRefills - 2, kMaxDoublings);
+  aTokens.mNextRefillAt =
+    doublings > 0 ? aNow + kTickInterval * (1 << doublings) : aNow;
+}
+
+void ServeRefill(gateway& aGateway, const tokens_requested& aEvent,
+                 workspace_tokens& aTokens, absl::Time aNow)
+{
+  if (!aEvent.mPeer.empty()) {
+    SetHolding(aTokens.mHoldings, aEvent.mPeer, aEvent.mHeld, aNow);
+    aTokens.mRequesters.insert(aEvent.mPeer);
+    aTokens.mRequestedSince = std::min(aTokens.mRequestedSince, aNow);
+  }
+  const token_count amount = LimitAheadOfNeed(aTokens, aEvent.mAmount, aNow);
+  const token_count taken =
+    TakeSpareTokens(aGateway, aTokens, amount, aEvent.mPriority, aNow);
+  if (!aEvent.mPeer.empty()) {
+    AddHolding(aTokens.mHoldings, aEvent.mPeer, taken, aNow);
+  }
+  aTokens.mUnserved = AddTokens(aTokens.mUnserved, amount - taken);
+  UpdatePlannedTokens(aTokens);
+  if (taken < aEvent.mAmount && HasFewRequesters(aTokens, aNow)) {
+    RecallTokens(aGateway, aEvent.mWorkspace, false, aNow);
+  }
+  aGateway.mActions.push_back(send_token_response{
+    aEvent.mCall,
+    { taken, false, taken == 0 && IsStoreUnavailable(aGateway) } });
+}
+
+bool RecallTokens(gateway& aGateway, const workspace_id& aWorkspace,
+                  bool aIsUsedUp, absl::Time aNow)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  token_recall& recall = tokens.mRecall;
+  const bool isDue =
+    recall.mOpenPeers.empty() && aNow - recall.mStartedAt >= kRecallInterval;
+  if (!isDue || !IsCoordinator(aGateway, aWorkspace, tokens, aNow)) {
+    return !recall.mOpenPeers.empty();
+  }
+  recall = { aNow, aIsUsedUp, {}, true, 0 };
+  std::vector<const decltype(aGateway.mPeers)::value_type*> peers;
+  for (const auto& peer : aGateway.mPeers) {
+    if (aNow >= peer.second.mSuspectUntil) {
+      peers.push_back(&peer);
+    } else {
+      recall.mIsComplete = false;
+    }
+  }
+  if (peers.size() > kMaxRecalledPeers) {
+    std::shuffle(peers.begin(), peers.end(), aGateway.mRandom);
+    peers.resize(kMaxRecalledPeers);
+  }
+  for (const auto* peer : peers) {
+    // A doubtful peer is asked, but its response is not waited for.
+    if (peer->second.mIsDoubtful) {
+      recall.mIsComplete = false;
+    } else {
+      recall.mOpenPeers.insert(peer->first);
+    }
+    aGateway.mActions.push_back(recall_tokens{
+      peer->first, peer->second.mPeer.mAddress, aWorkspace, aIsUsedUp });
+  }
+  return !recall.mOpenPeers.empty();
+}
+
+void RecordRecallResponse(gateway& aGateway,
+                          const token_response_received& aEvent,
+                          absl::Time aNow)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aEvent.mWorkspace];
+  token_recall& recall = tokens.mRecall;
+  recall.mIsComplete = recall.mIsComplete && aEvent.mResponse;
+  const token_count amount = aEvent.mResponse ? aEvent.mResponse->mAmount : 0;
+  recall.mAmount += amount;
+  AddHolding(tokens.mHoldings, aEvent.mPeer, -amount, aNow);
+  if (recall.mOpenPeers.erase(aEvent.mPeer) == 0 ||
+      !recall.mOpenPeers.empty()) {
+    return;
+  }
+  RecordDecision(aGateway, decision::TokensRecalled,
+                 { { "workspace", aEvent.mWorkspace.mValue },
+                   { "amount", absl::StrCat(recall.mAmount) },
+                   { "used_up", recall.mIsUsedUp ? "true" : "false" },
+                   { "complete", recall.mIsComplete ? "true" : "false" },
+                   { "after_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                                   aNow - recall.mStartedAt)) } });
+}
+
+bool HasRecalledAll(const gateway& aGateway, const workspace_tokens& aTokens,
+                    absl::Time aNow)
+{
+  const token_recall& recall = aTokens.mRecall;
+  return aGateway.mPeers.empty() ||
+         (recall.mIsUsedUp && recall.mIsComplete && recall.mOpenPeers.empty() &&
+          aNow - recall.mStartedAt < kRecallValidity);
+}
+
+void OnTokensRecalled(gateway& aGateway, const tokens_recalled& aEvent,
+                      absl::Time aNow)
+{
+  const auto found = aGateway.mWorkspaceTokens.find(aEvent.mWorkspace);
+  token_count returned = 0;
+  if (found != aGateway.mWorkspaceTokens.end()) {
+    workspace_tokens& tokens = found->second;
+    token_count retained = 0;
+    if (HasDemand(tokens.mDemand, aNow)) {
+      retained = aEvent.mIsUsedUp
+                   ? EstimateMean(tokens.mDemand, aGateway.mTrafficSince,
+                                  kUsedUpRetainedTime, aNow)
+                   : tokens.mTarget;
+    }
+    const grant_clock clock = MakeGrantClock(aGateway, aNow);
+    const token_count surplus =
+      std::min(tokens.mShare.mFreeTokens - retained,
+               ComputeAvailable(tokens.mShare, clock));
+    if (surplus > 0 && Reserve(tokens.mShare, surplus, clock)) {
+      returned = surplus;
+    }
+  }
+  aGateway.mActions.push_back(
+    send_token_response{ aEvent.mCall, { returned, false, false } });
+}
+
+} // namespace foxtailquay
--- a/src/core/gateway_recovery.cc
+++ b/src/core/gateway_recovery.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "gateway_coordinator.h"
 #include "gateway_state.h"
 
 namespace foxtailquay {
@@ -270,16 +271,6 @@
   }
 }
 
-void SuspectPeer(gateway& aGateway, const std::string& aPeer, absl::Time aNow)
-{
-  const auto peer = aGateway.mPeers.find(aPeer);
-  if (peer != aGateway.mPeers.end()) {
-    peer->second.mSuspectUntil = aNow + kSuspectTime;
-    RecordDecision(aGateway, decision::PeerChanged,
-                   { { "peer", aPeer }, { "state", "suspect" } });
-  }
-}
-
 } // namespace
 
 bool MayWriteGrants(const gateway& aGateway)
@@ -360,7 +351,9 @@
   if (aEvent.mEra != aGateway.mEra) {
     return;
   }
-  if (!aEvent.mResponse) {
+  if (aEvent.mResponse) {
+    TrustPeer(aGateway, aEvent.mPeer);
+  } else {
     SuspectPeer(aGateway, aEvent.mPeer, aNow);
   }
   if (aEvent.mReplication != 0) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -7,6 +7,9 @@
 // gateway_quarantine.cc  parts of prompts under which servers crash
 // gateway_fund.cc     prepaid totals: grants, transfers between gateways
 // gateway_waiters.cc  requests and gateways that wait for tokens
+// gateway_placement.cc  prepaid tokens held ahead of need: first parts, refill,
+//                     recall, return
+// gateway_coordinator.cc  which gateway requests grants for a workspace
 // gateway_load.cc     load of this process
 // gateway_follow.cc   watches on the store: configuration, servers, peers
 // gateway_era.cc      returns of the store to an older state
@@ -31,6 +34,7 @@
 #include "prompt_quarantine.h"
 #include "retry.h"
 #include "routing.h"
+#include "token_placement.h"
 
 namespace foxtailquay {
 
@@ -146,6 +150,39 @@
   token_count mAmount = 0;
   int mPriority = 0;
   absl::Time mDeadline;
+  // Name of the other gateway, if it has stated it.
+  std::string mPeer = {};
+  // Tokens that another gateway requests beyond mAmount, ahead of need.
+  token_count mExtra = 0;
+};
+
+// The first parts of a workspace's tokens, which its coordinator sends to the
+// other gateways once for each start of the process.
+struct first_placement
+{
+  // Infinite before the workspace is named and once there is nothing to do.
+  absl::Time mDueAt = absl::InfiniteFuture();
+  // True once the workspace has been named.
+  bool mIsNamed = false;
+  bool mIsPlanned = false;
+  token_count mPart = 0;
+  // Gateways that have not got theirs yet.
+  std::vector<std::string> mTargets;
+  // Part that this gateway requests itself, because tokens of the total were
+  // granted before it started; 0 if there is none.
+  token_count mStartPart = 0;
+};
+
+// The last recall of a workspace's tokens by this gateway.
+struct token_recall
+{
+  absl::Time mStartedAt = absl::InfinitePast();
+  bool mIsUsedUp = false;
+  // Peers whose responses are waited for.
+  std::set<std::string> mOpenPeers;
+  // False if a peer was not asked or did not respond.
+  bool mIsComplete = false;
+  token_count mAmount = 0;
 };
 
 // The tokens of one prepaid workspace at this gateway.
@@ -166,6 +203,31 @@
   // True if this gateway is the coordinator, and until when that is used.
   bool mIsCoordinator = false;
   absl::Time mCoordinatorUntil = absl::InfinitePast();
+  // Demand of the callers of this gateway, whether it was served or not.
+  demand_average mDemand;
+  // Priority of the last request of this gateway.
+  int mPriority = 0;
+  // Tokens transferred to other gateways on request.
+  demand_average mTransfers;
+  peer_holdings mHoldings;
+  // Tokens to hold for mDemand, as of the last request or tick.
+  token_count mTarget = 0;
+  // Refills that could not be served since the last tick, and in the interval
+  // before it. Each gateway asks once in such an interval.
+  token_count mUnserved = 0;
+  token_count mUnservedBefore = 0;
+  // True while a refill has no response.
+  bool mIsRefilling = false;
+  token_count mRefillAmount = 0;
+  // Number of refills in a row that brought less than requested, and time
+  // before which no further one is sent.
+  int mShortRefills = 0;
+  absl::Time mNextRefillAt = absl::InfinitePast();
+  // Gateways that have requested tokens of this one.
+  std::set<std::string> mRequesters;
+  absl::Time mRequestedSince = absl::InfiniteFuture();
+  first_placement mPlacement;
+  token_recall mRecall;
 };
 
 // State of the watch on one area of the store.
@@ -231,6 +293,8 @@
   store_version mRevision = 0;
   // The peer did not respond and is not used until this time.
   absl::Time mSuspectUntil = absl::InfinitePast();
+  // True if the peer has not responded since.
+  bool mIsDoubtful = false;
   // True if the entry may have expired only because the store was unavailable.
   bool mHasExpired = false;
 };
@@ -327,12 +391,18 @@
   std::map<std::string, retry_state> mRetryStates;
 
   std::map<workspace_id, workspace_tokens> mWorkspaceTokens;
+  // Time of the first request for prepaid tokens.
+  absl::Time mTrafficSince = absl::InfiniteFuture();
+  // Messages ahead of need that may still be sent before the next tick.
+  int mMessagesLeft = 0;
   // Entries of the grant write in flight; empty if there is none.
   std::vector<grant_write::entry> mEntriesInFlight;
   absl::Time mNextWriteAt = absl::InfinitePast();
   // True if the last grant write was not confirmed.
   bool mWriteFailed = false;
   absl::Time mNextPeriodicWriteAt = absl::InfinitePast();
+  // Workspace at which the periodic writes continue that are due.
+  workspace_id mPeriodicFrom;
 
   prompt_quarantine mQuarantine;
   // Suspected parts by backend server, until the server has been probed.
@@ -480,6 +550,8 @@
                        absl::Time aNow);
 void OnTokensReturned(gateway& aGateway, const tokens_returned& aEvent,
                       absl::Time aNow);
+void OnTokensRecalled(gateway& aGateway, const tokens_recalled& aEvent,
+                      absl::Time aNow);
 void OnTokenResponse(gateway& aGateway, const token_response_received& aEvent,
                      absl::Time aNow);
 // Adopts the prepaid totals of a new configuration.
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "gateway_placement.h"
 
 namespace foxtailquay {
 
@@ -67,12 +68,30 @@
 void EndWaiter(gateway& aGateway, workspace_tokens& aTokens,
                const token_waiter& aWaiter, bool aIsReserved, absl::Time aNow)
 {
-  const bool isExhausted = IsCertainlyExhausted(aGateway, aTokens);
+  const bool isExhausted = IsCertainlyExhausted(aGateway, aTokens) &&
+                           HasRecalledAll(aGateway, aTokens, aNow);
   if (aWaiter.mCall != 0) {
-    aGateway.mActions.push_back(
-      send_token_response{ aWaiter.mCall,
-                           { aIsReserved ? aWaiter.mAmount : 0, isExhausted,
-                             !aIsReserved && IsStoreUnavailable(aGateway) } });
+    token_count amount = aIsReserved ? aWaiter.mAmount : 0;
+    if (aIsReserved) {
+      AddDemand(aTokens.mTransfers, amount, aNow);
+      // The waiters of the other gateway use up what it holds.
+      const bool isNamed = !aWaiter.mPeer.empty();
+      if (isNamed) {
+        SetHolding(aTokens.mHoldings, aWaiter.mPeer, 0, aNow);
+      }
+      const token_count wanted =
+        LimitAheadOfNeed(aTokens, aWaiter.mExtra, aNow);
+      const token_count extra =
+        TakeSpareTokens(aGateway, aTokens, wanted, aWaiter.mPriority, aNow);
+      if (isNamed) {
+        AddHolding(aTokens.mHoldings, aWaiter.mPeer, extra, aNow);
+      }
+      aTokens.mUnserved = AddTokens(aTokens.mUnserved, wanted - extra);
+      amount += extra;
+    }
+    aGateway.mActions.push_back(send_token_response{
+      aWaiter.mCall,
+      { amount, isExhausted, !aIsReserved && IsStoreUnavailable(aGateway) } });
     return;
   }
   auto request = aGateway.mRequests.find(aWaiter.mHandle);
@@ -136,7 +155,7 @@
                                     absl::Time aNow)
 {
   const absl::Duration maxTime =
-    aShare.mEntry.mGranted > 0 ? absl::InfiniteDuration() : kTransferMargin;
+    aShare.mEntry.mGranted > 0 ? absl::InfiniteDuration() : kMaxPeerHeadroom;
   return ComputeHeadroom(aShare, aPriority, maxTime, aOptions, aNow);
 }
 
@@ -212,6 +231,16 @@
     aNow);
 }
 
+bool HasExhaustedWaiter(const workspace_tokens& aTokens,
+                        const grant_options& aOptions)
+{
+  return std::any_of(aTokens.mWaiters.begin(), aTokens.mWaiters.end(),
+                     [&](const token_waiter& aWaiter) {
+                       return IsExhaustedFor(aTokens.mShare, aWaiter.mPriority,
+                                             aTokens.mPrepaid, aOptions);
+                     });
+}
+
 bool HasPeerWaiting(const workspace_tokens& aTokens)
 {
   return std::any_of(
--- a/src/core/gateway_waiters.h
+++ b/src/core/gateway_waiters.h
@@ -8,18 +8,17 @@
 
 namespace foxtailquay {
 
-// Demand, as a time, that a gateway which is not the coordinator requests
-// beyond its current need, to save calls.
-constexpr absl::Duration kTransferMargin = absl::Milliseconds(300);
+// Demand, as a time, for which requests at a gateway without grants of its own
+// leave headroom at most.
+constexpr absl::Duration kMaxPeerHeadroom = absl::Milliseconds(300);
 
 // Returns true if the store is unavailable as far as is known. A watch detects
 // an unresponsive store only after seconds; a failed write detects it earlier.
 bool IsStoreUnavailable(const gateway& aGateway);
 
 // Returns the number of free tokens that a request of aPriority must leave. A
-// gateway without grants of its own holds only the tokens that its peers
-// transfer, which cover little future demand, so the headroom is limited to
-// that.
+// gateway without grants of its own gets higher priorities' tokens from the
+// coordinator, which leaves headroom for them, so its own is limited.
 token_count ComputeRequiredHeadroom(const grant_share& aShare, int aPriority,
                                     const grant_options& aOptions,
                                     absl::Time aNow);
@@ -46,6 +45,10 @@
 void EndExhaustedWaiters(gateway& aGateway, const workspace_id& aWorkspace,
                          absl::Time aNow);
 
+// Returns true if EndExhaustedWaiters would end a waiter.
+bool HasExhaustedWaiter(const workspace_tokens& aTokens,
+                        const grant_options& aOptions);
+
 // Returns true if another gateway waits for tokens.
 bool HasPeerWaiting(const workspace_tokens& aTokens);
 
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -252,7 +252,7 @@
 {
   const token_count left = aShare.mEntry.mLimit - aShare.mUsedTokens;
   return aShare.mEntry.mLimit < aShare.mEntry.mGranted &&
-         (left < aMargin / 4 || left < aShare.mNeeded);
+         (left < aMargin / 4 || left < aShare.mNeeded + aShare.mPlanned);
 }
 
 // Returns the number of tokens to request before the demand is known.
@@ -278,10 +278,24 @@
   const auto maxHeld = static_cast<token_count>(
     aOptions.mMaxHeldFraction *
     static_cast<double>(aRoom + GetHeldTokens(aShare)));
-  const token_count demand = std::max(
-    ComputeInitialGrant(aPrepaid, aOptions),
-    EstimateDemandBefore(aShare, aEnd, aOptions.mHorizon, aOptions, aNow));
-  return aNeeded + std::min(maxHeld, demand);
+  token_count demand =
+    EstimateDemandBefore(aShare, aEnd, aOptions.mHorizon, aOptions, aNow);
+  const bool isForAll = aEnd == kRequestPriorities;
+  if (aShare.mTokensToHold) {
+    demand = isForAll ? *aShare.mTokensToHold
+                      : std::min(demand, *aShare.mTokensToHold);
+  }
+  // Gateways that start together take the floor of what is left, so that they
+  // do not take up the rest of a total together.
+  demand =
+    std::max(ComputeInitialGrant(
+               aShare.mTokensToHold ? aRoom + GetHeldTokens(aShare) : aPrepaid,
+               aOptions),
+             demand);
+  // Planned transfers do not use the part that is granted for demand of the
+  // highest priority only.
+  const token_count planned = isForAll ? aShare.mPlanned : 0;
+  return aNeeded + std::min(maxHeld, AddTokens(demand, planned));
 }
 
 // Returns the number of tokens to grant to the holder now, at most aRoom.
@@ -295,7 +309,7 @@
   const token_count room = std::max<token_count>(
     0, aRoom - ComputeReserved(aShare, aPrepaid, aOptions));
   token_count missing = 0;
-  if (aIsPeriodic || held < required) {
+  if (aIsPeriodic || held < required + aShare.mPlanned) {
     const token_count hold =
       ComputeTokensToHold(aShare, kRequestPriorities, aShare.mNeeded, room,
                           aPrepaid, aOptions, aNow);
@@ -489,7 +503,7 @@
   }
   const token_count initial = ComputeInitialGrant(aPrepaid, aOptions);
   const token_count margin =
-    aShare.mNeeded +
+    aShare.mNeeded + aShare.mPlanned +
     std::max(initial, EstimateDemand(aShare, aOptions.mLimitMargin, aOptions,
                                      aClock.mNow));
   const token_count room = aPrepaid - ComputeTotal(aShare.mRecord);
--- /dev/null
+++ b/src/core/token_placement.cc
@@ -0,0 +1,119 @@
+#include "token_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace foxtailquay {
+
+namespace {
+
+double ComputeDecay(absl::Duration aTime, absl::Duration aWindow)
+{
+  return std::exp(
+    -absl::FDivDuration(std::max(absl::ZeroDuration(), aTime), aWindow));
+}
+
+// Returns the time, in seconds, that the decayed sums stand for.
+double ComputeCountedSeconds(absl::Time aSince, absl::Time aNow)
+{
+  const double window = absl::ToDoubleSeconds(kDemandWindow);
+  return std::max(absl::ToDoubleSeconds(kMinDemandTime),
+                  window * (1 - ComputeDecay(aNow - aSince, kDemandWindow)));
+}
+
+token_count ToTokens(double aValue)
+{
+  return static_cast<token_count>(
+    std::clamp(aValue, 0.0, static_cast<double>(kMaxTokenCount)));
+}
+
+} // namespace
+
+void AddDemand(demand_average& aDemand, token_count aAmount, absl::Time aNow)
+{
+  const auto amount = static_cast<double>(aAmount);
+  const double decay = ComputeDecay(aNow - aDemand.mAt, kDemandWindow);
+  aDemand.mTokens = aDemand.mTokens * decay + amount;
+  aDemand.mSquares = aDemand.mSquares * decay + amount * amount;
+  aDemand.mAt = aNow;
+}
+
+token_count EstimateMean(const demand_average& aDemand, absl::Time aSince,
+                         absl::Duration aTime, absl::Time aNow)
+{
+  return ToTokens(
+    aDemand.mTokens * ComputeDecay(aNow - aDemand.mAt, kDemandWindow) *
+    absl::ToDoubleSeconds(aTime) / ComputeCountedSeconds(aSince, aNow));
+}
+
+bool HasDemand(const demand_average& aDemand, absl::Time aNow)
+{
+  return aNow - aDemand.mAt < kIdleTime;
+}
+
+token_count ComputeEqualPart(token_count aLeft, int aGateways)
+{
+  return ToTokens(kPlacedFraction * static_cast<double>(aLeft) / aGateways);
+}
+
+token_count ComputeTarget(const demand_average& aDemand, absl::Time aSince,
+                          token_count aEqualPart, absl::Time aNow)
+{
+  const token_count mean =
+    EstimateMean(aDemand, aSince, kPlacementHorizon, aNow);
+  const double variance = aDemand.mSquares *
+                          ComputeDecay(aNow - aDemand.mAt, kDemandWindow) *
+                          absl::ToDoubleSeconds(kPlacementHorizon) /
+                          ComputeCountedSeconds(aSince, aNow);
+  const token_count deviation = ToTokens(std::sqrt(variance));
+  return AddTokens(mean,
+                   std::min(deviation, std::max(aEqualPart - mean, mean / 3)));
+}
+
+placement_parts PlanParts(token_count aLeft, int aGateways)
+{
+  const int gateways = std::min(aGateways, kMaxPlacedGateways);
+  const token_count placed = ComputeEqualPart(aLeft, 1);
+  const token_count part = std::max(placed / gateways, kMinUsefulPart);
+  const token_count count = std::min<token_count>(gateways, placed / part);
+  return { count > 0 ? part : 0, static_cast<int>(count) };
+}
+
+void SetHolding(peer_holdings& aHoldings, const std::string& aPeer,
+                token_count aTokens, absl::Time aNow)
+{
+  peer_holdings::holding& holding = aHoldings.mPeers[aPeer];
+  const double before =
+    holding.mTokens * ComputeDecay(aNow - holding.mAt, kPlacementHorizon);
+  const double others =
+    aHoldings.mTokens * ComputeDecay(aNow - aHoldings.mAt, kPlacementHorizon) -
+    before;
+  holding = { static_cast<double>(aTokens), aNow };
+  aHoldings.mTokens = std::max(0.0, others) + holding.mTokens;
+  aHoldings.mAt = aNow;
+}
+
+void AddHolding(peer_holdings& aHoldings, const std::string& aPeer,
+                token_count aTokens, absl::Time aNow)
+{
+  const peer_holdings::holding& holding = aHoldings.mPeers[aPeer];
+  const double before =
+    holding.mTokens * ComputeDecay(aNow - holding.mAt, kPlacementHorizon);
+  SetHolding(aHoldings, aPeer, ToTokens(before + static_cast<double>(aTokens)),
+             aNow);
+}
+
+token_count ComputeTransferable(const peer_holdings& aHoldings,
+                                token_count aRoom, token_count aOwn,
+                                absl::Time aNow)
+{
+  const double held =
+    static_cast<double>(aOwn) +
+    aHoldings.mTokens * ComputeDecay(aNow - aHoldings.mAt, kPlacementHorizon);
+  // A transfer of x leaves held + x of held + aRoom + x unspent tokens.
+  return ToTokens(
+    (kPlacedFraction * (held + static_cast<double>(aRoom)) - held) /
+    (1 - kPlacedFraction));
+}
+
+} // namespace foxtailquay
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -193,7 +193,7 @@
     aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeRequestTokens(aAction)),
     [&aHost, aAction](const call_response& aResponse) {
       token_response_received receivedEvent{ aAction.mPeer, aAction.mWorkspace,
-                                             std::nullopt };
+                                             std::nullopt, aAction.mKind };
       if (aResponse.mStatus == 200) {
         auto decoded = DecodeTokenResponse(aResponse.mBody);
         if (IsOk(decoded)) {
@@ -207,6 +207,31 @@
     });
 }
 
+void RecallTokens(gateway_host& aHost, const recall_tokens& aAction)
+{
+  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
+  StartCall(
+    aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeRecallTokens(aAction)),
+    [&aHost, aAction](const call_response& aResponse) {
+      token_response_received received{ aAction.mPeer, aAction.mWorkspace,
+                                        std::nullopt, token_call::Recall };
+      if (aResponse.mStatus == 200) {
+        auto decoded = DecodeTokenResponse(aResponse.mBody);
+        if (IsOk(decoded)) {
+          received.mResponse = GetValue(decoded);
+        }
+      } else if (aResponse.mStatus != 0) {
+        // A gateway of an earlier version does not know the call and returns
+        // nothing.
+        received.mResponse = token_response{};
+      }
+      if (!received.mResponse) {
+        IncrementCounter(*aHost.mMetrics, counter::PeersUnreachable);
+      }
+      PostEvent(aHost, std::move(received));
+    });
+}
+
 void ReturnTokens(gateway_host& aHost, const return_tokens& aAction)
 {
   IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
@@ -355,6 +380,10 @@
   {
     RequestTokens(mHost, aAction);
   }
+  void operator()(const recall_tokens& aAction)
+  {
+    RecallTokens(mHost, aAction);
+  }
   void operator()(const return_tokens& aAction)
   {
     ReturnTokens(mHost, aAction);
@@ -412,6 +441,11 @@
     PostEvent(aHost, *request);
     return;
   }
+  if (auto* recall = std::get_if<tokens_recalled>(&message)) {
+    recall->mCall = aCall.mChannel;
+    PostEvent(aHost, std::move(*recall));
+    return;
+  }
   if (auto* grants = std::get_if<grants_shared>(&message)) {
     grants->mCall = aCall.mChannel;
     PostEvent(aHost, std::move(*grants));
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr char kAskTokensMethod[] = "ask_tokens";
+constexpr char kRecallTokensMethod[] = "recall_tokens";
 constexpr char kReturnTokensMethod[] = "return_tokens";
 constexpr char kSharePromptsMethod[] = "share_prompts";
 constexpr char kShareGrantsMethod[] = "share_grants";
@@ -66,9 +67,20 @@
 {
   Json::Value params = MakeTokenParams(aCall.mWorkspace, aCall.mAmount);
   params["urgency"] = aCall.mPriority;
+  params["needed"] = Json::Int64(aCall.mNeeded);
+  params["gateway"] = aCall.mFrom;
+  params["held"] = Json::Int64(aCall.mHeld);
   return EncodeCall(kAskTokensMethod, params);
 }
 
+std::string EncodeRecallTokens(const recall_tokens& aCall)
+{
+  Json::Value params(Json::objectValue);
+  params["workspace"] = aCall.mWorkspace.mValue;
+  params["used_up"] = aCall.mIsUsedUp;
+  return EncodeCall(kRecallTokensMethod, params);
+}
+
 std::string EncodeReturnTokens(const return_tokens& aCall)
 {
   return EncodeCall(kReturnTokensMethod,
@@ -153,8 +165,31 @@
       urgency.asInt() >= kRequestPriorities) {
     return MakeProtocolError("the urgency is missing or out of range");
   }
+  tokens_requested request{ 0, workspace, amount, urgency.asInt() };
+  const Json::Value& needed = aParams["needed"];
+  if (!needed.isNull()) {
+    if (!needed.isInt64() || needed.asInt64() < 0) {
+      return MakeProtocolError("the needed amount has another type");
+    }
+    request.mNeeded = std::min(amount, needed.asInt64());
+  }
+  if (aParams["gateway"].isString() && aParams["held"].isInt64()) {
+    request.mPeer = aParams["gateway"].asString();
+    request.mHeld =
+      std::clamp<token_count>(aParams["held"].asInt64(), 0, kMaxTokenCount);
+  }
+  return gateway_message(std::move(request));
+}
+
+result<gateway_message> DecodeRecall(const Json::Value& aParams)
+{
+  if (!aParams["workspace"].isString() || !aParams["used_up"].isBool()) {
+    return MakeProtocolError("a field of a recall is missing or has another "
+                             "type");
+  }
   return gateway_message(
-    tokens_requested{ 0, workspace, amount, urgency.asInt() });
+    tokens_recalled{ 0, workspace_id{ aParams["workspace"].asString() },
+                     aParams["used_up"].asBool() });
 }
 
 result<gateway_message> DecodePrompts(const Json::Value& aParams)
@@ -207,6 +242,9 @@
   if (method == kAskTokensMethod || method == kReturnTokensMethod) {
     return DecodeTokens(method, call["params"]);
   }
+  if (method == kRecallTokensMethod) {
+    return DecodeRecall(call["params"]);
+  }
   return MakeProtocolError("unknown method");
 }
 
--- a/src/wire/gateway_codec.h
+++ b/src/wire/gateway_codec.h
@@ -22,19 +22,20 @@
 
 // Return the text of a call.
 std::string EncodeRequestTokens(const request_tokens& aCall);
+std::string EncodeRecallTokens(const recall_tokens& aCall);
 std::string EncodeReturnTokens(const return_tokens& aCall);
 std::string EncodeReportPrompts(const report_prompts& aCall);
 std::string EncodeShareGrants(const share_grants& aCall);
 
-using gateway_message = std::variant<tokens_requested, tokens_returned,
-                                     prompts_reported, grants_shared>;
+using gateway_message =
+  std::variant<tokens_requested, tokens_recalled, tokens_returned,
+               prompts_reported, grants_shared>;
 
-// Decodes a call. mCall of tokens_requested and grants_shared is 0; the calling
-// code sets it.
-// Errors: ProtocolViolation.
+// Decodes a call. mCall of tokens_requested, tokens_recalled and grants_shared
+// is 0; the calling code sets it. Errors: ProtocolViolation.
 result<gateway_message> DecodeGatewayCall(const std::string& aText);
 
-// Returns the text of the response to a request for tokens.
+// Returns the text of the response to a request for tokens or a recall.
 std::string EncodeTokenResponse(const token_response& aResponse);
 // Decodes that response. Errors: ProtocolViolation.
 result<token_response> DecodeTokenResponse(const std::string& aText);
--- a/tests/gateway_sim/gateway_sim.cc
+++ b/tests/gateway_sim/gateway_sim.cc
@@ -186,11 +186,11 @@
   engines.mIsEngine = true;
   engines.mTokensPerEvent = kTokensPerEvent;
   config.mServices = { orders, engines };
-  for (int i = 0; i < 2; ++i) {
+  for (const auto& [id, prepaid] : aSim.mPrepaid) {
     traffic_workspace workspace;
-    workspace.mId = workspace_id{ absl::StrCat("w", i) };
-    workspace.mKeys = { absl::StrCat("key-", i) };
-    workspace.mPrepaid = aSim.mPrepaid[workspace.mId];
+    workspace.mId = id;
+    workspace.mKeys = { absl::StrCat("key-", id.mValue.substr(1)) };
+    workspace.mPrepaid = prepaid;
     config.mWorkspaces.push_back(std::move(workspace));
   }
   aSim.mStore.mConfig = std::move(config);
@@ -207,10 +207,18 @@
   sim->mCharts = std::move(aCharts);
   sim->mFault = aFault;
   sim->mRandom.seed(aSeed);
-  sim->mNow = kStart;
   for (int i = 0; i < 2; ++i) {
     sim->mPrepaid[workspace_id{ absl::StrCat("w", i) }] = kPrepaid;
   }
+  StartFleet(*sim, aGateways);
+  RunUntil(*sim, kStart + absl::Seconds(2));
+  return sim;
+}
+
+void StartFleet(fleet_sim& aSim, std::size_t aGateways)
+{
+  fleet_sim* const sim = &aSim;
+  sim->mNow = kStart;
   PutConfig(*sim, 3);
   constexpr const char* kServers[][2] = { { "o1", "orders" },
                                           { "o2", "orders" },
@@ -231,8 +239,6 @@
     StartGateway(*sim, i);
   }
   TickPeriodically(*sim);
-  RunUntil(*sim, kStart + absl::Seconds(2));
-  return sim;
 }
 
 void RunRandomFaults(fleet_sim& aSim, absl::Duration aTime)
@@ -259,6 +265,7 @@
   aSim.mServersFail = false;
   for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
     aSim.mGateways[i].mIsDisconnected = false;
+    aSim.mGateways[i].mIsIsolated = false;
     if (!aSim.mGateways[i].mIsAlive) {
       ++aSim.mGateways[i].mIncarnation;
       StartGateway(aSim, i);
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -192,8 +192,12 @@
   std::map<std::string, sim_backoff> mBackoffs;
   // True if the process cannot reach the store.
   bool mIsDisconnected = false;
+  // True if the process and the other gateways cannot reach each other.
+  bool mIsIsolated = false;
   config_version mVersion = 0;
   std::map<directory_area, sim_watch> mWatches;
+  // Recent messages about tokens.
+  std::deque<absl::Time> mTokenMessages;
   // End of the last fault of its connections.
   absl::Time mDisturbedUntil = absl::InfinitePast();
 };
@@ -212,6 +216,7 @@
   bool mIsPoisonous = false;
   // True if the request has a prompt with parts, none of them poisonous.
   bool mIsSound = false;
+  absl::Time mSentAt;
 };
 
 // An attempt at a backend server that has not ended.
@@ -268,6 +273,24 @@
   crash_moment mMoment = crash_moment::AfterHeaderSection;
 };
 
+// What RunTokenLoad observes, over all workspaces.
+struct token_counts
+{
+  int mSent = 0;
+  int mServed = 0;
+  // Refusals for tokens with a retry time, and for good.
+  int mRefused = 0;
+  int mUsedUp = 0;
+  // Refusals of either kind by workspace.
+  std::map<workspace_id, int> mRefusedOf;
+  // Longest time from a request to its refusal.
+  absl::Duration mMaxWait = absl::ZeroDuration();
+  // Messages between gateways about tokens.
+  int mMessages = 0;
+  // Most of them that one gateway sent within 0.2 s.
+  int mMaxBurst = 0;
+};
+
 // A function that runs at mAt. mSequence orders events of the same time.
 struct sim_event
 {
@@ -311,6 +334,7 @@
     int mIncarnation = 0;
     std::string mPeer;
     workspace_id mWorkspace;
+    foxtailquay::token_call mKind = foxtailquay::token_call::Need;
   };
   std::map<std::uint64_t, token_call> mCalls;
   // A call with grant records without a response yet.
@@ -333,6 +357,7 @@
   // Servers that refuse all requests, and the back-off that they state.
   std::map<std::string, absl::Duration> mRefusing;
   prompt_counts mPrompts;
+  token_counts mTokens;
   // Number of responses that were delivered completely.
   int mServed = 0;
   std::vector<violation> mViolations;
@@ -403,6 +428,42 @@
 // killed. Checks that each gateway heeds what servers have told it.
 void RunServerNotices(fleet_sim& aSim, absl::Duration aTime);
 
+// Callers with prepaid tokens. Some workspaces, with a third of all requests,
+// arrive at one or two gateways only; the others arrive at all.
+struct token_load
+{
+  std::size_t mGateways = 23;
+  int mWorkspaces = 24;
+  int mConcentrated = 5;
+  double mRequestsPerSecond = 400;
+  // Mean of a request; the largest takes 18 times as many.
+  double mMeanTokens = 3000;
+  // Totals, as multiples of the demand of mDay.
+  double mTotalRatio = 1.3;
+  absl::Duration mDay = absl::Seconds(34);
+  // Added to the gateway of each request: callers have moved.
+  std::size_t mOffset = 0;
+  // Further requests per second for one of the workspaces that arrive at all
+  // gateways.
+  double mHotPerSecond = 0;
+};
+
+// Returns a simulation with the gateways and workspaces of aLoad, whose first
+// parts have been placed. No request has arrived.
+std::unique_ptr<fleet_sim> MakeTokenSim(
+  std::map<std::string, std::string> aCharts, std::uint64_t aSeed,
+  const token_load& aLoad);
+
+// Runs for aTime while the requests of aLoad arrive.
+void RunTokenLoad(fleet_sim& aSim, const token_load& aLoad,
+                  absl::Duration aTime);
+
+// Cuts off all gateways from the store and from each other, or ends that.
+void SetAllAlone(fleet_sim& aSim, bool aIsAlone);
+
+// Multiplies all totals by aRatio in a new configuration.
+void RaiseTotals(fleet_sim& aSim, double aRatio);
+
 // Ends all faults, waits until the gateways are connected again, and reports a
 // violation for each gateway that does not serve all of its requests.
 void CheckService(fleet_sim& aSim);
--- a/tests/gateway_sim/sim_events.cc
+++ b/tests/gateway_sim/sim_events.cc
@@ -78,17 +78,18 @@
   {
     SendTokenResponse(mSim, aAction.mCall, aAction.mResponse);
   }
+  void operator()(const recall_tokens& aAction)
+  {
+    RecallTokens(mSim, mIndex, aAction);
+  }
   void operator()(const return_tokens& aAction)
   {
-    if (const auto peer = FindGateway(mSim, aAction.mAddress)) {
-      DeliverAfter(mSim, kPeerLatency, *peer,
-                   tokens_returned{ aAction.mWorkspace, aAction.mAmount });
-    }
+    ReturnTokens(mSim, mIndex, aAction);
   }
   void operator()(const report_prompts& aAction)
   {
     for (const std::string& address : aAction.mAddresses) {
-      if (const auto peer = FindGateway(mSim, address)) {
+      if (const auto peer = FindReachable(mSim, mIndex, address)) {
         DeliverAfter(mSim, kPeerLatency, *peer,
                      prompts_reported{ aAction.mPrompts });
       }
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -7,6 +7,7 @@
 // sim_limits.cc   rate limits that servers state
 // sim_notices.cc  servers that leave or back off
 // sim_prompts.cc  prompts with parts, servers that crash
+// sim_tokens.cc   callers with prepaid tokens
 // sim_traffic.cc  callers, backend servers, tokens between gateways
 
 #ifndef FOXTAILQUAY_TESTS_GATEWAY_SIM_PARTS_H
@@ -52,6 +53,8 @@
 // aMaxInterval.
 void SendRequestsPeriodically(fleet_sim& aSim, absl::Duration aMaxInterval);
 
+// Starts aGateways gateways, with the workspaces of mPrepaid.
+void StartFleet(fleet_sim& aSim, std::size_t aGateways);
 // Writes a configuration with the present prepaid totals.
 void PutConfig(fleet_sim& aSim, config_version aVersion);
 // Ends the process and schedules its restart. A power loss also resets its
@@ -108,6 +111,14 @@
 void AddNotices(fleet_sim& aSim, std::size_t aIndex, const std::string& aServer,
                 attempt_report& aReport);
 
+// --- sim_tokens.cc ----------------------------------------------------------
+
+// Counts a message about tokens.
+void CountTokenMessage(fleet_sim& aSim, std::size_t aIndex);
+// Counts a refusal for tokens.
+void CountTokenRefusal(fleet_sim& aSim, const sim_request& aRequest,
+                       const error& aError);
+
 // --- sim_traffic.cc ---------------------------------------------------------
 
 void SendRequest(fleet_sim& aSim, std::size_t aIndex, const char* aPath);
@@ -124,10 +135,22 @@
 // address.
 std::optional<std::size_t> FindGateway(const fleet_sim& aSim,
                                        const std::string& aName);
+// Like FindGateway, for a message of gateway aFrom; absent if it does not
+// arrive.
+std::optional<std::size_t> FindReachable(const fleet_sim& aSim,
+                                         std::size_t aFrom,
+                                         const std::string& aName);
+// Sends tokens to another gateway.
+void ReturnTokens(fleet_sim& aSim, std::size_t aIndex,
+                  const return_tokens& aAction);
 // Sends a request for tokens to another gateway. Without a response it fails
 // after a timeout.
 void RequestTokens(fleet_sim& aSim, std::size_t aIndex,
                    const request_tokens& aAction);
+// Sends a recall to another gateway. Without a response it fails after a
+// timeout.
+void RecallTokens(fleet_sim& aSim, std::size_t aIndex,
+                  const recall_tokens& aAction);
 // Sends grant records to another gateway. Without a response the call fails
 // after a timeout.
 void ShareGrants(fleet_sim& aSim, std::size_t aIndex,
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -200,6 +200,7 @@
   const bool isQuarantined =
     aAction.mError.mCode == error_code::PromptQuarantined;
   aSim.mPrompts.mSoundQuarantined += request.mIsSound && isQuarantined ? 1 : 0;
+  CountTokenRefusal(aSim, request, aAction.mError);
   if (aAction.mError.mExecuted == executed::No) {
     request.mWasRefused = true;
     if (request.mExecutionCount > 0) {
@@ -248,6 +249,29 @@
   return std::nullopt;
 }
 
+std::optional<std::size_t> FindReachable(const fleet_sim& aSim,
+                                         std::size_t aFrom,
+                                         const std::string& aName)
+{
+  const auto found = FindGateway(aSim, aName);
+  const bool isCut = found && (aSim.mGateways[aFrom].mIsIsolated ||
+                               aSim.mGateways[*found].mIsIsolated);
+  return isCut ? std::nullopt : found;
+}
+
+void ReturnTokens(fleet_sim& aSim, std::size_t aIndex,
+                  const return_tokens& aAction)
+{
+  CountTokenMessage(aSim, aIndex);
+  const tokens_returned returned{ aAction.mWorkspace, aAction.mAmount };
+  if (const auto peer = FindReachable(aSim, aIndex, aAction.mAddress)) {
+    DeliverAfter(aSim, kPeerLatency, *peer, returned);
+  } else if (FindGateway(aSim, aAction.mAddress)) {
+    // No connection: the message was not sent.
+    DeliverAfter(aSim, kPeerTimeout / 2, aIndex, returned);
+  }
+}
+
 void SendTokenResponse(fleet_sim& aSim, std::uint64_t aCall,
                        std::optional<token_response> aResponse)
 {
@@ -255,13 +279,18 @@
   if (found == aSim.mCalls.end()) {
     return;
   }
+  if (aResponse &&
+      !FindReachable(aSim, found->second.mFrom, found->second.mPeer)) {
+    // The call fails after its timeout.
+    return;
+  }
   const fleet_sim::token_call call = found->second;
   aSim.mCalls.erase(found);
   if (aSim.mGateways[call.mFrom].mIncarnation != call.mIncarnation) {
     return;
   }
   const token_response_received received{ call.mPeer, call.mWorkspace,
-                                          aResponse };
+                                          aResponse, call.mKind };
   const absl::Duration latency =
     aResponse ? kPeerLatency : absl::ZeroDuration();
   DeliverAfter(aSim, latency, call.mFrom, received);
@@ -273,13 +302,31 @@
 void RequestTokens(fleet_sim& aSim, std::size_t aIndex,
                    const request_tokens& aAction)
 {
+  CountTokenMessage(aSim, aIndex);
   const std::uint64_t call = aSim.mNextCall++;
   aSim.mCalls[call] = { aIndex, aSim.mGateways[aIndex].mIncarnation,
-                        aAction.mPeer, aAction.mWorkspace };
-  if (const auto peer = FindGateway(aSim, aAction.mAddress)) {
+                        aAction.mPeer, aAction.mWorkspace, aAction.mKind };
+  if (const auto peer = FindReachable(aSim, aIndex, aAction.mAddress)) {
     DeliverAfter(aSim, kPeerLatency, *peer,
                  tokens_requested{ call, aAction.mWorkspace, aAction.mAmount,
-                                   aAction.mPriority });
+                                   aAction.mPriority, aAction.mNeeded,
+                                   aAction.mFrom, aAction.mHeld });
+  }
+  Schedule(aSim, kPeerTimeout,
+           [&aSim, call] { SendTokenResponse(aSim, call, std::nullopt); });
+}
+
+void RecallTokens(fleet_sim& aSim, std::size_t aIndex,
+                  const recall_tokens& aAction)
+{
+  CountTokenMessage(aSim, aIndex);
+  const std::uint64_t call = aSim.mNextCall++;
+  aSim.mCalls[call] = { aIndex, aSim.mGateways[aIndex].mIncarnation,
+                        aAction.mPeer, aAction.mWorkspace, token_call::Recall };
+  if (const auto peer = FindReachable(aSim, aIndex, aAction.mAddress)) {
+    DeliverAfter(
+      aSim, kPeerLatency, *peer,
+      tokens_recalled{ call, aAction.mWorkspace, aAction.mIsUsedUp });
   }
   Schedule(aSim, kPeerTimeout,
            [&aSim, call] { SendTokenResponse(aSim, call, std::nullopt); });
@@ -311,7 +358,7 @@
                              aSim.mGateways[aIndex].mIncarnation,
                              { aAction.mPeer, aAction.mReplication,
                                aAction.mEra, std::nullopt } };
-  if (const auto peer = FindGateway(aSim, aAction.mAddress)) {
+  if (const auto peer = FindReachable(aSim, aIndex, aAction.mAddress)) {
     DeliverAfter(aSim, kPeerLatency, *peer,
                  grants_shared{ call, aAction.mEra, aAction.mWantsCopies,
                                 aAction.mCopies });
--- /dev/null
+++ b/tests/token_fleet_test.cc
@@ -0,0 +1,184 @@
+// Guards against callers who have paid and are refused because the tokens of
+// their workspace are at another gateway: in partitions, store outages, kills,
+// power losses, and when callers move.
+//
+// Load, if a test states no other: 23 gateways, 24 workspaces with totals
+// of 1.3 times the demand of 34 s, 400 requests/s of 3,000 tokens on average
+// and up to 54,000; a third of the requests is for 5 workspaces that arrive at
+// one or two gateways only. Requests begin 8 s after the gateways have started.
+
+#define BOOST_TEST_MODULE token_fleet
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "chart_texts.h"
+#include "gateway_sim/gateway_sim.h"
+#include "gateway_sim/sim_parts.h"
+
+namespace foxtailquay::gateway_sim {
+namespace {
+
+// Longest time for which a request may wait for tokens before it is refused.
+constexpr absl::Duration kMaxWait = absl::Milliseconds(800);
+
+std::unique_ptr<fleet_sim> MakeFleet(const token_load& aLoad)
+{
+  return MakeTokenSim(ReadChartTexts(), 1, aLoad);
+}
+
+// Runs the load and returns the fraction of the requests in that time that were
+// refused for tokens.
+double RunAndCount(fleet_sim& aSim, const token_load& aLoad,
+                   absl::Duration aTime, const char* aName)
+{
+  const token_counts before = aSim.mTokens;
+  RunTokenLoad(aSim, aLoad, aTime);
+  const token_counts& after = aSim.mTokens;
+  const int refused =
+    after.mRefused + after.mUsedUp - before.mRefused - before.mUsedUp;
+  const int sent = after.mSent - before.mSent;
+  std::printf("%s: %d requests, %d refused, %d messages, %d in a burst\n",
+              aName, sent, refused, after.mMessages - before.mMessages,
+              after.mMaxBurst);
+  for (const violation& each : aSim.mViolations) {
+    BOOST_ERROR(each.mDetail);
+  }
+  return static_cast<double>(refused) / sent;
+}
+
+BOOST_AUTO_TEST_CASE(all_requests_of_a_quiet_day_are_served)
+{
+  const token_load load;
+  const auto sim = MakeFleet(load);
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(34), "quiet day") <= 0.001);
+}
+
+struct fleet_size
+{
+  std::size_t mGateways = 0;
+  // Largest fraction of the requests that may be refused.
+  double mMaxRefused = 0;
+};
+
+// The store and all gateways are out of each other's reach for 9 s, after 6 s
+// of requests. All gateways together hold at most a third of what is unspent,
+// which is 1.4 times the demand of 9 s. At 100 gateways the demand of most
+// workspaces at one gateway is a few requests, whose number varies more.
+BOOST_AUTO_TEST_CASE(gateways_alone_serve_from_what_they_hold)
+{
+  for (const fleet_size& size : { fleet_size{ 23, 0.15 }, { 100, 0.2 } }) {
+    token_load load;
+    load.mGateways = size.mGateways;
+    const auto sim = MakeFleet(load);
+    RunAndCount(*sim, load, absl::Seconds(6), "before");
+    SetAllAlone(*sim, true);
+    BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(9), "alone") <=
+               size.mMaxRefused);
+    SetAllAlone(*sim, false);
+    // Gateways find each other again and refill within a second.
+    RunAndCount(*sim, load, absl::Seconds(1), "first second after");
+    BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(9), "after") <= 0.01);
+    BOOST_TEST(sim->mTokens.mMaxWait <= kMaxWait);
+  }
+}
+
+// The store is silent from 0.5 s before the first request on; the gateways
+// reach each other.
+BOOST_AUTO_TEST_CASE(a_silent_store_does_not_keep_tokens_from_callers)
+{
+  const token_load load;
+  const auto sim = MakeFleet(load);
+  sim->mStore.mMode = store_mode::Unresponsive;
+  RunUntil(*sim, sim->mNow + absl::Milliseconds(500));
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(5), "silent store") <= 0.02);
+  sim->mStore.mMode = store_mode::Up;
+  RunAndCount(*sim, load, absl::Seconds(2), "back");
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(8), "after") <= 0.001);
+}
+
+// All requests arrive at one or two gateways each; the other gateways hold
+// first parts that nobody needs there.
+BOOST_AUTO_TEST_CASE(parts_without_demand_reach_the_gateway_with_demand)
+{
+  token_load load;
+  load.mWorkspaces = 6;
+  load.mRequestsPerSecond = 200;
+  const auto sim = MakeFleet(load);
+  sim->mStore.mMode = store_mode::Unresponsive;
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(5), "one gateway") <= 0.05);
+}
+
+// One workspace has ten times its demand while all gateways are alone: it is
+// refused, and the others are not.
+BOOST_AUTO_TEST_CASE(a_hot_workspace_does_not_take_tokens_of_others)
+{
+  token_load load;
+  const auto sim = MakeFleet(load);
+  RunAndCount(*sim, load, absl::Seconds(6), "before");
+  SetAllAlone(*sim, true);
+  load.mHotPerSecond = 100;
+  const int before = sim->mTokens.mRefused;
+  RunAndCount(*sim, load, absl::Seconds(6), "alone, one hot");
+  const workspace_id hot{ "w23" };
+  const int others =
+    sim->mTokens.mRefused - before - sim->mTokens.mRefusedOf[hot];
+  BOOST_TEST(others <= 300);
+}
+
+// A seventh of the gateways is killed during the day.
+BOOST_AUTO_TEST_CASE(killed_gateways_lose_few_tokens)
+{
+  const token_load load;
+  const auto sim = MakeFleet(load);
+  RunAndCount(*sim, load, absl::Seconds(8), "before");
+  for (const std::size_t killed : { 2, 9, 16 }) {
+    KillGateway(*sim, killed, false);
+  }
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(20), "after kills") <= 0.02);
+}
+
+// All gateways lose power in the middle of the day.
+BOOST_AUTO_TEST_CASE(tokens_are_left_after_a_power_loss_of_all_gateways)
+{
+  const token_load load;
+  const auto sim = MakeFleet(load);
+  RunAndCount(*sim, load, absl::Seconds(12), "before");
+  for (std::size_t i = 0; i < sim->mGateways.size(); ++i) {
+    KillGateway(*sim, i, true);
+  }
+  RunUntil(*sim, sim->mNow + absl::Seconds(7));
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(8), "after power loss") <=
+             0.02);
+}
+
+// Half of the callers move to other gateways.
+BOOST_AUTO_TEST_CASE(tokens_follow_callers_that_move)
+{
+  token_load load;
+  const auto sim = MakeFleet(load);
+  RunAndCount(*sim, load, absl::Seconds(10), "before");
+  load.mOffset = sim->mGateways.size() / 2;
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(15), "moved") <= 0.001);
+}
+
+// Totals last for half of the time; they are raised while all gateways are
+// alone. After the partition, callers are served from the new total.
+BOOST_AUTO_TEST_CASE(a_top_up_in_a_partition_is_used_after_it)
+{
+  token_load load;
+  load.mTotalRatio = 0.4;
+  const auto sim = MakeFleet(load);
+  RunAndCount(*sim, load, absl::Seconds(12), "before");
+  SetAllAlone(*sim, true);
+  RunAndCount(*sim, load, absl::Seconds(4), "alone");
+  RaiseTotals(*sim, 4);
+  RunAndCount(*sim, load, absl::Seconds(2), "raised");
+  SetAllAlone(*sim, false);
+  RunAndCount(*sim, load, absl::Seconds(3), "back");
+  BOOST_TEST(RunAndCount(*sim, load, absl::Seconds(8), "after") <= 0.005);
+}
+
+} // namespace
+} // namespace foxtailquay::gateway_sim
