Grant tokens ahead of need in few writes, and renew only limits that bound

Cause: with tokens at all gateways, each refill that a coordinator could not serve led to a write at once, and limits of the whole grant were renewed each second. Change: what is held ahead of need is granted with the periodic writes, once half of it is missing; a limit that allows the whole grant is not renewed.

--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -298,8 +298,13 @@
   return aNeeded + std::min(maxHeld, AddTokens(demand, planned));
 }
 
+// Fraction of the tokens to hold that must be missing for a grant ahead of
+// need. A write for each small difference would cost several calls a second.
+constexpr double kMinMissingFraction = 0.5;
+
 // Returns the number of tokens to grant to the holder now, at most aRoom.
-// Demand of lower priorities does not use the reserved tokens.
+// Demand of lower priorities does not use the reserved tokens. What is held
+// ahead of need is granted with the periodic writes only.
 token_count ComputeMissingTokens(const grant_share& aShare, token_count aRoom,
                                  token_count aPrepaid, bool aIsPeriodic,
                                  const grant_options& aOptions, absl::Time aNow)
@@ -308,18 +313,28 @@
   const token_count required = aShare.mNeeded + aShare.mHeadroom;
   const token_count room = std::max<token_count>(
     0, aRoom - ComputeReserved(aShare, aPrepaid, aOptions));
+  const auto isShort = [&](token_count aRequired, token_count aHold) {
+    const auto missing = static_cast<double>(aHold - held);
+    return held < aRequired ||
+           (aIsPeriodic &&
+            missing >= kMinMissingFraction * static_cast<double>(aHold));
+  };
   token_count missing = 0;
-  if (aIsPeriodic || held < required + aShare.mPlanned) {
+  if (aIsPeriodic || held < required) {
     const token_count hold =
       ComputeTokensToHold(aShare, kRequestPriorities, aShare.mNeeded, room,
                           aPrepaid, aOptions, aNow);
-    missing = std::min(room, std::max(required, hold) - held);
+    if (isShort(required, hold)) {
+      missing = std::min(room, std::max(required, hold) - held);
+    }
   }
   if (aIsPeriodic || held < aShare.mHighestPriorityNeeded) {
     const token_count hold = ComputeTokensToHold(
       aShare, FindHighestPriorityEnd(aShare), aShare.mHighestPriorityNeeded,
       aRoom, aPrepaid, aOptions, aNow);
-    missing = std::max(missing, std::min(aRoom, hold - held));
+    if (isShort(aShare.mHighestPriorityNeeded, hold)) {
+      missing = std::max(missing, std::min(aRoom, hold - held));
+    }
   }
   return missing;
 }
@@ -519,7 +534,10 @@
     static_cast<double>(aShare.mEntry.mGranted - aShare.mUsedTokens);
   const bool isUnspent =
     unspent > aOptions.mMinLimitedFraction * static_cast<double>(aPrepaid);
-  if ((isUnspent && (aIsPeriodic || IsLimitNear(aShare, margin))) ||
+  // A limit of the whole grant protects nothing if the process dies.
+  const bool isBounding = aShare.mUsedTokens + margin < aShare.mEntry.mGranted;
+  if ((isUnspent &&
+       ((aIsPeriodic && isBounding) || IsLimitNear(aShare, margin))) ||
       HasEarlierEntries(aShare, aHolder)) {
     return PlanWrite(aShare, aHolder, 0, margin, aClock);
   }
--- a/tests/grant_test.cc
+++ b/tests/grant_test.cc
@@ -121,6 +121,48 @@
   BOOST_TEST(Reserve(share, 1, MakeClock(time)));
 }
 
+// A write for each refill of another gateway costs several calls a second. With
+// half of its tokens, a coordinator still serves the refills until the next
+// one.
+BOOST_AUTO_TEST_CASE(tokens_ahead_of_need_are_granted_in_few_writes)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  grant_share share = MakeGrantedShare(holder, 0);
+  share.mTokensToHold = 20000;
+  share.mPlanned = 1000;
+  BOOST_TEST(
+    !PlanGrant(share, holder, kPrepaid, true, false, kOptions, MakeClock(10)));
+  const auto first =
+    PlanGrant(share, holder, kPrepaid, true, true, kOptions, MakeClock(1000));
+  BOOST_REQUIRE(first);
+  RecordGrantWrite(share, holder, grant_outcome::Written, first->mRecord, 2);
+  const token_count held = share.mFreeTokens;
+  BOOST_TEST(held >= 20000);
+  BOOST_REQUIRE(Reserve(share, held / 4, MakeClock(1010)));
+  const auto small =
+    PlanGrant(share, holder, kPrepaid, true, true, kOptions, MakeClock(2000));
+  BOOST_TEST(
+    (!small || ComputeTotal(small->mRecord) == ComputeTotal(share.mRecord)));
+}
+
+// Each write of a limit is a call to the store. One that allows the whole grant
+// protects nothing.
+BOOST_AUTO_TEST_CASE(only_a_limit_below_the_grant_is_renewed)
+{
+  const grant_holder holder = MakeHolder("a/1");
+  // The limit leaves 5% of the total until the demand is known.
+  grant_share small = MakeGrantedShare(holder, 4000);
+  BOOST_REQUIRE(Reserve(small, 5000, MakeClock(10)));
+  BOOST_TEST(!PlanGrant(small, holder, kPrepaid, false, true, kOptions,
+                        MakeClock(1000)));
+  grant_share large = MakeGrantedShare(holder, 20000);
+  const auto renewal =
+    PlanGrant(large, holder, kPrepaid, false, true, kOptions, MakeClock(1000));
+  BOOST_REQUIRE(renewal);
+  BOOST_TEST(renewal->mRecord.mEntries.at("a/1").mLimit <
+             renewal->mRecord.mEntries.at("a/1").mGranted);
+}
+
 // A request for more than the free tokens must not wait for the next periodic
 // write: it was refused before that write.
 BOOST_AUTO_TEST_CASE(a_request_beyond_the_free_tokens_is_granted_immediately)
