Limit requests to cold servers, and follow evacuations of zones

No component took into account that a server which has just started bears few requests, or that the operator asks for a zone to be left. A zone that returned cold in a burst got its full share of the load at once.

Entries, responses, failed connections and ended evacuations decide what counts as cold; the newest statement wins. Where the settings have a bound on evacuations, the keys op/evacuate/ZONE are watched together with the configuration, and each gateway leaves the servers of a zone one after the other within a third of the bound. Without the settings nothing changes.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -96,6 +96,9 @@
   // Longest time for which the call waits for changes.
   absl::Duration mMaxWait = absl::ZeroDuration();
   store_era mEra = 0;
+  // True if the area Configuration includes the evacuations of availability
+  // zones.
+  bool mWithEvacuations = false;
 };
 
 // Writes the grant records of several workspaces in one transaction.
@@ -181,7 +184,8 @@
   std::vector<sent_prompt> mPrompts;
 };
 
-// Checks whether the process of a backend server has ended.
+// Checks whether the process of a backend server has ended, or accepts
+// connections again.
 struct probe_server
 {
   backend_id mBackend;
@@ -247,6 +251,8 @@
   LoadChanged,
   PromptPartChanged,
   RateLimitChanged,
+  ServerColdChanged,
+  EvacuationChanged,
   StopStarted,
 };
 
@@ -271,6 +277,8 @@
       { d::LoadChanged, "load_changed" },
       { d::PromptPartChanged, "prompt_part_changed" },
       { d::RateLimitChanged, "rate_limit_changed" },
+      { d::ServerColdChanged, "server_cold_changed" },
+      { d::EvacuationChanged, "evacuation_changed" },
       { d::StopStarted, "stop_started" } });
 }
 
@@ -295,6 +303,14 @@
 
 // --- Node -------------------------------------------------------------------
 
+// Bound on the requests that a cold backend server may get from all gateways
+// in any one second: the rate that it bears times mOverage, plus mSlack.
+struct cold_bounds
+{
+  double mOverage = 1;
+  double mSlack = 0;
+};
+
 // Settings of a gateway process.
 struct gateway_settings
 {
@@ -317,6 +333,11 @@
   // Time for which a gateway may be without contact to the store, without
   // knowing it, before it must follow changes again.
   absl::Duration mContactTime = absl::Seconds(3);
+  // Absent if cold servers have no limit.
+  std::optional<cold_bounds> mColdBounds = std::nullopt;
+  // Time from the acknowledgement of an evacuation until no request may reach
+  // the servers of its zone; 0 if evacuations are not followed.
+  absl::Duration mEvacuationTime = absl::ZeroDuration();
   grant_options mGrants;
 };
 
@@ -357,6 +378,10 @@
   std::size_t mQuarantinedParts = 0;
   // Backend servers that state a rate limit.
   std::size_t mRateLimitedBackends = 0;
+  // Backend servers that are, or may be, cold.
+  std::size_t mColdBackends = 0;
+  // Availability zones that are being or have been evacuated.
+  std::size_t mEvacuatedZones = 0;
   bool mReady = false;
 };
 
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -96,6 +96,8 @@
   // Time for which it wants no requests from this gateway; absent if not
   // stated.
   std::optional<absl::Duration> mBackoff = std::nullopt;
+  // Time for which it stays cold, 0 if it is warm; absent if not stated.
+  std::optional<absl::Duration> mColdLeft = std::nullopt;
 };
 
 // An attempt has ended.
@@ -124,6 +126,9 @@
   // True if an event of the stream, or a part of a plain response that was
   // relayed, arrived in this attempt.
   bool mHasOutput = false;
+  // True if the connection to the backend server could not be established or
+  // broke off.
+  bool mIsConnectionLost = false;
 };
 
 // The first byte of the response of an attempt has arrived.
@@ -158,8 +163,16 @@
   bool mLeaving = false;
   // Start time of this incarnation, in Unix milliseconds; 0 if unknown.
   std::int64_t mStartedMs = 0;
+  // Time for which the server stayed cold when the entry was written, 0 if it
+  // was warm; absent if not stated.
+  std::optional<absl::Duration> mColdLeft = std::nullopt;
 };
 
+// A request of the operator that no request reach the backend servers of an
+// availability zone.
+struct evacuation_entry
+{};
+
 // Another gateway.
 struct gateway_peer
 {
@@ -274,6 +287,8 @@
   std::vector<directory_change<gateway_peer>> mPeers;
   // Part of the area Peers.
   std::vector<crash_report> mCrashReports;
+  // Part of the area Configuration, by availability zone.
+  std::vector<directory_change<evacuation_entry>> mEvacuations;
   response_era mEra = {};
 };
 
@@ -292,6 +307,8 @@
   // True if the server's host refuses connections, so that the process has
   // ended.
   bool mIsRefused = false;
+  // True if the server accepted a connection.
+  bool mIsConnected = false;
 };
 
 // The grant record of one workspace, as stored.
--- a/include/foxtailquay/traffic_config.h
+++ b/include/foxtailquay/traffic_config.h
@@ -89,6 +89,11 @@
   int mSlots = 0;
   // Largest number of tokens in one event of a stream.
   token_count mTokensPerEvent = 1;
+  // Time for which a backend server is cold after its start, and the requests a
+  // second that a cold one bears from all gateways together; a rate of 0 means
+  // no limit.
+  absl::Duration mColdTime = absl::ZeroDuration();
+  double mColdRate = 0;
 };
 
 // One workspace.
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <limits>
 
-#include "gateway_state.h"
+#include "gateway_cold.h"
+#include "gateway_evacuation.h"
 
 namespace foxtailquay {
 
@@ -40,6 +41,8 @@
          ParseChartFile(aTexts, "gateway_load.yaml", charts.mLoad),
          ParseChartFile(aTexts, "backend_server.yaml", charts.mBackend),
          ParseChartFile(aTexts, "rate_limit.yaml", charts.mRate),
+         ParseChartFile(aTexts, "cold_start.yaml", charts.mCold),
+         ParseChartFile(aTexts, "evacuation.yaml", charts.mEvacuation),
          ParseChartFile(aTexts, "grant_recovery.yaml", charts.mRecovery) }) {
     if (!IsOk(loaded)) {
       return GetError(loaded);
@@ -103,6 +106,7 @@
 {
   AdvanceDeadlines(aGateway, aNow);
   AdvancePromptReports(aGateway, aNow);
+  AdvanceEvacuations(aGateway, aNow);
   if (aNow >= aGateway.mNextTickAt) {
     aGateway.mNextTickAt = aNow + kTickInterval;
     for (auto& view : aGateway.mViews) {
@@ -113,6 +117,7 @@
     AdvanceQuarantine(aGateway, aNow);
     RemoveExpiredPeers(aGateway, aNow);
     AdvanceNotices(aGateway, aNow);
+    AdvanceColdServers(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
   }
   AdvanceWatches(aGateway, aNow);
@@ -178,6 +183,7 @@
   void operator()(const server_probed& aEvent)
   {
     OnServerProbed(mGateway, aEvent, mNow);
+    OnColdProbe(mGateway, aEvent, mNow);
   }
   void operator()(const crash_report_write_response& aEvent)
   {
@@ -290,8 +296,9 @@
 
 absl::Time GetNextWakeTime(const gateway& aGateway)
 {
-  absl::Time next = std::min(
-    { aGateway.mNextTickAt, aGateway.mReportAt, aGateway.mRecovery.mRetryAt });
+  absl::Time next =
+    std::min({ aGateway.mNextTickAt, aGateway.mReportAt,
+               aGateway.mRecovery.mRetryAt, GetNextEvacuationTime(aGateway) });
   if (!aGateway.mDeadlines.empty()) {
     next = std::min(next, aGateway.mDeadlines.begin()->first);
   }
@@ -320,6 +327,13 @@
     aGateway.mViews.begin(), aGateway.mViews.end(), [](const auto& aEach) {
       return aEach.second.mRateLimit.mStatus == rate_status::Limited;
     }));
+  // A gateway does not follow the time in which nothing happens, so a state
+  // may be over for up to one tick.
+  summary.mColdBackends = static_cast<std::size_t>(std::count_if(
+    aGateway.mViews.begin(), aGateway.mViews.end(), [](const auto& aEach) {
+      return aEach.second.mCold.mStatus != cold_status::Warm;
+    }));
+  summary.mEvacuatedZones = aGateway.mEvacuations.size();
   summary.mReady = aGateway.mReady;
   return summary;
 }
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -2,16 +2,20 @@
 // charts/directory.yaml, charts/gateway_load.yaml and
 // charts/grant_recovery.yaml. The health of backend
 // servers uses charts/backend_server.yaml (backend_health.h), their rate limits
-// charts/rate_limit.yaml (rate_limit.h), the quarantine of prompts
-// charts/prompt_part.yaml (prompt_quarantine.h).
+// charts/rate_limit.yaml (rate_limit.h), their cold starts
+// charts/cold_start.yaml (cold_start.h), evacuations charts/evacuation.yaml
+// (zone_evacuation.h), the quarantine of prompts charts/prompt_part.yaml
+// (prompt_quarantine.h).
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
 #define FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
 
 #include "backend_health.h"
+#include "cold_start.h"
 #include "foxtailquay/chart.h"
 #include "foxtailquay/name_table.h"
 #include "rate_limit.h"
+#include "zone_evacuation.h"
 
 namespace foxtailquay {
 
@@ -303,6 +307,8 @@
   load_chart mLoad;
   backend_chart mBackend;
   rate_chart mRate;
+  cold_chart mCold;
+  evacuation_chart mEvacuation;
   recovery_chart mRecovery;
 };
 
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -4,7 +4,8 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
+#include "gateway_cold.h"
+#include "gateway_evacuation.h"
 
 namespace foxtailquay {
 
@@ -53,7 +54,8 @@
       return aContext.mArea.mRevision.has_value();
     case watch_guard::HasChanges:
       return !response.mConfigs.empty() || !response.mBackends.empty() ||
-             !response.mPeers.empty() || !response.mCrashReports.empty();
+             !response.mPeers.empty() || !response.mCrashReports.empty() ||
+             !response.mEvacuations.empty();
   }
   return false;
 }
@@ -135,6 +137,8 @@
   if (restarted) {
     aGateway.mViews.erase(aBackend);
   }
+  const bool isWritten = listing == aGateway.mListings.end() ||
+                         aRevision > listing->second.mRevision;
   const bool changed = listing == aGateway.mListings.end() || restarted ||
                        listing->second.mEntry.mLeaving != aEntry.mLeaving;
   aGateway.mListings[aBackend] = { aEntry, aRevision, absl::InfiniteFuture() };
@@ -146,6 +150,10 @@
   if (notice != aGateway.mNotices.end()) {
     view.mBackoffUntil = notice->second.mBackoffUntil;
   }
+  UpdateEvacuated(aGateway, aBackend, view);
+  if (isWritten) {
+    RecordColdEntry(aGateway, aBackend, restarted, aNow);
+  }
   if (view.mLeaving != aEntry.mLeaving) {
     view.mLeaving = aEntry.mLeaving;
     view.mLeavingSince = aNow;
@@ -280,6 +288,9 @@
   for (const auto& change : aResponse.mConfigs) {
     ApplyConfig(aGateway, change, aNow);
   }
+  if (aResponse.mArea == directory_area::Configuration) {
+    ApplyEvacuations(aGateway, aResponse, aNow);
+  }
   auto backends = aResponse.mBackends;
   auto peers = aResponse.mPeers;
   if (aResponse.mComplete && aResponse.mArea == directory_area::Backends) {
@@ -312,6 +323,9 @@
         GetConfig(aGateway, aGateway.mListings[view.first].mEntry);
     }
   }
+  if (aResponse.mArea != directory_area::Backends) {
+    UpdateColdShares(aGateway, aNow);
+  }
 }
 
 void Schedule(gateway& aGateway, watched_area& aArea, absl::Time aNow)
@@ -329,6 +343,7 @@
   GetArea(aGateway, aQuery.mArea).mCalledAt = aNow;
   directory_query query = aQuery;
   query.mEra = aGateway.mEra;
+  query.mWithEvacuations = FollowsEvacuations(aGateway);
   aGateway.mActions.push_back(query);
 }
 
@@ -352,6 +367,7 @@
       area.mRevision = aResponse.mRevision;
       area.mComplete = true;
       Apply(aGateway, aResponse, aNow);
+      area.mKnownAt = area.mCalledAt;
       area.mIsFirstRead = false;
       break;
     case watch_action::Schedule:
@@ -438,6 +454,9 @@
   for (auto& peer : aGateway.mPeers) {
     peer.second.mRevision = 0;
   }
+  for (auto& evacuation : aGateway.mEvacuations) {
+    evacuation.second.mRevision = 0;
+  }
   aGateway.mLease = 0;
   aGateway.mIsRegistering = false;
   HastenRegistration(aGateway, aNow);
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
+#include "gateway_cold.h"
 #include "xxhash.h"
 
 namespace foxtailquay {
@@ -393,10 +393,7 @@
 {
   aRequest.mEvents = std::max(aRequest.mEvents, aReport.mEvents);
   const backend_id backend = aRequest.mBackend;
-  RecordLoad(aGateway, backend, aReport.mLoad, aNow);
-  if (aReport.mStatement) {
-    ApplyStatement(aGateway, aRequest, *aReport.mStatement, aNow);
-  }
+  ApplyServerReport(aGateway, aRequest, aReport, aNow);
   bool failed = true;
   switch (aReport.mOutcome) {
     case attempt_outcome::Delivered:
@@ -549,6 +546,7 @@
   found->second->mHasResponseStarted = true;
   RecordLoad(aGateway, found->second->mBackend, aEvent.mLoad, aNow);
   ApplyStatement(aGateway, *found->second, aEvent.mStatement, aNow);
+  RecordColdStatement(aGateway, *found->second, aEvent.mStatement, aNow);
 }
 
 void OnCallerDisconnected(gateway& aGateway, const caller_disconnected& aEvent,
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -9,6 +9,7 @@
 // gateway_waiters.cc  requests and gateways that wait for tokens
 // gateway_load.cc     load of this process
 // gateway_follow.cc   watches on the store: configuration, servers, peers
+// gateway_cold.cc, gateway_evacuation.cc  cold servers, evacuated zones
 // gateway_era.cc      returns of the store to an older state
 // gateway_recovery.cc grant records after such a return, copies of records
 
@@ -186,6 +187,8 @@
   absl::Time mLapsedAt = absl::InfinitePast();
   // Start of the last call.
   absl::Time mCalledAt = absl::InfinitePast();
+  // Start of the last applied call: changes after its revision are later.
+  absl::Time mKnownAt = absl::InfinitePast();
   // Start of the call whose failure ended the last connection.
   absl::Time mLostSince = absl::InfinitePast();
   // Number of failed calls since the last connection.
@@ -311,6 +314,7 @@
   std::map<backend_id, backend_listing> mListings;
   std::map<backend_id, backend_view> mViews;
   std::map<backend_id, server_notice> mNotices;
+  std::map<zone_id, zone_evacuation> mEvacuations;
   std::map<std::string, peer_listing> mPeers;
   std::uint64_t mLoadSequence = 0;
   // Prompts sent to engines and not yet reported to other gateways.
@@ -396,6 +400,9 @@
 // itself in its response.
 void ApplyStatement(gateway& aGateway, const forwarded_request& aRequest,
                     const server_statement& aStatement, absl::Time aNow);
+// Applies what a report on the current attempt tells about its backend server.
+void ApplyServerReport(gateway& aGateway, const forwarded_request& aRequest,
+                       const attempt_report& aReport, absl::Time aNow);
 // Returns aEntry with what the incarnation has stated of itself, and forgets
 // what an earlier one has. aIsChange: the entry was written just now, and not
 // only found in the store.
@@ -408,11 +415,11 @@
 // Forgets what servers have stated that have not been listed for long.
 void AdvanceNotices(gateway& aGateway, absl::Time aNow);
 // Records that a request is being sent to the server, if that states a rate
-// limit.
+// limit or is cold.
 void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
                            absl::Time aNow);
 // Records the cost of a new request. Returns how the request uses the servers
-// of its service that state a rate limit.
+// of its service that state a rate limit or are cold.
 limited_use ChooseLimitedUse(gateway& aGateway,
                              const forwarded_request& aRequest,
                              absl::Time aNow);
@@ -442,9 +449,9 @@
                          const backend_id& aBackend, absl::Time aNow);
 void OnServerProbed(gateway& aGateway, const server_probed& aEvent,
                     absl::Time aNow);
-// Adopts the crash reports in a response on the area Peers.
 // Writes all known reports again, since the store may have lost them.
 void RestartCrashReports(gateway& aGateway);
+// Adopts the crash reports in a response on the area Peers.
 void ApplyCrashReports(gateway& aGateway, const directory_response& aResponse,
                        absl::Time aNow);
 void OnCrashReportWriteResponse(gateway& aGateway,
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
+#include "gateway_cold.h"
+#include "gateway_evacuation.h"
 
 namespace foxtailquay {
 
@@ -40,16 +41,24 @@
 }
 
 // Returns how many requests a second this gateway may send to the servers of
-// the service that state a rate limit.
-double ComputeLimitedRate(const gateway& aGateway, const service_id& aService)
+// the service that state a rate limit or are cold.
+double ComputeLimitedRate(const gateway& aGateway, const service_id& aService,
+                          absl::Time aNow)
 {
   const int gateways = CountListedGateways(aGateway);
   double rate = 0;
   for (const auto& [id, view] : aGateway.mViews) {
-    if (view.mRateLimit.mStatus == rate_status::Limited &&
+    const bool isCold = IsColdLimited(view.mCold, aNow);
+    const bool isLimited = view.mRateLimit.mStatus == rate_status::Limited;
+    if ((isCold || isLimited) && !view.mIsEvacuated &&
         IsConfiguredFor(view.mConfig, backend_kind::Engine, aService.mValue)) {
-      const rate_share share = ComputeShare(view.mRateLimit.mRate, gateways);
-      rate += absl::FDivDuration(absl::Seconds(1), share.mInterval);
+      absl::Duration interval =
+        isCold ? view.mCold.mInterval : absl::ZeroDuration();
+      if (isLimited) {
+        interval = std::max(
+          interval, ComputeShare(view.mRateLimit.mRate, gateways).mInterval);
+      }
+      rate += absl::FDivDuration(absl::Seconds(1), interval);
     }
   }
   return rate;
@@ -160,6 +169,7 @@
   if (aView.mRateLimit.mStatus == rate_status::Limited) {
     RecordRunStart(aView.mRateLimit, MakeRateContext(aGateway, aNow));
   }
+  RecordColdRun(aView.mCold, aNow);
 }
 
 limited_use ChooseLimitedUse(gateway& aGateway,
@@ -173,7 +183,7 @@
   if (aRequest.mAttempts == 0) {
     AddCost(costs, cost, aNow);
   }
-  const double rate = ComputeLimitedRate(aGateway, aRequest.mService);
+  const double rate = ComputeLimitedRate(aGateway, aRequest.mService, aNow);
   if (rate <= 0) {
     return limited_use::Alike;
   }
@@ -192,6 +202,9 @@
     unroutable.mDetail = "all backend servers are at the limits that they "
                          "state, or cannot take the request";
     unroutable.mRetryAfter = std::max(unroutable.mRetryAfter, next - aNow);
+  } else if (HasEvacuatedServer(aGateway, aQuery)) {
+    unroutable.mDetail = "backend servers are in evacuated availability zones, "
+                         "the others cannot take the request";
   }
   return unroutable;
 }
@@ -267,4 +280,19 @@
   ApplyRateLimit(aGateway, view->second, aRequest, aStatement, aNow);
 }
 
+void ApplyServerReport(gateway& aGateway, const forwarded_request& aRequest,
+                       const attempt_report& aReport, absl::Time aNow)
+{
+  RecordLoad(aGateway, aRequest.mBackend, aReport.mLoad, aNow);
+  if (aReport.mStatement) {
+    ApplyStatement(aGateway, aRequest, *aReport.mStatement, aNow);
+    if (!aReport.mWrongServer) {
+      RecordColdStatement(aGateway, aRequest, *aReport.mStatement, aNow);
+    }
+  }
+  if (aReport.mIsConnectionLost) {
+    RecordConnectionLoss(aGateway, aRequest, aNow);
+  }
+}
+
 } // namespace foxtailquay
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -87,18 +87,35 @@
 bool AcceptsRuns(const candidate& aCandidate, const routing_query& aQuery)
 {
   const backend_view& view = *aCandidate.mView;
-  return !view.mConfig.mDrain && !view.mLeaving && !view.mReport.mLeaving &&
-         view.mStatus != backend_status::Leaving &&
+  return !view.mIsEvacuated && !view.mConfig.mDrain && !view.mLeaving &&
+         !view.mReport.mLeaving && view.mStatus != backend_status::Leaving &&
          view.mStatus != backend_status::Gone && !view.mAddress.empty() &&
          view.mOutstanding < view.mConfig.mMaxConcurrency &&
          aQuery.mExcludedBackends.count(*aCandidate.mId) == 0;
 }
 
 // Returns the earliest time at which the server takes a request of this router,
-// according to what it states.
-absl::Time GetNextRunTime(const backend_view& aView)
+// according to what it states and to whether it is cold.
+absl::Time GetNextRunTime(const backend_view& aView, absl::Time aNow)
 {
-  return std::max(aView.mRateLimit.mNextRunAt, aView.mBackoffUntil);
+  return std::max({ aView.mRateLimit.mNextRunAt, aView.mBackoffUntil,
+                    GetColdRunTime(aView.mCold, aNow) });
+}
+
+// Returns true if a limit restricts the requests of this router to the server.
+bool IsLimited(const backend_view& aView, absl::Time aNow)
+{
+  return aView.mRateLimit.mStatus == rate_status::Limited ||
+         IsColdLimited(aView.mCold, aNow);
+}
+
+// Returns the time until which an unused request of the server is kept for the
+// requests that use limited servers first.
+absl::Time GetSpareTime(const backend_view& aView, absl::Time aNow)
+{
+  return std::max(aView.mRateLimit.mSpareAt, IsColdLimited(aView.mCold, aNow)
+                                               ? aView.mCold.mSpareAt
+                                               : absl::InfinitePast());
 }
 
 // Returns true if the server can be used, regardless of ejection.
@@ -106,7 +123,7 @@
                 absl::Time aNow)
 {
   return AcceptsRuns(aCandidate, aQuery) &&
-         aNow >= GetNextRunTime(*aCandidate.mView);
+         aNow >= GetNextRunTime(*aCandidate.mView, aNow);
 }
 
 bool IsUsable(const candidate& aCandidate, const routing_query& aQuery,
@@ -133,7 +150,7 @@
                      absl::Time aNow)
 {
   return aQuery.mLimitedUse == limited_use::Last &&
-         aNow < aCandidate.mView->mRateLimit.mSpareAt;
+         aNow < GetSpareTime(*aCandidate.mView, aNow);
 }
 
 // Returns the first non-empty list of: usable servers with a rate limit, if the
@@ -147,8 +164,7 @@
            !IsKeptForOthers(aEach, aQuery, aNow);
   };
   const auto limited = [&](const candidate& aEach) {
-    return usable(aEach) &&
-           aEach.mView->mRateLimit.mStatus == rate_status::Limited;
+    return usable(aEach) && IsLimited(*aEach.mView, aNow);
   };
   const auto eligible = [&](const candidate& aEach) {
     return IsEligible(aEach, aQuery, aNow);
@@ -393,8 +409,9 @@
   absl::Time next = absl::InfiniteFuture();
   for (const auto& [id, view] : aViews) {
     if (IsConfiguredFor(view.mConfig, aQuery.mKind, aQuery.mTarget) &&
-        GetNextRunTime(view) > aNow && AcceptsRuns({ &id, &view, 0 }, aQuery)) {
-      next = std::min(next, GetNextRunTime(view));
+        GetNextRunTime(view, aNow) > aNow &&
+        AcceptsRuns({ &id, &view, 0 }, aQuery)) {
+      next = std::min(next, GetNextRunTime(view, aNow));
     }
   }
   return next;
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -28,6 +28,7 @@
 
 #include "absl/time/time.h"
 #include "backend_health.h"
+#include "cold_start.h"
 #include "foxtailquay/config.h"
 #include "foxtailquay/messages.h"
 #include "rate_limit.h"
@@ -148,6 +149,10 @@
   int mEjections = 0;
   // Limit that the server states.
   rate_limit mRateLimit;
+  // Whether it has started a short time ago, and its limit then.
+  cold_state mCold;
+  // True if its availability zone is evacuated: it gets no requests.
+  bool mIsEvacuated = false;
   // Time before which the server wants no requests of this router.
   absl::Time mBackoffUntil = absl::InfinitePast();
   // Successful runs since the start of state Probing.
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -434,6 +434,8 @@
     { gauge::ConfigVersion, double(aHost.mSummary.mVersion) },
     { gauge::QuarantinedPromptParts, double(aHost.mSummary.mQuarantinedParts) },
     { gauge::RateLimitedServers, double(aHost.mSummary.mRateLimitedBackends) },
+    { gauge::ColdServers, double(aHost.mSummary.mColdBackends) },
+    { gauge::EvacuatedZones, double(aHost.mSummary.mEvacuatedZones) },
     { gauge::Ready, aHost.mReady ? 1.0 : 0.0 }
   };
 }
@@ -454,6 +456,8 @@
                  summary.mBackends, ",\"peers\":", summary.mPeers,
                  ",\"quarantined_prompt_parts\":", summary.mQuarantinedParts,
                  ",\"rate_limited_servers\":", summary.mRateLimitedBackends,
+                 ",\"cold_servers\":", summary.mColdBackends,
+                 ",\"evacuated_zones\":", summary.mEvacuatedZones,
                  ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
 }
 
@@ -577,6 +581,11 @@
   settings.mRepeatSlack = aNode.mRepeatSlack;
   settings.mStopTime = aNode.mStopTime;
   settings.mContactTime = aNode.mContactTime;
+  if (aNode.mColdOverage && aNode.mColdSlack) {
+    settings.mColdBounds =
+      cold_bounds{ *aNode.mColdOverage, *aNode.mColdSlack };
+  }
+  settings.mEvacuationTime = aNode.mEvacuationTime;
   return settings;
 }
 
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -77,6 +77,7 @@
         prepend(response.mBackends, earlierPages.mBackends);
         prepend(response.mPeers, earlierPages.mPeers);
         prepend(response.mCrashReports, earlierPages.mCrashReports);
+        prepend(response.mEvacuations, earlierPages.mEvacuations);
       }
       if (response.mStatus == directory_status::Ok &&
           !page.mNextPageAfter.empty()) {
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -103,6 +103,10 @@
   QuarantinedPromptParts,
   // Backend servers that state a rate limit.
   RateLimitedServers,
+  // Backend servers that are, or may be, cold.
+  ColdServers,
+  // Availability zones that are evacuated.
+  EvacuatedZones,
   Ready,
 };
 
@@ -114,6 +118,8 @@
       { gauge::ConfigVersion, "config_version" },
       { gauge::QuarantinedPromptParts, "quarantined_prompt_parts" },
       { gauge::RateLimitedServers, "rate_limited_servers" },
+      { gauge::ColdServers, "cold_servers" },
+      { gauge::EvacuatedZones, "evacuated_zones" },
       { gauge::Ready, "ready" } });
 }
 
--- a/src/traffic/attempt.cc
+++ b/src/traffic/attempt.cc
@@ -71,14 +71,17 @@
 // Ends the attempt and posts its report. The exchange continues until the
 // control thread decides what follows, except after Delivered, which ends it.
 // aKeepConnection: the connection may be reused.
+// aIsConnectionLost: the server's connection failed or broke off.
 void EndAttempt(traffic& aTraffic, exchange& aExchange,
-                attempt_outcome aOutcome, bool aKeepConnection)
+                attempt_outcome aOutcome, bool aKeepConnection,
+                bool aIsConnectionLost = false)
 {
   const std::unique_ptr<attempt> ended = std::move(aExchange.mAttempt);
   attempt_report report;
   report.mHandle = aExchange.mHandle;
   report.mAttempt = ended->mDispatch.mAttempt;
   report.mOutcome = aOutcome;
+  report.mIsConnectionLost = aIsConnectionLost;
   report.mStatus = ended->mHasResponseInfo ? ended->mResponseInfo.mStatus : 0;
   report.mWrongServer =
     aOutcome == attempt_outcome::NotRun && ended->mResponseInfo.mWrongServer;
@@ -424,7 +427,7 @@
     return;
   }
   if (!WasConnected(aCause)) {
-    EndAttempt(aTraffic, *active, attempt_outcome::NotSent, false);
+    EndAttempt(aTraffic, *active, attempt_outcome::NotSent, false, true);
     return;
   }
   attempt& current = *active->mAttempt;
@@ -435,7 +438,7 @@
       return;
     }
   }
-  EndAttempt(aTraffic, *active, ComputeBrokenOutcome(*active), false);
+  EndAttempt(aTraffic, *active, ComputeBrokenOutcome(*active), false, true);
 }
 
 // All attempts of an exchange have the same id, so that a late copy of the
@@ -469,18 +472,18 @@
 {
   channel_options options;
   options.mConnectTimeout = kProbeTimeout;
-  const auto report = [&aTraffic, aProbe](bool aIsRefused) {
-    aTraffic.mHooks.mPost(
-      server_probed{ aProbe.mBackend, aProbe.mStartedMs, aIsRefused });
+  const auto report = [&aTraffic, aProbe](bool aIsRefused, bool aIsConnected) {
+    aTraffic.mHooks.mPost(server_probed{ aProbe.mBackend, aProbe.mStartedMs,
+                                         aIsRefused, aIsConnected });
   };
   const channel_id id = Connect(aTraffic.mLoop, aProbe.mAddress, options, {});
   channel_handlers handlers;
   handlers.mOnConnected = [&aTraffic, id, report] {
     Close(aTraffic.mLoop, id);
-    report(false);
+    report(false, true);
   };
   handlers.mOnClosed = [report](close_cause aCause) {
-    report(aCause == close_cause::Refused);
+    report(aCause == close_cause::Refused, false);
   };
   SetHandlers(aTraffic.mLoop, id, std::move(handlers));
 }
--- a/standins/gateway_fleet.cc
+++ b/standins/gateway_fleet.cc
@@ -38,7 +38,8 @@
                       << "\nplatform.address=127.0.0.1:" << aFleet.mStore.mPort
                       << "\nbounds.grace_s=8\n"
                       << "bounds.retry_budget_ratio=0.2\n"
-                      << "bounds.budget_slack=56\n";
+                      << "bounds.budget_slack=56\n"
+                      << aFleet.mFurtherSettings;
   started.mChild.mName = aName;
   started.mChild.mArguments = { "foxtailquayd", "--role=gateway",
                                 "--node_file=" + file };
@@ -86,6 +87,8 @@
     config["routes"].append(route);
   }
   config["services"][0]["name"] = "orders";
+  config["services"][0]["cold_start_s"] = 3.0;
+  config["services"][0]["cold_per_s"] = 14.0;
   config["services"][1]["name"] = "engines";
   config["services"][1]["engine"]["stride"] = 7;
   Json::Value tenant;
--- a/standins/gateway_fleet.h
+++ b/standins/gateway_fleet.h
@@ -44,6 +44,8 @@
   // Temporary folder with the settings files and logs.
   std::filesystem::path mFolder;
   std::vector<gateway_process> mGateways;
+  // Further lines of the settings files.
+  std::string mFurtherSettings;
   // The ports of the gateways.
   std::vector<reserved_port> mReserved;
 };
--- a/standins/users_platform.cc
+++ b/standins/users_platform.cc
@@ -337,6 +337,10 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(aServer.mDelayMs));
   aResponse.set_header("Foxtailquay-Server-Seal", "seal-" + attempt);
   aResponse.set_header("Foxtailquay-Server-Load", "1,0,8");
+  if (aServer.mColdMs >= 0) {
+    aResponse.set_header("Foxtailquay-Cold-Ms",
+                         std::to_string(aServer.mColdMs));
+  }
   if (aRequest.path.find("/chat/") == 0) {
     aResponse.set_content(MakeStreamBody(1, aServer.mEvents),
                           "text/event-stream");
--- a/standins/users_platform.h
+++ b/standins/users_platform.h
@@ -102,6 +102,8 @@
   std::atomic<int> mDelayMs{ 0 };
   // Size of the body of a plain response; 0 for a short text.
   std::atomic<std::size_t> mBodyBytes{ 0 };
+  // Time for which the server states that it stays cold; none if negative.
+  std::atomic<int> mColdMs{ -1 };
   // Number of events in a stream.
   std::atomic<int> mEvents{ 3 };
 };
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -75,6 +75,64 @@
   BOOST_TEST(!IsOk(negative));
 }
 
+// Guards against limits on cold servers and evacuations that are in force where
+// the settings do not call for them, or only half of them are there.
+BOOST_AUTO_TEST_CASE(bounds_on_cold_servers_and_evacuations_are_parsed)
+{
+  const auto read = ParseNodeFile(kNodeFileText);
+  BOOST_REQUIRE(IsOk(read));
+  BOOST_TEST(!GetValue(read).mColdOverage.has_value());
+  BOOST_TEST((GetValue(read).mEvacuationTime == absl::ZeroDuration()));
+  const auto half = ParseNodeFile(kNodeFileText + "bounds.cold_overage=1.5\n");
+  BOOST_REQUIRE(IsOk(half));
+  BOOST_TEST(!GetValue(half).mColdOverage.has_value());
+  const auto whole = ParseNodeFile(kNodeFileText + "bounds.cold_overage=1.5\n"
+                                                   "bounds.cold_slack=5\n"
+                                                   "bounds.evacuate_ms=5000\n");
+  BOOST_REQUIRE(IsOk(whole));
+  BOOST_TEST(GetValue(whole).mColdOverage.value_or(0) == 1.5);
+  BOOST_TEST(GetValue(whole).mColdSlack.value_or(0) == 5);
+  BOOST_TEST((GetValue(whole).mEvacuationTime == absl::Seconds(5)));
+  BOOST_TEST(!IsOk(ParseNodeFile(kNodeFileText + "bounds.evacuate_ms=x\n")));
+}
+
+// Guards against cold times in the wrong unit and malformed ones.
+BOOST_AUTO_TEST_CASE(what_states_cold_servers_is_decoded)
+{
+  const auto config = DecodeConfig(ParseJsonOrFail(
+    R"({"version":7,"services":[
+      {"name":"s1","cold_start_s":3.0,"cold_per_s":14.0},{"name":"s2"},
+      {"name":"s3","cold_start_s":-1,"cold_per_s":"x"}]})"));
+  BOOST_REQUIRE(config.has_value());
+  BOOST_TEST((config->mServices[0].mColdTime == absl::Seconds(3)));
+  BOOST_TEST(config->mServices[0].mColdRate == 14);
+  for (const std::size_t i : { 1, 2 }) {
+    BOOST_TEST((config->mServices[i].mColdTime == absl::ZeroDuration()));
+    BOOST_TEST(config->mServices[i].mColdRate == 0);
+  }
+  const std::string entry =
+    R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready")";
+  const auto decodeEntry = [&entry](const std::string& aRest) {
+    return DecodeBackend(ParseJsonOrFail(entry + aRest))->mColdLeft;
+  };
+  BOOST_TEST(!decodeEntry("}").has_value());
+  BOOST_TEST(
+    (decodeEntry(R"(,"cold_left_ms":2900})") == absl::Milliseconds(2900)));
+  BOOST_TEST((decodeEntry(R"(,"cold_left_ms":0})") == absl::ZeroDuration()));
+  const auto decodeHeader = [](const char* aValue) {
+    message_head head;
+    head.mStatus = 200;
+    head.mFields = { { "foxtailquay-cold-ms", aValue } };
+    return DecodeResponse(head).mStatement;
+  };
+  BOOST_TEST((decodeHeader("1200").mColdLeft == absl::Milliseconds(1200)));
+  BOOST_TEST((decodeHeader("0").mColdLeft == absl::ZeroDuration()));
+  for (const char* malformed : { "", "-1", "soon" }) {
+    BOOST_TEST(!decodeHeader(malformed).mColdLeft.has_value(), malformed);
+    BOOST_TEST(decodeHeader(malformed).mIsMalformed, malformed);
+  }
+}
+
 // --- Configuration ----------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(configuration_is_decoded)
@@ -438,6 +496,39 @@
   BOOST_TEST(!response.mBackends[2].mEntry);
 }
 
+// Guards against evacuations that cost a call of their own, that are read where
+// they are not followed, or that depend on the value of the key.
+BOOST_AUTO_TEST_CASE(evacuations_are_read_together_with_the_configuration)
+{
+  directory_query query{ directory_area::Configuration, 5, {} };
+  BOOST_TEST(EncodeDirectoryQuery(query, "").mTarget.find(
+               "prefix=op/config&") != std::string::npos);
+  const store_call_response changes{
+    200,
+    R"({"events":[{"key":"op/config","revision":6,"value":")" +
+      ToBase64(R"({"version":3})") +
+      R"("},{"key":"op/evacuate/z-a","revision":7,"value":"%%%"},
+            {"key":"op/evacuate/z-b","revision":8,"tombstone":true},
+            {"key":"op/evacuate/","revision":9,"value":""},
+            {"key":"op/other","revision":9,"value":""}],
+            "store_revision":9})",
+    false
+  };
+  BOOST_TEST(
+    DecodeDirectoryPage(query, changes).mResponse.mEvacuations.empty());
+  query.mWithEvacuations = true;
+  BOOST_TEST(EncodeDirectoryQuery(query, "").mTarget.find("prefix=op/&") !=
+             std::string::npos);
+  const auto response = DecodeDirectoryPage(query, changes).mResponse;
+  BOOST_REQUIRE(response.mConfigs.size() == 1U);
+  BOOST_TEST(response.mConfigs[0].mEntry.has_value());
+  BOOST_REQUIRE(response.mEvacuations.size() == 2U);
+  BOOST_TEST(response.mEvacuations[0].mName == "z-a");
+  BOOST_TEST(response.mEvacuations[0].mEntry.has_value());
+  BOOST_TEST(response.mEvacuations[1].mName == "z-b");
+  BOOST_TEST(!response.mEvacuations[1].mEntry.has_value());
+}
+
 // If one page were taken for the whole area, the servers of the other pages
 // would be removed.
 BOOST_AUTO_TEST_CASE(page_states_where_the_next_page_begins)
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -151,20 +151,22 @@
   FireEvent(aFixture, response);
 }
 
-// Returns a gateway that has read nothing from the store but its peers and the
-// grant records, of which there are none.
-inline gateway_fixture MakeStartedGateway(
-  const std::string& aName = "g",
-  absl::Duration aContactTime = absl::Seconds(3))
+inline gateway_settings MakeSettings(const std::string& aName)
 {
-  gateway_fixture started;
   gateway_settings settings;
   settings.mName = aName;
   settings.mNonce = "1";
   settings.mBoot = "boot";
   settings.mZone = zone_id{ "z" };
-  settings.mContactTime = aContactTime;
-  auto made = MakeGateway(settings, ReadChartTexts());
+  return settings;
+}
+
+// Returns a gateway that has read nothing from the store but its peers and the
+// grant records, of which there are none.
+inline gateway_fixture MakeStartedGateway(const gateway_settings& aSettings)
+{
+  gateway_fixture started;
+  auto made = MakeGateway(aSettings, ReadChartTexts());
   if (!IsOk(made)) {
     BOOST_FAIL(ToString(GetError(made)));
   }
@@ -178,6 +180,15 @@
   return started;
 }
 
+inline gateway_fixture MakeStartedGateway(
+  const std::string& aName = "g",
+  absl::Duration aContactTime = absl::Seconds(3))
+{
+  gateway_settings settings = MakeSettings(aName);
+  settings.mContactTime = aContactTime;
+  return MakeStartedGateway(settings);
+}
+
 // Returns a gateway with a configuration and two backend servers per service.
 inline gateway_fixture MakeReadyGateway()
 {
--- a/tests/gateway_process_test.cc
+++ b/tests/gateway_process_test.cc
@@ -201,6 +201,52 @@
     2));
 }
 
+// Returns the number of requests that the order server has executed.
+std::size_t CountOrders(gateway_fleet& aFleet)
+{
+  const std::lock_guard<std::mutex> lock(aFleet.mOrders.mMutex);
+  return aFleet.mOrders.mRuns.size();
+}
+
+// Guards against processes that do not act on the settings of cold servers and
+// evacuations. The order server is the only one, in zone z-a.
+BOOST_AUTO_TEST_CASE(cold_servers_and_evacuated_zones_get_what_they_may)
+{
+  constexpr int kBound = 26;
+  gateway_fleet fleet;
+  fleet.mFurtherSettings = "bounds.cold_overage=1.5\nbounds.cold_slack=5\n"
+                           "bounds.evacuate_ms=3000\n";
+  BOOST_REQUIRE(StartGateways(fleet, 1000, 2));
+  fleet.mOrders.mColdMs = 30000;
+  for (const gateway_process& gateway : fleet.mGateways) {
+    BOOST_TEST(CallHttp(gateway, "/order/1").mStatus == 200);
+  }
+  const std::size_t before = CountOrders(fleet);
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  int refused = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    for (const gateway_process& gateway : fleet.mGateways) {
+      refused += CallHttp(gateway, "/order/1").mStatus == 503 ? 1 : 0;
+    }
+  }
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(CountOrders(fleet) - before <= kBound);
+  BOOST_TEST(CountOrders(fleet) - before >= 5U);
+  fleet.mOrders.mColdMs = -1;
+  PutItem(fleet.mStore, "op/evacuate/z-a", "any value");
+  std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+  const std::size_t evacuated = CountOrders(fleet);
+  for (const gateway_process& gateway : fleet.mGateways) {
+    BOOST_TEST(CallHttp(gateway, "/order/1").mStatus == 503);
+  }
+  BOOST_TEST(CountOrders(fleet) == evacuated);
+  PutItem(fleet.mStore, "op/evacuate/z-a", Json::Value());
+  for (const gateway_process& gateway : fleet.mGateways) {
+    BOOST_TEST(AwaitCondition(
+      [&gateway] { return CallHttp(gateway, "/order/1").mStatus == 200; }, 5));
+  }
+}
+
 // A gateway that is stopped must finish the requests that it has accepted and
 // return its grants to the budget.
 BOOST_AUTO_TEST_CASE(a_stopping_gateway_completes_open_requests)
