Leave an evacuated zone at once after a pause of the process

A process that was frozen when an evacuation was written took its third of the bound from the time at which it ran again, and a request that it handled before the overdue tick could reach a server whose time had come.

Each step leaves the servers that are due before it handles its event. A key that is seen within 1 s after a pause of more than 1 s takes effect at once.

--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -51,6 +51,14 @@
   return charts;
 }
 
+// Notices that the process did not run for a while: a tick is overdue.
+void RecordPause(gateway& aGateway, absl::Time aNow)
+{
+  if (aNow - aGateway.mNextTickAt > kPauseTime) {
+    aGateway.mEvacuations.mResumedAt = aNow;
+  }
+}
+
 void UpdateReady(gateway& aGateway)
 {
   const bool ready =
@@ -106,7 +114,6 @@
 {
   AdvanceDeadlines(aGateway, aNow);
   AdvancePromptReports(aGateway, aNow);
-  AdvanceEvacuations(aGateway, aNow);
   if (aNow >= aGateway.mNextTickAt) {
     aGateway.mNextTickAt = aNow + kTickInterval;
     for (auto& view : aGateway.mViews) {
@@ -287,6 +294,9 @@
 gateway_actions Step(gateway& aGateway, const gateway_event& aEvent,
                      absl::Time aNow)
 {
+  RecordPause(aGateway, aNow);
+  // A request must not reach a server whose time has come before the tick.
+  AdvanceEvacuations(aGateway, aNow);
   std::visit(event_handler{ aGateway, aNow }, aEvent);
   UpdateReady(aGateway);
   gateway_actions actions;
@@ -333,7 +343,7 @@
     aGateway.mViews.begin(), aGateway.mViews.end(), [](const auto& aEach) {
       return aEach.second.mCold.mStatus != cold_status::Warm;
     }));
-  summary.mEvacuatedZones = aGateway.mEvacuations.size();
+  summary.mEvacuatedZones = aGateway.mEvacuations.mZones.size();
   summary.mReady = aGateway.mReady;
   return summary;
 }
--- a/src/core/gateway_evacuation.cc
+++ b/src/core/gateway_evacuation.cc
@@ -14,6 +14,9 @@
 // covers the time until it learns of the evacuation (a watch, its rest time and
 // a slow store), and requests that wait for a connection.
 constexpr double kLeaveFraction = 1.0 / 3;
+// Time within which a response that waited while the process was paused is
+// handled.
+constexpr absl::Duration kPausedResponseTime = absl::Seconds(1);
 
 bool EvaluateGuard(
   evacuation_guard aGuard,
@@ -127,21 +130,21 @@
                      bool aIsFound, absl::Time aNow)
 {
   const zone_id zone{ aChange.mName };
-  const auto known = aGateway.mEvacuations.find(zone);
-  if (known != aGateway.mEvacuations.end() &&
+  const auto known = aGateway.mEvacuations.mZones.find(zone);
+  if (known != aGateway.mEvacuations.mZones.end() &&
       aChange.mRevision < known->second.mRevision) {
     return;
   }
   if (aChange.mEntry) {
-    zone_evacuation& evacuation = aGateway.mEvacuations[zone];
+    zone_evacuation& evacuation = aGateway.mEvacuations.mZones[zone];
     evacuation.mRevision = aChange.mRevision;
     Fire(aGateway, zone, evacuation,
          aIsFound ? evacuation_event::Found : evacuation_event::Requested,
          aNow);
-  } else if (known != aGateway.mEvacuations.end()) {
+  } else if (known != aGateway.mEvacuations.mZones.end()) {
     known->second.mRevision = aChange.mRevision;
     Fire(aGateway, zone, known->second, evacuation_event::Withdrawn, aNow);
-    aGateway.mEvacuations.erase(known);
+    aGateway.mEvacuations.mZones.erase(known);
   }
 }
 
@@ -160,12 +163,14 @@
   }
   const watched_area& area =
     aGateway.mAreas[static_cast<std::size_t>(directory_area::Configuration)];
-  // The first response after a loss of contact may state what happened long
-  // before.
-  const bool isFound = aResponse.mComplete || area.mConnectedSince == aNow;
+  // The first response after a loss of contact or a pause of the process may
+  // state what happened long before.
+  const bool isFound =
+    aResponse.mComplete || area.mConnectedSince == aNow ||
+    aNow - aGateway.mEvacuations.mResumedAt < kPausedResponseTime;
   if (aResponse.mComplete) {
     std::vector<zone_id> ended;
-    for (const auto& evacuation : aGateway.mEvacuations) {
+    for (const auto& evacuation : aGateway.mEvacuations.mZones) {
       const bool isListed =
         std::any_of(aResponse.mEvacuations.begin(),
                     aResponse.mEvacuations.end(), [&](const auto& aChange) {
@@ -188,9 +193,9 @@
 void UpdateEvacuated(const gateway& aGateway, const backend_id& aBackend,
                      backend_view& aView)
 {
-  const auto found = aGateway.mEvacuations.find(aView.mConfig.mZone);
+  const auto found = aGateway.mEvacuations.mZones.find(aView.mConfig.mZone);
   aView.mIsEvacuated =
-    found != aGateway.mEvacuations.end() &&
+    found != aGateway.mEvacuations.mZones.end() &&
     std::none_of(found->second.mRemaining.begin(),
                  found->second.mRemaining.end(),
                  [&](const auto& aEach) { return aEach.second == aBackend; });
@@ -198,7 +203,7 @@
 
 void AdvanceEvacuations(gateway& aGateway, absl::Time aNow)
 {
-  for (auto& [zone, evacuation] : aGateway.mEvacuations) {
+  for (auto& [zone, evacuation] : aGateway.mEvacuations.mZones) {
     if (!evacuation.mRemaining.empty() &&
         evacuation.mRemaining.front().first <= aNow) {
       Fire(aGateway, zone, evacuation, evacuation_event::TimePassed, aNow);
@@ -209,7 +214,7 @@
 absl::Time GetNextEvacuationTime(const gateway& aGateway)
 {
   absl::Time next = absl::InfiniteFuture();
-  for (const auto& evacuation : aGateway.mEvacuations) {
+  for (const auto& evacuation : aGateway.mEvacuations.mZones) {
     if (!evacuation.second.mRemaining.empty()) {
       next = std::min(next, evacuation.second.mRemaining.front().first);
     }
--- a/src/core/gateway_evacuation.h
+++ b/src/core/gateway_evacuation.h
@@ -9,6 +9,10 @@
 
 namespace foxtailquay {
 
+// Delay of a tick from which a process counts as paused. Below it, the rest of
+// the bound on evacuations covers the delay.
+constexpr absl::Duration kPauseTime = absl::Seconds(1);
+
 // Returns true if this gateway follows evacuations.
 bool FollowsEvacuations(const gateway& aGateway);
 // Applies the evacuations in a response on the area Configuration.
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -454,7 +454,7 @@
   for (auto& peer : aGateway.mPeers) {
     peer.second.mRevision = 0;
   }
-  for (auto& evacuation : aGateway.mEvacuations) {
+  for (auto& evacuation : aGateway.mEvacuations.mZones) {
     evacuation.second.mRevision = 0;
   }
   aGateway.mLease = 0;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -314,7 +314,7 @@
   std::map<backend_id, backend_listing> mListings;
   std::map<backend_id, backend_view> mViews;
   std::map<backend_id, server_notice> mNotices;
-  std::map<zone_id, zone_evacuation> mEvacuations;
+  zone_evacuations mEvacuations;
   std::map<std::string, peer_listing> mPeers;
   std::uint64_t mLoadSequence = 0;
   // Prompts sent to engines and not yet reported to other gateways.
--- a/src/core/zone_evacuation.h
+++ b/src/core/zone_evacuation.h
@@ -5,6 +5,7 @@
 #define FOXTAILQUAY_CORE_ZONE_EVACUATION_H
 
 #include <deque>
+#include <map>
 #include <utility>
 
 #include "absl/time/time.h"
@@ -94,6 +95,14 @@
   std::deque<std::pair<absl::Time, backend_id>> mRemaining;
 };
 
+// The evacuations that a gateway follows.
+struct zone_evacuations
+{
+  std::map<zone_id, zone_evacuation> mZones;
+  // Time at which the process ran again after a longer pause.
+  absl::Time mResumedAt = absl::InfinitePast();
+};
+
 } // namespace foxtailquay
 
 #endif
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -211,6 +211,30 @@
   BOOST_TEST(ListUsed(reader, "z0").empty());
 }
 
+// Guards against an evacuation that stops halfway because the store fails, and
+// against a process that was frozen and handles a request before anything else.
+BOOST_AUTO_TEST_CASE(an_evacuation_goes_on_without_the_store)
+{
+  for (const bool isFrozen : { false, true }) {
+    gateway_fixture fixture = MakeZonedGateway();
+    DeliverEvacuation(fixture, "z1", 20, true);
+    AdvanceTime(fixture, kBound / 6);
+    BOOST_TEST(!ListUsed(fixture, "z1").empty());
+    DeliverFailure(fixture);
+    if (isFrozen) {
+      fixture.mNow += kBound / 6;
+    } else {
+      AdvanceTime(fixture, kBound / 6);
+    }
+    BOOST_TEST(ListUsed(fixture, "z1").empty());
+  }
+  gateway_fixture frozen = MakeZonedGateway();
+  frozen.mNow += absl::Seconds(3);
+  FireEvent(frozen, gateway_tick{});
+  DeliverEvacuation(frozen, "z1", 20, true);
+  BOOST_TEST(ListUsed(frozen, "z1").empty());
+}
+
 // Guards against an evacuation that ends because the store is away, and one
 // that goes on although it ended while the gateway was cut off.
 BOOST_AUTO_TEST_CASE(an_evacuation_lasts_until_the_store_says_otherwise)
