Prefer other servers while one may be restarting

A server whose connections fail counts as possibly restarting and has a limit, and the costliest requests use limited servers first. So they went to a server that was down, until it was ejected.

Such a server is used only if no other can take the request, until it accepts a connection. cold_start_test covers it.

--- a/src/core/cold_start.cc
+++ b/src/core/cold_start.cc
@@ -160,7 +160,8 @@
 
 bool IsColdLimited(const cold_state& aState, absl::Time aNow)
 {
-  return IsCold(aState, aNow) && aState.mInterval > absl::ZeroDuration() &&
+  return aState.mStatus == cold_status::Cold && aNow < aState.mEnd &&
+         aState.mInterval > absl::ZeroDuration() &&
          aState.mInterval < absl::InfiniteDuration();
 }
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -130,6 +130,7 @@
               absl::Time aNow)
 {
   return IsEligible(aCandidate, aQuery, aNow) &&
+         aCandidate.mView->mCold.mStatus != cold_status::Unreachable &&
          aCandidate.mView->mOutstanding <
            GetConcurrencyLimit(*aCandidate.mView, aNow);
 }
@@ -155,7 +156,8 @@
 
 // Returns the first non-empty list of: usable servers with a rate limit, if the
 // query uses these first; usable servers of the subset, other usable servers,
-// all eligible servers (kept for others, ejected or at the limit of Probing).
+// all eligible servers (kept for others, ejected, at the limit of Probing or
+// not reached since their connections failed).
 candidates ListCandidates(const ranked_backends& aBackends,
                           const routing_query& aQuery, absl::Time aNow)
 {
--- a/tests/cold_start_test.cc
+++ b/tests/cold_start_test.cc
@@ -288,13 +288,33 @@
   AdvanceTime(fixture, absl::Milliseconds(300));
   BOOST_TEST(GetSummary(*fixture.mNode).mColdBackends == 0U);
   BOOST_TEST(TakeActions<probe_server>(fixture).empty());
+  // Other servers are preferred while it may be down.
+  backend_entry other = MakeOrders(1, absl::ZeroDuration());
+  other.mAddress = "10.0.0.2:1";
+  DeliverBackends(fixture, 12, false, { { "o2", 12, other } });
+  auto onFirst = Send(fixture);
+  while (onFirst && onFirst->mBackend.mValue != "o1") {
+    onFirst = Send(fixture);
+  }
+  BOOST_REQUIRE(onFirst.has_value());
+  broken.mHandle = onFirst->mHandle;
+  FireEvent(fixture, broken);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(Send(fixture)->mBackend.mValue == "o2");
+  }
+  AdvanceTime(fixture, absl::Milliseconds(250));
+  DeliverBackends(fixture, 13, false,
+                  { { "o1", 13, MakeOrders(2, absl::ZeroDuration()) },
+                    { "o2", 13, std::nullopt } });
+  BOOST_TEST(GetSummary(*fixture.mNode).mColdBackends == 0U);
+  AdvanceTime(fixture, absl::Milliseconds(250));
   // A new incarnation starts anew.
   const auto next = Send(fixture);
   broken = MakeAttemptReport(*next, attempt_outcome::NotSent);
   broken.mIsConnectionLost = true;
   FireEvent(fixture, broken);
   BOOST_TEST(GetSummary(*fixture.mNode).mColdBackends == 1U);
-  DeliverOrders(fixture, 12, 2, absl::ZeroDuration());
+  DeliverOrders(fixture, 14, 3, absl::ZeroDuration());
   BOOST_TEST(GetSummary(*fixture.mNode).mColdBackends == 0U);
 }
 
