--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -179,6 +179,8 @@
 {
   std::vector<std::string> mAddresses;
   std::vector<sent_prompt> mPrompts;
+  // Name of this gateway.
+  std::string mGateway = "";
 };
 
 // Checks whether the process of a backend server has ended.
@@ -230,6 +232,7 @@
 // The decisions that are logged.
 enum class decision
 {
+  RequestWaiting,
   RequestDispatched,
   RequestRefused,
   RequestFinished,
@@ -254,7 +257,8 @@
 {
   using d = decision;
   return MakeNameTable<d>(
-    { { d::RequestDispatched, "request_dispatched" },
+    { { d::RequestWaiting, "request_waiting" },
+      { d::RequestDispatched, "request_dispatched" },
       { d::RequestRefused, "request_refused" },
       { d::RequestFinished, "request_finished" },
       { d::RequestFailed, "request_failed" },
@@ -357,6 +361,8 @@
   std::size_t mQuarantinedParts = 0;
   // Backend servers that state a rate limit.
   std::size_t mRateLimitedBackends = 0;
+  // Requests that wait because all servers of their service are full.
+  std::size_t mWaitingRequests = 0;
   bool mReady = false;
 };
 
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -435,12 +435,18 @@
   token_count mTokens = 0;
   // Hashes of the prompt's prefixes, shortest first.
   std::vector<std::uint64_t> mPrefixes;
+  // Tokens that all open requests of the gateway can hold at the engine; absent
+  // if the engine states no capacity or the gateway does not report them.
+  std::optional<token_count> mHeldTokens = std::nullopt;
 };
 
-// Another gateway reports the prompts that it has sent to engines.
+// Another gateway reports the prompts that it has sent to engines. An entry
+// without tokens and prefixes only states what the gateway holds.
 struct prompts_reported
 {
   std::vector<sent_prompt> mPrompts;
+  // Name of the gateway; empty if it does not state its name.
+  std::string mGateway = "";
 };
 
 // Load of this process since the last measurement, in fractions of its limits;
--- a/include/foxtailquay/traffic_config.h
+++ b/include/foxtailquay/traffic_config.h
@@ -89,6 +89,9 @@
   int mSlots = 0;
   // Largest number of tokens in one event of a stream.
   token_count mTokensPerEvent = 1;
+  // Largest number of tokens, prompts and outputs, that one engine can hold for
+  // its open requests; 0 if it is not stated.
+  token_count mMemoryTokens = 0;
 };
 
 // One workspace.
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -172,9 +172,10 @@
     return error{ error_code::DeadlineExceeded, executed::No, "",
                   "the request's deadline has passed", absl::ZeroDuration() };
   }
-  const absl::Duration wait = EstimateWait(
-    aState, aRequest.mTarget, aRequest.mPriority, aRequest.mWorkspace);
-  if (wait > limit) {
+  const absl::Duration wait =
+    EstimateWait(aState, aRequest.mTarget, aRequest.mPriority,
+                 aRequest.mWorkspace, aRequest.mExpectedRate);
+  if (wait > std::min(limit, aRequest.mMaxWait)) {
     return MakeRefusal(error_code::Overloaded, "",
                        "the estimated wait for a slot is too long", wait,
                        aState.mOptions);
@@ -299,6 +300,23 @@
   return decision;
 }
 
+std::optional<request_handle> FindNextAdmitted(const admission_state& aState,
+                                               const std::string& aTarget,
+                                               int aFreeSlots, absl::Time aNow,
+                                               int aSlots)
+{
+  const auto found = aState.mTargets.find(aTarget);
+  if (found == aState.mTargets.end() || aFreeSlots <= 0) {
+    return std::nullopt;
+  }
+  const std::size_t next =
+    ChooseClass(aState, found->second, aFreeSlots, aSlots, aNow);
+  if (next == kPriorityClasses) {
+    return std::nullopt;
+  }
+  return FindFirstItem(found->second.mClasses[next].mWaiting)->mHandle;
+}
+
 std::vector<request_handle> TakeAdmitted(admission_state& aState,
                                          const std::string& aTarget,
                                          int aFreeSlots, absl::Time aNow,
@@ -371,7 +389,8 @@
 absl::Duration EstimateWait(const admission_state& aState,
                             const std::string& aTarget,
                             priority_class aPriority,
-                            const workspace_id& aWorkspace)
+                            const workspace_id& aWorkspace,
+                            double aExpectedRate)
 {
   const auto found = aState.mTargets.find(aTarget);
   if (found == aState.mTargets.end()) {
@@ -385,21 +404,32 @@
     total += target.mClasses[i].mDequeued;
     available += i >= classIndex ? target.mClasses[i].mDequeued : 0;
   }
+  const auto higher =
+    static_cast<double>(CountWaitingBefore(target, classIndex));
+  const auto ahead = static_cast<double>(
+    CountAhead(target.mClasses[classIndex].mWaiting, aWorkspace));
   if (total < aState.mOptions.mMinDequeued || target.mBusySeconds <= 0) {
-    return absl::ZeroDuration();
+    return aExpectedRate > 0
+             ? absl::Seconds((higher + ahead + 1) / aExpectedRate)
+             : absl::ZeroDuration();
   }
   // Requests of higher classes keep arriving, so the slots that they take are
   // not available to this class.
   available = std::max(available,
                        total * aState.mOptions.mGuaranteedFraction[classIndex]);
-  const auto higher =
-    static_cast<double>(CountWaitingBefore(target, classIndex));
-  const auto ahead = static_cast<double>(
-    CountAhead(target.mClasses[classIndex].mWaiting, aWorkspace));
   return absl::Seconds(target.mBusySeconds *
                        (higher / total + ahead / available));
 }
 
+std::size_t CountQueued(const admission_state& aState,
+                        const std::string& aTarget)
+{
+  const auto found = aState.mTargets.find(aTarget);
+  return found == aState.mTargets.end()
+           ? 0
+           : CountWaitingBefore(found->second, kPriorityClasses);
+}
+
 std::vector<std::string> ListQueuedTargets(const admission_state& aState)
 {
   std::vector<std::string> targets;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -24,6 +24,7 @@
 #include <array>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -50,6 +51,12 @@
   // Weight of the workspace: its work relative to that of the other workspaces
   // in its class.
   double mWeight = 1;
+  // Longest estimated wait with which the request is queued. The limits of the
+  // fleet and the deadline apply as well, and also end a wait.
+  absl::Duration mMaxWait = absl::InfiniteDuration();
+  // Requests a second that are expected to be dequeued, which is used until
+  // mMinDequeued were; 0 if unknown.
+  double mExpectedRate = 0;
 };
 
 constexpr std::size_t kPriorityClasses = CountEnumerators<priority_class>();
@@ -142,6 +149,47 @@
   absl::Time mDecayedAt = absl::InfinitePast();
 };
 
+// How the demand of a workspace compares with that of the others.
+enum class demand_rank
+{
+  // No workspace asks for much more than the others.
+  Usual,
+  // This one does.
+  Heavy,
+  // Another one does.
+  Favoured,
+};
+
+constexpr auto NameTable(demand_rank)
+{
+  return MakeNameTable<demand_rank>({ { demand_rank::Usual, "usual" },
+                                      { demand_rank::Heavy, "heavy" },
+                                      { demand_rank::Favoured, "favoured" } });
+}
+
+// Recent runs of requests to one target.
+struct service_pace
+{
+  // Mean time from the start of an attempt to the end of its response; 0 before
+  // the first one.
+  absl::Duration mRunTime = absl::ZeroDuration();
+  // Number of completed runs, with exponential decay since mAt.
+  double mRuns = 0;
+  absl::Time mAt = absl::InfinitePast();
+  // Number of attempts that have not ended, and start of the last one.
+  int mOutstanding = 0;
+  absl::Time mSentAt = absl::InfinitePast();
+  // Largest number of attempts at the same time while the servers are full;
+  // below 1, one attempt in a longer time than a run takes.
+  double mWindow = 0;
+  // Last time at which all servers were known to be full.
+  absl::Time mFullAt = absl::InfinitePast();
+  // Work that each workspace has asked for while they were full, with
+  // exponential decay since mDemandAt.
+  std::map<workspace_id, double> mDemand;
+  absl::Time mDemandAt = absl::InfinitePast();
+};
+
 struct admission_state
 {
   admission_options mOptions;
@@ -168,6 +216,13 @@
                          const fleet_config& aFleet, int aFreeSlots,
                          absl::Time aNow, int aSlots = 0);
 
+// Returns the request that TakeAdmitted would return first; nothing if it would
+// return none.
+std::optional<request_handle> FindNextAdmitted(const admission_state& aState,
+                                               const std::string& aTarget,
+                                               int aFreeSlots, absl::Time aNow,
+                                               int aSlots = 0);
+
 // Removes and returns up to aFreeSlots queued requests of aTarget, in the
 // order in which they are to run.
 std::vector<request_handle> TakeAdmitted(admission_state& aState,
@@ -192,11 +247,18 @@
 absl::Time GetNextExpiry(const admission_state& aState);
 
 // Returns the estimated time that a new request of the class and workspace
-// would wait for a slot, from the dequeue rate; zero while the rate is unknown.
+// would wait for a slot, from the dequeue rate. While that is unknown, the
+// estimate is the time in which the requests before it and the new one are
+// taken at aExpectedRate, zero if that is 0.
 absl::Duration EstimateWait(const admission_state& aState,
                             const std::string& aTarget,
                             priority_class aPriority,
-                            const workspace_id& aWorkspace);
+                            const workspace_id& aWorkspace,
+                            double aExpectedRate = 0);
+
+// Returns the number of queued requests of the target.
+std::size_t CountQueued(const admission_state& aState,
+                        const std::string& aTarget);
 
 // Returns the targets with queued requests, sorted by name.
 std::vector<std::string> ListQueuedTargets(const admission_state& aState);
--- /dev/null
+++ b/src/core/engine_memory.h
@@ -0,0 +1,118 @@
+// Estimate of the tokens that an engine holds for open requests.
+//
+// An engine keeps the prompt and the output of each request that it runs or
+// queues in a memory of fixed size, and crashes if they exceed it. A gateway
+// counts the worst case, prompt and maximum output:
+//
+//   RecordHolding(memory, tokens);            // a request is being sent
+//   ReleaseHolding(memory, tokens);           // its attempt has ended
+//   RecordPeerHolding(memory, peer, tokens, now);  // another gateway reports
+//   if (FitsMemory(view, query)) { ... }      // may be chosen
+//
+// Own requests are counted exactly. Other gateways state the sum of theirs, so
+// that a lost report is corrected by the next one. An engine without a stated
+// capacity has room for every request. Not thread-safe.
+
+#ifndef FOXTAILQUAY_CORE_ENGINE_MEMORY_H
+#define FOXTAILQUAY_CORE_ENGINE_MEMORY_H
+
+#include <map>
+#include <string>
+
+#include "absl/time/time.h"
+#include "foxtailquay/types.h"
+
+namespace foxtailquay {
+
+struct backend_view;
+struct routing_query;
+
+// Interval at which a gateway states its holdings again if they have not
+// changed. Streams take 1 to 5 s.
+constexpr absl::Duration kHoldingInterval = absl::Seconds(2);
+// Age up to which a statement counts completely: one interval, and its delay.
+constexpr absl::Duration kHoldingValidity = absl::Seconds(3);
+// Time in which an older statement halves. The requests of a gateway that is
+// gone end with its connections.
+constexpr absl::Duration kHoldingHalfLife = absl::Seconds(1);
+// Time in which about as many tokens as are held are sent anew: a typical run
+// of an engine. What is unknown grows with the age of an estimate at this rate.
+constexpr absl::Duration kHoldingTime = absl::Seconds(2);
+
+// Part of the capacity from which an engine counts as tight. Holdings at a
+// tight engine are stated to all gateways, at others to some. It is low, so
+// that the gateways state what they hold before an estimate that is too low by
+// half does harm.
+constexpr double kTightFraction = 0.4;
+
+// What another gateway has stated to hold at an engine.
+struct peer_holding
+{
+  token_count mTokens = 0;
+  absl::Time mStatedAt = absl::InfinitePast();
+};
+
+// The memory of one engine as known to one gateway.
+struct engine_memory
+{
+  // Largest number of tokens that the engine can hold; 0 if it is not stated.
+  token_count mCapacity = 0;
+  // Tokens of this gateway's open requests.
+  token_count mOwnTokens = 0;
+  // Time at which mOwnTokens was last reported to other gateways.
+  absl::Time mReportedAt = absl::InfinitePast();
+  // Statements of other gateways, by name.
+  std::map<std::string, peer_holding> mPeers;
+};
+
+// Sizes of the recent requests to one service, in tokens.
+struct holding_sizes
+{
+  double mMean = 0;
+  // Decays with kLargestHalfLife.
+  double mLargest = 0;
+  absl::Time mLargestAt = absl::InfinitePast();
+};
+
+// What a request needs, and what an estimate depends on.
+struct memory_need
+{
+  // Tokens that the request can hold; 0 if it needs no memory of an engine.
+  token_count mTokens = 0;
+  holding_sizes mSizes;
+  // Number of other gateways, and how many of them report to this one.
+  int mPeers = 0;
+  int mReportingPeers = 0;
+  absl::Time mNow = absl::InfinitePast();
+};
+
+// Adds the size of a request to the sizes.
+void RecordSize(holding_sizes& aSizes, token_count aTokens, absl::Time aNow);
+
+void RecordHolding(engine_memory& aMemory, token_count aTokens);
+void ReleaseHolding(engine_memory& aMemory, token_count aTokens);
+void RecordPeerHolding(engine_memory& aMemory, const std::string& aPeer,
+                       token_count aTokens, absl::Time aNow);
+// Forgets statements that no longer count.
+void ForgetOldHoldings(engine_memory& aMemory, absl::Time aNow);
+
+// Returns the estimated number of tokens that the engine holds for all
+// gateways: the own ones and, of two estimates of the others', the larger one.
+// One adds their statements, and extrapolates them to the gateways that do not
+// report to this one until the engine is tight; the other takes the number of
+// requests that the engine has stated.
+double EstimateHeldTokens(const backend_view& aView, const memory_need& aNeed);
+
+// Returns true if the engine is tight.
+bool IsTight(const backend_view& aView, const memory_need& aNeed);
+
+// Returns true if the engine has room for the request of the query with a
+// margin. The margin covers two requests of the largest recent size, which
+// other gateways may send at the same time, and what the others may have sent
+// since their last statement. An engine that holds nothing takes each request
+// up to its capacity.
+bool FitsMemory(const backend_view& aView, const routing_query& aQuery);
+
+} // namespace foxtailquay
+
+#endif
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "gateway_state.h"
+#include "gateway_capacity.h"
 
 namespace foxtailquay {
 
@@ -102,6 +102,7 @@
 void AdvanceGateway(gateway& aGateway, absl::Time aNow)
 {
   AdvanceDeadlines(aGateway, aNow);
+  AdvanceAdmission(aGateway, aNow);
   AdvancePromptReports(aGateway, aNow);
   if (aNow >= aGateway.mNextTickAt) {
     aGateway.mNextTickAt = aNow + kTickInterval;
@@ -113,6 +114,7 @@
     AdvanceQuarantine(aGateway, aNow);
     RemoveExpiredPeers(aGateway, aNow);
     AdvanceNotices(aGateway, aNow);
+    AdvanceHoldings(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
   }
   AdvanceWatches(aGateway, aNow);
@@ -260,6 +262,8 @@
   }
   node->mRandom.seed(aSettings.mSeed);
   node->mRouting = MakeRoutingOptions(aSettings);
+  node->mRoomRouting = MakeRoomRouting(node->mRouting);
+  node->mAdmission.mOptions = MakeAdmissionOptions();
   node->mHolder.mId = aSettings.mName + "/" + aSettings.mNonce;
   node->mSettings = std::move(aSettings);
   return node;
@@ -290,8 +294,9 @@
 
 absl::Time GetNextWakeTime(const gateway& aGateway)
 {
-  absl::Time next = std::min(
-    { aGateway.mNextTickAt, aGateway.mReportAt, aGateway.mRecovery.mRetryAt });
+  absl::Time next =
+    std::min({ aGateway.mNextTickAt, aGateway.mReportAt,
+               aGateway.mRecovery.mRetryAt, GetNextReviewTime(aGateway) });
   if (!aGateway.mDeadlines.empty()) {
     next = std::min(next, aGateway.mDeadlines.begin()->first);
   }
@@ -320,6 +325,7 @@
     aGateway.mViews.begin(), aGateway.mViews.end(), [](const auto& aEach) {
       return aEach.second.mRateLimit.mStatus == rate_status::Limited;
     }));
+  summary.mWaitingRequests = aGateway.mAdmission.mQueued.size();
   summary.mReady = aGateway.mReady;
   return summary;
 }
--- /dev/null
+++ b/src/core/gateway_admission.cc
@@ -0,0 +1,430 @@
+// Admission of requests while all servers of their service are full: who waits
+// at the gateway, for how long, and who is refused.
+
+#include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+#include "gateway_capacity.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Largest number of requests that wait for one service at one gateway: some
+// seconds of what one gateway of the smallest size takes.
+constexpr int kMaxWaiting = 128;
+// Part of the latency objective that a request may be expected to wait here, at
+// most. The rest is for the server, at which as many requests may wait as it
+// runs.
+constexpr double kMaxWaitFraction = 0.33;
+// Part of the objective that a request may wait however long runs take.
+constexpr double kMinWaitFraction = 0.1;
+// Part of the objective that a request may be expected to wait while another
+// workspace asks for much more than the others.
+constexpr double kFavouredWaitFraction = 0.5;
+// Attempts beyond the limit for which the workspaces are favoured beside such a
+// workspace. The limit then falls, at the cost of that one.
+constexpr double kFavouredAttempts = 1;
+// Multiple of the mean time of a run that is kept for the server.
+constexpr double kRunTimeReserve = 1.5;
+// Interval at which waiting requests are reviewed without an event: a third of
+// the mean time of a plain call, in which a server frees several slots.
+constexpr absl::Duration kReviewInterval = absl::Milliseconds(20);
+// Age from which a stated load does not show that a server is full. Plain calls
+// take 60 ms, so its slots and a queue as long have emptied twice since.
+constexpr absl::Duration kServiceLoadValidity = absl::Milliseconds(250);
+// The same for engines, whose runs take 1 to 5 s.
+constexpr absl::Duration kEngineLoadValidity = absl::Seconds(2);
+// A server has room for as many queued requests as it has slots: stated loads
+// lag, and a shorter queue would leave slots unused.
+constexpr int kRoomFactor = 2;
+// Multiple of its slots at which the limit holds the load of a server. It is
+// below kRoomFactor: responses then come well within the objective, and the
+// queue still bridges the time between the end of a run and the next request.
+constexpr double kTargetFactor = 1.5;
+// Largest part of the free slots that one gateway uses between two statements
+// of a server, as a multiple of an equal part. Callers are spread unevenly.
+constexpr double kMaxUnevenness = 6;
+// Limit of the number of others that are assumed to have sent as many requests.
+constexpr double kMaxAssumedPeers = 3;
+// Time constant of the rates that are measured while requests wait.
+constexpr absl::Duration kPaceWindow = absl::Seconds(1);
+// Time after a statement that a server is full in which the number of this
+// gateway's attempts is limited: several response times of a full server, so
+// that a limit that is found is not lost between two statements.
+constexpr absl::Duration kLimitTime = absl::Seconds(2);
+// Change of the limit with each response. A gateway gets responses in
+// proportion to its limit, so the limits of all change by the same factor and
+// keep the proportions of the demand before the servers were full. With equal
+// limits, a gateway with six times the mean would bear the shortage alone.
+constexpr double kWindowStep = 0.1;
+// Time constant of the demand of workspaces, some seconds in which a workspace
+// with usual demand sends several requests.
+constexpr absl::Duration kDemandWindow = absl::Seconds(5);
+// Multiple of the mean demand of all workspaces from which a workspace may only
+// wait for kMinWaitFraction.
+constexpr double kHeavyFactor = 2;
+// Part of a request below which the demand of a workspace is forgotten.
+constexpr double kMinDemand = 0.01;
+// Lowest limit: one attempt in ten times the time of a run.
+constexpr double kMinWindow = 0.1;
+// Weight of a new run in the mean time of runs.
+constexpr double kRunTimeWeight = 0.1;
+constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration kMaxRetryAfter = absl::Seconds(2);
+// Priorities 0, 1 and above have a class each.
+priority_class ToClass(int aPriority)
+{
+  return aPriority <= 0   ? priority_class::Interactive
+         : aPriority == 1 ? priority_class::Standard
+                          : priority_class::Batch;
+}
+
+bool HasQueue(const gateway& aGateway, const std::string& aName)
+{
+  return !aGateway.mAdmission.mQueued.empty() &&
+         CountQueued(aGateway.mAdmission, aName) > 0;
+}
+
+// Returns true if the stated load and this gateway's own runs do not show that
+// the server is full.
+bool HasRoom(const gateway& aGateway, const backend_view& aView,
+             absl::Time aNow)
+{
+  const absl::Duration validity = aView.mConfig.mKind == backend_kind::Engine
+                                    ? kEngineLoadValidity
+                                    : kServiceLoadValidity;
+  if (aNow - aView.mReportedAt > validity) {
+    return aView.mOutstanding < aView.mConfig.mMaxConcurrency;
+  }
+  const double peers = std::min(
+    (aGateway.mRouting.mRouters - 1) / kMaxUnevenness, kMaxAssumedPeers);
+  return EstimateLoad(aView, 1 + peers, aGateway.mRoomRouting, aNow) <
+         kRoomFactor * aView.mConfig.mMaxConcurrency;
+}
+
+bool HasRoomAtAny(const gateway& aGateway, const routing_query& aQuery,
+                  absl::Time aNow)
+{
+  const auto usable =
+    ListUsableBackends(aGateway.mViews, aQuery, aGateway.mRouting, aNow);
+  return std::any_of(
+    usable.begin(), usable.end(),
+    [&](const backend_view* aView) { return HasRoom(aGateway, *aView, aNow); });
+}
+
+// Returns the number of requests a second that this gateway can expect to send
+// to the service while it is full: what it has completed, or an equal part of
+// what the servers complete.
+double EstimatePace(const gateway& aGateway, const forwarded_request& aRequest,
+                    const routing_query& aQuery, absl::Time aNow)
+{
+  const auto found = aGateway.mPaces.find(aRequest.mService.mValue);
+  if (found == aGateway.mPaces.end() ||
+      found->second.mRunTime <= absl::ZeroDuration()) {
+    return 0;
+  }
+  const service_pace& pace = found->second;
+  const double own =
+    pace.mRuns * std::exp(-absl::FDivDuration(aNow - pace.mAt, kPaceWindow)) /
+    absl::ToDoubleSeconds(kPaceWindow);
+  double slots = 0;
+  for (const auto& [id, view] : aGateway.mViews) {
+    if (IsConfiguredFor(view.mConfig, aQuery.mKind, aQuery.mTarget)) {
+      slots += GetConcurrencyLimit(view, aNow);
+    }
+  }
+  const double equalPart = slots / absl::ToDoubleSeconds(pace.mRunTime) /
+                           std::max(1, aGateway.mRouting.mRouters);
+  return std::max(own, equalPart);
+}
+
+void RefuseWaiting(gateway& aGateway, forwarded_request& aRequest,
+                   std::string aDetail, absl::Duration aRetryAfter,
+                   absl::Time aNow)
+{
+  aRequest.mError =
+    MakeError(error_code::Overloaded, executed::No, std::move(aDetail));
+  aRequest.mError.mRetryAfter =
+    std::clamp(aRetryAfter, kMinRetryAfter, kMaxRetryAfter);
+  FireRequest(aGateway, aRequest.mCaller.mHandle, forward_event::Refused, aNow);
+}
+
+// Returns true while the number of attempts is limited, since the servers were
+// full a short time ago.
+bool IsLimited(const service_pace& aPace, absl::Time aNow)
+{
+  return aNow - aPace.mFullAt <= kLimitTime;
+}
+
+// Returns true if the limit allows another attempt.
+bool HasWindow(const service_pace& aPace, demand_rank aRank, absl::Time aNow)
+{
+  const double window =
+    aPace.mWindow + (aRank == demand_rank::Favoured ? kFavouredAttempts : 0);
+  return aPace.mOutstanding + 1 <= window ||
+         (aPace.mOutstanding == 0 &&
+          aNow - aPace.mSentAt >= aPace.mRunTime / aPace.mWindow);
+}
+
+// Returns the part of the objective that a request may be expected to wait.
+double GetWaitFraction(demand_rank aRank)
+{
+  switch (aRank) {
+    case demand_rank::Usual:
+      return kMaxWaitFraction;
+    case demand_rank::Heavy:
+      return kMinWaitFraction;
+    case demand_rank::Favoured:
+      return kFavouredWaitFraction;
+  }
+  return kMaxWaitFraction;
+}
+
+// Returns the work that the request asks for.
+token_count EstimateWork(const forwarded_request& aRequest)
+{
+  return aRequest.mIsEngine
+           ? static_cast<token_count>(ComputeCost(aRequest.mCaller))
+           : 1;
+}
+
+// Records the work that a request of the workspace asks for.
+demand_rank RecordDemand(service_pace& aPace, const workspace_id& aWorkspace,
+                         double aWork, absl::Time aNow)
+{
+  const double decay = std::exp(-absl::FDivDuration(
+    std::max(absl::ZeroDuration(), aNow - aPace.mDemandAt), kDemandWindow));
+  aPace.mDemandAt = aNow;
+  double sum = aWork;
+  for (auto it = aPace.mDemand.begin(); it != aPace.mDemand.end();) {
+    it->second *= decay;
+    sum += it->second;
+    it =
+      it->second < kMinDemand * aWork ? aPace.mDemand.erase(it) : std::next(it);
+  }
+  aPace.mDemand[aWorkspace] += aWork;
+  const double mean =
+    sum / static_cast<double>(std::max<std::size_t>(1, aPace.mDemand.size()));
+  const double heavy = kHeavyFactor * mean;
+  if (aPace.mDemand[aWorkspace] > heavy) {
+    return demand_rank::Heavy;
+  }
+  const bool hasHeavy =
+    std::any_of(aPace.mDemand.begin(), aPace.mDemand.end(),
+                [heavy](const auto& aEach) { return aEach.second > heavy; });
+  return hasHeavy ? demand_rank::Favoured : demand_rank::Usual;
+}
+
+// Records that all servers are full.
+void RecordFull(service_pace& aPace, absl::Time aNow)
+{
+  if (!IsLimited(aPace, aNow)) {
+    aPace.mWindow = std::max(1, aPace.mOutstanding);
+  }
+  aPace.mFullAt = aNow;
+}
+
+// Returns true if the request at the head of a queue can be sent now.
+bool CanSend(gateway& aGateway, const forwarded_request& aRequest,
+             absl::Time aNow)
+{
+  const service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
+  const routing_query query = MakeRoutingQuery(aGateway, aRequest, aNow);
+  return IsLimited(pace, aNow) ? HasWindow(pace, aRequest.mDemandRank, aNow) &&
+                                   !ListUsableBackends(aGateway.mViews, query,
+                                                       aGateway.mRouting, aNow)
+                                      .empty()
+                               : HasRoomAtAny(aGateway, query, aNow);
+}
+
+} // namespace
+
+admission_options MakeAdmissionOptions()
+{
+  admission_options options;
+  // Waits here last for parts of an objective of 0.3 to 2 s.
+  options.mGuaranteeWait = absl::Milliseconds(50);
+  options.mReservedFraction = {};
+  options.mDequeueWindow = kPaceWindow;
+  options.mMinRetryAfter = kMinRetryAfter;
+  options.mMaxRetryAfter = kMaxRetryAfter;
+  return options;
+}
+
+routing_options MakeRoomRouting(const routing_options& aRouting)
+{
+  routing_options options = aRouting;
+  options.mMaxAssumedPeers = kMaxAssumedPeers;
+  return options;
+}
+
+void RecordAttemptStart(gateway& aGateway, const forwarded_request& aRequest,
+                        absl::Time aNow)
+{
+  service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
+  ++pace.mOutstanding;
+  pace.mSentAt = aNow;
+}
+
+void RecordAttemptEnd(gateway& aGateway, const forwarded_request& aRequest)
+{
+  service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
+  pace.mOutstanding = std::max(0, pace.mOutstanding - 1);
+}
+
+void RecordAttemptLoad(gateway& aGateway, const forwarded_request& aRequest,
+                       const std::optional<observed_load>& aLoad,
+                       bool aIsServed, absl::Time aNow)
+{
+  service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
+  if (aIsServed) {
+    const absl::Duration time = aNow - aRequest.mDispatchedAt;
+    pace.mRunTime = pace.mRunTime > absl::ZeroDuration()
+                      ? pace.mRunTime + (time - pace.mRunTime) * kRunTimeWeight
+                      : time;
+    pace.mRuns =
+      1 + pace.mRuns *
+            std::exp(-absl::FDivDuration(
+              std::max(absl::ZeroDuration(), aNow - pace.mAt), kPaceWindow));
+    pace.mAt = aNow;
+  }
+  const auto view = aGateway.mViews.find(aRequest.mBackend);
+  if (!aLoad || view == aGateway.mViews.end() || !IsLimited(pace, aNow)) {
+    return;
+  }
+  const int load = aLoad->mRunning + aLoad->mQueued;
+  if (load >= kTargetFactor * view->second.mConfig.mMaxConcurrency) {
+    pace.mFullAt = aNow;
+    pace.mWindow = std::max(kMinWindow, pace.mWindow - kWindowStep);
+  } else if (pace.mOutstanding + 1 >= pace.mWindow) {
+    pace.mWindow += kWindowStep;
+  }
+}
+
+bool MustWait(gateway& aGateway, forwarded_request& aRequest,
+              const routing_query& aQuery, const backend_view* aChosen,
+              absl::Time aNow)
+{
+  // A request that may have been executed has its attempt at once or fails: its
+  // caller has waited for one already.
+  if (aRequest.mMayHaveExecuted || aRequest.mHasHeldFailure ||
+      aRequest.mHasTurn) {
+    return false;
+  }
+  if (aChosen == nullptr) {
+    return FindShortage(aGateway.mViews, aQuery, aNow) == shortage::Slots;
+  }
+  service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
+  if (!HasRoom(aGateway, *aChosen, aNow) &&
+      !HasRoomAtAny(aGateway, aQuery, aNow)) {
+    RecordFull(pace, aNow);
+  }
+  if (!IsLimited(pace, aNow)) {
+    return HasQueue(aGateway, aRequest.mService.mValue);
+  }
+  aRequest.mDemandRank =
+    RecordDemand(pace, aRequest.mWorkspace,
+                 static_cast<double>(EstimateWork(aRequest)), aNow);
+  return HasQueue(aGateway, aRequest.mService.mValue) ||
+         !HasWindow(pace, aRequest.mDemandRank, aNow);
+}
+
+void EnqueueRequest(gateway& aGateway, forwarded_request& aRequest,
+                    absl::Time aNow)
+{
+  const absl::Duration objective = aRequest.mRoute.mObjective;
+  const absl::Duration waited = aNow - aRequest.mArrivedAt;
+  const auto pace = aGateway.mPaces.find(aRequest.mService.mValue);
+  const absl::Duration runTime = pace == aGateway.mPaces.end()
+                                   ? absl::ZeroDuration()
+                                   : pace->second.mRunTime;
+  const routing_query query = MakeRoutingQuery(aGateway, aRequest, aNow);
+  admission_request waiting;
+  waiting.mHandle = aRequest.mCaller.mHandle;
+  waiting.mWorkspace = aRequest.mWorkspace;
+  waiting.mTarget = aRequest.mService.mValue;
+  waiting.mPriority = ToClass(aRequest.mPriority);
+  const absl::Duration reserve =
+    std::min(kRunTimeReserve * runTime, (1 - kMinWaitFraction) * objective);
+  waiting.mDeadline =
+    std::min(aRequest.mDeadline, aRequest.mArrivedAt + objective) -
+    std::min(runTime, (1 - kMinWaitFraction) * objective);
+  waiting.mCost = EstimateWork(aRequest);
+  const double fraction = GetWaitFraction(aRequest.mDemandRank);
+  waiting.mMaxWait =
+    std::min(fraction * objective, objective - reserve) - waited;
+  waiting.mExpectedRate = EstimatePace(aGateway, aRequest, query, aNow);
+  fleet_config limits;
+  limits.mQueueLength = kMaxWaiting;
+  limits.mQueueTimeout = objective;
+  const admission_decision decision =
+    Admit(aGateway.mAdmission, waiting, {}, limits, 0, aNow);
+  if (decision.mOutcome == admission_outcome::Refused) {
+    RefuseWaiting(aGateway, aRequest,
+                  absl::StrCat("all servers of the service are full: ",
+                               decision.mError.mDetail),
+                  decision.mError.mRetryAfter, aNow);
+    return;
+  }
+  // No attempt was executed, so the servers that rejected one may take it once
+  // they have room.
+  aRequest.mTriedBackends.clear();
+  aGateway.mNextReviewAt =
+    std::min(aGateway.mNextReviewAt, aNow + kReviewInterval);
+  RecordDecision(
+    aGateway, decision::RequestWaiting,
+    { { "request", aRequest.mCaller.mAttemptId },
+      { "workspace", aRequest.mWorkspace.mValue },
+      { "queue", waiting.mTarget },
+      { "waiting", absl::StrCat(aGateway.mAdmission.mQueued.size()) },
+      { "pace", absl::StrCat(waiting.mExpectedRate) } });
+}
+
+void LeaveQueue(gateway& aGateway, const forwarded_request& aRequest)
+{
+  CancelQueued(aGateway.mAdmission, aRequest.mCaller.mHandle);
+}
+
+void AdvanceAdmission(gateway& aGateway, absl::Time aNow)
+{
+  admission_state& admission = aGateway.mAdmission;
+  if (admission.mQueued.empty() && admission.mDisplaced.empty()) {
+    aGateway.mNextReviewAt = absl::InfiniteFuture();
+    return;
+  }
+  aGateway.mNextReviewAt = aNow + kReviewInterval;
+  aGateway.mRouting.mRouters = CountGateways(aGateway, aNow);
+  for (const request_handle handle : TakeExpired(admission, aNow)) {
+    const auto found = aGateway.mRequests.find(handle);
+    if (found != aGateway.mRequests.end()) {
+      RefuseWaiting(aGateway, *found->second,
+                    "no server of the service had room in time", kMinRetryAfter,
+                    aNow);
+    }
+  }
+  for (const std::string& queue : ListQueuedTargets(admission)) {
+    while (const auto next = FindNextAdmitted(admission, queue, 1, aNow)) {
+      const auto found = aGateway.mRequests.find(*next);
+      if (found != aGateway.mRequests.end() &&
+          !CanSend(aGateway, *found->second, aNow)) {
+        break;
+      }
+      TakeAdmitted(admission, queue, 1, aNow);
+      if (found == aGateway.mRequests.end()) {
+        continue;
+      }
+      RecordRequestEnd(admission, found->second->mWorkspace);
+      found->second->mHasTurn = true;
+      FireRequest(aGateway, *next, forward_event::Room, aNow);
+    }
+  }
+}
+
+absl::Time GetNextReviewTime(const gateway& aGateway)
+{
+  return std::min(aGateway.mNextReviewAt, GetNextExpiry(aGateway.mAdmission));
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/src/core/gateway_capacity.h
@@ -0,0 +1,86 @@
+// Functions of the gateway node on the capacity of the servers: who waits while
+// all are full, what engines hold, and the log records of requests. Only the
+// control thread uses them.
+
+#ifndef FOXTAILQUAY_CORE_GATEWAY_CAPACITY_H
+#define FOXTAILQUAY_CORE_GATEWAY_CAPACITY_H
+
+#include <optional>
+
+#include "gateway_state.h"
+
+namespace foxtailquay {
+
+// --- gateway_request.cc, gateway_statements.cc ------------------------------
+
+// Returns the query for the servers of the request.
+routing_query MakeRoutingQuery(const gateway& aGateway,
+                               const forwarded_request& aRequest,
+                               absl::Time aNow);
+// Returns the work of an engine for the request, in prompt tokens.
+double ComputeCost(const caller_request& aCaller);
+
+// --- gateway_admission.cc ---------------------------------------------------
+
+admission_options MakeAdmissionOptions();
+routing_options MakeRoomRouting(const routing_options& aRouting);
+// Records the start and the end of an attempt. aLoad: load that its server has
+// stated, if any. aIsServed: the attempt has ended with a complete response.
+void RecordAttemptStart(gateway& aGateway, const forwarded_request& aRequest,
+                        absl::Time aNow);
+void RecordAttemptEnd(gateway& aGateway, const forwarded_request& aRequest);
+void RecordAttemptLoad(gateway& aGateway, const forwarded_request& aRequest,
+                       const std::optional<observed_load>& aLoad,
+                       bool aIsServed, absl::Time aNow);
+// Returns true if the request has to wait for a slot; otherwise it is to be
+// sent to aChosen, or refused if that is null.
+bool MustWait(gateway& aGateway, forwarded_request& aRequest,
+              const routing_query& aQuery, const backend_view* aChosen,
+              absl::Time aNow);
+// Queues the request, or fires Refused on it if it is not expected to be sent
+// in time.
+void EnqueueRequest(gateway& aGateway, forwarded_request& aRequest,
+                    absl::Time aNow);
+// Removes the request from its queue.
+void LeaveQueue(gateway& aGateway, const forwarded_request& aRequest);
+// Sends the waiting requests for which there is room and refuses those that
+// have waited for too long.
+void AdvanceAdmission(gateway& aGateway, absl::Time aNow);
+// Returns the time by which AdvanceAdmission must be called again.
+absl::Time GetNextReviewTime(const gateway& aGateway);
+
+// --- gateway_memory.cc ------------------------------------------------------
+
+// Returns what the request needs of an engine's memory.
+memory_need MakeMemoryNeed(const gateway& aGateway,
+                           const forwarded_request& aRequest, absl::Time aNow);
+// Counts the tokens of an attempt that is being sent to the engine.
+void HoldTokens(gateway& aGateway, forwarded_request& aRequest,
+                const backend_id& aBackend, backend_view& aView,
+                absl::Time aNow);
+// Ends the count at the end of the attempt.
+void ReleaseHeldTokens(gateway& aGateway, forwarded_request& aRequest,
+                       absl::Time aNow);
+// Returns the error for a request that is larger than the memory of each
+// engine of its service; nothing if it is not.
+std::optional<error> CheckMemory(const gateway& aGateway,
+                                 const forwarded_request& aRequest);
+// Reports again what is held and was not reported for long, and forgets old
+// statements of other gateways.
+void AdvanceHoldings(gateway& aGateway, absl::Time aNow);
+
+// --- gateway_log.cc ---------------------------------------------------------
+
+void RecordRequestRefused(gateway& aGateway, const forwarded_request& aRequest,
+                          const error& aError, absl::Time aNow);
+void RecordRequestDispatched(gateway& aGateway,
+                             const forwarded_request& aRequest,
+                             const backend_view& aView, absl::Time aNow);
+// aBackend: server of the attempt that has ended.
+void RecordRequestFinished(gateway& aGateway, const forwarded_request& aRequest,
+                           const attempt_report& aReport,
+                           const backend_id& aBackend, absl::Time aNow);
+
+} // namespace foxtailquay
+
+#endif
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -19,6 +19,7 @@
 {
   Received,
   Funding,
+  Waiting,
   Running,
   Closing,
   Done,
@@ -29,6 +30,7 @@
   using s = forward_status;
   return MakeNameTable<s>({ { s::Received, "received" },
                             { s::Funding, "funding" },
+                            { s::Waiting, "waiting" },
                             { s::Running, "running" },
                             { s::Closing, "closing" },
                             { s::Done, "done" } });
@@ -40,6 +42,10 @@
   Refused,
   Funded,
   Unfunded,
+  // All servers are full.
+  NoRoom,
+  // There is room for the request, and it is its turn.
+  Room,
   Unroutable,
   Delivered,
   AttemptFailed,
@@ -54,6 +60,8 @@
                             { e::Refused, "refused" },
                             { e::Funded, "funded" },
                             { e::Unfunded, "unfunded" },
+                            { e::NoRoom, "no_room" },
+                            { e::Room, "room" },
                             { e::Unroutable, "unroutable" },
                             { e::Delivered, "delivered" },
                             { e::AttemptFailed, "attempt_failed" },
@@ -81,6 +89,8 @@
 {
   Reserve,
   Dispatch,
+  Enqueue,
+  LeaveQueue,
   Settle,
   Refuse,
   PassFailure,
@@ -92,6 +102,8 @@
   using a = forward_action;
   return MakeNameTable<a>({ { a::Reserve, "reserve" },
                             { a::Dispatch, "dispatch" },
+                            { a::Enqueue, "enqueue" },
+                            { a::LeaveQueue, "leave_queue" },
                             { a::Settle, "settle" },
                             { a::Refuse, "refuse" },
                             { a::PassFailure, "pass_failure" },
--- /dev/null
+++ b/src/core/gateway_memory.cc
@@ -0,0 +1,134 @@
+// Memory of the engines at a gateway: what each request needs and holds, and
+// what the gateways state to each other.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "gateway_capacity.h"
+
+namespace foxtailquay {
+
+namespace {
+
+// Time for which ends of requests are batched. It is longer than for starts,
+// which others must know before they send more.
+constexpr absl::Duration kHoldingEndDelay = absl::Milliseconds(100);
+
+token_count GetCapacity(const gateway& aGateway, const service_id& aService)
+{
+  const traffic_service* service =
+    aGateway.mTable ? FindService(*aGateway.mTable, aService) : nullptr;
+  return service != nullptr ? service->mMemoryTokens : 0;
+}
+
+// Returns what estimates of the memory depend on, for no particular request.
+memory_need MakeContext(const gateway& aGateway, const service_id& aService,
+                        absl::Time aNow)
+{
+  memory_need need;
+  need.mPeers = CountListedGateways(aGateway) - 1;
+  need.mReportingPeers =
+    std::min(need.mPeers, static_cast<int>(kMaxReportTargets));
+  need.mNow = aNow;
+  const auto sizes = aGateway.mHoldingSizes.find(aService.mValue);
+  if (sizes != aGateway.mHoldingSizes.end()) {
+    need.mSizes = sizes->second;
+  }
+  return need;
+}
+
+// Has the prompt report at aAt, at the latest, state what this gateway holds at
+// the engine. The start of a request at a tight engine is reported at once.
+void ScheduleHoldingReport(gateway& aGateway, const service_id& aService,
+                           const backend_id& aBackend,
+                           const backend_view& aView, absl::Time aAt,
+                           bool aIsStart, absl::Time aNow)
+{
+  if (!aGateway.mPeers.empty()) {
+    aGateway.mChangedHoldings.insert(aBackend);
+    const bool isTight = IsTight(aView, MakeContext(aGateway, aService, aNow));
+    aGateway.mIsReportUrgent = aGateway.mIsReportUrgent || isTight;
+    aGateway.mReportAt =
+      std::min(aGateway.mReportAt, isTight && aIsStart ? aNow : aAt);
+  }
+}
+
+} // namespace
+
+memory_need MakeMemoryNeed(const gateway& aGateway,
+                           const forwarded_request& aRequest, absl::Time aNow)
+{
+  if (GetCapacity(aGateway, aRequest.mService) <= 0) {
+    return {};
+  }
+  memory_need need = MakeContext(aGateway, aRequest.mService, aNow);
+  need.mTokens = aRequest.mWorstCaseCost;
+  return need;
+}
+
+void HoldTokens(gateway& aGateway, forwarded_request& aRequest,
+                const backend_id& aBackend, backend_view& aView,
+                absl::Time aNow)
+{
+  aRequest.mHeldTokens = 0;
+  if (aView.mMemory.mCapacity <= 0) {
+    return;
+  }
+  aRequest.mHeldTokens = aRequest.mWorstCaseCost;
+  RecordHolding(aView.mMemory, aRequest.mHeldTokens);
+  RecordSize(aGateway.mHoldingSizes[aRequest.mService.mValue],
+             aRequest.mHeldTokens, aNow);
+  ScheduleHoldingReport(aGateway, aRequest.mService, aBackend, aView,
+                        aNow + kPromptReportDelay, true, aNow);
+}
+
+void ReleaseHeldTokens(gateway& aGateway, forwarded_request& aRequest,
+                       absl::Time aNow)
+{
+  const token_count held = aRequest.mHeldTokens;
+  aRequest.mHeldTokens = 0;
+  const auto view = aGateway.mViews.find(aRequest.mBackend);
+  const auto listing = aGateway.mListings.find(aRequest.mBackend);
+  // Another incarnation does not hold the request.
+  if (held == 0 || view == aGateway.mViews.end() ||
+      listing == aGateway.mListings.end() ||
+      listing->second.mEntry.mStartedMs != aRequest.mBackendStartedMs) {
+    return;
+  }
+  ReleaseHolding(view->second.mMemory, held);
+  ScheduleHoldingReport(aGateway, aRequest.mService, aRequest.mBackend,
+                        view->second, aNow + kHoldingEndDelay, false, aNow);
+}
+
+std::optional<error> CheckMemory(const gateway& aGateway,
+                                 const forwarded_request& aRequest)
+{
+  const token_count capacity = GetCapacity(aGateway, aRequest.mService);
+  if (capacity <= 0 || aRequest.mWorstCaseCost <= capacity) {
+    return std::nullopt;
+  }
+  error refusal = MakeError(
+    error_code::InvalidRequest, executed::No,
+    absl::StrCat("the request needs ", aRequest.mWorstCaseCost,
+                 " tokens, an engine of the service holds ", capacity));
+  refusal.mRetryAfter = absl::ZeroDuration();
+  return refusal;
+}
+
+void AdvanceHoldings(gateway& aGateway, absl::Time aNow)
+{
+  for (auto& [id, view] : aGateway.mViews) {
+    engine_memory& memory = view.mMemory;
+    if (memory.mCapacity <= 0) {
+      continue;
+    }
+    ForgetOldHoldings(memory, aNow);
+    if (memory.mOwnTokens > 0 &&
+        aNow - memory.mReportedAt >= kHoldingInterval) {
+      ScheduleHoldingReport(aGateway, aGateway.mListings[id].mEntry.mService,
+                            id, view, aNow, false, aNow);
+    }
+  }
+}
+
+} // namespace foxtailquay
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
+#include "gateway_capacity.h"
 #include "xxhash.h"
 
 namespace foxtailquay {
@@ -100,31 +100,6 @@
   return false;
 }
 
-routing_query MakeRoutingQuery(const gateway& aGateway,
-                               const forwarded_request& aRequest)
-{
-  routing_query query;
-  query.mKind =
-    aRequest.mIsEngine ? backend_kind::Engine : backend_kind::Service;
-  query.mTarget = aRequest.mService.mValue;
-  query.mZone = aGateway.mSettings.mZone;
-  query.mPromptTokens = aRequest.mCaller.mPromptTokens;
-  token_count length = 0;
-  for (const prompt_part& part : aRequest.mCaller.mPromptParts) {
-    query.mSharedTokens = length;
-    length = AddTokens(length, part.mTokens);
-    query.mPrefixes.push_back(part.mHash);
-    query.mPrefixTokens.push_back(length);
-  }
-  // The last part of the prompt is specific to the request.
-  const auto& parts = aRequest.mCaller.mPromptParts;
-  if (parts.size() >= 2) {
-    query.mAffinity = parts[parts.size() - 2].mHash;
-  }
-  query.mExcludedBackends = aRequest.mTriedBackends;
-  return query;
-}
-
 // Returns the service for a request. It is the same for all attempts with the
 // same id, and over all requests in proportion to the weights.
 service_id ChooseService(const caller_request& aCaller,
@@ -214,6 +189,9 @@
     if (auto refusal = CheckPrompt(aGateway, aRequest, aNow)) {
       return *std::move(refusal);
     }
+    if (auto refusal = CheckMemory(aGateway, aRequest)) {
+      return *std::move(refusal);
+    }
   }
   aRequest.mDeadline =
     aNow + std::min(route->mTimeout,
@@ -230,23 +208,7 @@
     refusal.mCode = error_code::OutcomeUnknown;
   }
   aGateway.mActions.push_back(send_error{ aRequest.mCaller.mHandle, refusal });
-  RecordDecision(
-    aGateway,
-    refusal.mExecuted == executed::No ? decision::RequestRefused
-                                      : decision::RequestFailed,
-    { { "request", aRequest.mCaller.mAttemptId },
-      { "code", std::string(ToName(refusal.mCode)) },
-      { "ran", std::string(ToName(refusal.mExecuted)) },
-      { "detail", refusal.mDetail },
-      { "route", aRequest.mRoute.mName },
-      { "workspace", aRequest.mWorkspace.mValue },
-      { "backend", aRequest.mBackend.mValue },
-      { "attempts", absl::StrCat(aRequest.mAttempts) },
-      { "held_ms",
-        absl::StrCat(absl::ToInt64Milliseconds(aNow - aRequest.mArrivedAt)) },
-      { "version",
-        absl::StrCat(aGateway.mTable ? aGateway.mTable->mConfig.mVersion
-                                     : 0) } });
+  RecordRequestRefused(aGateway, aRequest, refusal, aNow);
 }
 
 // Ends the current attempt, if there is one, in the health and load state of
@@ -254,6 +216,7 @@
 void EndAttempt(gateway& aGateway, forwarded_request& aRequest, bool aFailed,
                 absl::Time aNow)
 {
+  ReleaseHeldTokens(aGateway, aRequest, aNow);
   auto view = aGateway.mViews.find(aRequest.mBackend);
   if (!aRequest.mBackend.mValue.empty() && view != aGateway.mViews.end()) {
     const backend_status before = view->second.mStatus;
@@ -268,18 +231,10 @@
           { "request", aRequest.mCaller.mAttemptId } });
     }
   }
-  aRequest.mBackend = backend_id{};
-}
-
-// Returns the shared parts of the prompt for the log.
-std::string ToLogText(const std::vector<std::uint64_t>& aParts)
-{
-  constexpr std::size_t kMaxLoggedParts = 8;
-  std::string text;
-  for (std::size_t i = 0; i < aParts.size() && i < kMaxLoggedParts; ++i) {
-    absl::StrAppend(&text, i == 0 ? "" : ",", absl::Hex(aParts[i]));
+  if (!aRequest.mBackend.mValue.empty()) {
+    RecordAttemptEnd(aGateway, aRequest);
   }
-  return text;
+  aRequest.mBackend = backend_id{};
 }
 
 // Sends the request to a backend server, or fires Unroutable if none can take
@@ -288,17 +243,27 @@
 {
   const bool isRepeat = aRequest.mSentAttempts > 0;
   aGateway.mRouting.mRouters = CountGateways(aGateway, aNow);
-  routing_query query = MakeRoutingQuery(aGateway, aRequest);
+  routing_query query = MakeRoutingQuery(aGateway, aRequest, aNow);
   query.mLimitedUse = ChooseLimitedUse(aGateway, aRequest, aNow);
   const auto chosen = ChooseBackend(aGateway.mViews, query, aGateway.mRouting,
                                     aNow, aGateway.mRandom);
+  const auto found =
+    chosen ? aGateway.mViews.find(*chosen) : aGateway.mViews.end();
+  const bool mustWait = MustWait(aGateway, aRequest, query,
+                                 chosen ? &found->second : nullptr, aNow);
+  aRequest.mHasTurn = false;
+  if (mustWait) {
+    FireRequest(aGateway, aRequest.mCaller.mHandle, forward_event::NoRoom,
+                aNow);
+    return;
+  }
   if (!chosen) {
     aRequest.mError = MakeUnroutableError(aGateway, query, aNow);
     FireRequest(aGateway, aRequest.mCaller.mHandle, forward_event::Unroutable,
                 aNow);
     return;
   }
-  backend_view& view = aGateway.mViews[*chosen];
+  backend_view& view = found->second;
   RecordPrompt(aGateway, *chosen,
                EstimateUncachedTokens(view, query, aGateway.mRouting, aNow),
                query, aNow);
@@ -316,11 +281,13 @@
   ++aRequest.mSentAttempts;
   aRequest.mBackend = *chosen;
   aRequest.mBackendStartedMs = aGateway.mListings[*chosen].mEntry.mStartedMs;
+  HoldTokens(aGateway, aRequest, *chosen, view, aNow);
   aRequest.mTriedBackends.insert(*chosen);
   aRequest.mMayHaveExecuted = true;
   aRequest.mHasHeldFailure = false;
   aRequest.mHasResponseStarted = false;
   aRequest.mDispatchedAt = aNow;
+  RecordAttemptStart(aGateway, aRequest, aNow);
   dispatch_request action;
   action.mHandle = aRequest.mCaller.mHandle;
   action.mAttempt = aRequest.mAttempts;
@@ -336,23 +303,7 @@
   action.mMaxConnections =
     std::max(1, aRequest.mMaxConnections / aGateway.mRouting.mRouters);
   aGateway.mActions.push_back(std::move(action));
-  RecordDecision(
-    aGateway, decision::RequestDispatched,
-    { { "request", aRequest.mCaller.mAttemptId },
-      { "attempt", absl::StrCat(aRequest.mAttempts) },
-      { "route", aRequest.mRoute.mName },
-      { "workspace", aRequest.mWorkspace.mValue },
-      { "backend", chosen->mValue },
-      { "outstanding", absl::StrCat(view.mOutstanding) },
-      { "running", absl::StrCat(view.mReport.mRunning) },
-      { "queued", absl::StrCat(view.mReport.mQueued) },
-      { "report_age_ms",
-        view.mReportedAt == absl::InfinitePast()
-          ? std::string("none")
-          : absl::StrCat(absl::ToInt64Milliseconds(aNow - view.mReportedAt)) },
-      { "reserved", absl::StrCat(aRequest.mReserved) },
-      { "parts", ToLogText(ListSharedParts(aRequest.mCaller.mPromptParts)) },
-      { "version", absl::StrCat(aGateway.mTable->mConfig.mVersion) } });
+  RecordRequestDispatched(aGateway, aRequest, view, aNow);
 }
 
 void PerformAction(gateway& aGateway, forwarded_request& aRequest,
@@ -365,6 +316,12 @@
     case forward_action::Dispatch:
       Dispatch(aGateway, aRequest, aNow);
       break;
+    case forward_action::Enqueue:
+      EnqueueRequest(aGateway, aRequest, aNow);
+      break;
+    case forward_action::LeaveQueue:
+      LeaveQueue(aGateway, aRequest);
+      break;
     case forward_action::Settle:
       SettleRequest(aGateway, aRequest);
       break;
@@ -448,29 +405,35 @@
   }
 }
 
-void RecordRequestFinished(gateway& aGateway, const forwarded_request& aRequest,
-                           const attempt_report& aReport,
-                           const backend_id& aBackend, absl::Time aNow)
+} // namespace
+
+routing_query MakeRoutingQuery(const gateway& aGateway,
+                               const forwarded_request& aRequest,
+                               absl::Time aNow)
 {
-  RecordDecision(
-    aGateway, decision::RequestFinished,
-    { { "request", aRequest.mCaller.mAttemptId },
-      { "attempt", absl::StrCat(aReport.mAttempt) },
-      { "backend", aBackend.mValue },
-      { "outcome", std::string(ToName(aReport.mOutcome)) },
-      { "status", absl::StrCat(aReport.mStatus) },
-      { "begun", aReport.mHasBegun ? "yes" : "no" },
-      { "events", absl::StrCat(aReport.mEvents) },
-      { "framing", std::string(ToName(aReport.mFraming)) },
-      { "partial_bytes", absl::StrCat(aReport.mPartialEventBytes) },
-      { "workspace", aRequest.mWorkspace.mValue },
-      { "spent", absl::StrCat(ComputeSpentTokens(aRequest)) },
-      { "total_ms", absl::StrCat(absl::ToInt64Milliseconds(
-                      aNow - aRequest.mArrivedAt)) } });
+  routing_query query;
+  query.mKind =
+    aRequest.mIsEngine ? backend_kind::Engine : backend_kind::Service;
+  query.mTarget = aRequest.mService.mValue;
+  query.mZone = aGateway.mSettings.mZone;
+  query.mPromptTokens = aRequest.mCaller.mPromptTokens;
+  token_count length = 0;
+  for (const prompt_part& part : aRequest.mCaller.mPromptParts) {
+    query.mSharedTokens = length;
+    length = AddTokens(length, part.mTokens);
+    query.mPrefixes.push_back(part.mHash);
+    query.mPrefixTokens.push_back(length);
+  }
+  // The last part of the prompt is specific to the request.
+  const auto& parts = aRequest.mCaller.mPromptParts;
+  if (parts.size() >= 2) {
+    query.mAffinity = parts[parts.size() - 2].mHash;
+  }
+  query.mExcludedBackends = aRequest.mTriedBackends;
+  query.mMemory = MakeMemoryNeed(aGateway, aRequest, aNow);
+  return query;
 }
 
-} // namespace
-
 void FireRequest(gateway& aGateway, request_handle aHandle,
                  forward_event aEvent, absl::Time aNow)
 {
@@ -529,6 +492,8 @@
   }
   forwarded_request& request = *found->second;
   const backend_id backend = request.mBackend;
+  RecordAttemptLoad(aGateway, request, aReport.mLoad,
+                    aReport.mOutcome == attempt_outcome::Delivered, aNow);
   ApplyAttemptReport(aGateway, request, aReport, aNow);
   RecordRequestFinished(aGateway, request, aReport, backend, aNow);
   RecordPromptOutcome(aGateway, request, aReport, backend, aNow);
@@ -537,6 +502,7 @@
                 ? forward_event::Delivered
                 : forward_event::AttemptFailed,
               aNow);
+  AdvanceAdmission(aGateway, aNow);
 }
 
 void OnFirstByte(gateway& aGateway, const first_byte& aEvent, absl::Time aNow)
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -4,6 +4,9 @@
 // gateway.cc          construction, event dispatch, timers, planned stop
 // gateway_request.cc  one request: admission, attempts, end
 // gateway_share.cc    reports between gateways on prompts sent to engines
+// gateway_memory.cc   memory of the engines
+// gateway_admission.cc  requests that wait while all servers are full
+// gateway_log.cc      log records on requests
 // gateway_quarantine.cc  parts of prompts under which servers crash
 // gateway_fund.cc     prepaid totals: grants, transfers between gateways
 // gateway_waiters.cc  requests and gateways that wait for tokens
@@ -25,6 +28,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "admission.h"
 #include "cost_profile.h"
 #include "foxtailquay/gateway.h"
 #include "gateway_charts.h"
@@ -122,6 +126,12 @@
   backend_id mBackend;
   // Start time of the incarnation to which the current attempt was sent.
   std::int64_t mBackendStartedMs = 0;
+  // Tokens of the current attempt that count as held by its engine.
+  token_count mHeldTokens = 0;
+  // How its workspace's demand compares, if the servers are full.
+  demand_rank mDemandRank = demand_rank::Usual;
+  // True if the request has waited and is to be sent before others that wait.
+  bool mHasTurn = false;
   bool mHasResponseStarted = false;
   std::set<backend_id> mTriedBackends;
   // True if any attempt, including the current one, may have been executed.
@@ -313,6 +323,12 @@
   std::map<backend_id, server_notice> mNotices;
   std::map<std::string, peer_listing> mPeers;
   std::uint64_t mLoadSequence = 0;
+  // Sizes of recent requests, by service with a stated memory of its engines.
+  std::map<std::string, holding_sizes> mHoldingSizes;
+  // Engines at which the held tokens have changed since the last report.
+  std::set<backend_id> mChangedHoldings;
+  // True if one of them is tight, so that all gateways get the report.
+  bool mIsReportUrgent = false;
   // Prompts sent to engines and not yet reported to other gateways.
   std::vector<sent_prompt> mUnreportedPrompts;
   // Time of the next prompt report; infinite if there is nothing to report.
@@ -323,6 +339,13 @@
   std::set<std::pair<absl::Time, request_handle>> mDeadlines;
   // Recent requests to engines, by service.
   std::map<std::string, cost_profile> mCosts;
+  // Requests that wait because all servers of their service are full.
+  admission_state mAdmission;
+  // Routing options for the question whether a server has room.
+  routing_options mRoomRouting;
+  std::map<std::string, service_pace> mPaces;
+  // Time of the next review of waiting requests; infinite if there are none.
+  absl::Time mNextReviewAt = absl::InfiniteFuture();
   // Retry budgets by service.
   std::map<std::string, retry_state> mRetryStates;
 
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
+#include "gateway_capacity.h"
 
 namespace foxtailquay {
 
@@ -32,13 +32,6 @@
 // limits allow.
 constexpr double kReservedRatio = 0.8;
 
-double ComputeCost(const caller_request& aCaller)
-{
-  return static_cast<double>(aCaller.mPromptTokens) +
-         kPromptTokensPerOutputToken *
-           static_cast<double>(aCaller.mMaxOutputTokens);
-}
-
 // Returns how many requests a second this gateway may send to the servers of
 // the service that state a rate limit.
 double ComputeLimitedRate(const gateway& aGateway, const service_id& aService)
@@ -138,6 +131,13 @@
 
 } // namespace
 
+double ComputeCost(const caller_request& aCaller)
+{
+  return static_cast<double>(aCaller.mPromptTokens) +
+         kPromptTokensPerOutputToken *
+           static_cast<double>(aCaller.mMaxOutputTokens);
+}
+
 void RecordLoad(gateway& aGateway, const backend_id& aBackend,
                 const std::optional<observed_load>& aLoad, absl::Time aNow)
 {
@@ -170,7 +170,7 @@
   }
   const double cost = ComputeCost(aRequest.mCaller);
   cost_profile& costs = aGateway.mCosts[aRequest.mService.mValue];
-  if (aRequest.mAttempts == 0) {
+  if (aRequest.mAttempts == 0 && !aRequest.mHasTurn) {
     AddCost(costs, cost, aNow);
   }
   const double rate = ComputeLimitedRate(aGateway, aRequest.mService);
@@ -187,6 +187,12 @@
 {
   error unroutable = MakeError(error_code::NoBackendServer, executed::No,
                                "no backend server can take the request");
+  if (FindShortage(aGateway.mViews, aQuery, aNow) == shortage::Memory) {
+    unroutable.mCode = error_code::Overloaded;
+    unroutable.mDetail = absl::StrCat("no engine has memory for ",
+                                      aQuery.mMemory.mTokens, " tokens now");
+    return unroutable;
+  }
   const absl::Time next = FindNextRunTime(aGateway.mViews, aQuery, aNow);
   if (next != absl::InfiniteFuture()) {
     unroutable.mDetail = "all backend servers are at the limits that they "
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -82,18 +82,30 @@
   return backends;
 }
 
-// Returns true if the server accepts runs and has a free slot, regardless of
-// ejection and of the limits that it states.
-bool AcceptsRuns(const candidate& aCandidate, const routing_query& aQuery)
+// Returns true if the server accepts runs, regardless of ejection and of all
+// limits.
+bool IsAvailable(const candidate& aCandidate, const routing_query& aQuery)
 {
   const backend_view& view = *aCandidate.mView;
   return !view.mConfig.mDrain && !view.mLeaving && !view.mReport.mLeaving &&
          view.mStatus != backend_status::Leaving &&
          view.mStatus != backend_status::Gone && !view.mAddress.empty() &&
-         view.mOutstanding < view.mConfig.mMaxConcurrency &&
          aQuery.mExcludedBackends.count(*aCandidate.mId) == 0;
 }
 
+bool HasFreeSlot(const backend_view& aView)
+{
+  return aView.mOutstanding < aView.mConfig.mMaxConcurrency;
+}
+
+// Returns true if the server accepts runs and has a free slot and enough
+// memory, regardless of ejection and of the limits that it states.
+bool AcceptsRuns(const candidate& aCandidate, const routing_query& aQuery)
+{
+  return IsAvailable(aCandidate, aQuery) && HasFreeSlot(*aCandidate.mView) &&
+         FitsMemory(*aCandidate.mView, aQuery);
+}
+
 // Returns the earliest time at which the server takes a request of this router,
 // according to what it states.
 absl::Time GetNextRunTime(const backend_view& aView)
@@ -400,6 +412,37 @@
   return next;
 }
 
+shortage FindShortage(const std::map<backend_id, backend_view>& aViews,
+                      const routing_query& aQuery, absl::Time aNow)
+{
+  shortage lacking = shortage::Servers;
+  for (const auto& [id, view] : aViews) {
+    if (!IsConfiguredFor(view.mConfig, aQuery.mKind, aQuery.mTarget) ||
+        !IsAvailable({ &id, &view, 0 }, aQuery) ||
+        aNow < GetNextRunTime(view)) {
+      continue;
+    }
+    if (HasFreeSlot(view)) {
+      return shortage::Memory;
+    }
+    lacking = shortage::Slots;
+  }
+  return lacking;
+}
+
+std::vector<const backend_view*> ListUsableBackends(
+  const std::map<backend_id, backend_view>& aViews, const routing_query& aQuery,
+  const routing_options& aOptions, absl::Time aNow)
+{
+  std::vector<const backend_view*> usable;
+  for (const candidate& each : ListCandidates(
+         RankBackends(aViews, aQuery.mKind, aQuery.mTarget, aOptions), aQuery,
+         aNow)) {
+    usable.push_back(each.mView);
+  }
+  return usable;
+}
+
 int EstimateFreeSlots(const std::map<backend_id, backend_view>& aViews,
                       const routing_query& aQuery,
                       const routing_options& aOptions, absl::Time aNow)
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -28,6 +28,7 @@
 
 #include "absl/time/time.h"
 #include "backend_health.h"
+#include "engine_memory.h"
 #include "foxtailquay/config.h"
 #include "foxtailquay/messages.h"
 #include "rate_limit.h"
@@ -150,6 +151,8 @@
   rate_limit mRateLimit;
   // Time before which the server wants no requests of this router.
   absl::Time mBackoffUntil = absl::InfinitePast();
+  // Tokens held, if the server is an engine.
+  engine_memory mMemory;
   // Successful runs since the start of state Probing.
   int mSuccessfulProbes = 0;
   // Changes of mOutstanding, oldest first.
@@ -202,6 +205,8 @@
   priority_class mPriority = priority_class::Standard;
   token_count mPromptTokens = 0;
   limited_use mLimitedUse = limited_use::Alike;
+  // Memory that the request needs at an engine.
+  memory_need mMemory;
   // Backend servers that already refused or failed this request.
   std::set<backend_id> mExcludedBackends;
 };
@@ -219,6 +224,33 @@
 absl::Time FindNextRunTime(const std::map<backend_id, backend_view>& aViews,
                            const routing_query& aQuery, absl::Time aNow);
 
+// What the servers of a query lack that could take it otherwise.
+enum class shortage
+{
+  // There is no such server.
+  Servers,
+  // This router uses as many slots of each as there are.
+  Slots,
+  // The engines hold too many tokens.
+  Memory,
+};
+
+constexpr auto NameTable(shortage)
+{
+  return MakeNameTable<shortage>({ { shortage::Servers, "servers" },
+                                   { shortage::Slots, "slots" },
+                                   { shortage::Memory, "memory" } });
+}
+
+// Returns what is lacking. Precondition: ChooseBackend has returned none.
+shortage FindShortage(const std::map<backend_id, backend_view>& aViews,
+                      const routing_query& aQuery, absl::Time aNow);
+
+// Returns the servers from which ChooseBackend chooses.
+std::vector<const backend_view*> ListUsableBackends(
+  const std::map<backend_id, backend_view>& aViews, const routing_query& aQuery,
+  const routing_options& aOptions, absl::Time aNow);
+
 // Returns how many further runs this router should send to the backend servers
 // of the query now: its fraction of the estimated free slots, at least 1 if any
 // slot is estimated to be free.
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -434,6 +434,7 @@
     { gauge::ConfigVersion, double(aHost.mSummary.mVersion) },
     { gauge::QuarantinedPromptParts, double(aHost.mSummary.mQuarantinedParts) },
     { gauge::RateLimitedServers, double(aHost.mSummary.mRateLimitedBackends) },
+    { gauge::WaitingRequests, double(aHost.mSummary.mWaitingRequests) },
     { gauge::Ready, aHost.mReady ? 1.0 : 0.0 }
   };
 }
@@ -454,6 +455,7 @@
                  summary.mBackends, ",\"peers\":", summary.mPeers,
                  ",\"quarantined_prompt_parts\":", summary.mQuarantinedParts,
                  ",\"rate_limited_servers\":", summary.mRateLimitedBackends,
+                 ",\"waiting_requests\":", summary.mWaitingRequests,
                  ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
 }
 
--- a/src/runtime/decision_log.cc
+++ b/src/runtime/decision_log.cc
@@ -9,6 +9,7 @@
 bool IsAboutRequest(decision aDecision)
 {
   switch (aDecision) {
+    case decision::RequestWaiting:
     case decision::RequestDispatched:
     case decision::RequestRefused:
     case decision::RequestFinished:
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -103,6 +103,7 @@
   QuarantinedPromptParts,
   // Backend servers that state a rate limit.
   RateLimitedServers,
+  WaitingRequests,
   Ready,
 };
 
@@ -114,6 +115,7 @@
       { gauge::ConfigVersion, "config_version" },
       { gauge::QuarantinedPromptParts, "quarantined_prompt_parts" },
       { gauge::RateLimitedServers, "rate_limited_servers" },
+      { gauge::WaitingRequests, "waiting_requests" },
       { gauge::Ready, "ready" } });
 }
 
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -86,10 +86,16 @@
     for (std::uint64_t prefix : each.mPrefixes) {
       prompt["prefixes"].append(Json::UInt64(prefix));
     }
+    if (each.mHeldTokens) {
+      prompt["held"] = Json::Int64(*each.mHeldTokens);
+    }
     prompts.append(std::move(prompt));
   }
   Json::Value params(Json::objectValue);
   params["prompts"] = std::move(prompts);
+  if (!aCall.mGateway.empty()) {
+    params["gateway"] = aCall.mGateway;
+  }
   return EncodeCall(kSharePromptsMethod, params);
 }
 
@@ -163,6 +169,9 @@
   if (!aParams["prompts"].isArray()) {
     return MakeProtocolError("missing prompts");
   }
+  if (aParams["gateway"].isString()) {
+    shared.mGateway = aParams["gateway"].asString();
+  }
   for (const Json::Value& each : aParams["prompts"]) {
     if (!each.isObject() || !each["backend"].isString() ||
         !each["tokens"].isInt64() || each["tokens"].asInt64() < 0 ||
@@ -179,6 +188,14 @@
       }
       prompt.mPrefixes.push_back(prefix.asUInt64());
     }
+    // Earlier versions do not state it.
+    const Json::Value& held = each["held"];
+    if (!held.isNull()) {
+      if (!held.isInt64() || held.asInt64() < 0) {
+        return MakeProtocolError("the held tokens have another type");
+      }
+      prompt.mHeldTokens = std::min(kMaxTokenCount, held.asInt64());
+    }
     shared.mPrompts.push_back(std::move(prompt));
   }
   return gateway_message(std::move(shared));
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -91,7 +91,7 @@
       {"name":"r3","host":"h.example","prefix":"/c/","kind":"unheard_of",
        "service":"s2"}],
      "services":[{"name":"s1","max_conns":370,
-       "engine":{"slots":64,"stride":7}},{"name":"s2"},{"max_conns":1}],
+       "engine":{"slots":64,"stride":7,"kv_capacity_tokens":350000}},{"name":"s2"},{"max_conns":1}],
      "limits":{"max_header_bytes":1000,"idle_timeout_ms":15000},
      "tenants":[{"name":"w1","api_keys":["k1","k2"],"priority":1,
                  "prepaid":5672408},{"name":"w2","api_keys":[]}]})"));
@@ -111,7 +111,9 @@
   BOOST_REQUIRE(config->mServices.size() == 2);
   BOOST_TEST(config->mServices[0].mIsEngine);
   BOOST_TEST(config->mServices[0].mTokensPerEvent == 7);
+  BOOST_TEST(config->mServices[0].mMemoryTokens == 350000);
   BOOST_TEST(!config->mServices[1].mIsEngine);
+  BOOST_TEST(config->mServices[1].mMemoryTokens == 0);
   BOOST_REQUIRE(config->mWorkspaces.size() == 2);
   BOOST_TEST(*config->mWorkspaces[0].mPrepaid == 5672408);
   BOOST_TEST(!config->mWorkspaces[1].mPrepaid);
@@ -651,6 +653,27 @@
   BOOST_TEST(prompts[0].mBackend.mValue == "b");
   BOOST_TEST(prompts[0].mTokens == 5000);
   BOOST_TEST(prompts[0].mPrefixes == call.mPrompts[0].mPrefixes);
+  // Gateways of an earlier version state no holdings.
+  BOOST_TEST(!prompts[0].mHeldTokens);
+}
+
+// An entry that states only holdings must also be sound for earlier versions,
+// which require the fields that it leaves empty.
+BOOST_AUTO_TEST_CASE(held_tokens_round_trip)
+{
+  report_prompts call;
+  call.mGateway = "g";
+  call.mPrompts = { { backend_id{ "b" }, 0, {}, 70000 } };
+  const std::string text = EncodeReportPrompts(call);
+  const auto reported = DecodeGatewayCall(text);
+  BOOST_REQUIRE(IsOk(reported));
+  const auto& shared = std::get<prompts_reported>(GetValue(reported));
+  BOOST_TEST(shared.mGateway == "g");
+  BOOST_REQUIRE(shared.mPrompts.size() == 1U);
+  BOOST_TEST(shared.mPrompts[0].mHeldTokens.value_or(-1) == 70000);
+  const Json::Value prompt = ParseJsonOrFail(text)["params"]["prompts"][0];
+  BOOST_TEST(prompt["tokens"].asInt64() == 0);
+  BOOST_TEST(prompt["prefixes"].isArray());
 }
 
 BOOST_AUTO_TEST_CASE(shared_grants_round_trip)
@@ -695,6 +718,8 @@
     R"({"method":"share_grants","params":{"era":-1,"wants_copies":true}})",
     R"({"method":"share_grants","params":{"era":1,"copies":[{"record":1}]}})",
     R"({"method":"share_prompts","params":{"prompts":[{"backend":1}]}})",
+    R"({"method":"share_prompts","params":{"prompts":[
+      {"backend":"b","tokens":1,"prefixes":[],"held":-1}]}})",
   };
   for (const char* text : cases) {
     BOOST_TEST(!IsOk(DecodeGatewayCall(text)), text);
--- a/tests/gateway_sim/sim_events.cc
+++ b/tests/gateway_sim/sim_events.cc
@@ -90,7 +90,7 @@
     for (const std::string& address : aAction.mAddresses) {
       if (const auto peer = FindGateway(mSim, address)) {
         DeliverAfter(mSim, kPeerLatency, *peer,
-                     prompts_reported{ aAction.mPrompts });
+                     prompts_reported{ aAction.mPrompts, aAction.mGateway });
       }
     }
   }
