Merge: keep engines below their memory and requests out of full servers

Cause: requests waited in the queues of servers, in no order, and nothing counted what an engine holds. Change: a bounded queue at the gateway while a service is full; engine memory.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -206,6 +206,8 @@
 {
   std::vector<std::string> mAddresses;
   std::vector<sent_prompt> mPrompts;
+  // Name of this gateway.
+  std::string mGateway = "";
 };
 
 // Checks whether the process of a backend server has ended, or accepts
@@ -258,6 +260,7 @@
 // The decisions that are logged.
 enum class decision
 {
+  RequestWaiting,
   RequestDispatched,
   RequestRefused,
   RequestFinished,
@@ -286,7 +289,8 @@
 {
   using d = decision;
   return MakeNameTable<d>(
-    { { d::RequestDispatched, "request_dispatched" },
+    { { d::RequestWaiting, "request_waiting" },
+      { d::RequestDispatched, "request_dispatched" },
       { d::RequestRefused, "request_refused" },
       { d::RequestFinished, "request_finished" },
       { d::RequestFailed, "request_failed" },
@@ -410,6 +414,8 @@
   std::size_t mColdBackends = 0;
   // Availability zones that are being or have been evacuated.
   std::size_t mEvacuatedZones = 0;
+  // Requests that wait because all servers of their service are full.
+  std::size_t mWaitingRequests = 0;
   bool mReady = false;
 };
 
--- a/include/foxtailquay/traffic_config.h
+++ b/include/foxtailquay/traffic_config.h
@@ -94,6 +94,9 @@
   // no limit.
   absl::Duration mColdTime = absl::ZeroDuration();
   double mColdRate = 0;
+  // Largest number of tokens, prompts and outputs, that one engine can hold for
+  // its open requests; 0 if it is not stated.
+  token_count mMemoryTokens = 0;
 };
 
 // One workspace.
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "gateway_capacity.h"
 #include "gateway_cold.h"
 #include "gateway_evacuation.h"
 
@@ -110,6 +111,7 @@
 void AdvanceGateway(gateway& aGateway, absl::Time aNow)
 {
   AdvanceDeadlines(aGateway, aNow);
+  AdvanceAdmission(aGateway, aNow);
   AdvancePromptReports(aGateway, aNow);
   if (aNow >= aGateway.mNextTickAt) {
     aGateway.mNextTickAt = aNow + kTickInterval;
@@ -122,6 +124,7 @@
     RemoveExpiredPeers(aGateway, aNow);
     AdvanceNotices(aGateway, aNow);
     AdvanceColdServers(aGateway, aNow);
+    AdvanceHoldings(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
   }
   AdvanceWatches(aGateway, aNow);
@@ -286,6 +289,8 @@
   }
   node->mRandom.seed(aSettings.mSeed);
   node->mRouting = MakeRoutingOptions(aSettings);
+  node->mRoomRouting = MakeRoomRouting(node->mRouting);
+  node->mAdmission.mOptions = MakeAdmissionOptions();
   node->mHolder.mId = aSettings.mName + "/" + aSettings.mNonce;
   node->mSettings = std::move(aSettings);
   return node;
@@ -323,7 +328,7 @@
   absl::Time next =
     std::min({ aGateway.mNextTickAt, aGateway.mReportAt,
                aGateway.mRecovery.mRetryAt, GetNextRegistrationTime(aGateway),
-               GetNextEvacuationTime(aGateway) });
+               GetNextEvacuationTime(aGateway), GetNextReviewTime(aGateway) });
   if (!aGateway.mDeadlines.empty()) {
     next = std::min(next, aGateway.mDeadlines.begin()->first);
   }
@@ -359,6 +364,7 @@
       return aEach.second.mCold.mStatus != cold_status::Warm;
     }));
   summary.mEvacuatedZones = aGateway.mEvacuations.mZones.size();
+  summary.mWaitingRequests = aGateway.mAdmission.mQueued.size();
   summary.mReady = aGateway.mReady;
   return summary;
 }
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -470,6 +470,7 @@
     { gauge::RateLimitedServers, double(aHost.mSummary.mRateLimitedBackends) },
     { gauge::ColdServers, double(aHost.mSummary.mColdBackends) },
     { gauge::EvacuatedZones, double(aHost.mSummary.mEvacuatedZones) },
+    { gauge::WaitingRequests, double(aHost.mSummary.mWaitingRequests) },
     { gauge::Ready, aHost.mReady ? 1.0 : 0.0 }
   };
 }
@@ -492,6 +493,7 @@
                  ",\"rate_limited_servers\":", summary.mRateLimitedBackends,
                  ",\"cold_servers\":", summary.mColdBackends,
                  ",\"evacuated_zones\":", summary.mEvacuatedZones,
+                 ",\"waiting_requests\":", summary.mWaitingRequests,
                  ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
 }
 
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -107,6 +107,7 @@
   ColdServers,
   // Availability zones that are evacuated.
   EvacuatedZones,
+  WaitingRequests,
   Ready,
 };
 
@@ -120,6 +121,7 @@
       { gauge::RateLimitedServers, "rate_limited_servers" },
       { gauge::ColdServers, "cold_servers" },
       { gauge::EvacuatedZones, "evacuated_zones" },
+      { gauge::WaitingRequests, "waiting_requests" },
       { gauge::Ready, "ready" } });
 }
 
