Learn the work of requests and the speed of servers

Cause: routing used constants (60,000 prompt tokens a second for each engine, 1 s for a run, an affinity of 4 times the shared tokens), and the load of servers was taken for current for up to 10 s.

Change: work_model learns, from first attempts that were delivered, the rate and the time of an output token by service, the output by route and relative to the hint, and the speed of each server. remaining_work holds what an engine has to do and corrects it by this gateway's own requests. Old loads return to the usual one. Tokens that another engine is known to have no longer count as missing there, and the affinity weight is 10.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -12,7 +12,7 @@
 #include "json/json.h"
 
 DEFINE_string(suite, "",
-              "Suite to run: routing, herding, overload, orders or subsets; "
+              "Suite to run: routing, herding, overload, orders, subsets or work; "
               "empty runs all.");
 DEFINE_bool(short, false, "Run one seed instead of three.");
 DEFINE_bool(json, false, "Print JSON instead of tables.");
@@ -98,7 +98,7 @@
   constexpr int kSeeds = 3;
   if (!FLAGS_suite.empty() && !FromName<bench_suite>(FLAGS_suite)) {
     std::cerr << "unknown suite \"" << FLAGS_suite
-              << "\"; expected routing, herding, overload, orders or subsets\n";
+              << "\"; expected routing, herding, overload, orders, subsets or work\n";
     return 2;
   }
   bool passed = true;
--- a/bench/suites.cc
+++ b/bench/suites.cc
@@ -324,6 +324,9 @@
     case bench_suite::Subsets:
       result = RunSubsets(aSeeds);
       break;
+    case bench_suite::Work:
+      result = RunWorkSuite(aSeeds);
+      break;
   }
   result.mSuite = aSuite;
   return result;
--- a/bench/suites.h
+++ b/bench/suites.h
@@ -22,6 +22,7 @@
   Overload,
   Orders,
   Subsets,
+  Work,
 };
 
 constexpr auto NameTable(bench_suite)
@@ -32,6 +33,7 @@
     { bench_suite::Overload, "overload" },
     { bench_suite::Orders, "orders" },
     { bench_suite::Subsets, "subsets" },
+    { bench_suite::Work, "work" },
   });
 }
 
@@ -70,6 +72,9 @@
 // Runs the suite of model load orders, in order_suite.cc.
 suite_result RunOrderSuite(int aSeeds);
 
+// Runs the suite of work estimates, in work_suite.cc.
+suite_result RunWorkSuite(int aSeeds);
+
 } // namespace foxtailquay
 
 #endif
--- /dev/null
+++ b/bench/work_sim.cc
@@ -0,0 +1,656 @@
+#include "work_sim.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <limits>
+#include <queue>
+#include <set>
+#include <tuple>
+
+#include "core/routing.h"
+
+namespace foxtailquay {
+
+namespace {
+
+const char* const kService = "loom-7b";
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+// Engine: time of a step, its increase with each running request, prompt tokens
+// a millisecond, and largest number of prompt tokens in a step.
+constexpr double kStepMs = 3.79;
+constexpr double kStepRequestMs = 0.09;
+constexpr double kPromptTokensPerMs = 75;
+constexpr double kChunkTokens = 1024;
+constexpr token_count kTokensPerEvent = 8;
+constexpr double kCachedTokens = 60000;
+constexpr std::size_t kSharedParts = 120;
+constexpr absl::Duration kReportDelay = absl::Milliseconds(15);
+constexpr std::size_t kReportTargets = 8;
+constexpr absl::Duration kHop = absl::Milliseconds(1);
+constexpr absl::Duration kZoneHop = absl::Milliseconds(5);
+constexpr absl::Duration kTick = absl::Milliseconds(250);
+constexpr std::size_t kZones = 3;
+constexpr token_count kLongPrompt = 2000;
+
+enum class sim_kind
+{
+  Arrive,
+  Reach,
+  Step,
+  First,
+  End,
+  Report,
+  Tick,
+  Slowness,
+};
+
+struct sim_item
+{
+  absl::Time mAt;
+  std::uint64_t mOrder = 0;
+  sim_kind mKind = sim_kind::Arrive;
+  std::size_t mSubject = 0;
+
+  friend bool operator>(const sim_item& aLeft, const sim_item& aRight)
+  {
+    return std::tie(aLeft.mAt, aLeft.mOrder) >
+           std::tie(aRight.mAt, aRight.mOrder);
+  }
+};
+
+struct sim_call
+{
+  std::size_t mGateway = 0;
+  std::size_t mServer = 0;
+  absl::Time mSentAt;
+  absl::Time mFirstAt;
+  absl::Time mEndAt;
+  absl::Duration mObjective;
+  token_count mOutput = 0;
+  absl::Duration mCallTime;
+  routing_query mQuery;
+  token_count mUncached = 0;
+  waiting_prompt mPrompt;
+  bool mHasWaited = false;
+  // At the server.
+  double mPromptLeft = 0;
+  token_count mProduced = 0;
+  // What its response states.
+  int mStatedRunning = 0;
+  int mStatedQueued = 0;
+  double mStatedSlowness = 1;
+};
+
+struct sim_server
+{
+  double mSpeed = 1;
+  double mSlowness = 1;
+  bool mIsStepping = false;
+  std::deque<std::size_t> mWaiting;
+  std::deque<std::size_t> mPrompts;
+  std::vector<std::size_t> mRunning;
+  // Cached parts, most recently used first, with their tokens.
+  std::deque<std::pair<std::uint64_t, double>> mCache;
+};
+
+struct sim_report
+{
+  std::vector<std::size_t> mTargets;
+  std::size_t mServer = 0;
+  token_count mTokens = 0;
+  std::vector<std::uint64_t> mPrefixes;
+};
+
+struct work_sim
+{
+  work_sim(const work_fleet_options& aOptions, std::uint64_t aSeed)
+    : mOptions(aOptions)
+    , mRandom(aSeed)
+  {}
+
+  const work_fleet_options& mOptions;
+  random_engine mRandom;
+  absl::Time mNow = kStart;
+  std::uint64_t mOrder = 0;
+  std::priority_queue<sim_item, std::vector<sim_item>, std::greater<>> mItems;
+  std::vector<sim_call> mCalls;
+  std::vector<sim_server> mServers;
+  std::vector<backend_id> mIds;
+  std::vector<std::map<backend_id, backend_view>> mGateways;
+  std::vector<work_model> mModels;
+  std::vector<sim_report> mReports;
+  std::set<std::uint64_t> mSeenParts;
+  routing_options mRouting;
+  std::size_t mOpen = 0;
+  std::uint64_t mSequence = 0;
+  work_result mResult;
+};
+
+void Schedule(work_sim& aSim, absl::Duration aDelay, sim_kind aKind,
+              std::size_t aSubject)
+{
+  aSim.mItems.push({ aSim.mNow + aDelay, ++aSim.mOrder, aKind, aSubject });
+}
+
+double Draw(work_sim& aSim)
+{
+  return std::uniform_real_distribution<double>(0, 1)(aSim.mRandom);
+}
+
+bool IsMeasured(const work_sim& aSim, const sim_call& aCall)
+{
+  return aCall.mSentAt >= kStart + aSim.mOptions.mWarmUp;
+}
+
+absl::Duration ComputeHop(const sim_call& aCall)
+{
+  return aCall.mGateway % kZones == aCall.mServer % kZones ? kHop : kZoneHop;
+}
+
+backend_view& GetView(work_sim& aSim, const sim_call& aCall)
+{
+  return aSim.mGateways[aCall.mGateway][aSim.mIds[aCall.mServer]];
+}
+
+// Returns the tokens of the prompt that the engine has not cached, and makes
+// its shared parts the most recently used ones.
+double UseCache(work_sim& aSim, sim_server& aServer, const sim_call& aCall)
+{
+  const routing_query& query = aCall.mQuery;
+  double cached = 0;
+  bool hit = true;
+  for (std::size_t i = 0; i + 1 < query.mPrefixes.size(); ++i) {
+    const std::uint64_t part = query.mPrefixes[i];
+    const double tokens = static_cast<double>(
+      query.mPrefixTokens[i] - (i == 0 ? 0 : query.mPrefixTokens[i - 1]));
+    const auto found =
+      std::find_if(aServer.mCache.begin(), aServer.mCache.end(),
+                   [part](const auto& aEach) { return aEach.first == part; });
+    hit = hit && found != aServer.mCache.end();
+    if (found != aServer.mCache.end()) {
+      aServer.mCache.erase(found);
+    }
+    aServer.mCache.emplace_front(part, tokens);
+    if (hit) {
+      cached += tokens;
+    } else if (!aSim.mSeenParts.insert(part).second &&
+               IsMeasured(aSim, aCall)) {
+      aSim.mResult.mRepeatedTokens += tokens;
+    }
+  }
+  double total = 0;
+  std::size_t kept = 0;
+  while (kept < aServer.mCache.size() && total < kCachedTokens) {
+    total += aServer.mCache[kept++].second;
+  }
+  aServer.mCache.resize(kept);
+  return std::max(1.0, static_cast<double>(query.mPromptTokens) - cached);
+}
+
+double GetFactor(const sim_server& aServer)
+{
+  return aServer.mSlowness / aServer.mSpeed;
+}
+
+// Starts the next step of an engine.
+void StartStep(work_sim& aSim, std::size_t aServer)
+{
+  sim_server& server = aSim.mServers[aServer];
+  const auto slots = static_cast<std::size_t>(aSim.mOptions.mSlots);
+  while (!server.mWaiting.empty() &&
+         server.mRunning.size() + server.mPrompts.size() < slots) {
+    server.mPrompts.push_back(server.mWaiting.front());
+    server.mWaiting.pop_front();
+  }
+  server.mIsStepping = !server.mRunning.empty() || !server.mPrompts.empty();
+  if (!server.mIsStepping) {
+    return;
+  }
+  double chunk = 0;
+  for (std::size_t call : server.mPrompts) {
+    chunk = std::min(kChunkTokens, chunk + aSim.mCalls[call].mPromptLeft);
+  }
+  const double ms =
+    kStepMs + kStepRequestMs * static_cast<double>(server.mRunning.size()) +
+    chunk / kPromptTokensPerMs;
+  Schedule(aSim, absl::Milliseconds(ms * GetFactor(server)), sim_kind::Step,
+           aServer);
+}
+
+void State(const sim_server& aServer, sim_call& aCall)
+{
+  aCall.mStatedRunning =
+    static_cast<int>(aServer.mRunning.size() + aServer.mPrompts.size());
+  aCall.mStatedQueued = static_cast<int>(aServer.mWaiting.size());
+  aCall.mStatedSlowness = aServer.mSlowness;
+}
+
+void OnStep(work_sim& aSim, std::size_t aServer)
+{
+  sim_server& server = aSim.mServers[aServer];
+  std::vector<std::size_t> running;
+  for (std::size_t index : server.mRunning) {
+    sim_call& call = aSim.mCalls[index];
+    ++call.mProduced;
+    if (call.mProduced == std::min(kTokensPerEvent, call.mOutput)) {
+      State(server, call);
+      Schedule(aSim, ComputeHop(call), sim_kind::First, index);
+    }
+    if (call.mProduced >= call.mOutput) {
+      Schedule(aSim, ComputeHop(call), sim_kind::End, index);
+    } else {
+      running.push_back(index);
+    }
+  }
+  server.mRunning = std::move(running);
+  double chunk = kChunkTokens;
+  while (!server.mPrompts.empty() && chunk > 0) {
+    sim_call& call = aSim.mCalls[server.mPrompts.front()];
+    const double used = std::min(chunk, call.mPromptLeft);
+    call.mPromptLeft -= used;
+    chunk -= used;
+    if (call.mPromptLeft <= 0) {
+      server.mRunning.push_back(server.mPrompts.front());
+      server.mPrompts.pop_front();
+    }
+  }
+  StartStep(aSim, aServer);
+}
+
+// Starts the waiting calls of a plain server that has free slots.
+void StartCalls(work_sim& aSim, std::size_t aServer)
+{
+  sim_server& server = aSim.mServers[aServer];
+  while (!server.mWaiting.empty() &&
+         server.mRunning.size() <
+           static_cast<std::size_t>(aSim.mOptions.mSlots)) {
+    const std::size_t index = server.mWaiting.front();
+    server.mWaiting.pop_front();
+    server.mRunning.push_back(index);
+    sim_call& call = aSim.mCalls[index];
+    const absl::Duration time = call.mCallTime * GetFactor(server);
+    Schedule(aSim, time + ComputeHop(call), sim_kind::First, index);
+    Schedule(aSim, time + ComputeHop(call), sim_kind::End, index);
+  }
+}
+
+void OnReach(work_sim& aSim, std::size_t aCall)
+{
+  sim_call& call = aSim.mCalls[aCall];
+  sim_server& server = aSim.mServers[call.mServer];
+  server.mWaiting.push_back(aCall);
+  if (!aSim.mOptions.mIsEngine) {
+    StartCalls(aSim, call.mServer);
+    return;
+  }
+  call.mPromptLeft = UseCache(aSim, server, call);
+  if (IsMeasured(aSim, call)) {
+    aSim.mResult.mProcessedTokens += call.mPromptLeft;
+  }
+  if (!server.mIsStepping) {
+    StartStep(aSim, call.mServer);
+  }
+}
+
+void ReportPrompt(work_sim& aSim, const sim_call& aCall)
+{
+  if (Draw(aSim) < aSim.mOptions.mLostReports) {
+    return;
+  }
+  sim_report report{
+    {}, aCall.mServer, aCall.mUncached, aCall.mQuery.mPrefixes
+  };
+  for (std::size_t i = 1; i <= kReportTargets && i < aSim.mGateways.size();
+       ++i) {
+    report.mTargets.push_back((aCall.mGateway + i) % aSim.mGateways.size());
+  }
+  aSim.mReports.push_back(std::move(report));
+  Schedule(aSim, kReportDelay, sim_kind::Report, aSim.mReports.size() - 1);
+}
+
+void OnArrive(work_sim& aSim, std::size_t aCall)
+{
+  sim_call& call = aSim.mCalls[aCall];
+  auto& views = aSim.mGateways[call.mGateway];
+  const auto chosen =
+    ChooseBackend(views, call.mQuery, aSim.mRouting, aSim.mNow, aSim.mRandom);
+  if (!chosen) {
+    --aSim.mOpen;
+    return;
+  }
+  call.mServer = static_cast<std::size_t>(
+    std::lower_bound(aSim.mIds.begin(), aSim.mIds.end(), *chosen) -
+    aSim.mIds.begin());
+  backend_view& view = views[*chosen];
+  call.mUncached =
+    EstimateUncachedTokens(view, call.mQuery, aSim.mRouting, aSim.mNow);
+  const double backlog = EstimateBacklog(
+    view.mRemaining, GetPromptRate(view, aSim.mRouting), aSim.mNow);
+  RecordDispatch(view, call.mQuery, aSim.mRouting, aSim.mNow);
+  call.mHasWaited =
+    view.mReport.mQueued > 0 ||
+    (aSim.mOptions.mIsEngine
+       ? backlog > 0.25 * static_cast<double>(call.mUncached)
+       : view.mReport.mRunning + 1 >= view.mConfig.mMaxConcurrency);
+  if (aSim.mOptions.mIsEngine) {
+    if (aSim.mOptions.mLearns) {
+      StartWaiting(view.mRemaining, call.mPrompt,
+                   static_cast<double>(call.mUncached));
+    }
+    ReportPrompt(aSim, call);
+  }
+  Schedule(aSim, ComputeHop(call), sim_kind::Reach, aCall);
+}
+
+void OnFirst(work_sim& aSim, std::size_t aCall)
+{
+  sim_call& call = aSim.mCalls[aCall];
+  call.mFirstAt = aSim.mNow;
+  if (!aSim.mOptions.mIsEngine) {
+    State(aSim.mServers[call.mServer], call);
+  }
+  backend_view& view = GetView(aSim, call);
+  load_report report;
+  report.mSequence = ++aSim.mSequence;
+  report.mRunning = call.mStatedRunning;
+  report.mQueued = call.mStatedQueued;
+  report.mLoadedModels = view.mConfig.mModels;
+  RecordLoadReport(view, report, aSim.mNow);
+  if (aSim.mOptions.mUsesSlowness) {
+    RecordSlowness(view.mSlowness, call.mStatedSlowness, aSim.mNow);
+  }
+  if (aSim.mOptions.mLearns) {
+    RecordFirstOutput(view.mRemaining, call.mPrompt,
+                      GetPromptRate(view, aSim.mRouting), aSim.mNow);
+  }
+  if (!IsMeasured(aSim, call)) {
+    return;
+  }
+  const absl::Duration time = aSim.mNow - call.mSentAt;
+  const bool isLong = call.mQuery.mPromptTokens >= kLongPrompt;
+  work_result& result = aSim.mResult;
+  (isLong ? result.mLong : result.mShort) += 1;
+  (isLong ? result.mLongLate : result.mShortLate) +=
+    time > call.mObjective ? 1 : 0;
+  result.mFirstTimes.push_back(absl::ToDoubleSeconds(time));
+}
+
+void OnEnd(work_sim& aSim, std::size_t aCall)
+{
+  sim_call& call = aSim.mCalls[aCall];
+  --aSim.mOpen;
+  backend_view& view = GetView(aSim, call);
+  RecordRunEnd(view, false, aSim.mRouting, aSim.mNow);
+  if (!aSim.mOptions.mIsEngine) {
+    auto& running = aSim.mServers[call.mServer].mRunning;
+    running.erase(std::remove(running.begin(), running.end(), aCall),
+                  running.end());
+    StartCalls(aSim, call.mServer);
+  }
+  if (!aSim.mOptions.mLearns) {
+    return;
+  }
+  work_features features;
+  features.mService = kService;
+  features.mRoute = "r";
+  features.mIsEngine = aSim.mOptions.mIsEngine;
+  features.mPromptTokens = call.mQuery.mPromptTokens;
+  features.mCachedTokens = call.mQuery.mPromptTokens - call.mUncached;
+  features.mMaxOutputTokens = 2 * call.mOutput;
+  measured_run run;
+  run.mFirstTime = call.mFirstAt - call.mSentAt;
+  run.mTotalTime = aSim.mNow - call.mSentAt;
+  run.mEvents = (call.mOutput + kTokensPerEvent - 1) / kTokensPerEvent;
+  run.mTokensPerEvent = kTokensPerEvent;
+  run.mUncachedTokens = call.mUncached;
+  run.mHasWaited = call.mHasWaited || call.mStatedQueued > 0;
+  RecordRun(aSim.mModels[call.mGateway], features, run, view.mSpeed, aSim.mNow);
+  RecordUsualLoad(aSim.mModels[call.mGateway], kService,
+                  call.mStatedRunning + call.mStatedQueued, aSim.mNow);
+}
+
+void OnReport(work_sim& aSim, const sim_report& aReport)
+{
+  for (std::size_t target : aReport.mTargets) {
+    RecordRemotePrompt(aSim.mGateways[target][aSim.mIds[aReport.mServer]],
+                       aReport.mTokens, aReport.mPrefixes, aSim.mRouting,
+                       aSim.mNow);
+  }
+}
+
+void OnTick(work_sim& aSim)
+{
+  if (aSim.mOptions.mLearns) {
+    for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
+      for (auto& each : aSim.mGateways[i]) {
+        each.second.mRates = EstimateRates(aSim.mModels[i], kService,
+                                           each.second.mSpeed, aSim.mNow);
+      }
+    }
+  }
+  double highest = 0;
+  double total = 0;
+  for (const sim_server& server : aSim.mServers) {
+    const auto load = static_cast<double>(
+      server.mRunning.size() + server.mPrompts.size() + server.mWaiting.size());
+    highest = std::max(highest, load);
+    total += load;
+  }
+  if (total > 0 && aSim.mNow >= kStart + aSim.mOptions.mWarmUp) {
+    aSim.mResult.mImbalanceSum +=
+      highest * static_cast<double>(aSim.mServers.size()) / total;
+    aSim.mResult.mImbalanceSamples += 1;
+  }
+  Schedule(aSim, kTick, sim_kind::Tick, 0);
+}
+
+void OnSlowness(work_sim& aSim)
+{
+  for (sim_server& server : aSim.mServers) {
+    server.mSlowness =
+      Draw(aSim) < aSim.mOptions.mSlowFraction ? aSim.mOptions.mSlowFactor : 1;
+  }
+  Schedule(aSim, aSim.mOptions.mSlowPeriod, sim_kind::Slowness, 0);
+}
+
+void MakeServers(work_sim& aSim)
+{
+  const work_fleet_options& options = aSim.mOptions;
+  aSim.mServers.resize(static_cast<std::size_t>(options.mServers));
+  aSim.mGateways.resize(static_cast<std::size_t>(options.mGateways));
+  aSim.mModels.resize(aSim.mGateways.size());
+  for (std::size_t i = 0; i < aSim.mServers.size(); ++i) {
+    aSim.mServers[i].mSpeed = options.mSpeeds[i % options.mSpeeds.size()];
+    aSim.mIds.push_back({ "w" + std::to_string(100 + i) });
+  }
+  for (auto& views : aSim.mGateways) {
+    for (std::size_t i = 0; i < aSim.mIds.size(); ++i) {
+      backend_view& view = views[aSim.mIds[i]];
+      view.mConfig.mKind =
+        options.mIsEngine ? backend_kind::Engine : backend_kind::Service;
+      view.mConfig.mZone = { "z" + std::to_string(i % kZones) };
+      view.mConfig.mModels = { { kService } };
+      view.mConfig.mServices = { { kService } };
+      view.mConfig.mMaxConcurrency = options.mSlots;
+      view.mAddress = "127.0.0.1:" + std::to_string(i);
+    }
+  }
+}
+
+// Makes the prompt of a call: a shared part of Zipf popularity, a conversation
+// and a part of its own.
+void MakePrompt(work_sim& aSim, sim_call& aCall)
+{
+  constexpr double kLongFraction = 0.35;
+  constexpr double kLongMean = 6600;
+  constexpr double kLongSpread = 1.4;
+  constexpr double kShortMean = 500;
+  constexpr double kLargest = 55000;
+  routing_query& query = aCall.mQuery;
+  const bool isLong = Draw(aSim) < kLongFraction;
+  const double median = (isLong ? kLongMean : kShortMean) *
+                        std::exp(-kLongSpread * kLongSpread / 2);
+  const double own = std::clamp(std::lognormal_distribution<double>(
+                                  std::log(median), kLongSpread)(aSim.mRandom),
+                                50.0, kLargest);
+  const auto part = static_cast<std::size_t>(
+    std::pow(static_cast<double>(kSharedParts), Draw(aSim)));
+  const auto shared = static_cast<token_count>(400 + 30 * (part * 37 % 97));
+  query.mPromptTokens = shared + static_cast<token_count>(own);
+  query.mSharedTokens = shared;
+  query.mPrefixes = { 1 + part * 7919, aSim.mRandom() };
+  query.mPrefixTokens = { shared, query.mPromptTokens };
+  query.mAffinity = query.mPrefixes[0];
+}
+
+void MakeCalls(work_sim& aSim)
+{
+  const work_fleet_options& options = aSim.mOptions;
+  constexpr double kObjectives[] = { 0.3, 0.5, 1, 2 };
+  std::exponential_distribution<double> gap(options.mRequestsPerSecond);
+  constexpr double kCallSpread = 0.8;
+  std::lognormal_distribution<double> callTime(
+    std::log(0.06) - kCallSpread * kCallSpread / 2, kCallSpread);
+  absl::Duration at = absl::ZeroDuration();
+  while ((at += absl::Seconds(gap(aSim.mRandom))) < options.mTime) {
+    sim_call call;
+    call.mGateway = aSim.mRandom() % aSim.mGateways.size();
+    call.mSentAt = kStart + at;
+    call.mQuery.mTarget = kService;
+    call.mQuery.mZone = { "z" + std::to_string(call.mGateway % kZones) };
+    call.mObjective = absl::Seconds(0.3);
+    if (options.mIsEngine) {
+      MakePrompt(aSim, call);
+      call.mObjective = absl::Seconds(kObjectives[aSim.mRandom() % 4]);
+      call.mOutput =
+        kTokensPerEvent * (3 + static_cast<token_count>(aSim.mRandom() % 53));
+    } else {
+      call.mQuery.mKind = backend_kind::Service;
+      call.mCallTime = absl::Seconds(callTime(aSim.mRandom));
+    }
+    aSim.mCalls.push_back(std::move(call));
+    Schedule(aSim, at, sim_kind::Arrive, aSim.mCalls.size() - 1);
+  }
+  aSim.mOpen = aSim.mCalls.size();
+}
+
+// The options of a gateway (gateway.cc).
+routing_options MakeRouting(int aGateways)
+{
+  routing_options options;
+  options.mRouters = aGateways;
+  options.mSampleSize = 0;
+  options.mSubsetSize = std::numeric_limits<int>::max();
+  options.mReportLag = absl::Milliseconds(5);
+  options.mMaxAssumedPeers = 0;
+  options.mZoneDelay = absl::Milliseconds(5);
+  options.mRunTime = absl::Seconds(1);
+  options.mPrefillTokensPerSecond = 60000;
+  options.mMaxPrefixes = 512;
+  options.mAffinityWeight = 10;
+  return options;
+}
+
+void OnItem(work_sim& aSim, const sim_item& aItem)
+{
+  switch (aItem.mKind) {
+    case sim_kind::Arrive:
+      return OnArrive(aSim, aItem.mSubject);
+    case sim_kind::Reach:
+      return OnReach(aSim, aItem.mSubject);
+    case sim_kind::Step:
+      return OnStep(aSim, aItem.mSubject);
+    case sim_kind::First:
+      return OnFirst(aSim, aItem.mSubject);
+    case sim_kind::End:
+      return OnEnd(aSim, aItem.mSubject);
+    case sim_kind::Report:
+      return OnReport(aSim, aSim.mReports[aItem.mSubject]);
+    case sim_kind::Tick:
+      return OnTick(aSim);
+    case sim_kind::Slowness:
+      return OnSlowness(aSim);
+  }
+}
+
+} // namespace
+
+work_result RunWorkFleet(const work_fleet_options& aOptions,
+                         std::uint64_t aSeed)
+{
+  work_sim sim(aOptions, aSeed);
+  sim.mRouting = MakeRouting(aOptions.mGateways);
+  MakeServers(sim);
+  MakeCalls(sim);
+  Schedule(sim, kTick, sim_kind::Tick, 0);
+  Schedule(sim, absl::ZeroDuration(), sim_kind::Slowness, 0);
+  while (sim.mOpen > 0) {
+    const sim_item item = sim.mItems.top();
+    sim.mItems.pop();
+    sim.mNow = item.mAt;
+    OnItem(sim, item);
+  }
+  return std::move(sim.mResult);
+}
+
+void AddWorkResult(work_result& aInto, const work_result& aFrom)
+{
+  aInto.mLong += aFrom.mLong;
+  aInto.mLongLate += aFrom.mLongLate;
+  aInto.mShort += aFrom.mShort;
+  aInto.mShortLate += aFrom.mShortLate;
+  aInto.mRepeatedTokens += aFrom.mRepeatedTokens;
+  aInto.mProcessedTokens += aFrom.mProcessedTokens;
+  aInto.mImbalanceSum += aFrom.mImbalanceSum;
+  aInto.mImbalanceSamples += aFrom.mImbalanceSamples;
+  aInto.mFirstTimes.insert(aInto.mFirstTimes.end(), aFrom.mFirstTimes.begin(),
+                           aFrom.mFirstTimes.end());
+}
+
+double MeasureChoice(int aServers, bool aLearns)
+{
+  constexpr int kChoices = 2000;
+  work_fleet_options options;
+  options.mServers = aServers;
+  options.mGateways = 1;
+  options.mTime = absl::Seconds(1);
+  work_sim sim(options, 1);
+  sim.mRouting = MakeRouting(23);
+  MakeServers(sim);
+  MakeCalls(sim);
+  auto& views = sim.mGateways[0];
+  for (auto& each : views) {
+    backend_view& view = each.second;
+    load_report report;
+    report.mSequence = 1;
+    report.mRunning = static_cast<int>(sim.mRandom() % 20);
+    report.mLoadedModels = view.mConfig.mModels;
+    RecordLoadReport(view, report, kStart);
+    RecordRemotePrompt(view, 3000, sim.mCalls[0].mQuery.mPrefixes, sim.mRouting,
+                       kStart);
+    if (aLearns) {
+      view.mRates = { 70000, absl::Milliseconds(500), absl::Milliseconds(60),
+                      8 };
+      RecordSlowness(view.mSlowness, 2.5, kStart);
+    }
+  }
+  double best = std::numeric_limits<double>::infinity();
+  for (int round = 0; round < 5; ++round) {
+    const auto from = std::chrono::steady_clock::now();
+    for (int i = 0; i < kChoices; ++i) {
+      const sim_call& call =
+        sim.mCalls[static_cast<std::size_t>(i) % sim.mCalls.size()];
+      ChooseBackend(views, call.mQuery, sim.mRouting,
+                    kStart + absl::Milliseconds(100), sim.mRandom);
+    }
+    const std::chrono::duration<double, std::nano> time =
+      std::chrono::steady_clock::now() - from;
+    best = std::min(best, time.count() / kChoices);
+  }
+  return best;
+}
+
+} // namespace foxtailquay
--- /dev/null
+++ b/bench/work_suite.cc
@@ -0,0 +1,100 @@
+// Suite of the work estimates: gateways in front of servers of uneven speed,
+// with and without stated slowness and learned rates, and the processor time of
+// a choice.
+
+#include <algorithm>
+
+#include "absl/strings/str_format.h"
+#include "suites.h"
+#include "work_sim.h"
+
+namespace foxtailquay {
+
+namespace {
+
+struct work_case
+{
+  const char* mName;
+  bool mUsesSlowness;
+  bool mLearns;
+  double mLostReports;
+};
+
+constexpr work_case kCases[] = {
+  { "constants", false, false, 0 },
+  { "stated", true, false, 0 },
+  { "learned", false, true, 0 },
+  { "both", true, true, 0 },
+  { "constants, reports lost", false, false, 1 },
+  { "both, reports lost", true, true, 1 },
+};
+
+double FindQuantile(std::vector<double> aTimes, double aFraction)
+{
+  if (aTimes.empty()) {
+    return 0;
+  }
+  const auto index = static_cast<std::ptrdiff_t>(
+    static_cast<double>(aTimes.size() - 1) * aFraction);
+  std::nth_element(aTimes.begin(), aTimes.begin() + index, aTimes.end());
+  return aTimes[static_cast<std::size_t>(index)];
+}
+
+bench_row MakeRow(const char* aFleet, const work_case& aCase,
+                  const work_result& aResult)
+{
+  bench_row row;
+  row.mLabels = { { "fleet", aFleet }, { "estimates", aCase.mName } };
+  row.mValues = {
+    { "long_late", aResult.mLongLate / std::max(1.0, aResult.mLong) },
+    { "short_late", aResult.mShortLate / std::max(1.0, aResult.mShort) },
+    { "p50_s", FindQuantile(aResult.mFirstTimes, 0.5) },
+    { "p99_s", FindQuantile(aResult.mFirstTimes, 0.99) },
+    { "repeated_ktokens", aResult.mRepeatedTokens / 1000 },
+    { "max_over_mean",
+      aResult.mImbalanceSum / std::max(1.0, aResult.mImbalanceSamples) },
+  };
+  return row;
+}
+
+void RunWorkCases(suite_result& aSuite, const char* aFleet,
+                  work_fleet_options aOptions, int aSeeds)
+{
+  for (const work_case& each : kCases) {
+    if (!aOptions.mIsEngine && each.mLostReports > 0) {
+      continue;
+    }
+    aOptions.mUsesSlowness = each.mUsesSlowness;
+    aOptions.mLearns = each.mLearns;
+    aOptions.mLostReports = each.mLostReports;
+    work_result result;
+    for (int seed = 1; seed <= aSeeds; ++seed) {
+      AddWorkResult(result,
+                    RunWorkFleet(aOptions, static_cast<std::uint64_t>(seed)));
+    }
+    aSuite.mRows.push_back(MakeRow(aFleet, each, result));
+  }
+}
+
+} // namespace
+
+suite_result RunWorkSuite(int aSeeds)
+{
+  suite_result suite;
+  work_fleet_options engines;
+  RunWorkCases(suite, "uneven engines", engines, aSeeds);
+  work_fleet_options even = engines;
+  even.mSpeeds = { 1.0 };
+  even.mSlowFraction = 0;
+  RunWorkCases(suite, "even engines", even, aSeeds);
+  work_fleet_options plain;
+  plain.mIsEngine = false;
+  plain.mServers = 4;
+  plain.mSlots = 6;
+  plain.mSpeeds = { 1.0 };
+  plain.mRequestsPerSecond = 150;
+  RunWorkCases(suite, "plain servers", plain, aSeeds);
+  return suite;
+}
+
+} // namespace foxtailquay
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -41,6 +41,8 @@
   std::optional<absl::Duration> mCallerTimeout;
   token_count mPromptTokens = 0;
   token_count mMaxOutputTokens = 0;
+  // Output tokens that the caller expects; absent if not stated.
+  std::optional<token_count> mLengthHint = std::nullopt;
   // Prefixes of the prompt, the one with the most requests in common first.
   std::vector<prompt_part> mPromptParts;
 };
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "gateway_state.h"
+#include "gateway_work.h"
 
 namespace foxtailquay {
 
@@ -109,6 +110,7 @@
       AdvanceHealth(view.second, &aGateway.mCharts.mBackend, aGateway.mRouting,
                     aNow);
     }
+    AdvanceWork(aGateway, aNow);
     AdvanceGrants(aGateway, aNow);
     AdvanceQuarantine(aGateway, aNow);
     RemoveExpiredPeers(aGateway, aNow);
@@ -201,8 +203,9 @@
 
 // Returns the routing options of a gateway. Engines process 60 to 100 prompt
 // tokens in a millisecond according to their published values. The affinity
-// weight is 4 because processing a shared prefix again costs the platform about
-// four times the time that it costs the request itself. Load values arrive with
+// weight is 10: with the learned rates, engines with a backlog are avoided
+// sooner, and a lower weight has more shared parts processed again than before
+// (docs/design/work-estimates.md). Load values arrive with
 // responses, so the report lag is short. All gateways compare all servers: with
 // a subset for each, the affinity of a prompt would select another engine at
 // each gateway, and each of these engines would process the shared tokens.
@@ -221,7 +224,7 @@
   options.mMaxEjectionTime = absl::Seconds(8);
   options.mProbeSuccesses = 3;
   options.mMaxPrefixes = 512;
-  options.mAffinityWeight = 4;
+  options.mAffinityWeight = 10;
   return options;
 }
 
@@ -260,6 +263,10 @@
   }
   node->mRandom.seed(aSettings.mSeed);
   node->mRouting = MakeRoutingOptions(aSettings);
+  node->mWork.mPriors.mPromptTokensPerSecond =
+    node->mRouting.mPrefillTokensPerSecond;
+  node->mWork.mPriors.mSlotTime = node->mRouting.mRunTime;
+  node->mWork.mPriors.mCallTime = node->mRouting.mCallTime;
   node->mHolder.mId = aSettings.mName + "/" + aSettings.mNonce;
   node->mSettings = std::move(aSettings);
   return node;
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gateway_state.h"
+#include "gateway_work.h"
 #include "xxhash.h"
 
 namespace foxtailquay {
@@ -256,6 +257,7 @@
 {
   auto view = aGateway.mViews.find(aRequest.mBackend);
   if (!aRequest.mBackend.mValue.empty() && view != aGateway.mViews.end()) {
+    EndWork(aRequest, view->second);
     const backend_status before = view->second.mStatus;
     RecordRunEnd(view->second, aFailed, aGateway.mRouting, aNow,
                  &aGateway.mCharts.mBackend);
@@ -299,10 +301,13 @@
     return;
   }
   backend_view& view = aGateway.mViews[*chosen];
-  RecordPrompt(aGateway, *chosen,
-               EstimateUncachedTokens(view, query, aGateway.mRouting, aNow),
-               query, aNow);
+  const token_count uncached =
+    EstimateUncachedTokens(view, query, aGateway.mRouting, aNow);
+  const double backlog = EstimateBacklog(
+    view.mRemaining, GetPromptRate(view, aGateway.mRouting), aNow);
+  RecordPrompt(aGateway, *chosen, uncached, query, aNow);
   RecordDispatch(view, query, aGateway.mRouting, aNow);
+  StartWork(aRequest, view, uncached, backlog, aNow);
   RecordLimitedDispatch(aGateway, view, aNow);
   const retry_options options = MakeRetryOptions(aGateway, aNow);
   retry_state& repeats =
@@ -400,6 +405,7 @@
   if (aReport.mStatement) {
     ApplyStatement(aGateway, aRequest, *aReport.mStatement, aNow);
   }
+  RecordWork(aGateway, aRequest, aReport, aNow);
   bool failed = true;
   switch (aReport.mOutcome) {
     case attempt_outcome::Delivered:
@@ -550,6 +556,7 @@
     return;
   }
   found->second->mHasResponseStarted = true;
+  RecordFirstEvent(aGateway, *found->second, aEvent.mLoad, aNow);
   RecordLoad(aGateway, found->second->mBackend, aEvent.mLoad, aNow);
   ApplyStatement(aGateway, *found->second, aEvent.mStatement, aNow);
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -3,6 +3,7 @@
 //
 // gateway.cc          construction, event dispatch, timers, planned stop
 // gateway_request.cc  one request: admission, attempts, end
+// gateway_work.cc     what is learned from requests on work and speed
 // gateway_share.cc    reports between gateways on prompts sent to engines
 // gateway_quarantine.cc  parts of prompts under which servers crash
 // gateway_fund.cc     prepaid totals: grants, transfers between gateways
@@ -31,6 +32,7 @@
 #include "prompt_quarantine.h"
 #include "retry.h"
 #include "routing.h"
+#include "work_model.h"
 
 namespace foxtailquay {
 
@@ -86,6 +88,17 @@
 constexpr double kRepeatRatioFraction = 0.7;
 constexpr double kRepeatSlackFraction = 0.6;
 
+// What the current attempt of a request shows of its work.
+struct request_work
+{
+  token_count mUncachedTokens = 0;
+  waiting_prompt mPrompt;
+  // True if other requests were probably ahead of it at its server.
+  bool mHasWaited = false;
+  // Time of the first event of the response.
+  absl::Time mFirstAt;
+};
+
 // One request of a caller, from its arrival to the end of its response.
 struct forwarded_request
 {
@@ -123,6 +136,7 @@
   // Start time of the incarnation to which the current attempt was sent.
   std::int64_t mBackendStartedMs = 0;
   bool mHasResponseStarted = false;
+  request_work mWork;
   std::set<backend_id> mTriedBackends;
   // True if any attempt, including the current one, may have been executed.
   bool mMayHaveExecuted = false;
@@ -323,6 +337,8 @@
   std::set<std::pair<absl::Time, request_handle>> mDeadlines;
   // Recent requests to engines, by service.
   std::map<std::string, cost_profile> mCosts;
+  // What was learned about requests and servers.
+  work_model mWork;
   // Retry budgets by service.
   std::map<std::string, retry_state> mRetryStates;
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -16,6 +16,11 @@
 // Minimum estimated cached fraction of the prompt for which a server is always
 // compared.
 constexpr double kMinHolderFraction = 0.1;
+// Number of runs after which most of those that a report counts have ended.
+constexpr double kReportMemoryRuns = 3;
+// Weight of an old report against the usual load of servers. It is not zero,
+// because some servers have more load than others for long.
+constexpr double kMinReportWeight = 0.3;
 
 struct candidate
 {
@@ -222,14 +227,6 @@
   }
 }
 
-double EstimatePrefillBacklog(const backend_view& aView,
-                              const routing_options& aOptions, absl::Time aNow)
-{
-  const double processed = absl::ToDoubleSeconds(aNow - aView.mPrefillAt) *
-                           aOptions.mPrefillTokensPerSecond;
-  return std::max(0.0, aView.mPrefillBacklog - processed);
-}
-
 // Returns the approximate expected value of max(0, X) for X with mean aMean and
 // typical error aError, a smooth form of max(0, aMean).
 double ComputeExpectedExcess(double aMean, double aError)
@@ -240,6 +237,29 @@
   return aError * std::log1p(std::exp(aMean / aError));
 }
 
+// Returns aLearned, or aConstant if nothing was learned.
+absl::Duration GetLearned(absl::Duration aLearned, absl::Duration aConstant)
+{
+  return aLearned > absl::ZeroDuration() ? aLearned : aConstant;
+}
+
+// Returns the estimated runs of other routers now, if aStated were there at the
+// time of the report. Within a few runs their number returns to the usual one.
+double EstimateOthers(const backend_view& aView, double aStated,
+                      absl::Time aNow)
+{
+  if (aView.mRates.mUsualLoad < 0) {
+    return aStated;
+  }
+  const double weight = std::clamp(
+    1 - absl::FDivDuration(aNow - aView.mReportedAt,
+                           kReportMemoryRuns * aView.mRates.mSlotTime),
+    kMinReportWeight, 1.0);
+  const double usual =
+    std::max(0.0, aView.mRates.mUsualLoad - aView.mOutstanding);
+  return weight * aStated + (1 - weight) * usual;
+}
+
 // Reduces aPool to a random sample of at most aCount candidates.
 void ChooseSample(candidates& aPool, std::size_t aCount, random_engine& aRandom)
 {
@@ -252,7 +272,7 @@
 
 struct best_choice
 {
-  const candidate* mCandidate = nullptr;
+  const backend_id* mId = nullptr;
   absl::Duration mDelay = absl::InfiniteDuration();
 };
 
@@ -291,22 +311,32 @@
 
 // Returns the penalty for processing the shared tokens on a server that is not
 // expected to have them cached: none on the first preferred server, half on the
-// second.
+// second, and none for the tokens that the server is known to have.
 absl::Duration ComputeAffinityPenalty(
   const backend_view& aView, const affinity_backends& aAffinityBackends,
-  const routing_query& aQuery, const routing_options& aOptions)
+  const routing_query& aQuery, double aCachedFraction,
+  const routing_options& aOptions)
 {
   if (aAffinityBackends.mFirst == nullptr ||
       &aView == aAffinityBackends.mFirst) {
     return absl::ZeroDuration();
   }
+  const double missing = std::max(
+    0.0, static_cast<double>(aQuery.mSharedTokens) -
+           aCachedFraction * static_cast<double>(aQuery.mPromptTokens));
   const absl::Duration processing =
-    absl::Seconds(static_cast<double>(aQuery.mSharedTokens) /
-                  aOptions.mPrefillTokensPerSecond);
+    absl::Seconds(missing / aOptions.mPrefillTokensPerSecond);
   const double fraction = &aView == aAffinityBackends.mSecond ? 0.5 : 1;
   return processing * aOptions.mAffinityWeight * fraction;
 }
 
+absl::Duration EstimateDelayWith(const backend_view& aView,
+                                 const routing_query& aQuery,
+                                 double aCachedFraction,
+                                 double aRoutersPerBackend,
+                                 const routing_options& aOptions,
+                                 absl::Time aNow);
+
 void UpdateBestChoice(const candidates& aSample,
                       const affinity_backends& aAffinityBackends,
                       const routing_query& aQuery, double aRoutersPerBackend,
@@ -314,11 +344,15 @@
                       best_choice& aChoice)
 {
   for (const candidate& each : aSample) {
+    const double cached =
+      EstimateCachedFraction(*each.mView, aQuery, aOptions, aNow);
     const absl::Duration delay =
-      EstimateDelay(*each.mView, aQuery, aRoutersPerBackend, aOptions, aNow) +
-      ComputeAffinityPenalty(*each.mView, aAffinityBackends, aQuery, aOptions);
+      EstimateDelayWith(*each.mView, aQuery, cached, aRoutersPerBackend,
+                        aOptions, aNow) +
+      ComputeAffinityPenalty(*each.mView, aAffinityBackends, aQuery, cached,
+                             aOptions);
     if (delay < aChoice.mDelay) {
-      aChoice = { &each, delay };
+      aChoice = { each.mId, delay };
     }
   }
 }
@@ -344,20 +378,23 @@
              aEach.mView->mConfig.mMaxConcurrency;
     });
   candidates pool = room ? std::move(ready) : std::move(aPool);
-  candidates holders =
-    FilterCandidates(pool, 0, pool.size(), [&](const candidate& aEach) {
-      return EstimateCachedFraction(*aEach.mView, aQuery, aOptions, aNow) >=
-             kMinHolderFraction;
-    });
   const affinity_backends affinity = FindAffinityBackends(pool, aQuery);
-  ChooseSample(pool, count, aRandom);
-  ChooseSample(holders, count, aRandom);
   best_choice choice;
-  UpdateBestChoice(holders, affinity, aQuery, aRoutersPerBackend, aOptions,
-                   aNow, choice);
+  if (aOptions.mSampleSize > 0) {
+    // Otherwise the comparison includes them anyway.
+    candidates holders =
+      FilterCandidates(pool, 0, pool.size(), [&](const candidate& aEach) {
+        return EstimateCachedFraction(*aEach.mView, aQuery, aOptions, aNow) >=
+               kMinHolderFraction;
+      });
+    ChooseSample(holders, count, aRandom);
+    UpdateBestChoice(holders, affinity, aQuery, aRoutersPerBackend, aOptions,
+                     aNow, choice);
+  }
+  ChooseSample(pool, count, aRandom);
   UpdateBestChoice(pool, affinity, aQuery, aRoutersPerBackend, aOptions, aNow,
                    choice);
-  return *choice.mCandidate->mId;
+  return *choice.mId;
 }
 
 } // namespace
@@ -462,9 +499,10 @@
     return outstanding * aRoutersPerBackend;
   }
   const int change = ComputeChangeSinceReport(aView, aOptions);
-  const double others =
+  const double stated =
     std::max(0.0, aView.mReport.mRunning + aView.mReport.mQueued -
                     (outstanding - change));
+  const double others = EstimateOthers(aView, stated, aNow);
   // Only additions are extrapolated: a slot that another router has freed is
   // most likely occupied again by a request from that router's queue.
   const double sent = std::max(0, change) * std::min(aRoutersPerBackend - 1,
@@ -519,10 +557,31 @@
     (1 - EstimateCachedFraction(aView, aQuery, aOptions, aNow)));
 }
 
+double GetPromptRate(const backend_view& aView, const routing_options& aOptions)
+{
+  return aView.mRates.mPromptTokensPerSecond > 0
+           ? aView.mRates.mPromptTokensPerSecond
+           : aOptions.mPrefillTokensPerSecond;
+}
+
 absl::Duration EstimateDelay(const backend_view& aView,
                              const routing_query& aQuery,
                              double aRoutersPerBackend,
                              const routing_options& aOptions, absl::Time aNow)
+{
+  return EstimateDelayWith(
+    aView, aQuery, EstimateCachedFraction(aView, aQuery, aOptions, aNow),
+    aRoutersPerBackend, aOptions, aNow);
+}
+
+namespace {
+
+absl::Duration EstimateDelayWith(const backend_view& aView,
+                                 const routing_query& aQuery,
+                                 double aCachedFraction,
+                                 double aRoutersPerBackend,
+                                 const routing_options& aOptions,
+                                 absl::Time aNow)
 {
   absl::Duration delay = absl::ZeroDuration();
   if (aView.mConfig.mZone != aQuery.mZone) {
@@ -542,19 +601,22 @@
   const double load = EstimateLoad(aView, aRoutersPerBackend, aOptions, aNow);
   absl::Duration work = aOptions.mFullLoadPenalty * (load / slots);
   work +=
-    aOptions.mRunTime *
+    GetLearned(aView.mRates.mSlotTime, aOptions.mRunTime) *
     (ComputeExpectedExcess(load + 1 - slots, aOptions.mLoadError) / slots);
   if (aQuery.mKind == backend_kind::Engine) {
-    const double tokens = static_cast<double>(EstimateUncachedTokens(
-                            aView, aQuery, aOptions, aNow)) +
-                          EstimatePrefillBacklog(aView, aOptions, aNow);
-    work += absl::Seconds(tokens / aOptions.mPrefillTokensPerSecond);
+    const double rate = GetPromptRate(aView, aOptions);
+    const double tokens = std::floor(static_cast<double>(aQuery.mPromptTokens) *
+                                     (1 - aCachedFraction)) +
+                          EstimateBacklog(aView.mRemaining, rate, aNow);
+    work += absl::Seconds(tokens / rate);
   } else {
-    work += aOptions.mCallTime;
+    work += GetLearned(aView.mRates.mCallTime, aOptions.mCallTime);
   }
   return delay + work + EstimateSlowdown(aView.mSlowness, work, aNow);
 }
 
+} // namespace
+
 void RecordLoadReport(backend_view& aView, const load_report& aReport,
                       absl::Time aNow)
 {
@@ -605,9 +667,8 @@
                         const std::vector<std::uint64_t>& aPrefixes,
                         const routing_options& aOptions, absl::Time aNow)
 {
-  aView.mPrefillBacklog = EstimatePrefillBacklog(aView, aOptions, aNow) +
-                          static_cast<double>(aTokens);
-  aView.mPrefillAt = aNow;
+  AddPrompt(aView.mRemaining, static_cast<double>(aTokens),
+            GetPromptRate(aView, aOptions), aNow);
   for (std::uint64_t hash : aPrefixes) {
     RecordPrefix(aView, hash, aNow, aOptions);
   }
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -31,7 +31,9 @@
 #include "foxtailquay/config.h"
 #include "foxtailquay/messages.h"
 #include "rate_limit.h"
+#include "remaining_work.h"
 #include "slowness.h"
+#include "work_model.h"
 
 namespace foxtailquay {
 
@@ -159,10 +161,11 @@
   int mSuccessfulProbes = 0;
   // Changes of mOutstanding, oldest first.
   std::deque<local_change> mLocalChanges;
-  // Estimated prompt tokens that were sent and are not processed yet, as of
-  // mPrefillAt.
-  double mPrefillBacklog = 0;
-  absl::Time mPrefillAt = absl::InfinitePast();
+  // Prompt tokens that were sent and are not processed yet.
+  remaining_work mRemaining;
+  // Learned speed, and the rates that follow from it.
+  learned_speed mSpeed;
+  work_rates mRates;
   // Table of prefixes, indexed by hash modulo its size; a newer prefix replaces
   // an older one at the same index.
   std::vector<known_prefix> mPrefixes;
@@ -251,6 +254,10 @@
 double EstimateLoad(const backend_view& aView, double aRoutersPerBackend,
                     const routing_options& aOptions, absl::Time aNow);
 
+// Returns the prompt tokens that the server processes in a second.
+double GetPromptRate(const backend_view& aView,
+                     const routing_options& aOptions);
+
 // Returns the estimated time to the first token.
 absl::Duration EstimateDelay(const backend_view& aView,
                              const routing_query& aQuery,
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -270,6 +270,29 @@
   BOOST_TEST(!DecodeResponse(negative).mLoad);
 }
 
+// A hint only changes estimates: a malformed one must not refuse the request.
+BOOST_AUTO_TEST_CASE(decodes_the_expected_length)
+{
+  const std::pair<const char*, std::optional<token_count>> cases[] = {
+    { "120", 120 },
+    { " 7 ", 7 },
+    { "0", 0 },
+    { "99999999999999999999", kMaxTokenCount },
+    { "-5", std::nullopt },
+    { "many", std::nullopt },
+    { "", std::nullopt },
+    { "12,5", std::nullopt },
+  };
+  for (const auto& [text, length] : cases) {
+    message_head head;
+    head.mFields = { { "Foxtailquay-Attempt-Id", "a1" },
+                     { "Foxtailquay-Length-Hint", text } };
+    const auto read = DecodeRequest(head);
+    BOOST_REQUIRE_MESSAGE(IsOk(read), text);
+    BOOST_TEST((GetValue(read).mLengthHint == length), text);
+  }
+}
+
 // Guards against a server that is slow for a moment and is used as if it were
 // not, and against a load that is dropped because of a malformed figure.
 BOOST_AUTO_TEST_CASE(decodes_how_long_work_takes_on_a_server)
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -363,8 +363,8 @@
   random_engine random(1);
   const backend_id first = *ChooseBackend(views, query, options, now, random);
   backend_view& busy = views[first];
-  busy.mPrefillBacklog = 5 * options.mAffinityWeight * 100;
-  busy.mPrefillAt = now;
+  busy.mRemaining.mBacklog = 5 * options.mAffinityWeight * 100;
+  busy.mRemaining.mUpdatedAt = now;
   BOOST_TEST((*ChooseBackend(views, query, options, now, random) != first));
 }
 
