--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -5,6 +5,8 @@
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
+#include "gateway_state.h"
+#include "gateway_work.h"
 #include "xxhash.h"
 
 namespace foxtailquay {
@@ -220,6 +222,7 @@
   ReleaseHeldTokens(aGateway, aRequest, aNow);
   auto view = aGateway.mViews.find(aRequest.mBackend);
   if (!aRequest.mBackend.mValue.empty() && view != aGateway.mViews.end()) {
+    EndWork(aRequest, view->second);
     const backend_status before = view->second.mStatus;
     RecordRunEnd(view->second, aFailed, aGateway.mRouting, aNow,
                  &aGateway.mCharts.mBackend);
@@ -265,10 +268,13 @@
     return;
   }
   backend_view& view = found->second;
-  RecordPrompt(aGateway, *chosen,
-               EstimateUncachedTokens(view, query, aGateway.mRouting, aNow),
-               query, aNow);
+  const token_count uncached =
+    EstimateUncachedTokens(view, query, aGateway.mRouting, aNow);
+  const double backlog = EstimateBacklog(
+    view.mRemaining, GetPromptRate(view, aGateway.mRouting), aNow);
+  RecordPrompt(aGateway, *chosen, uncached, query, aNow);
   RecordDispatch(view, query, aGateway.mRouting, aNow);
+  StartWork(aRequest, view, uncached, backlog, aNow);
   RecordLimitedDispatch(aGateway, view, aNow);
   const retry_options options = MakeRetryOptions(aGateway, aNow);
   retry_state& repeats =
@@ -352,6 +358,7 @@
   aRequest.mEvents = std::max(aRequest.mEvents, aReport.mEvents);
   const backend_id backend = aRequest.mBackend;
   ApplyServerReport(aGateway, aRequest, aReport, aNow);
+  RecordWork(aGateway, aRequest, aReport, aNow);
   bool failed = true;
   switch (aReport.mOutcome) {
     case attempt_outcome::Delivered:
@@ -511,6 +518,7 @@
     return;
   }
   found->second->mHasResponseStarted = true;
+  RecordFirstEvent(aGateway, *found->second, aEvent.mLoad, aNow);
   RecordLoad(aGateway, found->second->mBackend, aEvent.mLoad, aNow);
   ApplyStatement(aGateway, *found->second, aEvent.mStatement, aNow);
   RecordColdStatement(aGateway, *found->second, aEvent.mStatement, aNow);
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -3,6 +3,7 @@
 //
 // gateway.cc          construction, event dispatch, timers, planned stop
 // gateway_request.cc  one request: admission, attempts, end
+// gateway_work.cc     what is learned from requests on work and speed
 // gateway_share.cc    reports between gateways on prompts sent to engines
 // gateway_memory.cc   memory of the engines
 // gateway_admission.cc  requests that wait while all servers are full
@@ -42,6 +43,7 @@
 #include "retry.h"
 #include "routing.h"
 #include "token_placement.h"
+#include "work_model.h"
 
 namespace foxtailquay {
 
@@ -104,6 +106,17 @@
 constexpr double kRepeatRatioFraction = 0.7;
 constexpr double kRepeatSlackFraction = 0.6;
 
+// What the current attempt of a request shows of its work.
+struct request_work
+{
+  token_count mUncachedTokens = 0;
+  waiting_prompt mPrompt;
+  // True if other requests were probably ahead of it at its server.
+  bool mHasWaited = false;
+  // Time of the first event of the response.
+  absl::Time mFirstAt;
+};
+
 // One request of a caller, from its arrival to the end of its response.
 struct forwarded_request
 {
@@ -147,6 +160,7 @@
   // True if the request has waited and is to be sent before others that wait.
   bool mHasTurn = false;
   bool mHasResponseStarted = false;
+  request_work mWork;
   std::set<backend_id> mTriedBackends;
   // True if any attempt, including the current one, may have been executed.
   bool mMayHaveExecuted = false;
@@ -425,6 +439,8 @@
   std::map<std::string, service_pace> mPaces;
   // Time of the next review of waiting requests; infinite if there are none.
   absl::Time mNextReviewAt = absl::InfiniteFuture();
+  // What was learned about requests and servers.
+  work_model mWork;
   // Retry budgets by service.
   std::map<std::string, retry_state> mRetryStates;
 
