Recall used-up totals at once and say what is out of reach

A refusal because the store or other gateways do not respond says so, and its retry time follows from the next call to them.

--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -320,8 +320,10 @@
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
   token_recall& recall = tokens.mRecall;
-  const bool isDue =
-    recall.mOpenPeers.empty() && aNow - recall.mStartedAt >= kRecallInterval;
+  // A recall of a used-up total brings more than an earlier one did.
+  const bool isDue = recall.mOpenPeers.empty() &&
+                     (aNow - recall.mStartedAt >= kRecallInterval ||
+                      (aIsUsedUp && !recall.mIsUsedUp));
   if (!isDue || !IsCoordinator(aGateway, aWorkspace, tokens, aNow)) {
     return !recall.mOpenPeers.empty();
   }
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -45,21 +45,77 @@
          record.mEntries.count(aGateway.mHolder.mId) == 1;
 }
 
+// Time from a response of the store or of a gateway to the tokens that it leads
+// to: a grant write, the copies of its record and a transfer.
+constexpr absl::Duration kAcquisitionTime = absl::Milliseconds(300);
+// Longest retry time that a refusal states: the contact time within which a
+// gateway notices that the store responds again.
+constexpr absl::Duration kMaxFundingRetry = absl::Seconds(3);
+
+// Which of those from whom a gateway gets tokens are out of its reach.
+struct token_reach
+{
+  bool mIsStoreAway = false;
+  std::size_t mPeersAway = 0;
+  // Time of the next call to one of them; infinite if it is not known.
+  absl::Time mNextCallAt = absl::InfiniteFuture();
+};
+
+token_reach FindReach(const gateway& aGateway, absl::Time aNow)
+{
+  token_reach reach;
+  reach.mIsStoreAway = IsStoreUnavailable(aGateway);
+  if (reach.mIsStoreAway) {
+    const auto area = static_cast<std::size_t>(directory_area::Configuration);
+    reach.mNextCallAt = aGateway.mAreas[area].mRetryAt;
+    if (aGateway.mWriteFailed && aGateway.mEntriesInFlight.empty()) {
+      reach.mNextCallAt =
+        std::min(reach.mNextCallAt, std::max(aNow, aGateway.mNextWriteAt));
+    }
+  }
+  for (const auto& peer : aGateway.mPeers) {
+    if (aNow < peer.second.mSuspectUntil) {
+      ++reach.mPeersAway;
+      reach.mNextCallAt =
+        std::min(reach.mNextCallAt, peer.second.mSuspectUntil);
+    }
+  }
+  return reach;
+}
+
 // Returns the error for a failed reservation. Its detail states the values on
-// which the decision is based.
-error MakeFundingError(const workspace_tokens& aTokens, token_count aNeeded,
-                       bool aIsCertain)
+// which the decision is based, and what is out of reach.
+error MakeFundingError(const gateway& aGateway, const workspace_tokens& aTokens,
+                       token_count aNeeded, bool aIsCertain, absl::Time aNow)
 {
-  const std::string known = absl::StrCat(
+  std::string known = absl::StrCat(
     ": needs ", aNeeded, ", free ", aTokens.mShare.mFreeTokens,
     ", granted to all ", ComputeTotal(aTokens.mShare.mRecord), " of ",
     aTokens.mPrepaid, " at version ", aTokens.mShare.mVersion);
-  return aIsCertain
-           ? MakeError(error_code::BudgetExhausted, executed::No,
-                       "the prepaid total does not cover the request" + known)
-           : MakeError(error_code::RateLimited, executed::No,
-                       "no tokens of the prepaid total are available now" +
-                         known);
+  if (aIsCertain) {
+    return MakeError(error_code::BudgetExhausted, executed::No,
+                     "the prepaid total does not cover the request" + known);
+  }
+  const token_reach reach = FindReach(aGateway, aNow);
+  if (reach.mIsStoreAway) {
+    known += "; the store does not respond";
+  }
+  if (reach.mPeersAway > 0) {
+    absl::StrAppend(&known, "; ", reach.mPeersAway, " of ",
+                    aGateway.mPeers.size(), " other gateways do not respond");
+  }
+  error refusal =
+    MakeError(error_code::RateLimited, executed::No,
+              "no tokens of the prepaid total are available now" + known);
+  if (reach.mIsStoreAway || reach.mPeersAway > 0) {
+    // Without a call that is due, one is in flight.
+    const absl::Duration wait = reach.mNextCallAt == absl::InfiniteFuture()
+                                  ? kStoreResponseTime
+                                  : reach.mNextCallAt - aNow;
+    refusal.mRetryAfter =
+      std::clamp(wait + kAcquisitionTime, kRetryAfter, kMaxFundingRetry);
+  }
+  return refusal;
 }
 
 // Reports the result to a waiter that has been removed: fires an event on the
@@ -111,7 +167,7 @@
     aWaiter.mAmount > aTokens.mShare.mFreeTokens &&
     (isExhausted || aNow - aTokens.mExhaustedSince >= kExhaustionTime);
   request->second->mError =
-    MakeFundingError(aTokens, aWaiter.mAmount, isCertain);
+    MakeFundingError(aGateway, aTokens, aWaiter.mAmount, isCertain, aNow);
   FireRequest(aGateway, aWaiter.mHandle, forward_event::Unfunded, aNow);
 }
 
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -81,6 +81,20 @@
              [](fleet_sim& aSim) { RunConfigurationChanges(aSim, kRunTime); });
 }
 
+// Guards against overspent totals when refills, recalls, first parts or their
+// responses are lost between gateways that are cut off from each other.
+BOOST_AUTO_TEST_CASE(totals_hold_when_gateways_cannot_reach_each_other)
+{
+  for (const std::size_t gateways : { 2, 3, 7 }) {
+    const auto run = [](fleet_sim& aSim) {
+      RunPartitions(aSim, kRunTime);
+      BOOST_TEST(aSim.mServed > 0);
+      CheckService(aSim);
+    };
+    CheckSeeds(kSeeds, run, gateways);
+  }
+}
+
 // Guards against overspent totals, and gateways that stop granting tokens,
 // after the store has returned to an older state and lost acknowledged grants,
 // beside outages, lost responses, kills and power losses.
@@ -213,6 +227,8 @@
       &RunRandomFaults },
     { injected_fault::RepeatTokens, violated_invariant::Overspent,
       &RunRandomFaults },
+    { injected_fault::RepeatTokens, violated_invariant::Overspent,
+      &RunPartitions },
     { injected_fault::HideTokens, violated_invariant::Overspent,
       &RunRandomFaults },
     { injected_fault::HideEras, violated_invariant::Overspent,
--- a/tests/gateway_sim/gateway_sim.cc
+++ b/tests/gateway_sim/gateway_sim.cc
@@ -112,6 +112,25 @@
   Schedule(aSim, absl::Milliseconds(5), [&aSim] { TickPeriodically(aSim); });
 }
 
+// Cuts off a random gateway, or all, or ends that.
+void ChangePartitionPeriodically(fleet_sim& aSim)
+{
+  sim_gateway& one = aSim.mGateways[DrawGateway(aSim)];
+  switch (Draw(aSim, 4)) {
+    case 0:
+      SetAllAlone(aSim, true);
+      break;
+    case 1:
+      SetAllAlone(aSim, false);
+      break;
+    default:
+      one.mIsIsolated = !one.mIsIsolated;
+      break;
+  }
+  Schedule(aSim, DrawTime(aSim, absl::Seconds(5)),
+           [&aSim] { ChangePartitionPeriodically(aSim); });
+}
+
 constexpr absl::Duration kMaxReturnAge = absl::Seconds(15);
 constexpr absl::Duration kMaxReturnTime = absl::Seconds(3);
 
@@ -248,6 +267,12 @@
   RunUntil(aSim, aSim.mNow + aTime);
 }
 
+void RunPartitions(fleet_sim& aSim, absl::Duration aTime)
+{
+  ChangePartitionPeriodically(aSim);
+  RunRandomFaults(aSim, aTime);
+}
+
 void RunStoreReturns(fleet_sim& aSim, absl::Duration aTime)
 {
   KeepSnapshotsPeriodically(aSim);
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -281,6 +281,9 @@
   // Refusals for tokens with a retry time, and for good.
   int mRefused = 0;
   int mUsedUp = 0;
+  // Refusals of either kind although 5% of the total were unspent, and enough
+  // for the request.
+  int mFalselyRefused = 0;
   // Refusals of either kind by workspace.
   std::map<workspace_id, int> mRefusedOf;
   // Longest time from a request to its refusal.
@@ -373,6 +376,10 @@
 // random.
 void RunRandomFaults(fleet_sim& aSim, absl::Duration aTime);
 
+// Like RunRandomFaults, while gateways are also cut off from each other, singly
+// and all at once, and their responses are lost.
+void RunPartitions(fleet_sim& aSim, absl::Duration aTime);
+
 // Like RunRandomFaults, while the store also returns to older states now and
 // then and loses what the gateways wrote meanwhile.
 void RunStoreReturns(fleet_sim& aSim, absl::Duration aTime);
--- a/tests/gateway_sim/sim_tokens.cc
+++ b/tests/gateway_sim/sim_tokens.cc
@@ -128,6 +128,12 @@
   token_counts& counts = aSim.mTokens;
   ++(isUsedUp ? counts.mUsedUp : counts.mRefused);
   ++counts.mRefusedOf[aRequest.mWorkspace];
+  const token_count prepaid = aSim.mPrepaid[aRequest.mWorkspace];
+  const token_count unspent = prepaid - aSim.mSpent[aRequest.mWorkspace];
+  const bool isFalse =
+    unspent >= aRequest.mPrompt + aRequest.mMaxOutput &&
+    static_cast<double>(unspent) >= 0.05 * static_cast<double>(prepaid);
+  counts.mFalselyRefused += isFalse ? 1 : 0;
   counts.mMaxWait = std::max(counts.mMaxWait, aSim.mNow - aRequest.mSentAt);
 }
 
--- a/tests/token_fleet_test.cc
+++ b/tests/token_fleet_test.cc
@@ -153,6 +153,29 @@
              0.02);
 }
 
+// Totals are used up within 17 s. While 5% of a total are unspent, callers are
+// served, and what is left after an idle time can be spent at any gateway.
+BOOST_AUTO_TEST_CASE(callers_are_served_until_a_total_is_used_up)
+{
+  for (const std::size_t gateways : { 3, 23 }) {
+    token_load load;
+    load.mGateways = gateways;
+    load.mTotalRatio = 0.5;
+    const auto sim = MakeFleet(load);
+    RunAndCount(*sim, load, absl::Seconds(25), "until used up");
+    const token_counts& counts = sim->mTokens;
+    std::printf("%d falsely refused\n", counts.mFalselyRefused);
+    BOOST_TEST(counts.mFalselyRefused <= counts.mSent / 1000);
+    RunUntil(*sim, sim->mNow + absl::Seconds(15));
+    load.mMeanTokens = 300;
+    RunAndCount(*sim, load, absl::Seconds(10), "after idle time");
+    for (const auto& [workspace, prepaid] : sim->mPrepaid) {
+      BOOST_TEST(static_cast<double>(prepaid - sim->mSpent[workspace]) <=
+                 0.01 * static_cast<double>(prepaid) + 400);
+    }
+  }
+}
+
 // Half of the callers move to other gateways.
 BOOST_AUTO_TEST_CASE(tokens_follow_callers_that_move)
 {
