--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -182,10 +182,11 @@
 
 inline gateway_fixture MakeStartedGateway(
   const std::string& aName = "g",
-  absl::Duration aContactTime = absl::Seconds(3))
+  absl::Duration aContactTime = absl::Seconds(3), std::uint64_t aSeed = 0)
 {
   gateway_settings settings = MakeSettings(aName);
   settings.mContactTime = aContactTime;
+  settings.mSeed = aSeed;
   return MakeStartedGateway(settings);
 }
 
