--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -475,7 +475,7 @@
   for (const auto& [id, view] : aViews) {
     if (!IsConfiguredFor(view.mConfig, aQuery.mKind, aQuery.mTarget) ||
         !IsAvailable({ &id, &view, 0 }, aQuery) ||
-        aNow < GetNextRunTime(view)) {
+        aNow < GetNextRunTime(view, aNow)) {
       continue;
     }
     if (HasFreeSlot(view)) {
