Keep asking a coordinator whose refill brought nothing

A refill that brought nothing while the store was away made the gateway avoid the coordinator for a second, also for requests, for which the coordinator recalls tokens. Only a request that was not served does so now.

--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -384,10 +384,6 @@
   } else {
     SuspectPeer(aGateway, aEvent.mPeer, aNow);
   }
-  const bool isAway = aEvent.mResponse && aEvent.mResponse->mStoreUnavailable;
-  if (isAway) {
-    tokens.mAvoidUntil[aEvent.mPeer] = aNow + kAvoidTime;
-  }
   switch (aEvent.mKind) {
     case token_call::Recall:
       RecordRecallResponse(aGateway, aEvent, aNow);
@@ -406,6 +402,12 @@
   tokens.mIsRequesting = false;
   RecordExhaustion(tokens, aEvent.mResponse && aEvent.mResponse->mExhausted,
                    aNow);
+  // A refill that brings nothing does not show that the coordinator cannot
+  // serve requests: it recalls tokens for those.
+  const bool isAway = aEvent.mResponse && aEvent.mResponse->mStoreUnavailable;
+  if (isAway) {
+    tokens.mAvoidUntil[aEvent.mPeer] = aNow + kAvoidTime;
+  }
   if (!aEvent.mResponse || isAway) {
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
     return;
