--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -416,6 +416,10 @@
   std::size_t mEvacuatedZones = 0;
   // Requests that wait because all servers of their service are full.
   std::size_t mWaitingRequests = 0;
+  // Prepaid tokens that are free at this gateway, and those that it should hold
+  // for its callers, over all workspaces, as of the last tick.
+  token_count mTokensHeld = 0;
+  token_count mTokensTarget = 0;
   bool mReady = false;
 };
 
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -373,6 +373,8 @@
     }));
   summary.mEvacuatedZones = aGateway.mEvacuations.mZones.size();
   summary.mWaitingRequests = aGateway.mAdmission.mQueued.size();
+  summary.mTokensHeld = aGateway.mTokensHeld;
+  summary.mTokensTarget = aGateway.mTokensTarget;
   summary.mReady = aGateway.mReady;
   return summary;
 }
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -384,10 +384,6 @@
   } else {
     SuspectPeer(aGateway, aEvent.mPeer, aNow);
   }
-  const bool isAway = aEvent.mResponse && aEvent.mResponse->mStoreUnavailable;
-  if (isAway) {
-    tokens.mAvoidUntil[aEvent.mPeer] = aNow + kAvoidTime;
-  }
   switch (aEvent.mKind) {
     case token_call::Recall:
       RecordRecallResponse(aGateway, aEvent, aNow);
@@ -406,6 +402,12 @@
   tokens.mIsRequesting = false;
   RecordExhaustion(tokens, aEvent.mResponse && aEvent.mResponse->mExhausted,
                    aNow);
+  // A refill that brings nothing does not show that the coordinator cannot
+  // serve requests: it recalls tokens for those.
+  const bool isAway = aEvent.mResponse && aEvent.mResponse->mStoreUnavailable;
+  if (isAway) {
+    tokens.mAvoidUntil[aEvent.mPeer] = aNow + kAvoidTime;
+  }
   if (!aEvent.mResponse || isAway) {
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
     return;
@@ -414,6 +416,11 @@
   ReserveForWaiters(aGateway, aEvent.mWorkspace, isRefused, aNow);
   if (!tokens.mWaiters.empty()) {
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
+  } else if (isRefused) {
+    // A part of what was needed, which came before, serves smaller requests
+    // elsewhere.
+    ReturnToCoordinator(aGateway, aEvent.mWorkspace,
+                        EstimateSoonNeeded(aGateway, tokens, aNow), aNow);
   }
 }
 
@@ -442,9 +449,13 @@
 void AdvanceGrants(gateway& aGateway, absl::Time aNow)
 {
   aGateway.mMessagesLeft = kMaxTokenMessages;
+  aGateway.mTokensHeld = 0;
+  aGateway.mTokensTarget = 0;
   for (auto& entry : aGateway.mWorkspaceTokens) {
     workspace_tokens& tokens = entry.second;
     UpdateTargets(aGateway, tokens, aNow);
+    aGateway.mTokensHeld += tokens.mShare.mFreeTokens;
+    aGateway.mTokensTarget += tokens.mTarget;
     ReserveForWaiters(aGateway, entry.first, false, aNow);
     PlaceFirstParts(aGateway, entry.first, aNow);
     if (!tokens.mWaiters.empty()) {
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -471,6 +471,8 @@
     { gauge::ColdServers, double(aHost.mSummary.mColdBackends) },
     { gauge::EvacuatedZones, double(aHost.mSummary.mEvacuatedZones) },
     { gauge::WaitingRequests, double(aHost.mSummary.mWaitingRequests) },
+    { gauge::PrepaidTokensHeld, double(aHost.mSummary.mTokensHeld) },
+    { gauge::PrepaidTokensTarget, double(aHost.mSummary.mTokensTarget) },
     { gauge::Ready, aHost.mReady ? 1.0 : 0.0 }
   };
 }
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -108,6 +108,8 @@
   // Availability zones that are evacuated.
   EvacuatedZones,
   WaitingRequests,
+  PrepaidTokensHeld,
+  PrepaidTokensTarget,
   Ready,
 };
 
@@ -122,6 +124,8 @@
       { gauge::ColdServers, "cold_servers" },
       { gauge::EvacuatedZones, "evacuated_zones" },
       { gauge::WaitingRequests, "waiting_requests" },
+      { gauge::PrepaidTokensHeld, "prepaid_tokens_held" },
+      { gauge::PrepaidTokensTarget, "prepaid_tokens_target" },
       { gauge::Ready, "ready" } });
 }
 
