Test the calls to the store with gateway processes

The stand-in store can be silent for a time, after which the calls that were made before or meanwhile stay unanswered, and counts watches, reads and renewals. A version that is written in a silence of 1.5 s is in force 3 s after it.

--- a/standins/users_platform.cc
+++ b/standins/users_platform.cc
@@ -145,6 +145,7 @@
 void HandleRange(users_store& aStore, const httplib::Request& aRequest,
                  httplib::Response& aResponse)
 {
+  ++aStore.mReads;
   const std::lock_guard<std::mutex> lock(aStore.mMutex);
   ExpireLeasesLocked(aStore);
   const std::string prefix = aRequest.get_param_value("prefix");
@@ -172,6 +173,7 @@
 void HandleWatch(users_store& aStore, const httplib::Request& aRequest,
                  httplib::Response& aResponse)
 {
+  ++aStore.mWatches;
   const std::string prefix = aRequest.get_param_value("prefix");
   const std::uint64_t after = GetIntegerParameter(aRequest, "after");
   const auto end =
@@ -269,6 +271,7 @@
 void HandleRenewLease(users_store& aStore, const httplib::Request& aRequest,
                       httplib::Response& aResponse)
 {
+  ++aStore.mRenewals;
   const std::uint64_t lease = std::stoull(aRequest.matches[1]);
   const std::lock_guard<std::mutex> lock(aStore.mMutex);
   const bool isHeld = aStore.mLeases.count(lease) > 0;
@@ -292,6 +295,9 @@
 {
   std::unique_lock<std::mutex> lock(aStore.mMutex);
   aStore.mConnections.insert(aRemotePort);
+  if (aStore.mIsSilent) {
+    aStore.mSilentConnections.insert(aRemotePort);
+  }
   while (aStore.mSilentConnections.count(aRemotePort) > 0 &&
          !aStore.mIsStopping) {
     aStore.mChanged.wait_for(lock, std::chrono::milliseconds(50));
--- a/standins/users_platform.h
+++ b/standins/users_platform.h
@@ -59,12 +59,17 @@
   // Executes writes and responds with status 500, so that the caller does not
   // know their outcome.
   std::atomic<bool> mLosesResponses{ false };
+  // Connections on which a call arrives or is answered become silent for good.
+  std::atomic<bool> mIsSilent{ false };
   // Remote ports of the connections that have carried a call.
   std::set<int> mConnections;
   // Remote ports of the connections on which nothing is answered any more.
   std::set<int> mSilentConnections;
   std::atomic<bool> mIsStopping{ false };
   std::atomic<int> mWrites{ 0 };
+  std::atomic<int> mWatches{ 0 };
+  std::atomic<int> mReads{ 0 };
+  std::atomic<int> mRenewals{ 0 };
 };
 
 void StartStore(users_store& aStore);
--- a/tests/gateway_process_test.cc
+++ b/tests/gateway_process_test.cc
@@ -187,6 +187,58 @@
   }
 }
 
+// Load: the store is silent for 1.5 s, and the calls that were made before or
+// meanwhile are never answered. A version that was acknowledged in that time
+// must be in force when the gateways count as connected again.
+BOOST_AUTO_TEST_CASE(a_configuration_takes_effect_after_a_silence_of_the_store)
+{
+  constexpr auto kContactTime = std::chrono::milliseconds(3000);
+  constexpr auto kSilence = std::chrono::milliseconds(1500);
+  constexpr int kRounds = 4;
+  gateway_fleet fleet;
+  BOOST_REQUIRE(StartGateways(fleet, 100000, 2));
+  for (int round = 0; round < kRounds; ++round) {
+    // The rounds begin at different phases of the renewals.
+    std::this_thread::sleep_for(std::chrono::milliseconds(210 * round));
+    fleet.mStore.mIsSilent = true;
+    SilenceConnections(fleet.mStore);
+    const int version = 4 + round;
+    PutItem(fleet.mStore, "op/config", MakeConfigWithNewKey(version));
+    std::this_thread::sleep_for(kSilence);
+    fleet.mStore.mIsSilent = false;
+    std::this_thread::sleep_for(kContactTime);
+    for (const gateway_process& gateway : fleet.mGateways) {
+      BOOST_TEST_CONTEXT("round " << round << ", " << gateway.mChild.mName)
+      {
+        BOOST_TEST(CallHttp(gateway, "/order/1", absl::StrCat("key-", version))
+                     .mStatus == 200);
+      }
+    }
+  }
+}
+
+// Load: steady state without changes of the configuration. Each call to the
+// store is priced, a renewal at a tenth.
+BOOST_AUTO_TEST_CASE(gateways_in_steady_state_make_few_calls_to_the_store)
+{
+  constexpr double kMaxRate = 0.4;
+  constexpr int kSeconds = 21;
+  gateway_fleet fleet;
+  BOOST_REQUIRE(StartGateways(fleet, 100000, 2));
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const auto computePrice = [&fleet] {
+    const users_store& store = fleet.mStore;
+    return store.mWatches + store.mReads + 0.1 * store.mRenewals;
+  };
+  const double before = computePrice();
+  std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+  const double rate = (computePrice() - before) / kSeconds /
+                      static_cast<double>(fleet.mGateways.size());
+  BOOST_TEST_MESSAGE("priced calls per second and gateway " << rate);
+  BOOST_TEST(rate > 0);
+  BOOST_TEST(rate <= kMaxRate);
+}
+
 // Guards against requests to a server that is registered as draining.
 BOOST_AUTO_TEST_CASE(a_draining_server_receives_no_new_requests)
 {
