Keep slow readers from costing servers and other callers

Reading from a server stayed paused until its caller had taken all unsent bytes, up to 256 KiB, and the kernel took megabytes more for a caller that reads slowly, which no limit counted. With a caller at 100,000 bytes/s, a server could send nothing for 7.4 s; servers cut off a response that is unread for some seconds. Callers that read nothing also held the memory for which others were refused.

Reading continues once the caller has taken 16 KiB, the kernel takes 64 KiB per connection ahead of what it can send, and if all exchanges together hold more than they should, callers that have taken nothing for 2 s are cut off, the slowest first.

The case "comments of a stream" of endless_peer_test relied on the kernel to take more than 1 MiB for a caller that reads nothing. Its caller now reads, so that the limit on useless bytes is what ends the attempt, as for the others.

--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -171,22 +171,6 @@
   aTraffic.mExchanges.erase(handle);
 }
 
-// Resumes reading from the backend server once no bytes to the caller are
-// unsent.
-void ResumeReadingServer(traffic& aTraffic, channel_id aCaller)
-{
-  const caller_connection* caller = FindCaller(aTraffic, aCaller);
-  exchange* active =
-    caller == nullptr ? nullptr : FindExchange(aTraffic, caller->mHandle);
-  if (active != nullptr && active->mAttempt) {
-    SetReadingPaused(aTraffic.mLoop, active->mAttempt->mChannel, false);
-    // The server could not send events meanwhile.
-    if (active->mAttempt->mLastEventAt != absl::InfiniteFuture()) {
-      active->mAttempt->mLastEventAt = MonotonicNow();
-    }
-  }
-}
-
 } // namespace
 
 void AcceptCaller(traffic& aTraffic, channel_id aChannel)
@@ -240,17 +224,6 @@
           MeasureBufferedBytes(aTraffic) > aTraffic.mMaxBufferedBytes);
 }
 
-void SendToCaller(traffic& aTraffic, exchange& aExchange,
-                  std::string_view aBytes)
-{
-  Send(aTraffic.mLoop, aExchange.mCaller, aBytes);
-  if (aExchange.mAttempt &&
-      IsBufferFull(aTraffic, GetUnsentBytes(aTraffic.mLoop, aExchange.mCaller),
-                   kMaxUnsentBytes)) {
-    SetReadingPaused(aTraffic.mLoop, aExchange.mAttempt->mChannel, true);
-  }
-}
-
 bool NeedsClose(const traffic& aTraffic, const exchange& aExchange)
 {
   const auto caller = aTraffic.mCallers.find(aExchange.mCaller);
@@ -368,6 +341,7 @@
 void ExpireConnections(traffic& aTraffic, absl::Time aNow)
 {
   EndStalledAttempts(aTraffic, aNow);
+  ReviewSlowCallers(aTraffic, aNow);
   std::vector<channel_id> idle;
   std::vector<channel_id> late;
   for (const auto& each : aTraffic.mCallers) {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -15,9 +15,11 @@
 // caller's request by the configured limits, a response in transit by
 // kMaxHeldBytes or kMaxUnsentBytes on each of its two connections. Once all
 // exchanges together hold mMaxBufferedBytes, each is limited to
-// kMinBufferedBytes, and larger requests are refused.
+// kMinBufferedBytes, the slowest readers are cut off, and larger requests are
+// refused.
 //
 // traffic.cc   callers: reading requests, error responses, idle connections
+// slow_caller.cc  responses that are read slowly
 // attempt.cc   attempts: sending a request, reading and relaying its response
 
 #ifndef FOXTAILQUAY_TRAFFIC_TRAFFIC_H
@@ -48,6 +50,15 @@
 // Number of bytes that an exchange may hold in each direction although all
 // exchanges together hold more than they should.
 constexpr std::size_t kMinBufferedBytes = 32 << 10;
+// Number of bytes that a caller takes of its response until reading from the
+// backend server is resumed. It is small, so that a server whose response is
+// read slowly sees progress: it cuts off a response of which nothing is read
+// for some seconds.
+constexpr std::size_t kResumeBytes = 16 << 10;
+// Time within which a caller must take kResumeBytes while more than
+// kMinBufferedBytes are unsent to it. A slower one is cut off if all exchanges
+// together hold more than they should, so that others need not be refused.
+constexpr absl::Duration kSlowCallerTime = absl::Seconds(2);
 // Number of bytes received from a caller ahead of its current response above
 // which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
@@ -115,6 +126,10 @@
   // Time at which the last complete stream event arrived; InfiniteFuture before
   // the first one.
   absl::Time mLastEventAt = absl::InfiniteFuture();
+  // True while reading from the server waits for the caller.
+  bool mIsPaused = false;
+  // Number of response bytes that the caller had taken when it began.
+  std::uint64_t mTakenAtPause = 0;
 };
 
 // A caller's request and the response to it.
@@ -156,6 +171,12 @@
   // True if the caller does not reuse the connection.
   bool mCloseAfterResponse = false;
   absl::Time mIdleSince;
+  // Number of response bytes handed to the connection.
+  std::uint64_t mQueuedBytes = 0;
+  // Number of response bytes that the caller had taken at mTakenAt, which is
+  // the last time at which it had taken enough; see kSlowCallerTime.
+  std::uint64_t mTakenBytes = 0;
+  absl::Time mTakenAt = absl::InfiniteFuture();
   // Time of the first byte of the request that is being read; InfiniteFuture if
   // none has arrived.
   absl::Time mRequestStartedAt = absl::InfiniteFuture();
@@ -215,8 +236,9 @@
 // time proportional to the number of connections.
 std::size_t MeasureBufferedBytes(const traffic& aTraffic);
 
-// Closes connections whose timeouts have passed at aNow and ends attempts whose
-// streams have stalled.
+// Closes connections whose timeouts have passed at aNow, ends attempts whose
+// streams have stalled, and continues or cuts off responses that are read
+// slowly.
 void ExpireConnections(traffic& aTraffic, absl::Time aNow);
 
 // --- Shared by traffic.cc and attempt.cc ------------------------------------
@@ -237,6 +259,10 @@
 bool NeedsClose(const traffic& aTraffic, const exchange& aExchange);
 // Ends the attempts whose streams have stalled at aNow.
 void EndStalledAttempts(traffic& aTraffic, absl::Time aNow);
+// Continues or cuts off responses that are read slowly.
+void ReviewSlowCallers(traffic& aTraffic, absl::Time aNow);
+// Reads from the server again after a pause.
+void ResumeReadingServer(traffic& aTraffic, channel_id aCaller);
 // Ends an exchange whose response is complete, and reads the next request.
 void FinishExchange(traffic& aTraffic, request_handle aHandle);
 // Ends an exchange whose response cannot be completed, and closes the caller's
--- a/src/transport/listener.cc
+++ b/src/transport/listener.cc
@@ -1,5 +1,8 @@
 // Listeners of the event loop.
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include "transport/event_loop_impl.h"
@@ -14,6 +17,17 @@
 // established connections are not delayed.
 constexpr int kMaxAcceptsPerTurn = 16;
 constexpr int kListenBacklog = 1024;
+// Number of bytes that the kernel takes before they can be sent. Without a
+// limit it takes several megabytes for a peer that reads slowly, which no limit
+// of this process counts, and accepts more only in steps of about a third.
+constexpr int kMaxKernelBytes = 64 << 10;
+
+void LimitKernelBytes(tcp::socket& aSocket)
+{
+  // A failure is ignored: only the memory is less exact.
+  (void)setsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                   &kMaxKernelBytes, sizeof(kMaxKernelBytes));
+}
 
 void WaitToAccept(event_loop& aLoop, listener& aListener);
 
@@ -31,6 +45,7 @@
     return true;
   }
   SetSocketOptions(socket, aListener.mUnresponsiveTimeout);
+  LimitKernelBytes(socket);
   const channel_id id = aLoop.mImpl->mNextId++;
   auto accepted = std::make_unique<channel>(std::move(socket));
   accepted->mIsConnected = true;
--- a/tests/endless_peer_test.cc
+++ b/tests/endless_peer_test.cc
@@ -95,8 +95,18 @@
                       each.mKind);
       tcp::socket server = fixture.mServerAcceptor.accept();
       ReadUntil(server, "body");
+      // The caller reads what it gets, so that nothing waits for it.
+      std::thread reader([&caller] {
+        boost::system::error_code failure;
+        std::vector<char> buffer(65536);
+        while (!failure) {
+          caller.read_some(asio::buffer(buffer), failure);
+        }
+      });
       const std::size_t sent =
         SendEndlessly(server, each.mStart, each.mRepeated);
+      caller.shutdown(tcp::socket::shutdown_receive);
+      reader.join();
       BOOST_TEST(sent < kMaxAcceptedBytes);
       const attempt_outcome outcome =
         AwaitEvent<attempt_report>(fixture).mOutcome;
