--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -180,7 +180,7 @@
   std::vector<std::string> mAddresses;
   std::vector<sent_prompt> mPrompts;
   // Name of this gateway.
-  std::string mGateway = "";
+  std::string mGateway;
 };
 
 // Checks whether the process of a backend server has ended.
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -446,7 +446,7 @@
 {
   std::vector<sent_prompt> mPrompts;
   // Name of the gateway; empty if it does not state its name.
-  std::string mGateway = "";
+  std::string mGateway;
 };
 
 // Load of this process since the last measurement, in fractions of its limits;
--- a/src/core/gateway_admission.cc
+++ b/src/core/gateway_admission.cc
@@ -378,6 +378,7 @@
     { { "request", aRequest.mCaller.mAttemptId },
       { "workspace", aRequest.mWorkspace.mValue },
       { "queue", waiting.mTarget },
+      { "rank", std::string(ToName(aRequest.mDemandRank)) },
       { "waiting", absl::StrCat(aGateway.mAdmission.mQueued.size()) },
       { "pace", absl::StrCat(waiting.mExpectedRate) } });
 }
--- a/src/core/gateway_capacity.h
+++ b/src/core/gateway_capacity.h
@@ -1,6 +1,6 @@
-// Functions of the gateway node on the capacity of the servers: who waits while
-// all are full, what engines hold, and the log records of requests. Only the
-// control thread uses them.
+// Functions of the gateway node on capacity, that of the servers and its own:
+// who waits while all servers are full, what engines hold and have to process,
+// and the log records of requests. Only the control thread uses them.
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_CAPACITY_H
 #define FOXTAILQUAY_CORE_GATEWAY_CAPACITY_H
@@ -49,6 +49,26 @@
 // Returns the time by which AdvanceAdmission must be called again.
 absl::Time GetNextReviewTime(const gateway& aGateway);
 
+// --- gateway_share.cc -------------------------------------------------------
+
+// Records a prompt that is being sent to a backend server, to report it to
+// other gateways.
+void RecordPrompt(gateway& aGateway, const backend_id& aBackend,
+                  token_count aUncached, const routing_query& aQuery,
+                  absl::Time aNow);
+// Adds the prompts that another gateway has sent to the load estimates.
+void OnPromptsReported(gateway& aGateway, const prompts_reported& aEvent,
+                       absl::Time aNow);
+// Reports the recorded prompts to other gateways once they are due.
+void AdvancePromptReports(gateway& aGateway, absl::Time aNow);
+
+// --- gateway_load.cc --------------------------------------------------------
+
+void OnLoadMeasured(gateway& aGateway, const load_measured& aEvent,
+                    absl::Time aNow);
+// Returns true while new connections should go to other gateways.
+bool IsShedding(const gateway& aGateway);
+
 // --- gateway_memory.cc ------------------------------------------------------
 
 // Returns what the request needs of an engine's memory.
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -444,19 +444,6 @@
 error MakeUnroutableError(const gateway& aGateway, const routing_query& aQuery,
                           absl::Time aNow);
 
-// --- gateway_share.cc -------------------------------------------------------
-
-// Records a prompt that is being sent to a backend server, to report it to
-// other gateways.
-void RecordPrompt(gateway& aGateway, const backend_id& aBackend,
-                  token_count aUncached, const routing_query& aQuery,
-                  absl::Time aNow);
-// Adds the prompts that another gateway has sent to the load estimates.
-void OnPromptsReported(gateway& aGateway, const prompts_reported& aEvent,
-                       absl::Time aNow);
-// Reports the recorded prompts to other gateways once they are due.
-void AdvancePromptReports(gateway& aGateway, absl::Time aNow);
-
 // --- gateway_quarantine.cc --------------------------------------------------
 
 // Records what an attempt at an engine shows of the parts of its prompt.
@@ -573,13 +560,6 @@
                      std::vector<grant_replication::amount> aAmounts,
                      absl::Time aNow);
 
-// --- gateway_load.cc --------------------------------------------------------
-
-void OnLoadMeasured(gateway& aGateway, const load_measured& aEvent,
-                    absl::Time aNow);
-// Returns true while new connections should go to other gateways.
-bool IsShedding(const gateway& aGateway);
-
 // --- gateway_follow.cc ------------------------------------------------------
 
 // Forgets all positions in the store, reads all areas anew and registers again.
--- a/tests/gateway_admission_test.cc
+++ b/tests/gateway_admission_test.cc
@@ -142,6 +142,53 @@
   TakeOnlyDispatch(fixture);
 }
 
+// Load: requests of a low priority fill the queue. One of a high priority must
+// be sent before them, whenever it arrives.
+BOOST_AUTO_TEST_CASE(a_higher_priority_is_sent_first)
+{
+  gateway_fixture fixture = MakeCallGateway();
+  traffic_config config = MakeCallConfig();
+  config.mVersion = 7;
+  config.mRoutes[0].mPriority = 2;
+  // The next watch starts after a pause.
+  AdvanceTime(fixture, absl::Seconds(1));
+  DeliverConfig(fixture, config, 30);
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeCallerRequest(fixture, "/order/1"));
+  const dispatch_request first = TakeOnlyDispatch(fixture);
+  StateFull(fixture);
+  for (const char* path : { "/order/1", "/order/1", "/status/1" }) {
+    FireEvent(fixture, MakeCallerRequest(fixture, path));
+  }
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).empty());
+  const request_handle urgent = fixture.mNextHandle - 1;
+  FireEvent(fixture, MakeReport(first, attempt_outcome::Delivered, 7, 0));
+  BOOST_TEST(TakeOnlyDispatch(fixture).mHandle == urgent);
+}
+
+// A request that a full server has rejected was not executed. It must wait for
+// room with its attempts left, also at the server that rejected it.
+BOOST_AUTO_TEST_CASE(a_rejected_request_waits_for_room)
+{
+  gateway_fixture fixture = MakeCallGateway();
+  for (int i = 0; i < 30; ++i) {
+    FireEvent(fixture, MakeCallerRequest(fixture, "/status/1"));
+    FireEvent(fixture, MakeReport(TakeOnlyDispatch(fixture),
+                                  attempt_outcome::Delivered, 0, 0));
+  }
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeCallerRequest(fixture, "/order/1"));
+  const dispatch_request other = TakeOnlyDispatch(fixture);
+  FireEvent(fixture, MakeCallerRequest(fixture, "/status/1"));
+  const dispatch_request rejected = TakeOnlyDispatch(fixture);
+  StateFull(fixture);
+  FireEvent(fixture, MakeReport(rejected, attempt_outcome::NotRun, 8, 24));
+  BOOST_TEST(TakeActions<dispatch_request>(fixture).empty());
+  BOOST_TEST(GetSummary(*fixture.mNode).mWaitingRequests == 1U);
+  FireEvent(fixture, MakeReport(other, attempt_outcome::Delivered, 7, 0));
+  BOOST_TEST(TakeOnlyDispatch(fixture).mHandle == rejected.mHandle);
+}
+
 // --- A fleet ----------------------------------------------------------------
 
 constexpr int kSlots = 6;
