--- a/src/core/gateway_admission.cc
+++ b/src/core/gateway_admission.cc
@@ -67,6 +67,11 @@
 constexpr double kHeavyFactor = 2;
 // Part of a request below which the demand of a workspace is forgotten.
 constexpr double kMinDemand = 0.01;
+// Number of consecutive responses of full servers, of at least two of them,
+// after which all count as full. Gateways with few callers hear of each server
+// too seldom for their stated loads to be recent at the same time: with 100
+// gateways, once a second from each of 3 servers.
+constexpr int kMinFullResponses = 3;
 // Lowest limit: one attempt in ten times the time of a run.
 constexpr double kMinWindow = 0.1;
 // Weight of a new run in the mean time of runs.
@@ -274,6 +279,30 @@
   pace.mOutstanding = std::max(0, pace.mOutstanding - 1);
 }
 
+namespace {
+
+// Records whether a response shows that a server is full.
+void RecordFullResponse(service_pace& aPace, const backend_id& aBackend,
+                        bool aIsFull, absl::Time aNow)
+{
+  if (!aIsFull) {
+    aPace.mFullResponses = 0;
+    return;
+  }
+  if (aPace.mFullResponses == 0) {
+    aPace.mFirstFull = aBackend;
+    aPace.mIsFullAtSeveral = false;
+  }
+  ++aPace.mFullResponses;
+  aPace.mIsFullAtSeveral =
+    aPace.mIsFullAtSeveral || aBackend != aPace.mFirstFull;
+  if (aPace.mFullResponses >= kMinFullResponses && aPace.mIsFullAtSeveral) {
+    RecordFull(aPace, aNow);
+  }
+}
+
+} // namespace
+
 void RecordAttemptLoad(gateway& aGateway, const forwarded_request& aRequest,
                        const std::optional<observed_load>& aLoad,
                        bool aIsServed, absl::Time aNow)
@@ -291,10 +320,16 @@
     pace.mAt = aNow;
   }
   const auto view = aGateway.mViews.find(aRequest.mBackend);
-  if (!aLoad || view == aGateway.mViews.end() || !IsLimited(pace, aNow)) {
+  if (!aLoad || view == aGateway.mViews.end()) {
     return;
   }
   const int load = aLoad->mRunning + aLoad->mQueued;
+  RecordFullResponse(pace, aRequest.mBackend,
+                     load >= kRoomFactor * view->second.mConfig.mMaxConcurrency,
+                     aNow);
+  if (!IsLimited(pace, aNow)) {
+    return;
+  }
   if (load >= kTargetFactor * view->second.mConfig.mMaxConcurrency) {
     pace.mFullAt = aNow;
     pace.mWindow = std::max(kMinWindow, pace.mWindow - kWindowStep);
--- a/src/core/gateway_share.cc
+++ b/src/core/gateway_share.cc
@@ -62,6 +62,7 @@
     }
   }
   std::vector<sent_prompt> holdings;
+  holdings.reserve(held.size());
   for (const auto& [backend, tokens] : held) {
     holdings.push_back({ backend, 0, {}, tokens });
   }
