Report large prompts to more gateways and small ones together

Cause: each gateway knew of the prompts of 8 others only, and with 23 gateways of a third of an engine's backlog.

Change: a prompt with 2,000 uncached tokens or more is reported within 15 ms to up to 24 gateways, others with it or within 0.5 s to up to 8. The log line of a dispatch states backlog, rate and slowness.

--- a/bench/work_sim.cc
+++ b/bench/work_sim.cc
@@ -28,7 +28,6 @@
 constexpr double kCachedTokens = 60000;
 constexpr std::size_t kSharedParts = 120;
 constexpr absl::Duration kReportDelay = absl::Milliseconds(15);
-constexpr std::size_t kReportTargets = 8;
 constexpr absl::Duration kHop = absl::Milliseconds(1);
 constexpr absl::Duration kZoneHop = absl::Milliseconds(5);
 constexpr absl::Duration kTick = absl::Milliseconds(250);
@@ -96,12 +95,18 @@
   std::deque<std::pair<std::uint64_t, double>> mCache;
 };
 
-struct sim_report
+// Prompts that a gateway has not reported yet.
+struct sim_reports
 {
-  std::vector<std::size_t> mTargets;
-  std::size_t mServer = 0;
-  token_count mTokens = 0;
-  std::vector<std::uint64_t> mPrefixes;
+  struct prompt
+  {
+    std::size_t mServer = 0;
+    token_count mTokens = 0;
+    std::vector<std::uint64_t> mPrefixes;
+  };
+  std::vector<prompt> mPrompts;
+  absl::Time mDueAt = absl::InfiniteFuture();
+  bool mHasLarge = false;
 };
 
 struct work_sim
@@ -121,7 +126,7 @@
   std::vector<backend_id> mIds;
   std::vector<std::map<backend_id, backend_view>> mGateways;
   std::vector<work_model> mModels;
-  std::vector<sim_report> mReports;
+  std::vector<sim_reports> mReports;
   std::set<std::uint64_t> mSeenParts;
   routing_options mRouting;
   std::size_t mOpen = 0;
@@ -295,20 +300,23 @@
   }
 }
 
+// Records a prompt as the gateway does (gateway_share.cc).
 void ReportPrompt(work_sim& aSim, const sim_call& aCall)
 {
   if (Draw(aSim) < aSim.mOptions.mLostReports) {
     return;
   }
-  sim_report report{
-    {}, aCall.mServer, aCall.mUncached, aCall.mQuery.mPrefixes
-  };
-  for (std::size_t i = 1; i <= kReportTargets && i < aSim.mGateways.size();
-       ++i) {
-    report.mTargets.push_back((aCall.mGateway + i) % aSim.mGateways.size());
+  sim_reports& reports = aSim.mReports[aCall.mGateway];
+  reports.mPrompts.push_back(
+    { aCall.mServer, aCall.mUncached, aCall.mQuery.mPrefixes });
+  const bool isLarge = aCall.mUncached >= aSim.mOptions.mLargePrompt;
+  reports.mHasLarge = reports.mHasLarge || isLarge;
+  const absl::Time due =
+    aSim.mNow + (isLarge ? kReportDelay : aSim.mOptions.mSmallReportDelay);
+  if (due < reports.mDueAt) {
+    reports.mDueAt = due;
+    Schedule(aSim, due - aSim.mNow, sim_kind::Report, aCall.mGateway);
   }
-  aSim.mReports.push_back(std::move(report));
-  Schedule(aSim, kReportDelay, sim_kind::Report, aSim.mReports.size() - 1);
 }
 
 void OnArrive(work_sim& aSim, std::size_t aCall)
@@ -412,13 +420,25 @@
                   call.mStatedRunning + call.mStatedQueued, aSim.mNow);
 }
 
-void OnReport(work_sim& aSim, const sim_report& aReport)
+void OnReport(work_sim& aSim, std::size_t aGateway)
 {
-  for (std::size_t target : aReport.mTargets) {
-    RecordRemotePrompt(aSim.mGateways[target][aSim.mIds[aReport.mServer]],
-                       aReport.mTokens, aReport.mPrefixes, aSim.mRouting,
-                       aSim.mNow);
+  sim_reports& reports = aSim.mReports[aGateway];
+  if (aSim.mNow < reports.mDueAt) {
+    return;
+  }
+  const std::size_t count = aSim.mGateways.size();
+  const auto limit =
+    static_cast<std::size_t>(reports.mHasLarge ? aSim.mOptions.mLargeTargets
+                                               : aSim.mOptions.mSmallTargets);
+  for (std::size_t i = 1; i <= limit && i < count; ++i) {
+    aSim.mResult.mMessages += 1;
+    for (const sim_reports::prompt& prompt : reports.mPrompts) {
+      RecordRemotePrompt(
+        aSim.mGateways[(aGateway + i) % count][aSim.mIds[prompt.mServer]],
+        prompt.mTokens, prompt.mPrefixes, aSim.mRouting, aSim.mNow);
+    }
   }
+  reports = {};
 }
 
 void OnTick(work_sim& aSim)
@@ -462,6 +482,7 @@
   aSim.mServers.resize(static_cast<std::size_t>(options.mServers));
   aSim.mGateways.resize(static_cast<std::size_t>(options.mGateways));
   aSim.mModels.resize(aSim.mGateways.size());
+  aSim.mReports.resize(aSim.mGateways.size());
   for (std::size_t i = 0; i < aSim.mServers.size(); ++i) {
     aSim.mServers[i].mSpeed = options.mSpeeds[i % options.mSpeeds.size()];
     aSim.mIds.push_back({ "w" + std::to_string(100 + i) });
@@ -550,7 +571,7 @@
   options.mRunTime = absl::Seconds(1);
   options.mPrefillTokensPerSecond = 60000;
   options.mMaxPrefixes = 512;
-  options.mAffinityWeight = 10;
+  options.mAffinityWeight = 20;
   return options;
 }
 
@@ -568,7 +589,7 @@
     case sim_kind::End:
       return OnEnd(aSim, aItem.mSubject);
     case sim_kind::Report:
-      return OnReport(aSim, aSim.mReports[aItem.mSubject]);
+      return OnReport(aSim, aItem.mSubject);
     case sim_kind::Tick:
       return OnTick(aSim);
     case sim_kind::Slowness:
@@ -583,6 +604,7 @@
 {
   work_sim sim(aOptions, aSeed);
   sim.mRouting = MakeRouting(aOptions.mGateways);
+  sim.mRouting.mAffinityWeight = aOptions.mAffinityWeight;
   MakeServers(sim);
   MakeCalls(sim);
   Schedule(sim, kTick, sim_kind::Tick, 0);
@@ -603,6 +625,7 @@
   aInto.mShort += aFrom.mShort;
   aInto.mShortLate += aFrom.mShortLate;
   aInto.mRepeatedTokens += aFrom.mRepeatedTokens;
+  aInto.mMessages += aFrom.mMessages;
   aInto.mProcessedTokens += aFrom.mProcessedTokens;
   aInto.mImbalanceSum += aFrom.mImbalanceSum;
   aInto.mImbalanceSamples += aFrom.mImbalanceSamples;
--- a/bench/work_sim.h
+++ b/bench/work_sim.h
@@ -39,6 +39,14 @@
   bool mLearns = true;
   // Fraction of the reports between gateways that are lost.
   double mLostReports = 0;
+  // Weight of the affinity in routing_options. Tokens to process from which a
+  // prompt is reported at once, the number of gateways that such and other
+  // reports are sent to, and the delay of others.
+  double mAffinityWeight = 20;
+  std::int64_t mLargePrompt = 2000;
+  int mLargeTargets = 24;
+  int mSmallTargets = 8;
+  absl::Duration mSmallReportDelay = absl::Milliseconds(500);
 };
 
 struct work_result
@@ -51,6 +59,8 @@
   // had processed them.
   double mRepeatedTokens = 0;
   double mProcessedTokens = 0;
+  // Reports sent to other gateways.
+  double mMessages = 0;
   // Highest number of requests at a server over the mean, summed over samples.
   double mImbalanceSum = 0;
   double mImbalanceSamples = 0;
--- a/bench/work_suite.cc
+++ b/bench/work_suite.cc
@@ -17,16 +17,19 @@
   const char* mName;
   bool mUsesSlowness;
   bool mLearns;
+  // Whether prompts are reported as before, each at once to 8 gateways, and the
+  // affinity has its earlier weight of 4.
+  bool mIsEarlier;
   double mLostReports;
 };
 
 constexpr work_case kCases[] = {
-  { "constants", false, false, 0 },
-  { "stated", true, false, 0 },
-  { "learned", false, true, 0 },
-  { "both", true, true, 0 },
-  { "constants, reports lost", false, false, 1 },
-  { "both, reports lost", true, true, 1 },
+  { "constants", false, false, true, 0 },
+  { "stated", true, false, true, 0 },
+  { "learned", false, true, false, 0 },
+  { "both", true, true, false, 0 },
+  { "constants, reports lost", false, false, true, 1 },
+  { "both, reports lost", true, true, false, 1 },
 };
 
 double FindQuantile(std::vector<double> aTimes, double aFraction)
@@ -51,15 +54,30 @@
     { "p50_s", FindQuantile(aResult.mFirstTimes, 0.5) },
     { "p99_s", FindQuantile(aResult.mFirstTimes, 0.99) },
     { "repeated_ktokens", aResult.mRepeatedTokens / 1000 },
+    { "reports", aResult.mMessages },
     { "max_over_mean",
       aResult.mImbalanceSum / std::max(1.0, aResult.mImbalanceSamples) },
   };
   return row;
 }
 
+// The estimates must not make more requests late than the constants, in the
+// same run, also if all reports between gateways are lost.
+void CheckAgainst(suite_result& aSuite, const std::string& aWhere,
+                  const work_result& aResult, const work_result& aConstants)
+{
+  const auto late = [](const work_result& aEach) {
+    return (aEach.mLongLate + aEach.mShortLate) /
+           std::max(1.0, aEach.mLong + aEach.mShort);
+  };
+  AddUpperBoundCheck(aSuite, aWhere + " late", late(aResult),
+                     late(aConstants) + 0.001);
+}
+
 void RunWorkCases(suite_result& aSuite, const char* aFleet,
                   work_fleet_options aOptions, int aSeeds)
 {
+  work_result constants;
   for (const work_case& each : kCases) {
     if (!aOptions.mIsEngine && each.mLostReports > 0) {
       continue;
@@ -67,12 +85,37 @@
     aOptions.mUsesSlowness = each.mUsesSlowness;
     aOptions.mLearns = each.mLearns;
     aOptions.mLostReports = each.mLostReports;
+    const work_fleet_options defaults;
+    aOptions.mAffinityWeight = each.mIsEarlier ? 4 : defaults.mAffinityWeight;
+    aOptions.mLargePrompt = each.mIsEarlier ? 0 : defaults.mLargePrompt;
+    aOptions.mLargeTargets = each.mIsEarlier ? 8 : defaults.mLargeTargets;
     work_result result;
     for (int seed = 1; seed <= aSeeds; ++seed) {
       AddWorkResult(result,
                     RunWorkFleet(aOptions, static_cast<std::uint64_t>(seed)));
     }
     aSuite.mRows.push_back(MakeRow(aFleet, each, result));
+    if (!each.mLearns && !each.mUsesSlowness) {
+      constants = result;
+    }
+    if (each.mLearns && each.mUsesSlowness) {
+      CheckAgainst(aSuite, absl::StrFormat("%s, %s", aFleet, each.mName),
+                   result, constants);
+    }
+  }
+}
+
+// Reports the processor time of one choice.
+void AddChoiceRows(suite_result& aSuite)
+{
+  for (int servers : { 12, 43, 600 }) {
+    for (bool learns : { false, true }) {
+      bench_row row;
+      row.mLabels = { { "fleet", absl::StrFormat("choice of %d", servers) },
+                      { "estimates", learns ? "both" : "constants" } };
+      row.mValues = { { "ns", MeasureChoice(servers, learns) } };
+      aSuite.mRows.push_back(std::move(row));
+    }
   }
 }
 
@@ -94,6 +137,7 @@
   plain.mSpeeds = { 1.0 };
   plain.mRequestsPerSecond = 150;
   RunWorkCases(suite, "plain servers", plain, aSeeds);
+  AddChoiceRows(suite);
   return suite;
 }
 
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -351,6 +351,10 @@
       { "outstanding", absl::StrCat(view.mOutstanding) },
       { "running", absl::StrCat(view.mReport.mRunning) },
       { "queued", absl::StrCat(view.mReport.mQueued) },
+      { "backlog", absl::StrCat(static_cast<std::int64_t>(backlog)) },
+      { "rate", absl::StrCat(static_cast<std::int64_t>(
+                  GetPromptRate(view, aGateway.mRouting))) },
+      { "slowness", absl::StrCat(view.mSlowness.mFactor) },
       { "report_age_ms",
         view.mReportedAt == absl::InfinitePast()
           ? std::string("none")
--- a/src/core/gateway_share.cc
+++ b/src/core/gateway_share.cc
@@ -15,10 +15,12 @@
 std::vector<std::string> ListReportTargets(const gateway& aGateway,
                                            absl::Time aNow)
 {
+  const std::size_t limit =
+    aGateway.mHasLargePrompt ? kMaxLargeReportTargets : kMaxSmallReportTargets;
   std::vector<std::string> targets;
   const auto start = aGateway.mPeers.upper_bound(aGateway.mSettings.mName);
   const auto add = [&](auto aFrom, auto aTo) {
-    for (; aFrom != aTo && targets.size() < kMaxReportTargets; ++aFrom) {
+    for (; aFrom != aTo && targets.size() < limit; ++aFrom) {
       if (aNow >= aFrom->second.mSuspectUntil) {
         targets.push_back(aFrom->second.mPeer.mAddress);
       }
@@ -41,8 +43,11 @@
   aGateway.mUnreportedPrompts.push_back(
     { aBackend, aUncached, aQuery.mPrefixes });
   const bool isFull = aGateway.mUnreportedPrompts.size() >= kMaxReportedPrompts;
+  const bool isLarge = aUncached >= kLargePromptTokens;
+  aGateway.mHasLargePrompt = aGateway.mHasLargePrompt || isLarge;
+  const absl::Duration delay = isLarge ? kLargeReportDelay : kSmallReportDelay;
   aGateway.mReportAt =
-    isFull ? aNow : std::min(aGateway.mReportAt, aNow + kPromptReportDelay);
+    isFull ? aNow : std::min(aGateway.mReportAt, aNow + delay);
 }
 
 void OnPromptsReported(gateway& aGateway, const prompts_reported& aEvent,
@@ -65,6 +70,7 @@
   aGateway.mReportAt = absl::InfiniteFuture();
   report_prompts action{ ListReportTargets(aGateway, aNow), {} };
   action.mPrompts.swap(aGateway.mUnreportedPrompts);
+  aGateway.mHasLargePrompt = false;
   if (!action.mAddresses.empty()) {
     aGateway.mActions.push_back(std::move(action));
   }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -69,17 +69,22 @@
 // Delay after which a refused caller should retry: about one model run, in
 // which tokens are granted or load moves.
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(700);
+// Uncached tokens from which a prompt is large: its processing takes longer
+// than the reports on it are under way, so that others can still avoid it.
+constexpr token_count kLargePromptTokens = 2000;
 // Time for which sent prompts are batched before they are reported to other
-// gateways. It is shorter than the processing of a prompt of usual length (100
-// ms).
-constexpr absl::Duration kPromptReportDelay = absl::Milliseconds(15);
+// gateways. For large ones it is shorter than their processing (30 ms and
+// more). Small ones state mostly which parts an engine has cached.
+constexpr absl::Duration kLargeReportDelay = absl::Milliseconds(15);
+constexpr absl::Duration kSmallReportDelay = absl::Milliseconds(500);
 // Largest number of prompts in one report, above what one gateway sends in
-// kPromptReportDelay.
+// kSmallReportDelay.
 constexpr std::size_t kMaxReportedPrompts = 64;
-// Largest number of gateways that a report is sent to, so that its cost does
+// Largest numbers of gateways that a report is sent to, so that its cost does
 // not grow with the fleet. The other gateways still receive the load that the
 // engines state.
-constexpr std::size_t kMaxReportTargets = 8;
+constexpr std::size_t kMaxLargeReportTargets = 24;
+constexpr std::size_t kMaxSmallReportTargets = 8;
 // Largest number of records in one write. The store accepts at most 32 rows in
 // all: a condition and a value for each record, and those on eras.
 constexpr std::size_t kMaxGrantEntries = 12;
@@ -329,6 +334,8 @@
   std::uint64_t mLoadSequence = 0;
   // Prompts sent to engines and not yet reported to other gateways.
   std::vector<sent_prompt> mUnreportedPrompts;
+  // True if one of them is large.
+  bool mHasLargePrompt = false;
   // Time of the next prompt report; infinite if there is nothing to report.
   absl::Time mReportAt = absl::InfiniteFuture();
 
--- a/tests/gateway_model_test.cc
+++ b/tests/gateway_model_test.cc
@@ -228,6 +228,68 @@
              dispatch.mBackend.mValue);
 }
 
+// A report on each small prompt would cost more than it tells. They must still
+// be reported, with the next large one or after a while.
+BOOST_AUTO_TEST_CASE(small_prompts_are_reported_together)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  traffic_config config = MakeConfig(6);
+  config.mWorkspaces[0].mPrepaid.reset();
+  DeliverConfig(fixture, config, 30);
+  DeliverPeer(fixture, "peer");
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 10));
+  FireEvent(fixture, MakeChatRequest(fixture, 200, 10));
+  AdvanceTime(fixture, absl::Milliseconds(400));
+  BOOST_TEST(TakeActions<report_prompts>(fixture).empty());
+  AdvanceTime(fixture, absl::Milliseconds(110));
+  auto reports = TakeActions<report_prompts>(fixture);
+  BOOST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST(reports[0].mPrompts.size() == 2U);
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 10));
+  FireEvent(fixture, MakeChatRequest(fixture, 9000, 10));
+  AdvanceTime(fixture, absl::Milliseconds(20));
+  reports = TakeActions<report_prompts>(fixture);
+  BOOST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST(reports[0].mPrompts.size() == 2U);
+}
+
+// What the first event of a response states must count for the next choice: an
+// engine that is slow now is avoided, and after the period is used again.
+BOOST_AUTO_TEST_CASE(an_engine_that_states_to_be_slow_is_avoided)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  traffic_config config = MakeConfig(6);
+  config.mWorkspaces[0].mPrepaid.reset();
+  DeliverConfig(fixture, config, 30);
+  fixture.mActions.clear();
+  const auto dispatch = [&] {
+    FireEvent(fixture, MakeChatRequest(fixture, 4000, 10));
+    return TakeOnlyDispatch(fixture);
+  };
+  const auto end = [&](const dispatch_request& aDispatch, double aSlowness) {
+    first_byte start;
+    start.mHandle = aDispatch.mHandle;
+    start.mAttempt = aDispatch.mAttempt;
+    start.mLoad = observed_load{ 0, 0, aSlowness };
+    FireEvent(fixture, start);
+    attempt_report report =
+      MakeAttemptReport(aDispatch, attempt_outcome::Delivered);
+    report.mLoad = start.mLoad;
+    FireEvent(fixture, report);
+    fixture.mActions.clear();
+  };
+  // Both engines have processed nothing for a second.
+  const dispatch_request slow = dispatch();
+  AdvanceTime(fixture, absl::Seconds(1));
+  end(slow, 2.5);
+  const dispatch_request other = dispatch();
+  BOOST_TEST(other.mBackend.mValue != slow.mBackend.mValue);
+  AdvanceTime(fixture, absl::Seconds(1));
+  end(other, 10);
+  BOOST_TEST(dispatch().mBackend.mValue == slow.mBackend.mValue);
+}
+
 // A prepaid request must not be dispatched before its tokens are durably
 // granted.
 BOOST_AUTO_TEST_CASE(a_model_request_waits_for_its_grant)
