--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
 #include "gateway_work.h"
 #include "xxhash.h"
 
@@ -301,13 +300,7 @@
     return;
   }
   backend_view& view = aGateway.mViews[*chosen];
-  const token_count uncached =
-    EstimateUncachedTokens(view, query, aGateway.mRouting, aNow);
-  const double backlog = EstimateBacklog(
-    view.mRemaining, GetPromptRate(view, aGateway.mRouting), aNow);
-  RecordPrompt(aGateway, *chosen, uncached, query, aNow);
-  RecordDispatch(view, query, aGateway.mRouting, aNow);
-  StartWork(aRequest, view, uncached, backlog, aNow);
+  const double backlog = StartWork(aGateway, aRequest, *chosen, query, aNow);
   RecordLimitedDispatch(aGateway, view, aNow);
   const retry_options options = MakeRetryOptions(aGateway, aNow);
   retry_state& repeats =
@@ -352,8 +345,6 @@
       { "running", absl::StrCat(view.mReport.mRunning) },
       { "queued", absl::StrCat(view.mReport.mQueued) },
       { "backlog", absl::StrCat(static_cast<std::int64_t>(backlog)) },
-      { "rate", absl::StrCat(static_cast<std::int64_t>(
-                  GetPromptRate(view, aGateway.mRouting))) },
       { "slowness", absl::StrCat(view.mSlowness.mFactor) },
       { "report_age_ms",
         view.mReportedAt == absl::InfinitePast()
@@ -402,14 +393,10 @@
 {
   aRequest.mEvents = std::max(aRequest.mEvents, aReport.mEvents);
   const backend_id backend = aRequest.mBackend;
-  // The load of a response whose start was reported is as old as that start.
-  if (!aRequest.mHasResponseStarted) {
-    RecordLoad(aGateway, backend, aReport.mLoad, aNow);
-  }
+  RecordWork(aGateway, aRequest, aReport, aNow);
   if (aReport.mStatement) {
     ApplyStatement(aGateway, aRequest, *aReport.mStatement, aNow);
   }
-  RecordWork(aGateway, aRequest, aReport, aNow);
   bool failed = true;
   switch (aReport.mOutcome) {
     case attempt_outcome::Delivered:
--- a/src/core/gateway_share.cc
+++ b/src/core/gateway_share.cc
@@ -9,6 +9,22 @@
 
 namespace {
 
+// Uncached tokens from which a prompt is large: its processing takes longer
+// than the reports on it are under way, so that others can still avoid it.
+constexpr token_count kLargePromptTokens = 2000;
+// Time for which sent prompts are batched before they are reported to other
+// gateways. For large ones it is shorter than their processing (30 ms and
+// more). Small ones state mostly which parts an engine has cached.
+constexpr absl::Duration kLargeReportDelay = absl::Milliseconds(15);
+constexpr absl::Duration kSmallReportDelay = absl::Milliseconds(500);
+// Largest number of prompts in one report, above what one gateway sends in
+// kSmallReportDelay.
+constexpr std::size_t kMaxReportedPrompts = 64;
+// Largest numbers of gateways that a report is sent to, so that its cost does
+// not grow with the fleet. The other gateways still receive the load that the
+// engines state.
+constexpr std::size_t kMaxLargeReportTargets = 24;
+constexpr std::size_t kMaxSmallReportTargets = 8;
 // Returns the addresses of the gateways that receive reports: those that follow
 // this one in the order of names, so that each gateway receives reports from
 // equally many others.
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -30,6 +30,7 @@
 #include "foxtailquay/gateway.h"
 #include "gateway_charts.h"
 #include "prompt_quarantine.h"
+#include "request_work.h"
 #include "retry.h"
 #include "routing.h"
 #include "work_model.h"
@@ -69,22 +70,6 @@
 // Delay after which a refused caller should retry: about one model run, in
 // which tokens are granted or load moves.
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(700);
-// Uncached tokens from which a prompt is large: its processing takes longer
-// than the reports on it are under way, so that others can still avoid it.
-constexpr token_count kLargePromptTokens = 2000;
-// Time for which sent prompts are batched before they are reported to other
-// gateways. For large ones it is shorter than their processing (30 ms and
-// more). Small ones state mostly which parts an engine has cached.
-constexpr absl::Duration kLargeReportDelay = absl::Milliseconds(15);
-constexpr absl::Duration kSmallReportDelay = absl::Milliseconds(500);
-// Largest number of prompts in one report, above what one gateway sends in
-// kSmallReportDelay.
-constexpr std::size_t kMaxReportedPrompts = 64;
-// Largest numbers of gateways that a report is sent to, so that its cost does
-// not grow with the fleet. The other gateways still receive the load that the
-// engines state.
-constexpr std::size_t kMaxLargeReportTargets = 24;
-constexpr std::size_t kMaxSmallReportTargets = 8;
 // Largest number of records in one write. The store accepts at most 32 rows in
 // all: a condition and a value for each record, and those on eras.
 constexpr std::size_t kMaxGrantEntries = 12;
@@ -93,17 +78,6 @@
 constexpr double kRepeatRatioFraction = 0.7;
 constexpr double kRepeatSlackFraction = 0.6;
 
-// What the current attempt of a request shows of its work.
-struct request_work
-{
-  token_count mUncachedTokens = 0;
-  waiting_prompt mPrompt;
-  // True if other requests were probably ahead of it at its server.
-  bool mHasWaited = false;
-  // Time of the first event of the response.
-  absl::Time mFirstAt;
-};
-
 // One request of a caller, from its arrival to the end of its response.
 struct forwarded_request
 {
--- a/src/core/gateway_work.cc
+++ b/src/core/gateway_work.cc
@@ -35,21 +35,30 @@
                       aNow);
 }
 
-void StartWork(forwarded_request& aRequest, backend_view& aView,
-               token_count aUncached, double aBacklog, absl::Time aNow)
+double StartWork(gateway& aGateway, forwarded_request& aRequest,
+                 const backend_id& aBackend, const routing_query& aQuery,
+                 absl::Time aNow)
 {
-  const double tokens = static_cast<double>(aUncached);
+  backend_view& view = aGateway.mViews[aBackend];
+  const token_count uncached =
+    EstimateUncachedTokens(view, aQuery, aGateway.mRouting, aNow);
+  const double tokens = static_cast<double>(uncached);
+  const double backlog = EstimateBacklog(
+    view.mRemaining, GetPromptRate(view, aGateway.mRouting), aNow);
+  RecordPrompt(aGateway, aBackend, uncached, aQuery, aNow);
+  RecordDispatch(view, aQuery, aGateway.mRouting, aNow);
   request_work& work = aRequest.mWork;
   work = {};
-  work.mUncachedTokens = aUncached;
+  work.mUncachedTokens = uncached;
   work.mFirstAt = aNow;
-  work.mHasWaited = aView.mReport.mQueued > 0 ||
-                    (aRequest.mIsEngine ? aBacklog > kMaxUncountedWait * tokens
-                                        : aView.mReport.mRunning + 1 >=
-                                            aView.mConfig.mMaxConcurrency);
+  work.mHasWaited = view.mReport.mQueued > 0 ||
+                    (aRequest.mIsEngine ? backlog > kMaxUncountedWait * tokens
+                                        : view.mReport.mRunning + 1 >=
+                                            view.mConfig.mMaxConcurrency);
   if (aRequest.mIsEngine) {
-    StartWaiting(aView.mRemaining, work.mPrompt, tokens);
+    StartWaiting(view.mRemaining, work.mPrompt, tokens);
   }
+  return backlog;
 }
 
 void RecordFirstEvent(gateway& aGateway, forwarded_request& aRequest,
@@ -70,6 +79,10 @@
 void RecordWork(gateway& aGateway, forwarded_request& aRequest,
                 const attempt_report& aReport, absl::Time aNow)
 {
+  // The load of a response whose start was reported is as old as that start.
+  if (!aRequest.mHasResponseStarted) {
+    RecordLoad(aGateway, aRequest.mBackend, aReport.mLoad, aNow);
+  }
   const auto view = aGateway.mViews.find(aRequest.mBackend);
   if (aReport.mOutcome != attempt_outcome::Delivered ||
       aReport.mStatus >= 400 || aRequest.mAttempts != 1 ||
--- a/src/core/gateway_work.h
+++ b/src/core/gateway_work.h
@@ -14,19 +14,20 @@
                                   const forwarded_request& aRequest,
                                   token_count aCached, absl::Time aNow);
 
-// Records that the request was sent to the server of aView. aBacklog: tokens
-// that the server had to process before it. Precondition: RecordDispatch was
-// called for it.
-void StartWork(forwarded_request& aRequest, backend_view& aView,
-               token_count aUncached, double aBacklog, absl::Time aNow);
+// Records that the request is being sent to the server, and reports it to other
+// gateways. Returns the prompt tokens that the server had to process before.
+// Precondition: the server is listed.
+double StartWork(gateway& aGateway, forwarded_request& aRequest,
+                 const backend_id& aBackend, const routing_query& aQuery,
+                 absl::Time aNow);
 
 // Records that the first event of the response has arrived.
 void RecordFirstEvent(gateway& aGateway, forwarded_request& aRequest,
                       const std::optional<observed_load>& aLoad,
                       absl::Time aNow);
 
-// Learns from the attempt, unless it failed, was cut off or repeated another
-// one.
+// Records the load that the response states, and learns from the attempt unless
+// it failed, was cut off or repeated another one.
 void RecordWork(gateway& aGateway, forwarded_request& aRequest,
                 const attempt_report& aReport, absl::Time aNow);
 
