--- a/bench/main.cc
+++ b/bench/main.cc
@@ -11,9 +11,10 @@
 #include "suites.h"
 #include "json/json.h"
 
-DEFINE_string(suite, "",
-              "Suite to run: routing, herding, overload, orders, subsets or work; "
-              "empty runs all.");
+DEFINE_string(
+  suite, "",
+  "Suite to run: routing, herding, overload, orders, subsets or work; "
+  "empty runs all.");
 DEFINE_bool(short, false, "Run one seed instead of three.");
 DEFINE_bool(json, false, "Print JSON instead of tables.");
 
@@ -97,8 +98,9 @@
 {
   constexpr int kSeeds = 3;
   if (!FLAGS_suite.empty() && !FromName<bench_suite>(FLAGS_suite)) {
-    std::cerr << "unknown suite \"" << FLAGS_suite
-              << "\"; expected routing, herding, overload, orders, subsets or work\n";
+    std::cerr
+      << "unknown suite \"" << FLAGS_suite
+      << "\"; expected routing, herding, overload, orders, subsets or work\n";
     return 2;
   }
   bool passed = true;
--- a/bench/work_sim.cc
+++ b/bench/work_sim.cc
@@ -1,158 +1,35 @@
 #include "work_sim.h"
 
 #include <algorithm>
-#include <chrono>
-#include <cmath>
-#include <deque>
-#include <functional>
-#include <limits>
-#include <queue>
-#include <set>
-#include <tuple>
 
-#include "core/routing.h"
+#include "work_parts.h"
 
 namespace foxtailquay {
 
 namespace {
 
-const char* const kService = "loom-7b";
-const absl::Time kStart = absl::FromUnixSeconds(1000);
 // Engine: time of a step, its increase with each running request, prompt tokens
 // a millisecond, and largest number of prompt tokens in a step.
 constexpr double kStepMs = 3.79;
 constexpr double kStepRequestMs = 0.09;
 constexpr double kPromptTokensPerMs = 75;
 constexpr double kChunkTokens = 1024;
-constexpr token_count kTokensPerEvent = 8;
 constexpr double kCachedTokens = 60000;
-constexpr std::size_t kSharedParts = 120;
 constexpr absl::Duration kReportDelay = absl::Milliseconds(15);
 constexpr absl::Duration kHop = absl::Milliseconds(1);
 constexpr absl::Duration kZoneHop = absl::Milliseconds(5);
 constexpr absl::Duration kTick = absl::Milliseconds(250);
-constexpr std::size_t kZones = 3;
 constexpr token_count kLongPrompt = 2000;
 
-enum class sim_kind
-{
-  Arrive,
-  Reach,
-  Step,
-  First,
-  End,
-  Report,
-  Tick,
-  Slowness,
-};
-
-struct sim_item
-{
-  absl::Time mAt;
-  std::uint64_t mOrder = 0;
-  sim_kind mKind = sim_kind::Arrive;
-  std::size_t mSubject = 0;
-
-  friend bool operator>(const sim_item& aLeft, const sim_item& aRight)
-  {
-    return std::tie(aLeft.mAt, aLeft.mOrder) >
-           std::tie(aRight.mAt, aRight.mOrder);
-  }
-};
-
-struct sim_call
-{
-  std::size_t mGateway = 0;
-  std::size_t mServer = 0;
-  absl::Time mSentAt;
-  absl::Time mFirstAt;
-  absl::Time mEndAt;
-  absl::Duration mObjective;
-  token_count mOutput = 0;
-  absl::Duration mCallTime;
-  routing_query mQuery;
-  token_count mUncached = 0;
-  waiting_prompt mPrompt;
-  bool mHasWaited = false;
-  // At the server.
-  double mPromptLeft = 0;
-  token_count mProduced = 0;
-  // What its response states.
-  int mStatedRunning = 0;
-  int mStatedQueued = 0;
-  double mStatedSlowness = 1;
-};
-
-struct sim_server
-{
-  double mSpeed = 1;
-  double mSlowness = 1;
-  bool mIsStepping = false;
-  std::deque<std::size_t> mWaiting;
-  std::deque<std::size_t> mPrompts;
-  std::vector<std::size_t> mRunning;
-  // Cached parts, most recently used first, with their tokens.
-  std::deque<std::pair<std::uint64_t, double>> mCache;
-};
-
-// Prompts that a gateway has not reported yet.
-struct sim_reports
-{
-  struct prompt
-  {
-    std::size_t mServer = 0;
-    token_count mTokens = 0;
-    std::vector<std::uint64_t> mPrefixes;
-  };
-  std::vector<prompt> mPrompts;
-  absl::Time mDueAt = absl::InfiniteFuture();
-  bool mHasLarge = false;
-};
-
-struct work_sim
-{
-  work_sim(const work_fleet_options& aOptions, std::uint64_t aSeed)
-    : mOptions(aOptions)
-    , mRandom(aSeed)
-  {}
-
-  const work_fleet_options& mOptions;
-  random_engine mRandom;
-  absl::Time mNow = kStart;
-  std::uint64_t mOrder = 0;
-  std::priority_queue<sim_item, std::vector<sim_item>, std::greater<>> mItems;
-  std::vector<sim_call> mCalls;
-  std::vector<sim_server> mServers;
-  std::vector<backend_id> mIds;
-  std::vector<std::map<backend_id, backend_view>> mGateways;
-  std::vector<work_model> mModels;
-  std::vector<sim_reports> mReports;
-  std::set<std::uint64_t> mSeenParts;
-  routing_options mRouting;
-  std::size_t mOpen = 0;
-  std::uint64_t mSequence = 0;
-  work_result mResult;
-};
-
-void Schedule(work_sim& aSim, absl::Duration aDelay, sim_kind aKind,
-              std::size_t aSubject)
-{
-  aSim.mItems.push({ aSim.mNow + aDelay, ++aSim.mOrder, aKind, aSubject });
-}
-
-double Draw(work_sim& aSim)
-{
-  return std::uniform_real_distribution<double>(0, 1)(aSim.mRandom);
-}
-
 bool IsMeasured(const work_sim& aSim, const sim_call& aCall)
 {
-  return aCall.mSentAt >= kStart + aSim.mOptions.mWarmUp;
+  return aCall.mSentAt >= kWorkStart + aSim.mOptions.mWarmUp;
 }
 
 absl::Duration ComputeHop(const sim_call& aCall)
 {
-  return aCall.mGateway % kZones == aCall.mServer % kZones ? kHop : kZoneHop;
+  return aCall.mGateway % kWorkZones == aCall.mServer % kWorkZones ? kHop
+                                                                   : kZoneHop;
 }
 
 backend_view& GetView(work_sim& aSim, const sim_call& aCall)
@@ -240,7 +117,7 @@
   for (std::size_t index : server.mRunning) {
     sim_call& call = aSim.mCalls[index];
     ++call.mProduced;
-    if (call.mProduced == std::min(kTokensPerEvent, call.mOutput)) {
+    if (call.mProduced == std::min(kWorkTokensPerEvent, call.mOutput)) {
       State(server, call);
       Schedule(aSim, ComputeHop(call), sim_kind::First, index);
     }
@@ -402,7 +279,7 @@
     return;
   }
   work_features features;
-  features.mService = kService;
+  features.mService = kWorkService;
   features.mRoute = "r";
   features.mIsEngine = aSim.mOptions.mIsEngine;
   features.mPromptTokens = call.mQuery.mPromptTokens;
@@ -411,12 +288,12 @@
   measured_run run;
   run.mFirstTime = call.mFirstAt - call.mSentAt;
   run.mTotalTime = aSim.mNow - call.mSentAt;
-  run.mEvents = (call.mOutput + kTokensPerEvent - 1) / kTokensPerEvent;
-  run.mTokensPerEvent = kTokensPerEvent;
+  run.mEvents = (call.mOutput + kWorkTokensPerEvent - 1) / kWorkTokensPerEvent;
+  run.mTokensPerEvent = kWorkTokensPerEvent;
   run.mUncachedTokens = call.mUncached;
   run.mHasWaited = call.mHasWaited || call.mStatedQueued > 0;
   RecordRun(aSim.mModels[call.mGateway], features, run, view.mSpeed, aSim.mNow);
-  RecordUsualLoad(aSim.mModels[call.mGateway], kService,
+  RecordUsualLoad(aSim.mModels[call.mGateway], kWorkService,
                   call.mStatedRunning + call.mStatedQueued, aSim.mNow);
 }
 
@@ -446,7 +323,7 @@
   if (aSim.mOptions.mLearns) {
     for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
       for (auto& each : aSim.mGateways[i]) {
-        each.second.mRates = EstimateRates(aSim.mModels[i], kService,
+        each.second.mRates = EstimateRates(aSim.mModels[i], kWorkService,
                                            each.second.mSpeed, aSim.mNow);
       }
     }
@@ -459,7 +336,7 @@
     highest = std::max(highest, load);
     total += load;
   }
-  if (total > 0 && aSim.mNow >= kStart + aSim.mOptions.mWarmUp) {
+  if (total > 0 && aSim.mNow >= kWorkStart + aSim.mOptions.mWarmUp) {
     aSim.mResult.mImbalanceSum +=
       highest * static_cast<double>(aSim.mServers.size()) / total;
     aSim.mResult.mImbalanceSamples += 1;
@@ -476,105 +353,6 @@
   Schedule(aSim, aSim.mOptions.mSlowPeriod, sim_kind::Slowness, 0);
 }
 
-void MakeServers(work_sim& aSim)
-{
-  const work_fleet_options& options = aSim.mOptions;
-  aSim.mServers.resize(static_cast<std::size_t>(options.mServers));
-  aSim.mGateways.resize(static_cast<std::size_t>(options.mGateways));
-  aSim.mModels.resize(aSim.mGateways.size());
-  aSim.mReports.resize(aSim.mGateways.size());
-  for (std::size_t i = 0; i < aSim.mServers.size(); ++i) {
-    aSim.mServers[i].mSpeed = options.mSpeeds[i % options.mSpeeds.size()];
-    aSim.mIds.push_back({ "w" + std::to_string(100 + i) });
-  }
-  for (auto& views : aSim.mGateways) {
-    for (std::size_t i = 0; i < aSim.mIds.size(); ++i) {
-      backend_view& view = views[aSim.mIds[i]];
-      view.mConfig.mKind =
-        options.mIsEngine ? backend_kind::Engine : backend_kind::Service;
-      view.mConfig.mZone = { "z" + std::to_string(i % kZones) };
-      view.mConfig.mModels = { { kService } };
-      view.mConfig.mServices = { { kService } };
-      view.mConfig.mMaxConcurrency = options.mSlots;
-      view.mAddress = "127.0.0.1:" + std::to_string(i);
-    }
-  }
-}
-
-// Makes the prompt of a call: a shared part of Zipf popularity, a conversation
-// and a part of its own.
-void MakePrompt(work_sim& aSim, sim_call& aCall)
-{
-  constexpr double kLongFraction = 0.35;
-  constexpr double kLongMean = 6600;
-  constexpr double kLongSpread = 1.4;
-  constexpr double kShortMean = 500;
-  constexpr double kLargest = 55000;
-  routing_query& query = aCall.mQuery;
-  const bool isLong = Draw(aSim) < kLongFraction;
-  const double median = (isLong ? kLongMean : kShortMean) *
-                        std::exp(-kLongSpread * kLongSpread / 2);
-  const double own = std::clamp(std::lognormal_distribution<double>(
-                                  std::log(median), kLongSpread)(aSim.mRandom),
-                                50.0, kLargest);
-  const auto part = static_cast<std::size_t>(
-    std::pow(static_cast<double>(kSharedParts), Draw(aSim)));
-  const auto shared = static_cast<token_count>(400 + 30 * (part * 37 % 97));
-  query.mPromptTokens = shared + static_cast<token_count>(own);
-  query.mSharedTokens = shared;
-  query.mPrefixes = { 1 + part * 7919, aSim.mRandom() };
-  query.mPrefixTokens = { shared, query.mPromptTokens };
-  query.mAffinity = query.mPrefixes[0];
-}
-
-void MakeCalls(work_sim& aSim)
-{
-  const work_fleet_options& options = aSim.mOptions;
-  constexpr double kObjectives[] = { 0.3, 0.5, 1, 2 };
-  std::exponential_distribution<double> gap(options.mRequestsPerSecond);
-  constexpr double kCallSpread = 0.8;
-  std::lognormal_distribution<double> callTime(
-    std::log(0.06) - kCallSpread * kCallSpread / 2, kCallSpread);
-  absl::Duration at = absl::ZeroDuration();
-  while ((at += absl::Seconds(gap(aSim.mRandom))) < options.mTime) {
-    sim_call call;
-    call.mGateway = aSim.mRandom() % aSim.mGateways.size();
-    call.mSentAt = kStart + at;
-    call.mQuery.mTarget = kService;
-    call.mQuery.mZone = { "z" + std::to_string(call.mGateway % kZones) };
-    call.mObjective = absl::Seconds(0.3);
-    if (options.mIsEngine) {
-      MakePrompt(aSim, call);
-      call.mObjective = absl::Seconds(kObjectives[aSim.mRandom() % 4]);
-      call.mOutput =
-        kTokensPerEvent * (3 + static_cast<token_count>(aSim.mRandom() % 53));
-    } else {
-      call.mQuery.mKind = backend_kind::Service;
-      call.mCallTime = absl::Seconds(callTime(aSim.mRandom));
-    }
-    aSim.mCalls.push_back(std::move(call));
-    Schedule(aSim, at, sim_kind::Arrive, aSim.mCalls.size() - 1);
-  }
-  aSim.mOpen = aSim.mCalls.size();
-}
-
-// The options of a gateway (gateway.cc).
-routing_options MakeRouting(int aGateways)
-{
-  routing_options options;
-  options.mRouters = aGateways;
-  options.mSampleSize = 0;
-  options.mSubsetSize = std::numeric_limits<int>::max();
-  options.mReportLag = absl::Milliseconds(5);
-  options.mMaxAssumedPeers = 0;
-  options.mZoneDelay = absl::Milliseconds(5);
-  options.mRunTime = absl::Seconds(1);
-  options.mPrefillTokensPerSecond = 60000;
-  options.mMaxPrefixes = 512;
-  options.mAffinityWeight = 20;
-  return options;
-}
-
 void OnItem(work_sim& aSim, const sim_item& aItem)
 {
   switch (aItem.mKind) {
@@ -633,47 +411,4 @@
                            aFrom.mFirstTimes.end());
 }
 
-double MeasureChoice(int aServers, bool aLearns)
-{
-  constexpr int kChoices = 2000;
-  work_fleet_options options;
-  options.mServers = aServers;
-  options.mGateways = 1;
-  options.mTime = absl::Seconds(1);
-  work_sim sim(options, 1);
-  sim.mRouting = MakeRouting(23);
-  MakeServers(sim);
-  MakeCalls(sim);
-  auto& views = sim.mGateways[0];
-  for (auto& each : views) {
-    backend_view& view = each.second;
-    load_report report;
-    report.mSequence = 1;
-    report.mRunning = static_cast<int>(sim.mRandom() % 20);
-    report.mLoadedModels = view.mConfig.mModels;
-    RecordLoadReport(view, report, kStart);
-    RecordRemotePrompt(view, 3000, sim.mCalls[0].mQuery.mPrefixes, sim.mRouting,
-                       kStart);
-    if (aLearns) {
-      view.mRates = { 70000, absl::Milliseconds(500), absl::Milliseconds(60),
-                      8 };
-      RecordSlowness(view.mSlowness, 2.5, kStart);
-    }
-  }
-  double best = std::numeric_limits<double>::infinity();
-  for (int round = 0; round < 5; ++round) {
-    const auto from = std::chrono::steady_clock::now();
-    for (int i = 0; i < kChoices; ++i) {
-      const sim_call& call =
-        sim.mCalls[static_cast<std::size_t>(i) % sim.mCalls.size()];
-      ChooseBackend(views, call.mQuery, sim.mRouting,
-                    kStart + absl::Milliseconds(100), sim.mRandom);
-    }
-    const std::chrono::duration<double, std::nano> time =
-      std::chrono::steady_clock::now() - from;
-    best = std::min(best, time.count() / kChoices);
-  }
-  return best;
-}
-
 } // namespace foxtailquay
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -301,7 +301,6 @@
   }
   backend_view& view = aGateway.mViews[*chosen];
   const double backlog = StartWork(aGateway, aRequest, *chosen, query, aNow);
-  RecordLimitedDispatch(aGateway, view, aNow);
   const retry_options options = MakeRetryOptions(aGateway, aNow);
   retry_state& repeats =
     GetOrCreateRetryState(aGateway, aRequest.mService, aNow);
--- a/src/core/gateway_work.cc
+++ b/src/core/gateway_work.cc
@@ -58,6 +58,7 @@
   if (aRequest.mIsEngine) {
     StartWaiting(view.mRemaining, work.mPrompt, tokens);
   }
+  RecordLimitedDispatch(aGateway, view, aNow);
   return backlog;
 }
 
