--- a/src/core/gateway_capacity.h
+++ b/src/core/gateway_capacity.h
@@ -11,6 +11,15 @@
 
 namespace foxtailquay {
 
+// Time for which sent prompts are batched before they are reported to other
+// gateways if one of them is large. It is shorter than the processing of a
+// large prompt (30 ms and more).
+constexpr absl::Duration kLargeReportDelay = absl::Milliseconds(15);
+// Largest number of gateways that a report without large prompts is sent to, so
+// that its cost does not grow with the fleet. The other gateways still receive
+// the load that the engines state.
+constexpr std::size_t kMaxSmallReportTargets = 8;
+
 // --- gateway_request.cc, gateway_statements.cc ------------------------------
 
 // Returns the query for the servers of the request.
@@ -93,9 +102,11 @@
 
 void RecordRequestRefused(gateway& aGateway, const forwarded_request& aRequest,
                           const error& aError, absl::Time aNow);
+// aBacklog: prompt tokens that the server had to process before.
 void RecordRequestDispatched(gateway& aGateway,
                              const forwarded_request& aRequest,
-                             const backend_view& aView, absl::Time aNow);
+                             const backend_view& aView, double aBacklog,
+                             absl::Time aNow);
 // aBackend: server of the attempt that has ended.
 void RecordRequestFinished(gateway& aGateway, const forwarded_request& aRequest,
                            const attempt_report& aReport,
--- a/src/core/gateway_log.cc
+++ b/src/core/gateway_log.cc
@@ -44,7 +44,8 @@
 
 void RecordRequestDispatched(gateway& aGateway,
                              const forwarded_request& aRequest,
-                             const backend_view& aView, absl::Time aNow)
+                             const backend_view& aView, double aBacklog,
+                             absl::Time aNow)
 {
   RecordDecision(
     aGateway, decision::RequestDispatched,
@@ -56,6 +57,8 @@
       { "outstanding", absl::StrCat(aView.mOutstanding) },
       { "running", absl::StrCat(aView.mReport.mRunning) },
       { "queued", absl::StrCat(aView.mReport.mQueued) },
+      { "backlog", absl::StrCat(static_cast<std::int64_t>(aBacklog)) },
+      { "slowness", absl::StrCat(aView.mSlowness.mFactor) },
       { "report_age_ms",
         aView.mReportedAt == absl::InfinitePast()
           ? std::string("none")
--- a/src/core/gateway_memory.cc
+++ b/src/core/gateway_memory.cc
@@ -28,7 +28,7 @@
   memory_need need;
   need.mPeers = CountListedGateways(aGateway) - 1;
   need.mReportingPeers =
-    std::min(need.mPeers, static_cast<int>(kMaxReportTargets));
+    std::min(need.mPeers, static_cast<int>(kMaxSmallReportTargets));
   need.mNow = aNow;
   const auto sizes = aGateway.mHoldingSizes.find(aService.mValue);
   if (sizes != aGateway.mHoldingSizes.end()) {
@@ -79,7 +79,7 @@
   RecordSize(aGateway.mHoldingSizes[aRequest.mService.mValue],
              aRequest.mHeldTokens, aNow);
   ScheduleHoldingReport(aGateway, aRequest.mService, aBackend, aView,
-                        aNow + kPromptReportDelay, true, aNow);
+                        aNow + kLargeReportDelay, true, aNow);
 }
 
 void ReleaseHeldTokens(gateway& aGateway, forwarded_request& aRequest,
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -5,7 +5,6 @@
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
-#include "gateway_state.h"
 #include "gateway_work.h"
 #include "xxhash.h"
 
@@ -268,14 +267,7 @@
     return;
   }
   backend_view& view = found->second;
-  const token_count uncached =
-    EstimateUncachedTokens(view, query, aGateway.mRouting, aNow);
-  const double backlog = EstimateBacklog(
-    view.mRemaining, GetPromptRate(view, aGateway.mRouting), aNow);
-  RecordPrompt(aGateway, *chosen, uncached, query, aNow);
-  RecordDispatch(view, query, aGateway.mRouting, aNow);
-  StartWork(aRequest, view, uncached, backlog, aNow);
-  RecordLimitedDispatch(aGateway, view, aNow);
+  const double backlog = StartWork(aGateway, aRequest, *chosen, query, aNow);
   const retry_options options = MakeRetryOptions(aGateway, aNow);
   retry_state& repeats =
     GetOrCreateRetryState(aGateway, aRequest.mService, aNow);
@@ -310,7 +302,7 @@
   action.mMaxConnections =
     std::max(1, aRequest.mMaxConnections / aGateway.mRouting.mRouters);
   aGateway.mActions.push_back(std::move(action));
-  RecordRequestDispatched(aGateway, aRequest, view, aNow);
+  RecordRequestDispatched(aGateway, aRequest, view, backlog, aNow);
 }
 
 void PerformAction(gateway& aGateway, forwarded_request& aRequest,
@@ -357,8 +349,8 @@
 {
   aRequest.mEvents = std::max(aRequest.mEvents, aReport.mEvents);
   const backend_id backend = aRequest.mBackend;
-  ApplyServerReport(aGateway, aRequest, aReport, aNow);
   RecordWork(aGateway, aRequest, aReport, aNow);
+  ApplyServerReport(aGateway, aRequest, aReport, aNow);
   bool failed = true;
   switch (aReport.mOutcome) {
     case attempt_outcome::Delivered:
--- a/src/core/gateway_share.cc
+++ b/src/core/gateway_share.cc
@@ -9,6 +9,18 @@
 
 namespace {
 
+// Uncached tokens from which a prompt is large: its processing takes longer
+// than the reports on it are under way, so that others can still avoid it.
+constexpr token_count kLargePromptTokens = 2000;
+// Time for which small prompts are batched before they are reported. They state
+// mostly which parts an engine has cached.
+constexpr absl::Duration kSmallReportDelay = absl::Milliseconds(500);
+// Largest number of prompts in one report, above what one gateway sends in
+// kSmallReportDelay.
+constexpr std::size_t kMaxReportedPrompts = 64;
+// Largest number of gateways that a report with a large prompt is sent to.
+constexpr std::size_t kMaxLargeReportTargets = 24;
+
 // Returns the addresses of the gateways that receive reports: those that follow
 // this one in the order of names, so that each gateway receives reports from
 // equally many others. aCount: their largest number.
@@ -81,8 +93,11 @@
   aGateway.mUnreportedPrompts.push_back(
     { aBackend, aUncached, aQuery.mPrefixes, std::nullopt });
   const bool isFull = aGateway.mUnreportedPrompts.size() >= kMaxReportedPrompts;
+  const bool isLarge = aUncached >= kLargePromptTokens;
+  aGateway.mHasLargePrompt = aGateway.mHasLargePrompt || isLarge;
+  const absl::Duration delay = isLarge ? kLargeReportDelay : kSmallReportDelay;
   aGateway.mReportAt =
-    isFull ? aNow : std::min(aGateway.mReportAt, aNow + kPromptReportDelay);
+    isFull ? aNow : std::min(aGateway.mReportAt, aNow + delay);
 }
 
 void OnPromptsReported(gateway& aGateway, const prompts_reported& aEvent,
@@ -107,10 +122,13 @@
     return;
   }
   aGateway.mReportAt = absl::InfiniteFuture();
-  report_prompts action{ ListReportTargets(aGateway, kMaxReportTargets, aNow),
+  const std::size_t count =
+    aGateway.mHasLargePrompt ? kMaxLargeReportTargets : kMaxSmallReportTargets;
+  report_prompts action{ ListReportTargets(aGateway, count, aNow),
                          {},
                          aGateway.mSettings.mName };
   action.mPrompts.swap(aGateway.mUnreportedPrompts);
+  aGateway.mHasLargePrompt = false;
   AddHoldings(aGateway, action.mPrompts, aNow);
   report_prompts rest;
   rest.mGateway = action.mGateway;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -40,6 +40,7 @@
 #include "gateway_charts.h"
 #include "gateway_heartbeat.h"
 #include "prompt_quarantine.h"
+#include "request_work.h"
 #include "retry.h"
 #include "routing.h"
 #include "work_model.h"
@@ -79,17 +80,6 @@
 // Delay after which a refused caller should retry: about one model run, in
 // which tokens are granted or load moves.
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(700);
-// Time for which sent prompts are batched before they are reported to other
-// gateways. It is shorter than the processing of a prompt of usual length (100
-// ms).
-constexpr absl::Duration kPromptReportDelay = absl::Milliseconds(15);
-// Largest number of prompts in one report, above what one gateway sends in
-// kPromptReportDelay.
-constexpr std::size_t kMaxReportedPrompts = 64;
-// Largest number of gateways that a report is sent to, so that its cost does
-// not grow with the fleet. The other gateways still receive the load that the
-// engines state.
-constexpr std::size_t kMaxReportTargets = 8;
 // Largest number of records in one write. The store accepts at most 32 rows in
 // all: a condition and a value for each record, and those on eras.
 constexpr std::size_t kMaxGrantEntries = 12;
@@ -98,17 +88,6 @@
 constexpr double kRepeatRatioFraction = 0.7;
 constexpr double kRepeatSlackFraction = 0.6;
 
-// What the current attempt of a request shows of its work.
-struct request_work
-{
-  token_count mUncachedTokens = 0;
-  waiting_prompt mPrompt;
-  // True if other requests were probably ahead of it at its server.
-  bool mHasWaited = false;
-  // Time of the first event of the response.
-  absl::Time mFirstAt;
-};
-
 // One request of a caller, from its arrival to the end of its response.
 struct forwarded_request
 {
@@ -326,6 +305,8 @@
   bool mIsReportUrgent = false;
   // Prompts sent to engines and not yet reported to other gateways.
   std::vector<sent_prompt> mUnreportedPrompts;
+  // True if one of them is large.
+  bool mHasLargePrompt = false;
   // Time of the next prompt report; infinite if there is nothing to report.
   absl::Time mReportAt = absl::InfiniteFuture();
 
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -291,10 +291,6 @@
 void ApplyServerReport(gateway& aGateway, const forwarded_request& aRequest,
                        const attempt_report& aReport, absl::Time aNow)
 {
-  // The load of a response whose start was reported is as old as that start.
-  if (!aRequest.mHasResponseStarted) {
-    RecordLoad(aGateway, aRequest.mBackend, aReport.mLoad, aNow);
-  }
   if (aReport.mStatement) {
     ApplyStatement(aGateway, aRequest, *aReport.mStatement, aNow);
     if (!aReport.mWrongServer) {
