Require witnesses for known records beside a missing one

A gateway that knew no record of one workspace took any gateway of an earlier era for a witness of all records. The era that witnesses must have known is now the earliest that any record needs.

--- a/src/core/gateway_recovery.cc
+++ b/src/core/gateway_recovery.cc
@@ -106,9 +106,11 @@
   if (earliest == aGateway.mEra) {
     return true;
   }
-  // Of a missing record, any gateway of an earlier era is a witness.
+  // Of a missing record, any gateway of an earlier era is a witness. Beside it,
+  // the known records still need witnesses of their own eras.
+  const store_era known = FindEarliestEra(aGateway);
   const store_era era =
-    HasAllRecords(aGateway) ? FindEarliestEra(aGateway) : aGateway.mEra - 1;
+    HasAllRecords(aGateway) ? known : std::min(known, aGateway.mEra - 1);
   int missing = IsWitness(recovery.mFirstEra, era) ? 0 : 1;
   for (const std::string& name : members) {
     const auto answer = recovery.mAnswers.find(name);
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -120,6 +120,18 @@
   }
 }
 
+// With this seed, all gateways had lost their copies of the grants of w0. One
+// of them also knew no record of w1, took the others for witnesses of both, and
+// granted w0 by an older record: total w0 was overspent.
+BOOST_AUTO_TEST_CASE(a_missing_record_does_not_replace_witnesses_of_others)
+{
+  const auto sim = MakeSim(ReadChartTexts(), 41105, injected_fault::None);
+  RunStoreReturns(*sim, kRunTime);
+  for (const violation& each : sim->mViolations) {
+    BOOST_ERROR(each.mDetail);
+  }
+}
+
 // A fleet and the rate that its servers state.
 struct limited_fleet
 {
