Count the memory of engines only where it is limited, and report to 8 gateways

Change: engine memory is counted where the settings name the contract pressure; prompt reports go to 8 gateways instead of 24; affinity weight 8 instead of 20.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -360,6 +360,8 @@
   // per window.
   double mRepeatRatio = 0.2;
   double mRepeatSlack = 56;
+  // True if engines must not hold more tokens than their stated memory.
+  bool mIsEngineMemoryLimited = true;
   // Longest time that a planned stop may take.
   absl::Duration mStopTime = absl::Seconds(8);
   // Time for which a gateway may be without contact to the store, without
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -233,9 +233,8 @@
 
 // Returns the routing options of a gateway. Engines process 60 to 100 prompt
 // tokens in a millisecond according to their published values. The affinity
-// weight is 20: an engine with a backlog is left earlier the more of the
-// backlog is known, and a lower weight has more shared parts processed again
-// than before (docs/design/work-estimates.md). Load values arrive with
+// weight is 8: a lower one has more shared parts processed again
+// (docs/design/work-estimates.md). Load values arrive with
 // responses, so the report lag is short. All gateways compare all servers: with
 // a subset for each, the affinity of a prompt would select another engine at
 // each gateway, and each of these engines would process the shared tokens.
@@ -254,7 +253,7 @@
   options.mMaxEjectionTime = absl::Seconds(8);
   options.mProbeSuccesses = 3;
   options.mMaxPrefixes = 512;
-  options.mAffinityWeight = 20;
+  options.mAffinityWeight = 8;
   return options;
 }
 
--- a/src/core/gateway_capacity.h
+++ b/src/core/gateway_capacity.h
@@ -15,10 +15,10 @@
 // gateways if one of them is large. It is shorter than the processing of a
 // large prompt (30 ms and more).
 constexpr absl::Duration kLargeReportDelay = absl::Milliseconds(15);
-// Largest number of gateways that a report without large prompts is sent to, so
+// Largest number of gateways that a report is sent to, so
 // that its cost does not grow with the fleet. The other gateways still receive
 // the load that the engines state.
-constexpr std::size_t kMaxSmallReportTargets = 8;
+constexpr std::size_t kMaxReportTargets = 8;
 
 // --- gateway_request.cc, gateway_statements.cc ------------------------------
 
@@ -80,6 +80,10 @@
 
 // --- gateway_memory.cc ------------------------------------------------------
 
+// Returns the memory of one engine of the service in tokens; 0 if it is not
+// stated or has no limit.
+token_count GetEngineMemory(const gateway& aGateway,
+                            const service_id& aService);
 // Returns what the request needs of an engine's memory.
 memory_need MakeMemoryNeed(const gateway& aGateway,
                            const forwarded_request& aRequest, absl::Time aNow);
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "gateway_capacity.h"
 #include "gateway_cold.h"
 #include "gateway_evacuation.h"
 
@@ -121,15 +122,6 @@
   return config;
 }
 
-// Returns the memory of one engine of the service in tokens; 0 if it is not
-// stated.
-token_count GetMemoryTokens(const gateway& aGateway, const service_id& aService)
-{
-  const traffic_service* service =
-    aGateway.mTable ? FindService(*aGateway.mTable, aService) : nullptr;
-  return service != nullptr ? service->mMemoryTokens : 0;
-}
-
 void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
                    std::string_view aCause)
 {
@@ -167,7 +159,7 @@
   view.mConfig = GetConfig(aGateway, aEntry);
   view.mAgent = member_id{ aBackend.mValue };
   view.mAddress = aEntry.mAddress;
-  view.mMemory.mCapacity = GetMemoryTokens(aGateway, aEntry.mService);
+  view.mMemory.mCapacity = GetEngineMemory(aGateway, aEntry.mService);
   const auto notice = aGateway.mNotices.find(aBackend);
   if (notice != aGateway.mNotices.end()) {
     view.mBackoffUntil = notice->second.mBackoffUntil;
@@ -316,7 +308,7 @@
     for (auto& view : aGateway.mViews) {
       view.second.mConfig =
         GetConfig(aGateway, aGateway.mListings[view.first].mEntry);
-      view.second.mMemory.mCapacity = GetMemoryTokens(
+      view.second.mMemory.mCapacity = GetEngineMemory(
         aGateway, aGateway.mListings[view.first].mEntry.mService);
     }
   }
--- a/src/core/gateway_memory.cc
+++ b/src/core/gateway_memory.cc
@@ -14,13 +14,6 @@
 // which others must know before they send more.
 constexpr absl::Duration kHoldingEndDelay = absl::Milliseconds(100);
 
-token_count GetCapacity(const gateway& aGateway, const service_id& aService)
-{
-  const traffic_service* service =
-    aGateway.mTable ? FindService(*aGateway.mTable, aService) : nullptr;
-  return service != nullptr ? service->mMemoryTokens : 0;
-}
-
 // Returns what estimates of the memory depend on, for no particular request.
 memory_need MakeContext(const gateway& aGateway, const service_id& aService,
                         absl::Time aNow)
@@ -28,7 +21,7 @@
   memory_need need;
   need.mPeers = CountListedGateways(aGateway) - 1;
   need.mReportingPeers =
-    std::min(need.mPeers, static_cast<int>(kMaxSmallReportTargets));
+    std::min(need.mPeers, static_cast<int>(kMaxReportTargets));
   need.mNow = aNow;
   const auto sizes = aGateway.mHoldingSizes.find(aService.mValue);
   if (sizes != aGateway.mHoldingSizes.end()) {
@@ -55,10 +48,19 @@
 
 } // namespace
 
+token_count GetEngineMemory(const gateway& aGateway, const service_id& aService)
+{
+  if (!aGateway.mSettings.mIsEngineMemoryLimited || !aGateway.mTable) {
+    return 0;
+  }
+  const traffic_service* service = FindService(*aGateway.mTable, aService);
+  return service != nullptr ? service->mMemoryTokens : 0;
+}
+
 memory_need MakeMemoryNeed(const gateway& aGateway,
                            const forwarded_request& aRequest, absl::Time aNow)
 {
-  if (GetCapacity(aGateway, aRequest.mService) <= 0) {
+  if (GetEngineMemory(aGateway, aRequest.mService) <= 0) {
     return {};
   }
   memory_need need = MakeContext(aGateway, aRequest.mService, aNow);
@@ -103,7 +105,7 @@
 std::optional<error> CheckMemory(const gateway& aGateway,
                                  const forwarded_request& aRequest)
 {
-  const token_count capacity = GetCapacity(aGateway, aRequest.mService);
+  const token_count capacity = GetEngineMemory(aGateway, aRequest.mService);
   if (capacity <= 0 || aRequest.mWorstCaseCost <= capacity) {
     return std::nullopt;
   }
--- a/src/core/gateway_share.cc
+++ b/src/core/gateway_share.cc
@@ -18,8 +18,6 @@
 // Largest number of prompts in one report, above what one gateway sends in
 // kSmallReportDelay.
 constexpr std::size_t kMaxReportedPrompts = 64;
-// Largest number of gateways that a report with a large prompt is sent to.
-constexpr std::size_t kMaxLargeReportTargets = 24;
 
 // Returns the addresses of the gateways that receive reports: those that follow
 // this one in the order of names, so that each gateway receives reports from
@@ -94,7 +92,6 @@
     { aBackend, aUncached, aQuery.mPrefixes, std::nullopt });
   const bool isFull = aGateway.mUnreportedPrompts.size() >= kMaxReportedPrompts;
   const bool isLarge = aUncached >= kLargePromptTokens;
-  aGateway.mHasLargePrompt = aGateway.mHasLargePrompt || isLarge;
   const absl::Duration delay = isLarge ? kLargeReportDelay : kSmallReportDelay;
   aGateway.mReportAt =
     isFull ? aNow : std::min(aGateway.mReportAt, aNow + delay);
@@ -122,13 +119,10 @@
     return;
   }
   aGateway.mReportAt = absl::InfiniteFuture();
-  const std::size_t count =
-    aGateway.mHasLargePrompt ? kMaxLargeReportTargets : kMaxSmallReportTargets;
-  report_prompts action{ ListReportTargets(aGateway, count, aNow),
+  report_prompts action{ ListReportTargets(aGateway, kMaxReportTargets, aNow),
                          {},
                          aGateway.mSettings.mName };
   action.mPrompts.swap(aGateway.mUnreportedPrompts);
-  aGateway.mHasLargePrompt = false;
   AddHoldings(aGateway, action.mPrompts, aNow);
   report_prompts rest;
   rest.mGateway = action.mGateway;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -305,8 +305,6 @@
   bool mIsReportUrgent = false;
   // Prompts sent to engines and not yet reported to other gateways.
   std::vector<sent_prompt> mUnreportedPrompts;
-  // True if one of them is large.
-  bool mHasLargePrompt = false;
   // Time of the next prompt report; infinite if there is nothing to report.
   absl::Time mReportAt = absl::InfiniteFuture();
 
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -620,6 +620,7 @@
   settings.mSeed = std::random_device()();
   settings.mRepeatRatio = aNode.mRepeatRatio;
   settings.mRepeatSlack = aNode.mRepeatSlack;
+  settings.mIsEngineMemoryLimited = aNode.mIsEngineMemoryLimited;
   settings.mStopTime = aNode.mStopTime;
   settings.mContactTime = aNode.mContactTime;
   if (aNode.mColdOverage && aNode.mColdSlack) {
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -75,6 +75,19 @@
   BOOST_TEST(!IsOk(negative));
 }
 
+// Reports on the memory of engines cost each gateway processor time, so they
+// are made only where engines crash for lack of memory.
+BOOST_AUTO_TEST_CASE(engine_memory_is_limited_where_the_contract_says_so)
+{
+  const auto other = ParseNodeFile(kNodeFileText + "contracts=base,engine\n");
+  BOOST_REQUIRE(IsOk(other));
+  BOOST_TEST(!GetValue(other).mIsEngineMemoryLimited);
+  const auto limited =
+    ParseNodeFile(kNodeFileText + "contracts=base,pressure,platform\n");
+  BOOST_REQUIRE(IsOk(limited));
+  BOOST_TEST(GetValue(limited).mIsEngineMemoryLimited);
+}
+
 // Guards against limits on cold servers and evacuations that are in force where
 // the settings do not call for them, or only half of them are there.
 BOOST_AUTO_TEST_CASE(bounds_on_cold_servers_and_evacuations_are_parsed)
