State holdings at tight engines at once, at others with the prompts

Cause: each start and end of a request led to a report on all engines with a change, to 8 gateways and more. Change: changes are stated at once at engines above a quarter of their memory; the others with the prompts and every 2 s.

--- a/src/core/engine_memory.h
+++ b/src/core/engine_memory.h
@@ -43,7 +43,7 @@
 // tight engine are stated to all gateways, at others to some. It is low, so
 // that the gateways state what they hold before an estimate that is too low by
 // half does harm.
-constexpr double kTightFraction = 0.4;
+constexpr double kTightFraction = 0.25;
 
 // What another gateway has stated to hold at an engine.
 struct peer_holding
--- a/src/core/gateway_memory.cc
+++ b/src/core/gateway_memory.cc
@@ -31,18 +31,27 @@
 }
 
 // Has the prompt report at aAt, at the latest, state what this gateway holds at
-// the engine. The start of a request at a tight engine is reported at once.
-void ScheduleHoldingReport(gateway& aGateway, const service_id& aService,
-                           const backend_id& aBackend,
-                           const backend_view& aView, absl::Time aAt,
-                           bool aIsStart, absl::Time aNow)
+// the engine.
+void ScheduleHoldingReport(gateway& aGateway, const backend_id& aBackend,
+                           absl::Time aAt)
 {
   if (!aGateway.mPeers.empty()) {
     aGateway.mChangedHoldings.insert(aBackend);
-    const bool isTight = IsTight(aView, MakeContext(aGateway, aService, aNow));
-    aGateway.mIsReportUrgent = aGateway.mIsReportUrgent || isTight;
-    aGateway.mReportAt =
-      std::min(aGateway.mReportAt, isTight && aIsStart ? aNow : aAt);
+    aGateway.mReportAt = std::min(aGateway.mReportAt, aAt);
+  }
+}
+
+// States a change of what this gateway holds at the engine at aAt, at the
+// latest, if the engine is tight. Changes at all engines would fill the link of
+// a gateway with many callers; those at others are stated with the prompts and
+// every kHoldingInterval.
+void ReportIfTight(gateway& aGateway, const forwarded_request& aRequest,
+                   const backend_id& aBackend, const backend_view& aView,
+                   absl::Time aAt, absl::Time aNow)
+{
+  if (IsTight(aView, MakeContext(aGateway, aRequest.mService, aNow))) {
+    aGateway.mIsReportUrgent = true;
+    ScheduleHoldingReport(aGateway, aBackend, aAt);
   }
 }
 
@@ -80,8 +89,11 @@
   RecordHolding(aView.mMemory, aRequest.mHeldTokens);
   RecordSize(aGateway.mHoldingSizes[aRequest.mService.mValue],
              aRequest.mHeldTokens, aNow);
-  ScheduleHoldingReport(aGateway, aRequest.mService, aBackend, aView,
-                        aNow + kLargeReportDelay, true, aNow);
+  ReportIfTight(aGateway, aRequest, aBackend, aView, aNow, aNow);
+  // The prompt's own entry states what is held, also that of a small prompt.
+  if (!aGateway.mPeers.empty()) {
+    aGateway.mReportAt = std::min(aGateway.mReportAt, aNow + kLargeReportDelay);
+  }
 }
 
 void ReleaseHeldTokens(gateway& aGateway, forwarded_request& aRequest,
@@ -97,9 +109,9 @@
       listing->second.mEntry.mStartedMs != aRequest.mBackendStartedMs) {
     return;
   }
+  ReportIfTight(aGateway, aRequest, aRequest.mBackend, view->second,
+                aNow + kHoldingEndDelay, aNow);
   ReleaseHolding(view->second.mMemory, held);
-  ScheduleHoldingReport(aGateway, aRequest.mService, aRequest.mBackend,
-                        view->second, aNow + kHoldingEndDelay, false, aNow);
 }
 
 std::optional<error> CheckMemory(const gateway& aGateway,
@@ -127,8 +139,7 @@
     ForgetOldHoldings(memory, aNow);
     if (memory.mOwnTokens > 0 &&
         aNow - memory.mReportedAt >= kHoldingInterval) {
-      ScheduleHoldingReport(aGateway, aGateway.mListings[id].mEntry.mService,
-                            id, view, aNow, false, aNow);
+      ScheduleHoldingReport(aGateway, id, aNow);
     }
   }
 }
