--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -2,38 +2,21 @@
 
 #include <algorithm>
 #include <chrono>
-#include <filesystem>
 #include <fstream>
 #include <map>
 #include <random>
 #include <sstream>
 
 #include "absl/strings/str_cat.h"
+#include "daemon/gateway_host_state.h"
 #include "daemon/node_io.h"
-#include "daemon/process_load.h"
-#include "daemon/store_link.h"
-#include "foxtailquay/gateway.h"
-#include "platform/node_file.h"
-#include "platform/request_codec.h"
 #include "runtime/clock.h"
-#include "runtime/control_queue.h"
-#include "runtime/decision_log.h"
 #include "runtime/log.h"
-#include "runtime/metrics.h"
-#include "runtime/thread.h"
-#include "traffic/traffic.h"
-#include "transport/client_call.h"
-#include "transport/http_service.h"
-#include "wire/gateway_codec.h"
 
 namespace foxtailquay {
 
 namespace {
 
-// Timeouts of a call to another gateway, which takes one round trip and at
-// most one store write by the peer.
-constexpr absl::Duration kPeerTimeout = absl::Milliseconds(600);
-constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(300);
 // Interval at which the settings file is checked for changes, since the
 // platform may change it without sending SIGHUP.
 constexpr absl::Duration kFilePollInterval = absl::Seconds(1);
@@ -42,58 +25,9 @@
 constexpr absl::Duration kCloseIdleDelay = absl::Milliseconds(2600);
 // Time at the end of a stop in which the process exits.
 constexpr absl::Duration kExitTime = absl::Milliseconds(100);
-// Interval at which a stopping process checks whether all responses are sent.
-constexpr absl::Duration kDrainPollInterval = absl::Milliseconds(20);
-
-} // namespace
-
-struct gateway_host
-{
-  explicit gateway_host(const platform::node_file& aNode)
-    : mNode(aNode)
-    , mCalls(mLoop)
-    , mStore{ mCalls, aNode.mStoreAddress, aNode.mName, "", {}, {}, {} }
-    , mTraffic(mLoop, {})
-    , mReadyService(mLoop, {})
-    , mPeerService(mLoop, {})
-    , mMetricsService(mLoop, {})
-  {}
-
-  daemon_settings mSettings;
-  gateway_settings mGatewaySettings;
-  platform::node_file mNode;
-  metrics_ptr mMetrics = MakeMetrics();
-
-  // Used on the control thread only, except mQueue, which is thread-safe.
-  gateway_ptr mGateway;
-  control_queue<gateway_event> mQueue;
-  posix_thread mControlThread;
-
-  // Used on the traffic thread only, except posting to mLoop, which is
-  // thread-safe.
-  event_loop mLoop;
-  client_calls mCalls;
-  store_link mStore;
-  traffic mTraffic;
-  http_service mReadyService;
-  http_service mPeerService;
-  http_service mMetricsService;
-  bool mReady = false;
-  process_usage mUsage;
-  // Time by which a planned stop must end.
-  absl::Time mStopDeadline = absl::InfiniteFuture();
-  gateway_summary mSummary;
-  decision_log mDecisionLog;
-  std::filesystem::file_time_type mSettingsFileTime;
-  posix_thread mTrafficThread;
-};
-
-namespace {
 
 // --- Control thread ---------------------------------------------------------
 
-void PerformActions(gateway_host& aHost, const gateway_actions& aActions);
-
 void IncrementEventCounters(metrics& aMetrics, const gateway_event& aEvent)
 {
   if (std::holds_alternative<caller_request>(aEvent)) {
@@ -122,17 +56,8 @@
   }
 }
 
-// Any thread. Returns false if the queue refuses the event.
-bool PostEvent(gateway_host& aHost, gateway_event aEvent)
-{
-  IncrementEventCounters(*aHost.mMetrics, aEvent);
-  const bool isNewWork = std::holds_alternative<caller_request>(aEvent);
-  return IsOk(Post(aHost.mQueue, std::move(aEvent),
-                   isNewWork ? event_class::NewWork : event_class::Conclusion));
-}
-
-// Posts the actions of one iteration of the control loop to the
-// traffic thread as one task, with the summary that follows from them.
+// Posts the actions of one iteration of the control loop to the traffic thread
+// as one task, with the summary that follows from them.
 void PostActions(gateway_host& aHost, gateway_actions aActions)
 {
   if (aActions.empty()) {
@@ -172,333 +97,6 @@
   }
 }
 
-// --- Traffic thread: actions ------------------------------------------------
-
-client_call MakePeerCall(const std::string& aAddress, std::string aBody)
-{
-  client_call call;
-  call.mAddress = aAddress;
-  call.mMethod = "POST";
-  call.mTarget = "/rpc";
-  call.mBody = std::move(aBody);
-  call.mConnectTimeout = kPeerConnectTimeout;
-  call.mTimeout = kPeerTimeout;
-  return call;
-}
-
-void RequestTokens(gateway_host& aHost, const request_tokens& aAction)
-{
-  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
-  StartCall(
-    aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeRequestTokens(aAction)),
-    [&aHost, aAction](const call_response& aResponse) {
-      token_response_received receivedEvent{ aAction.mPeer, aAction.mWorkspace,
-                                             std::nullopt, aAction.mKind };
-      if (aResponse.mStatus == 200) {
-        auto decoded = DecodeTokenResponse(aResponse.mBody);
-        if (IsOk(decoded)) {
-          receivedEvent.mResponse = GetValue(decoded);
-        }
-      }
-      if (!receivedEvent.mResponse) {
-        IncrementCounter(*aHost.mMetrics, counter::PeersUnreachable);
-      }
-      PostEvent(aHost, receivedEvent);
-    });
-}
-
-void RecallTokens(gateway_host& aHost, const recall_tokens& aAction)
-{
-  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
-  StartCall(
-    aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeRecallTokens(aAction)),
-    [&aHost, aAction](const call_response& aResponse) {
-      token_response_received received{ aAction.mPeer, aAction.mWorkspace,
-                                        std::nullopt, token_call::Recall };
-      if (aResponse.mStatus == 200) {
-        auto decoded = DecodeTokenResponse(aResponse.mBody);
-        if (IsOk(decoded)) {
-          received.mResponse = GetValue(decoded);
-        }
-      } else if (aResponse.mStatus != 0) {
-        // A gateway of an earlier version does not know the call and returns
-        // nothing.
-        received.mResponse = token_response{};
-      }
-      if (!received.mResponse) {
-        IncrementCounter(*aHost.mMetrics, counter::PeersUnreachable);
-      }
-      PostEvent(aHost, std::move(received));
-    });
-}
-
-void ReturnTokens(gateway_host& aHost, const return_tokens& aAction)
-{
-  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
-  StartCall(
-    aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeReturnTokens(aAction)),
-    [&aHost, aAction](const call_response& aResponse) {
-      if (aResponse.mNotSent) {
-        // The peer cannot have received the tokens, so they stay in this
-        // gateway's grant. After any other failure the peer may have them.
-        PostEvent(aHost,
-                  tokens_returned{ aAction.mWorkspace, aAction.mAmount });
-        return;
-      }
-      if (aResponse.mStatus != 200) {
-        Log(log_component::Peer, log_level::Warn, log_event::MessageDropped,
-            { { "message", "return_tokens" },
-              { "workspace", aAction.mWorkspace.mValue },
-              { "tokens", std::to_string(aAction.mAmount) },
-              { "peer", aAction.mAddress } });
-      }
-    });
-}
-
-void ShareGrants(gateway_host& aHost, const share_grants& aAction)
-{
-  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
-  StartCall(
-    aHost.mCalls, MakePeerCall(aAction.mAddress, EncodeShareGrants(aAction)),
-    [&aHost, peer = aAction.mPeer, replication = aAction.mReplication,
-     era = aAction.mEra](const call_response& aResponse) {
-      share_response_received received{ peer, replication, era, std::nullopt };
-      if (aResponse.mStatus == 200) {
-        auto decoded = DecodeShareResponse(aResponse.mBody);
-        if (IsOk(decoded)) {
-          received.mResponse = GetValue(std::move(decoded));
-        }
-      }
-      if (!received.mResponse) {
-        IncrementCounter(*aHost.mMetrics, counter::PeersUnreachable);
-      }
-      PostEvent(aHost, std::move(received));
-    });
-}
-
-void ReportPrompts(gateway_host& aHost, const report_prompts& aAction)
-{
-  const std::string body = EncodeReportPrompts(aAction);
-  for (const std::string& address : aAction.mAddresses) {
-    IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
-    // A failure needs no handling: the peer's load estimate is only less exact.
-    StartCall(aHost.mCalls, MakePeerCall(address, body),
-              [](const call_response&) {});
-  }
-}
-
-// Ends the process once the last responses are sent. Requests that arrive
-// before that are refused by the control thread.
-void ExitWhenDrained(gateway_host& aHost)
-{
-  if (!IsDrained(aHost.mTraffic, MonotonicNow()) &&
-      MonotonicNow() < aHost.mStopDeadline) {
-    StartTimer(aHost.mLoop, kDrainPollInterval,
-               [&aHost] { ExitWhenDrained(aHost); });
-    return;
-  }
-  Close(aHost.mQueue);
-  StopLoop(aHost.mLoop);
-}
-
-void FinishStop(gateway_host& aHost)
-{
-  StopListening(aHost.mLoop);
-  // Requests on the connections accepted last have not been read yet.
-  StartTimer(aHost.mLoop, kDrainPollInterval,
-             [&aHost] { ExitWhenDrained(aHost); });
-}
-
-struct action_performer
-{
-  gateway_host& mHost;
-
-  void operator()(const send_error& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::CallerErrors);
-    SendError(mHost.mTraffic, aAction);
-  }
-  void operator()(const deliver_failure& aAction)
-  {
-    DeliverFailure(mHost.mTraffic, aAction.mHandle);
-  }
-  void operator()(const cancel_request& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::CallersGone);
-    CancelExchange(mHost.mTraffic, aAction.mHandle);
-  }
-  void operator()(const dispatch_request& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::RunsDispatched);
-    DispatchExchange(mHost.mTraffic, aAction);
-  }
-  void operator()(const directory_query& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
-    StartStoreCall(mHost.mStore, aAction);
-  }
-  void operator()(const grant_write& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
-    StartStoreCall(mHost.mStore, aAction);
-  }
-  void operator()(const crash_report_write& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
-    StartStoreCall(mHost.mStore, aAction);
-  }
-  void operator()(const probe_server& aAction)
-  {
-    ProbeServer(mHost.mTraffic, aAction);
-  }
-  void operator()(const registration_call& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
-    StartStoreCall(mHost.mStore, aAction);
-  }
-  void operator()(const deregistration_call& aAction)
-  {
-    StartStoreCall(mHost.mStore, aAction);
-  }
-  void operator()(const grant_read& aAction)
-  {
-    IncrementCounter(*mHost.mMetrics, counter::StoreCalls);
-    StartStoreCall(mHost.mStore, aAction);
-  }
-  void operator()(const share_grants& aAction) { ShareGrants(mHost, aAction); }
-  void operator()(const send_share_response& aAction)
-  {
-    SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
-                 EncodeShareResponse(aAction.mResponse));
-  }
-  void operator()(const send_token_response& aAction)
-  {
-    SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
-                 EncodeTokenResponse(aAction.mResponse));
-  }
-  void operator()(const request_tokens& aAction)
-  {
-    RequestTokens(mHost, aAction);
-  }
-  void operator()(const recall_tokens& aAction)
-  {
-    RecallTokens(mHost, aAction);
-  }
-  void operator()(const return_tokens& aAction)
-  {
-    ReturnTokens(mHost, aAction);
-  }
-  void operator()(const report_prompts& aAction)
-  {
-    ReportPrompts(mHost, aAction);
-  }
-  void operator()(const set_ready& aAction) { mHost.mReady = aAction.mReady; }
-  void operator()(const set_closing& aAction)
-  {
-    mHost.mTraffic.mIsClosing = aAction.mIsClosing;
-  }
-  void operator()(const set_limits& aAction)
-  {
-    mHost.mTraffic.mLimits = aAction.mLimits;
-  }
-  void operator()(const stop_finished&) { FinishStop(mHost); }
-  void operator()(const decision_record& aAction)
-  {
-    LogDecision(mHost.mDecisionLog, aAction, MonotonicNow());
-  }
-};
-
-void PerformActions(gateway_host& aHost, const gateway_actions& aActions)
-{
-  for (const gateway_action& action : aActions) {
-    std::visit(action_performer{ aHost }, action);
-  }
-}
-
-// --- Traffic thread: services -----------------------------------------------
-
-void OnReadyCall(gateway_host& aHost, const http_service_call& aCall)
-{
-  const bool isReadinessCheck = platform::IsReadinessCheck(aCall.mHead);
-  const int status = !isReadinessCheck ? 404 : (aHost.mReady ? 200 : 503);
-  SendResponse(aHost.mReadyService, aCall.mChannel, status, "text/plain",
-               status == 200 ? "ready\n" : "not ready\n");
-}
-
-void OnPeerCall(gateway_host& aHost, const http_service_call& aCall)
-{
-  IncrementCounter(*aHost.mMetrics, counter::MessagesReceived);
-  auto decoded = DecodeGatewayCall(aCall.mBody);
-  if (!IsOk(decoded)) {
-    Log(log_component::Peer, log_level::Warn, log_event::MessageInvalid,
-        { { "problem", ToString(GetError(decoded)) } });
-    SendResponse(aHost.mPeerService, aCall.mChannel, 400, "text/plain", "");
-    return;
-  }
-  gateway_message message = GetValue(std::move(decoded));
-  if (auto* request = std::get_if<tokens_requested>(&message)) {
-    request->mCall = aCall.mChannel;
-    PostEvent(aHost, *request);
-    return;
-  }
-  if (auto* recall = std::get_if<tokens_recalled>(&message)) {
-    recall->mCall = aCall.mChannel;
-    PostEvent(aHost, std::move(*recall));
-    return;
-  }
-  if (auto* grants = std::get_if<grants_shared>(&message)) {
-    grants->mCall = aCall.mChannel;
-    PostEvent(aHost, std::move(*grants));
-    return;
-  }
-  if (auto* returned = std::get_if<tokens_returned>(&message)) {
-    PostEvent(aHost, std::move(*returned));
-  } else {
-    PostEvent(aHost, std::get<prompts_reported>(std::move(message)));
-  }
-  SendResponse(aHost.mPeerService, aCall.mChannel, 200, "application/json",
-               EncodeTokenResponse({}));
-}
-
-std::vector<gauge_value> ReadGauges(gateway_host& aHost)
-{
-  return {
-    { gauge::OpenRequests, double(aHost.mSummary.mRequests) },
-    { gauge::ControlQueueLength, double(GetSize(aHost.mQueue)) },
-    { gauge::ConfigVersion, double(aHost.mSummary.mVersion) },
-    { gauge::QuarantinedPromptParts, double(aHost.mSummary.mQuarantinedParts) },
-    { gauge::RateLimitedServers, double(aHost.mSummary.mRateLimitedBackends) },
-    { gauge::ColdServers, double(aHost.mSummary.mColdBackends) },
-    { gauge::EvacuatedZones, double(aHost.mSummary.mEvacuatedZones) },
-    { gauge::WaitingRequests, double(aHost.mSummary.mWaitingRequests) },
-    { gauge::PrepaidTokensHeld, double(aHost.mSummary.mTokensHeld) },
-    { gauge::PrepaidTokensTarget, double(aHost.mSummary.mTokensTarget) },
-    { gauge::Ready, aHost.mReady ? 1.0 : 0.0 }
-  };
-}
-
-void OnMetricsCall(gateway_host& aHost, const http_service_call& aCall)
-{
-  if (aCall.mHead.mTarget == "/metrics") {
-    SendResponse(aHost.mMetricsService, aCall.mChannel, 200, "text/plain",
-                 RenderMetrics(*aHost.mMetrics, ReadGauges(aHost)));
-    return;
-  }
-  const gateway_summary& summary = aHost.mSummary;
-  SendResponse(
-    aHost.mMetricsService, aCall.mChannel,
-    aCall.mHead.mTarget == "/debug/state" ? 200 : 404, "application/json",
-    absl::StrCat("{\"config_version\":", summary.mVersion,
-                 ",\"open_requests\":", summary.mRequests, ",\"backends\":",
-                 summary.mBackends, ",\"peers\":", summary.mPeers,
-                 ",\"quarantined_prompt_parts\":", summary.mQuarantinedParts,
-                 ",\"rate_limited_servers\":", summary.mRateLimitedBackends,
-                 ",\"cold_servers\":", summary.mColdBackends,
-                 ",\"evacuated_zones\":", summary.mEvacuatedZones,
-                 ",\"waiting_requests\":", summary.mWaitingRequests,
-                 ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
-}
-
 // --- Settings file ----------------------------------------------------------
 
 result<platform::node_file> ReadNodeFile(const std::string& aPath)
@@ -681,6 +279,14 @@
 
 } // namespace
 
+bool PostEvent(gateway_host& aHost, gateway_event aEvent)
+{
+  IncrementEventCounters(*aHost.mMetrics, aEvent);
+  const bool isNewWork = std::holds_alternative<caller_request>(aEvent);
+  return IsOk(Post(aHost.mQueue, std::move(aEvent),
+                   isNewWork ? event_class::NewWork : event_class::Conclusion));
+}
+
 void gateway_host_deleter::operator()(gateway_host* aHost) const
 {
   delete aHost;
