--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -7,6 +7,7 @@
 
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
+#include "gateway_directory.h"
 #include "gateway_evacuation.h"
 #include "gateway_state.h"
 #include "gateway_work.h"
--- a/src/core/gateway_cold.cc
+++ b/src/core/gateway_cold.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "gateway_directory.h"
 
 namespace foxtailquay {
 
--- /dev/null
+++ b/src/core/gateway_directory.h
@@ -0,0 +1,38 @@
+// What the store lists, as a gateway follows it: configuration, backend servers
+// and peers. Not thread-safe: only the control thread uses it.
+
+#ifndef FOXTAILQUAY_CORE_GATEWAY_DIRECTORY_H
+#define FOXTAILQUAY_CORE_GATEWAY_DIRECTORY_H
+
+#include "gateway_state.h"
+
+namespace foxtailquay {
+
+inline watched_area& GetArea(gateway& aGateway, directory_area aArea)
+{
+  return aGateway.mAreas[static_cast<std::size_t>(aArea)];
+}
+
+// Applies the changes in a response that belongs to the present era.
+void ApplyDirectory(gateway& aGateway, const directory_response& aResponse,
+                    absl::Time aNow);
+// Removes the backend servers whose entries have expired.
+void RemoveExpiredBackends(gateway& aGateway, absl::Time aNow);
+// Removes the peers that have expired and did not register again.
+void RemoveExpiredPeers(gateway& aGateway, absl::Time aNow);
+// Returns the number of gateways that are expected to be alive, including this
+// one.
+int CountGateways(const gateway& aGateway, absl::Time aNow);
+// Returns the number of gateways in the peer list, including this one, whether
+// they respond or not: gateways that cannot reach each other may reach the same
+// servers.
+int CountListedGateways(const gateway& aGateway);
+// Returns true once all areas of the store and a configuration were read.
+bool IsDirectoryKnown(const gateway& aGateway);
+// Excludes a backend server from new requests until the store lists it again.
+void ExcludeBackend(gateway& aGateway, const backend_id& aBackend,
+                    absl::Time aNow);
+
+} // namespace foxtailquay
+
+#endif
--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gateway_coordinator.h"
+#include "gateway_directory.h"
 #include "gateway_waiters.h"
 
 namespace foxtailquay {
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gateway_state.h"
+#include "gateway_directory.h"
 
 namespace foxtailquay {
 
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -15,7 +15,8 @@
 //                     recall, return
 // gateway_coordinator.cc  which gateway requests grants for a workspace
 // gateway_load.cc     load of this process
-// gateway_follow.cc   watches on the store: configuration, servers, peers
+// gateway_follow.cc   watches on the store
+// gateway_directory.cc  what the store lists: configuration, servers, peers
 // gateway_heartbeat.cc  registration, whether the store can be reached
 // gateway_cold.cc, gateway_evacuation.cc  cold servers, evacuated zones
 // gateway_era.cc      returns of the store to an older state
@@ -569,20 +570,6 @@
 // Records that the store is reached again, for the areas whose watches were
 // started before aBefore and wait for changes.
 void MarkStoreRegained(gateway& aGateway, absl::Time aBefore, absl::Time aNow);
-// Removes the peers that have expired and did not register again.
-void RemoveExpiredPeers(gateway& aGateway, absl::Time aNow);
-// Returns the number of gateways that are expected to be alive, including this
-// one.
-int CountGateways(const gateway& aGateway, absl::Time aNow);
-// Returns the number of gateways in the peer list, including this one, whether
-// they respond or not: gateways that cannot reach each other may reach the same
-// servers.
-int CountListedGateways(const gateway& aGateway);
-// Returns true once all areas of the store and a configuration were read.
-bool IsDirectoryKnown(const gateway& aGateway);
-// Excludes a backend server from new requests until the store lists it again.
-void ExcludeBackend(gateway& aGateway, const backend_id& aBackend,
-                    absl::Time aNow);
 
 } // namespace foxtailquay
 
--- a/src/core/router_state.h
+++ b/src/core/router_state.h
@@ -6,7 +6,8 @@
 //   router_budget.cc    budget shares and settlement
 //   router_commit.cc    commits to the account shards
 //   router_claim.cc     claims of idempotency keys
-//   router_members.cc   gossip, suspected members and fences
+//   router_members.cc   gossip, suspected members, backend views
+//   router_fence.cc     fences that exclude lost routers
 //   router_operator.cc  operators' requests and the graceful stop
 //
 // Only one thread at a time may use a router_state.
@@ -380,17 +381,30 @@
 // Sends gossip to random members if the member list or the configuration has
 // changed, so that they request the new version.
 void SendUpdates(router_state& aState);
+// Updates the backend views and derived values from the configuration and the
+// member list.
+void UpdateViews(router_state& aState, absl::Time aNow);
+// Records that the backend server's agent takes no new work.
+void RecordLeaving(router_state& aState, backend_view& aView, absl::Time aNow);
+
+// --- router_fence.cc --------------------------------------------------------
+
+// Acknowledges a fence, with the records of the fenced router.
+void OnFenceQuery(router_state& aState, const process_id& aFrom,
+                  const fence_query_message& aQuery);
+// Submits what a member handed over with its acknowledgement. Repeated
+// acknowledgements and those of a later incarnation of the member are ignored.
+void OnFenceAck(router_state& aState, const process_id& aFrom,
+                const fence_ack_message& aAck, absl::Time aNow);
+// Submits fences of routers that have been suspected for mFenceAfter. Does
+// nothing while the store is unavailable, because fences cannot be committed.
+void RaiseFences(router_state& aState, absl::Time aNow);
 // Advances all fences if this router is their coordinator.
 void AdvanceFences(router_state& aState, absl::Time aNow);
 // Handles the commit of an operation for a fence or hand-over. Other operation
 // ids are ignored.
 void OnOperationDone(router_state& aState, std::uint64_t aOperationId,
                      absl::Time aNow);
-// Updates the backend views and derived values from the configuration and the
-// member list.
-void UpdateViews(router_state& aState, absl::Time aNow);
-// Records that the backend server's agent takes no new work.
-void RecordLeaving(router_state& aState, backend_view& aView, absl::Time aNow);
 
 // --- router_operator.cc -----------------------------------------------------
 
