Keep the server counts of the summary up to date where states change

Cause: each turn of the control loop counted all servers twice and all parts of prompts that are not trusted once. Change: counters are updated where the state of a server or part changes.

--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -356,21 +356,11 @@
   summary.mRequests = aGateway.mRequests.size();
   summary.mBackends = aGateway.mViews.size();
   summary.mPeers = aGateway.mPeers.size();
-  summary.mQuarantinedParts = static_cast<std::size_t>(
-    std::count_if(aGateway.mQuarantine.mParts.begin(),
-                  aGateway.mQuarantine.mParts.end(), [](const auto& aEach) {
-                    return aEach.second.mStatus == part_status::Quarantined;
-                  }));
-  summary.mRateLimitedBackends = static_cast<std::size_t>(std::count_if(
-    aGateway.mViews.begin(), aGateway.mViews.end(), [](const auto& aEach) {
-      return aEach.second.mRateLimit.mStatus == rate_status::Limited;
-    }));
+  summary.mQuarantinedParts = aGateway.mQuarantine.mQuarantined;
   // A gateway does not follow the time in which nothing happens, so a state
   // may be over for up to one tick.
-  summary.mColdBackends = static_cast<std::size_t>(std::count_if(
-    aGateway.mViews.begin(), aGateway.mViews.end(), [](const auto& aEach) {
-      return aEach.second.mCold.mStatus != cold_status::Warm;
-    }));
+  summary.mRateLimitedBackends = aGateway.mServerCounts.mRateLimited;
+  summary.mColdBackends = aGateway.mServerCounts.mCold;
   summary.mEvacuatedZones = aGateway.mEvacuations.mZones.size();
   summary.mWaitingRequests = aGateway.mAdmission.mQueued.size();
   summary.mTokensHeld = aGateway.mTokensHeld;
--- a/src/core/gateway_cold.cc
+++ b/src/core/gateway_cold.cc
@@ -93,9 +93,11 @@
                                                  absl::InfinitePast(),
                                                  0,
                                                  aNow };
+  const server_counts before = CountServer(aView);
   if (!FireCold(state, aEvent, aInput, context)) {
     return;
   }
+  ReplaceCounts(aGateway.mServerCounts, before, CountServer(aView));
   RecordDecision(
     aGateway, decision::ServerColdChanged,
     { { "backend", aBackend.mValue },
--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -60,6 +60,15 @@
   return config;
 }
 
+void RemoveView(gateway& aGateway, const backend_id& aBackend)
+{
+  const auto view = aGateway.mViews.find(aBackend);
+  if (view != aGateway.mViews.end()) {
+    ReplaceCounts(aGateway.mServerCounts, CountServer(view->second), {});
+    aGateway.mViews.erase(view);
+  }
+}
+
 void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
                    std::string_view aCause)
 {
@@ -68,7 +77,7 @@
     AddRemovedNotice(aGateway, aBackend, listing->second.mEntry);
   }
   aGateway.mListings.erase(aBackend);
-  aGateway.mViews.erase(aBackend);
+  RemoveView(aGateway, aBackend);
   RecordDecision(aGateway, decision::BackendChanged,
                  { { "backend", aBackend.mValue },
                    { "state", "gone" },
@@ -86,7 +95,7 @@
      listing->second.mEntry.mAddress != aEntry.mAddress ||
      listing->second.mEntry.mService != aEntry.mService);
   if (restarted) {
-    aGateway.mViews.erase(aBackend);
+    RemoveView(aGateway, aBackend);
   }
   const bool isWritten = listing == aGateway.mListings.end() ||
                          aRevision > listing->second.mRevision;
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -44,6 +44,7 @@
 #include "request_work.h"
 #include "retry.h"
 #include "routing.h"
+#include "server_counts.h"
 #include "work_model.h"
 #include "workspace_tokens.h"
 
@@ -294,6 +295,8 @@
   std::optional<route_table> mTable;
   std::map<backend_id, backend_listing> mListings;
   std::map<backend_id, backend_view> mViews;
+  // Sums over mViews.
+  server_counts mServerCounts;
   std::map<backend_id, server_notice> mNotices;
   zone_evacuations mEvacuations;
   std::map<std::string, peer_listing> mPeers;
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -125,9 +125,11 @@
     return;
   }
   const rate_context context = MakeRateContext(aGateway, aNow);
+  const server_counts before = CountServer(aView);
   if (!RecordStatement(limit, aStatement, aRequest.mDispatchedAt, context)) {
     return;
   }
+  ReplaceCounts(aGateway.mServerCounts, before, CountServer(aView));
   RecordDecision(
     aGateway, decision::RateLimitChanged,
     { { "backend", aRequest.mBackend.mValue },
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -73,6 +73,9 @@
         break;
     }
   }
+  aQuarantine.mQuarantined +=
+    (record.mStatus == part_status::Quarantined ? 1U : 0U);
+  aQuarantine.mQuarantined -= (before == part_status::Quarantined ? 1U : 0U);
   if (record.mStatus != before || aEvent == part_event::ServerCrashed) {
     aQuarantine.mChanges.push_back(
       { aPart, record.mStatus,
--- a/src/core/prompt_quarantine.h
+++ b/src/core/prompt_quarantine.h
@@ -158,6 +158,8 @@
   part_chart mChart;
   // Parts that are not trusted.
   std::map<std::uint64_t, part_record> mParts;
+  // Number of those for which requests are refused.
+  std::size_t mQuarantined = 0;
   // Time of the last complete response with a part.
   absl::flat_hash_map<std::uint64_t, absl::Time> mSuccesses;
   // Reports that differ from those in the store.
