Learn the time for which a stated slowness holds

Cause: the period of 0.6 s in slowness.h is that of one deployment. Change: the period is learned for each service from pairs of statements of one server, with the prior 0.6 s and the bounds 0.1 s and 10 s. Statements that never change show no period, and one server shifts the sum over all by a bounded amount. foxtailquay_bench compares it with the prior, and the suite choice measures the cost of a choice alone. EstimateSlowdown takes the period; the tests that called it pass 0.6 s. Result: slowness_test learns 0.15, 0.6 and 3 s within a factor of 1.5 from 12 servers, two of which may be constant or false.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -13,7 +13,7 @@
 
 DEFINE_string(
   suite, "",
-  "Suite to run: routing, herding, overload, orders, subsets or work; "
+  "Suite to run: routing, herding, overload, orders, subsets, work or choice; "
   "empty runs all.");
 DEFINE_bool(short, false, "Run one seed instead of three.");
 DEFINE_bool(json, false, "Print JSON instead of tables.");
@@ -100,7 +100,8 @@
   if (!FLAGS_suite.empty() && !FromName<bench_suite>(FLAGS_suite)) {
     std::cerr
       << "unknown suite \"" << FLAGS_suite
-      << "\"; expected routing, herding, overload, orders, subsets or work\n";
+      << "\"; expected routing, herding, overload, orders, subsets, work or "
+         "choice\n";
     return 2;
   }
   bool passed = true;
--- a/bench/suites.cc
+++ b/bench/suites.cc
@@ -327,6 +327,9 @@
     case bench_suite::Work:
       result = RunWorkSuite(aSeeds);
       break;
+    case bench_suite::Choice:
+      result = RunChoiceSuite();
+      break;
   }
   result.mSuite = aSuite;
   return result;
--- a/bench/suites.h
+++ b/bench/suites.h
@@ -23,6 +23,7 @@
   Orders,
   Subsets,
   Work,
+  Choice,
 };
 
 constexpr auto NameTable(bench_suite)
@@ -34,6 +35,7 @@
     { bench_suite::Orders, "orders" },
     { bench_suite::Subsets, "subsets" },
     { bench_suite::Work, "work" },
+    { bench_suite::Choice, "choice" },
   });
 }
 
@@ -75,6 +77,9 @@
 // Runs the suite of work estimates, in work_suite.cc.
 suite_result RunWorkSuite(int aSeeds);
 
+// Measures the processor time of one choice, in work_suite.cc.
+suite_result RunChoiceSuite();
+
 } // namespace foxtailquay
 
 #endif
--- a/bench/work_sim.cc
+++ b/bench/work_sim.cc
@@ -247,6 +247,10 @@
   if (aSim.mOptions.mUsesSlowness) {
     RecordSlowness(view.mSlowness, call.mStatedSlowness, aSim.mNow);
   }
+  if (aSim.mOptions.mUsesSlowness && aSim.mOptions.mLearnsPeriod) {
+    RecordStatedSlowness(aSim.mModels[call.mGateway], kWorkService,
+                         view.mStatements, call.mStatedSlowness, aSim.mNow);
+  }
   if (aSim.mOptions.mLearns) {
     RecordFirstOutput(view.mRemaining, call.mPrompt,
                       GetPromptRate(view, aSim.mRouting), aSim.mNow);
@@ -322,6 +326,11 @@
 {
   if (aSim.mOptions.mLearns) {
     for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
+      for (const auto& each : aSim.mGateways[i]) {
+        PoolStatedSlowness(aSim.mModels[i], kWorkService,
+                           each.second.mStatements, aSim.mNow);
+      }
+      UpdateSlownessPeriods(aSim.mModels[i]);
       for (auto& each : aSim.mGateways[i]) {
         each.second.mRates = EstimateRates(aSim.mModels[i], kWorkService,
                                            each.second.mSpeed, aSim.mNow);
--- a/bench/work_sim.h
+++ b/bench/work_sim.h
@@ -37,6 +37,8 @@
   // Whether the gateways use stated slowness, and whether they learn.
   bool mUsesSlowness = true;
   bool mLearns = true;
+  // Whether they learn the time for which a stated slowness holds.
+  bool mLearnsPeriod = true;
   // Fraction of the reports between gateways that are lost.
   double mLostReports = 0;
   // Weight of the affinity in routing_options. Tokens to process from which a
--- a/bench/work_suite.cc
+++ b/bench/work_suite.cc
@@ -105,6 +105,28 @@
   }
 }
 
+// Compares the learned period of slowness with the prior, for servers that are
+// slow for shorter and longer times.
+void RunPeriodCases(suite_result& aSuite, const char* aFleet,
+                    work_fleet_options aOptions, int aSeeds)
+{
+  for (int ms : { 150, 600, 3000 }) {
+    aOptions.mSlowPeriod = absl::Milliseconds(ms);
+    for (bool learns : { false, true }) {
+      aOptions.mLearnsPeriod = learns;
+      work_result result;
+      for (int seed = 1; seed <= aSeeds; ++seed) {
+        AddWorkResult(result,
+                      RunWorkFleet(aOptions, static_cast<std::uint64_t>(seed)));
+      }
+      const std::string name = absl::StrFormat("%s, %d ms", aFleet, ms);
+      const work_case each{ learns ? "period learned" : "period 600 ms", true,
+                            true, false, 0 };
+      aSuite.mRows.push_back(MakeRow(name.c_str(), each, result));
+    }
+  }
+}
+
 // Reports the processor time of one choice.
 void AddChoiceRows(suite_result& aSuite)
 {
@@ -137,6 +159,14 @@
   plain.mSpeeds = { 1.0 };
   plain.mRequestsPerSecond = 150;
   RunWorkCases(suite, "plain servers", plain, aSeeds);
+  RunPeriodCases(suite, "engines", engines, aSeeds);
+  RunPeriodCases(suite, "plain", plain, aSeeds);
+  return suite;
+}
+
+suite_result RunChoiceSuite()
+{
+  suite_result suite;
   AddChoiceRows(suite);
   return suite;
 }
--- a/src/core/gateway_log.cc
+++ b/src/core/gateway_log.cc
@@ -59,6 +59,8 @@
       { "queued", absl::StrCat(aView.mReport.mQueued) },
       { "backlog", absl::StrCat(static_cast<std::int64_t>(aBacklog)) },
       { "slowness", absl::StrCat(aView.mSlowness.mFactor) },
+      { "slowness_period_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(aView.mRates.mSlownessPeriod)) },
       { "report_age_ms",
         aView.mReportedAt == absl::InfinitePast()
           ? std::string("none")
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -166,6 +166,12 @@
   report.mLoadedModels = view->second.mConfig.mModels;
   RecordLoadReport(view->second, report, aNow);
   RecordSlowness(view->second.mSlowness, aLoad->mSlowness, aNow);
+  const auto listing = aGateway.mListings.find(aBackend);
+  if (listing != aGateway.mListings.end()) {
+    RecordStatedSlowness(aGateway.mWork, listing->second.mEntry.mService.mValue,
+                         view->second.mStatements,
+                         view->second.mSlowness.mFactor, aNow);
+  }
 }
 
 void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
--- a/src/core/gateway_work.cc
+++ b/src/core/gateway_work.cc
@@ -120,6 +120,14 @@
 
 void AdvanceWork(gateway& aGateway, absl::Time aNow)
 {
+  for (auto& [id, view] : aGateway.mViews) {
+    const auto listing = aGateway.mListings.find(id);
+    if (HasEvidence(view.mStatements) && listing != aGateway.mListings.end()) {
+      PoolStatedSlowness(aGateway.mWork, listing->second.mEntry.mService.mValue,
+                         view.mStatements, aNow);
+    }
+  }
+  UpdateSlownessPeriods(aGateway.mWork);
   for (auto& [id, view] : aGateway.mViews) {
     const auto listing = aGateway.mListings.find(id);
     if (listing != aGateway.mListings.end()) {
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -35,6 +35,7 @@
 #include "rate_limit.h"
 #include "remaining_work.h"
 #include "slowness.h"
+#include "slowness_period.h"
 #include "work_model.h"
 
 namespace foxtailquay {
@@ -155,8 +156,9 @@
   int mEjections = 0;
   // Limit that the server states.
   rate_limit mRateLimit;
-  // Its present speed, as it states it.
+  // Its present speed, as it states it, and what was learned from that.
   stated_slowness mSlowness;
+  statement_history mStatements;
   // Whether it has started a short time ago, and its limit then.
   cold_state mCold;
   // True if its availability zone is evacuated: it gets no requests.
--- a/src/core/routing_estimate.cc
+++ b/src/core/routing_estimate.cc
@@ -197,7 +197,9 @@
     work += absl::ToDoubleSeconds(
       GetLearned(aView.mRates.mCallTime, aOptions.mCallTime));
   }
-  return delay + work + EstimateSlowdown(aView.mSlowness, work, aNow);
+  return delay + work +
+         EstimateSlowdown(aView.mSlowness, work, aView.mRates.mSlownessPeriod,
+                          aNow);
 }
 
 } // namespace foxtailquay
--- a/src/core/slowness.cc
+++ b/src/core/slowness.cc
@@ -11,12 +11,12 @@
 }
 
 double EstimateSlowdown(const stated_slowness& aSlowness, double aWork,
-                        absl::Time aNow)
+                        absl::Duration aPeriod, absl::Time aNow)
 {
   if (aSlowness.mFactor == 1) {
     return 0;
   }
-  const double period = absl::ToDoubleSeconds(kSlownessPeriod);
+  const double period = absl::ToDoubleSeconds(aPeriod);
   const double age =
     std::max(0.0, absl::ToDoubleSeconds(aNow - aSlowness.mStatedAt));
   if (age >= period) {
--- a/src/core/slowness.h
+++ b/src/core/slowness.h
@@ -1,7 +1,7 @@
 // How long work takes on a backend server now, as the server states it.
 //
-//   RecordSlowness(slowness, stated, now);            // a response arrived
-//   work += EstimateSlowdown(slowness, work, now);    // in an estimate
+//   RecordSlowness(slowness, stated, now);
+//   work += EstimateSlowdown(slowness, work, period, now);
 //
 // A server is slow for short times, so what it stated loses its meaning soon. A
 // statement changes an estimate by at most the time for which it is expected to
@@ -14,8 +14,6 @@
 
 namespace foxtailquay {
 
-// Time for which servers are slow or fast at a time.
-constexpr absl::Duration kSlownessPeriod = absl::Milliseconds(600);
 // Range of the factors that are taken into account. A factor beyond it is a
 // false statement, or leaves the server no work in either case.
 constexpr double kMinSlowness = 0.25;
@@ -34,10 +32,11 @@
 
 // Returns the additional time, in seconds, for work that usually takes aWork
 // seconds; negative if the server is faster than usual, zero if it has stated
-// nothing within kSlownessPeriod. The moment of the statement within its period
+// nothing within aPeriod, the positive time for which servers are slow or fast
+// at a time (slowness_period.h). The moment of the statement within its period
 // is unknown, so the probability that it still holds falls evenly with its age.
 double EstimateSlowdown(const stated_slowness& aSlowness, double aWork,
-                        absl::Time aNow);
+                        absl::Duration aPeriod, absl::Time aNow);
 
 } // namespace foxtailquay
 
--- a/src/core/work_model.cc
+++ b/src/core/work_model.cc
@@ -249,6 +249,32 @@
   service->mLoadAt = aNow;
 }
 
+void RecordStatedSlowness(work_model& aModel, std::string_view aService,
+                          statement_history& aHistory, double aFactor,
+                          absl::Time aNow)
+{
+  service_work* service = FindOrAdd(aModel.mServices, aService, kMaxServices);
+  if (service != nullptr) {
+    LearnPeriod(service->mSlowness, aHistory, aFactor, aNow);
+  }
+}
+
+void PoolStatedSlowness(work_model& aModel, std::string_view aService,
+                        const statement_history& aHistory, absl::Time aNow)
+{
+  const auto service = aModel.mServices.find(aService);
+  if (service != aModel.mServices.end()) {
+    PoolEvidence(service->second.mSlowness, aHistory, aNow);
+  }
+}
+
+void UpdateSlownessPeriods(work_model& aModel)
+{
+  for (auto& service : aModel.mServices) {
+    UpdatePeriod(service.second.mSlowness);
+  }
+}
+
 work_rates EstimateRates(const work_model& aModel, std::string_view aService,
                          const learned_speed& aSpeed, absl::Time aNow)
 {
@@ -271,6 +297,7 @@
   if (service->mLoadWeight > 0) {
     rates.mUsualLoad = service->mLoadSum / service->mLoadWeight;
   }
+  rates.mSlownessPeriod = service->mSlowness.mPeriod;
   return rates;
 }
 
--- a/src/core/work_model.h
+++ b/src/core/work_model.h
@@ -24,6 +24,7 @@
 
 #include "absl/time/time.h"
 #include "foxtailquay/types.h"
+#include "slowness_period.h"
 
 namespace foxtailquay {
 
@@ -81,6 +82,8 @@
   absl::Duration mCallTime = absl::ZeroDuration();
   // Usual number of requests at a server of the service; negative if unknown.
   double mUsualLoad = -1;
+  // Time for which a stated slowness holds.
+  absl::Duration mSlownessPeriod = kPriorSlownessPeriod;
 };
 
 // What is known of a request before it runs.
@@ -138,6 +141,7 @@
   double mLoadSum = 0;
   double mLoadWeight = 0;
   absl::Time mLoadAt = absl::InfinitePast();
+  slowness_period mSlowness;
   std::map<std::string, route_work, std::less<>> mRoutes;
 };
 
@@ -167,6 +171,18 @@
 void RecordUsualLoad(work_model& aModel, std::string_view aService,
                      double aLoad, absl::Time aNow);
 
+// Learns from the present slowness that a server of the service states.
+void RecordStatedSlowness(work_model& aModel, std::string_view aService,
+                          statement_history& aHistory, double aFactor,
+                          absl::Time aNow);
+
+// Adds what a server has stated to the sum of its service, from which
+// UpdateSlownessPeriods computes the periods of all services. Not called for a
+// server between two updates, it counts for nothing.
+void PoolStatedSlowness(work_model& aModel, std::string_view aService,
+                        const statement_history& aHistory, absl::Time aNow);
+void UpdateSlownessPeriods(work_model& aModel);
+
 // Returns the values for a server of the service.
 work_rates EstimateRates(const work_model& aModel, std::string_view aService,
                          const learned_speed& aSpeed, absl::Time aNow);
