--- a/src/core/gateway_admission.cc
+++ b/src/core/gateway_admission.cc
@@ -95,7 +95,7 @@
 // Returns true if the stated load and this gateway's own runs do not show that
 // the server is full.
 bool HasRoom(const gateway& aGateway, const backend_view& aView,
-             absl::Time aNow)
+             const routing_options& aRouting, absl::Time aNow)
 {
   const absl::Duration validity = aView.mConfig.mKind == backend_kind::Engine
                                     ? kEngineLoadValidity
@@ -103,27 +103,29 @@
   if (aNow - aView.mReportedAt > validity) {
     return aView.mOutstanding < aView.mConfig.mMaxConcurrency;
   }
-  const double peers = std::min(
-    (aGateway.mRouting.mRouters - 1) / kMaxUnevenness, kMaxAssumedPeers);
+  const double peers =
+    std::min((aRouting.mRouters - 1) / kMaxUnevenness, kMaxAssumedPeers);
   return EstimateLoad(aView, 1 + peers, aGateway.mRoomRouting, aNow) <
          kRoomFactor * aView.mConfig.mMaxConcurrency;
 }
 
 bool HasRoomAtAny(const gateway& aGateway, const routing_query& aQuery,
-                  absl::Time aNow)
+                  const routing_options& aRouting, absl::Time aNow)
 {
   const auto usable =
-    ListUsableBackends(aGateway.mViews, aQuery, aGateway.mRouting, aNow);
-  return std::any_of(
-    usable.begin(), usable.end(),
-    [&](const backend_view* aView) { return HasRoom(aGateway, *aView, aNow); });
+    ListUsableBackends(aGateway.mViews, aQuery, aRouting, aNow);
+  return std::any_of(usable.begin(), usable.end(),
+                     [&](const backend_view* aView) {
+                       return HasRoom(aGateway, *aView, aRouting, aNow);
+                     });
 }
 
 // Returns the number of requests a second that this gateway can expect to send
 // to the service while it is full: what it has completed, or an equal part of
 // what the servers complete.
 double EstimatePace(const gateway& aGateway, const forwarded_request& aRequest,
-                    const routing_query& aQuery, absl::Time aNow)
+                    const routing_query& aQuery,
+                    const routing_options& aRouting, absl::Time aNow)
 {
   const auto found = aGateway.mPaces.find(aRequest.mService.mValue);
   if (found == aGateway.mPaces.end() ||
@@ -141,18 +143,22 @@
     }
   }
   const double equalPart = slots / absl::ToDoubleSeconds(pace.mRunTime) /
-                           std::max(1, aGateway.mRouting.mRouters);
+                           std::max(1, aRouting.mRouters);
   return std::max(own, equalPart);
 }
 
-void RefuseWaiting(gateway& aGateway, forwarded_request& aRequest,
-                   std::string aDetail, absl::Duration aRetryAfter,
-                   absl::Time aNow)
+error MakeWaitError(std::string aDetail, absl::Duration aRetryAfter)
 {
-  aRequest.mError =
+  error refusal =
     MakeError(error_code::Overloaded, executed::No, std::move(aDetail));
-  aRequest.mError.mRetryAfter =
-    std::clamp(aRetryAfter, kMinRetryAfter, kMaxRetryAfter);
+  refusal.mRetryAfter = std::clamp(aRetryAfter, kMinRetryAfter, kMaxRetryAfter);
+  return refusal;
+}
+
+void RefuseWaiting(gateway& aGateway, forwarded_request& aRequest,
+                   error aRefusal, absl::Time aNow)
+{
+  aRequest.mError = std::move(aRefusal);
   FireRequest(aGateway, aRequest.mCaller.mHandle, forward_event::Refused, aNow);
 }
 
@@ -237,11 +243,12 @@
 {
   const service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
   const routing_query query = MakeRoutingQuery(aGateway, aRequest, aNow);
-  return IsLimited(pace, aNow) ? HasWindow(pace, aRequest.mDemandRank, aNow) &&
-                                   !ListUsableBackends(aGateway.mViews, query,
-                                                       aGateway.mRouting, aNow)
-                                      .empty()
-                               : HasRoomAtAny(aGateway, query, aNow);
+  return IsLimited(pace, aNow)
+           ? HasWindow(pace, aRequest.mDemandRank, aNow) &&
+               !ListUsableBackends(aGateway.mViews, query, aGateway.mRouting,
+                                   aNow)
+                  .empty()
+           : HasRoomAtAny(aGateway, query, aGateway.mRouting, aNow);
 }
 
 } // namespace
@@ -338,36 +345,44 @@
   }
 }
 
-bool MustWait(gateway& aGateway, forwarded_request& aRequest,
-              const routing_query& aQuery, const backend_view* aChosen,
-              absl::Time aNow)
+wait_decision DecideWait(const gateway& aGateway,
+                         const forwarded_request& aRequest,
+                         const routing_query& aQuery,
+                         const backend_view* aChosen,
+                         const routing_options& aRouting, service_pace& aPace,
+                         absl::Time aNow)
 {
+  wait_decision decision{ false, aRequest.mDemandRank };
   // A request that may have been executed has its attempt at once or fails: its
   // caller has waited for one already.
   if (aRequest.mMayHaveExecuted || aRequest.mHasHeldFailure ||
       aRequest.mHasTurn) {
-    return false;
+    return decision;
   }
   if (aChosen == nullptr) {
-    return FindShortage(aGateway.mViews, aQuery, aNow) == shortage::Slots;
+    decision.mMustWait =
+      FindShortage(aGateway.mViews, aQuery, aNow) == shortage::Slots;
+    return decision;
   }
-  service_pace& pace = aGateway.mPaces[aRequest.mService.mValue];
-  if (!HasRoom(aGateway, *aChosen, aNow) &&
-      !HasRoomAtAny(aGateway, aQuery, aNow)) {
-    RecordFull(pace, aNow);
+  if (!HasRoom(aGateway, *aChosen, aRouting, aNow) &&
+      !HasRoomAtAny(aGateway, aQuery, aRouting, aNow)) {
+    RecordFull(aPace, aNow);
   }
-  if (!IsLimited(pace, aNow)) {
-    return HasQueue(aGateway, aRequest.mService.mValue);
+  decision.mMustWait = HasQueue(aGateway, aRequest.mService.mValue);
+  if (IsLimited(aPace, aNow)) {
+    decision.mRank =
+      RecordDemand(aPace, aRequest.mWorkspace,
+                   static_cast<double>(EstimateWork(aRequest)), aNow);
+    decision.mMustWait =
+      decision.mMustWait || !HasWindow(aPace, decision.mRank, aNow);
   }
-  aRequest.mDemandRank =
-    RecordDemand(pace, aRequest.mWorkspace,
-                 static_cast<double>(EstimateWork(aRequest)), aNow);
-  return HasQueue(aGateway, aRequest.mService.mValue) ||
-         !HasWindow(pace, aRequest.mDemandRank, aNow);
+  return decision;
 }
 
-void EnqueueRequest(gateway& aGateway, forwarded_request& aRequest,
-                    absl::Time aNow)
+admission_request MakeWaitingRequest(const gateway& aGateway,
+                                     const forwarded_request& aRequest,
+                                     const routing_options& aRouting,
+                                     absl::Time aNow)
 {
   const absl::Duration objective = aRequest.mRoute.mObjective;
   const absl::Duration waited = aNow - aRequest.mArrivedAt;
@@ -390,17 +405,37 @@
   const double fraction = GetWaitFraction(aRequest.mDemandRank);
   waiting.mMaxWait =
     std::min(fraction * objective, objective - reserve) - waited;
-  waiting.mExpectedRate = EstimatePace(aGateway, aRequest, query, aNow);
+  waiting.mExpectedRate =
+    EstimatePace(aGateway, aRequest, query, aRouting, aNow);
+  return waiting;
+}
+
+std::optional<error> QueueWaitingRequest(admission_state& aAdmission,
+                                         const admission_request& aWaiting,
+                                         const traffic_route& aRoute,
+                                         absl::Time aNow)
+{
   fleet_config limits;
   limits.mQueueLength = kMaxWaiting;
-  limits.mQueueTimeout = objective;
+  limits.mQueueTimeout = aRoute.mObjective;
   const admission_decision decision =
-    Admit(aGateway.mAdmission, waiting, {}, limits, 0, aNow);
-  if (decision.mOutcome == admission_outcome::Refused) {
-    RefuseWaiting(aGateway, aRequest,
-                  absl::StrCat("all servers of the service are full: ",
-                               decision.mError.mDetail),
-                  decision.mError.mRetryAfter, aNow);
+    Admit(aAdmission, aWaiting, {}, limits, 0, aNow);
+  if (decision.mOutcome != admission_outcome::Refused) {
+    return std::nullopt;
+  }
+  return MakeWaitError(absl::StrCat("all servers of the service are full: ",
+                                    decision.mError.mDetail),
+                       decision.mError.mRetryAfter);
+}
+
+void EnqueueRequest(gateway& aGateway, forwarded_request& aRequest,
+                    absl::Time aNow)
+{
+  const admission_request waiting =
+    MakeWaitingRequest(aGateway, aRequest, aGateway.mRouting, aNow);
+  if (auto refusal = QueueWaitingRequest(aGateway.mAdmission, waiting,
+                                         aRequest.mRoute, aNow)) {
+    RefuseWaiting(aGateway, aRequest, *std::move(refusal), aNow);
     return;
   }
   // No attempt was executed, so the servers that rejected one may take it once
@@ -436,7 +471,8 @@
     const auto found = aGateway.mRequests.find(handle);
     if (found != aGateway.mRequests.end()) {
       RefuseWaiting(aGateway, *found->second,
-                    "no server of the service had room in time", kMinRetryAfter,
+                    MakeWaitError("no server of the service had room in time",
+                                  kMinRetryAfter),
                     aNow);
     }
   }
--- a/src/core/gateway_capacity.h
+++ b/src/core/gateway_capacity.h
@@ -41,11 +41,33 @@
 void RecordAttemptLoad(gateway& aGateway, const forwarded_request& aRequest,
                        const std::optional<observed_load>& aLoad,
                        bool aIsServed, absl::Time aNow);
-// Returns true if the request has to wait for a slot; otherwise it is to be
-// sent to aChosen, or refused if that is null.
-bool MustWait(gateway& aGateway, forwarded_request& aRequest,
-              const routing_query& aQuery, const backend_view* aChosen,
-              absl::Time aNow);
+// Whether a request has to wait for a slot.
+struct wait_decision
+{
+  bool mMustWait = false;
+  demand_rank mRank = demand_rank::Usual;
+};
+
+// Decides whether the request has to wait for a slot; otherwise it is to be
+// sent to aChosen, or refused if that is null. Records in the pace of its
+// service that the servers are full, and what the request asks for.
+wait_decision DecideWait(const gateway& aGateway,
+                         const forwarded_request& aRequest,
+                         const routing_query& aQuery,
+                         const backend_view* aChosen,
+                         const routing_options& aRouting, service_pace& aPace,
+                         absl::Time aNow);
+// Returns what a request that has to wait is queued with.
+admission_request MakeWaitingRequest(const gateway& aGateway,
+                                     const forwarded_request& aRequest,
+                                     const routing_options& aRouting,
+                                     absl::Time aNow);
+// Queues the request, or returns the error if it is not expected to be sent in
+// time.
+std::optional<error> QueueWaitingRequest(admission_state& aAdmission,
+                                         const admission_request& aWaiting,
+                                         const traffic_route& aRoute,
+                                         absl::Time aNow);
 // Queues the request, or fires Refused on it if it is not expected to be sent
 // in time.
 void EnqueueRequest(gateway& aGateway, forwarded_request& aRequest,
--- a/src/core/gateway_coordinator.cc
+++ b/src/core/gateway_coordinator.cc
@@ -69,12 +69,19 @@
 }
 
 bool IsCoordinator(const gateway& aGateway, const workspace_id& aWorkspace,
-                   workspace_tokens& aTokens, absl::Time aNow)
+                   const workspace_tokens& aTokens, absl::Time aNow)
+{
+  return aNow < aTokens.mCoordinatorUntil
+           ? aTokens.mIsCoordinator
+           : FindCoordinator(aGateway, aWorkspace, true, token_call::Need, aNow)
+               .mPeer.empty();
+}
+
+bool UpdateCoordinator(const gateway& aGateway, const workspace_id& aWorkspace,
+                       workspace_tokens& aTokens, absl::Time aNow)
 {
   if (aNow >= aTokens.mCoordinatorUntil) {
-    aTokens.mIsCoordinator =
-      FindCoordinator(aGateway, aWorkspace, true, token_call::Need, aNow)
-        .mPeer.empty();
+    aTokens.mIsCoordinator = IsCoordinator(aGateway, aWorkspace, aTokens, aNow);
     aTokens.mCoordinatorUntil = aNow + kCoordinatorTime;
   }
   return aTokens.mIsCoordinator;
--- a/src/core/gateway_coordinator.h
+++ b/src/core/gateway_coordinator.h
@@ -35,9 +35,11 @@
 
 // Returns true if this gateway was the coordinator when that was last computed,
 // at most 0.2 s ago. An outdated answer is safe, as is a disagreement between
-// gateways.
+// gateways. UpdateCoordinator also keeps what it has computed.
 bool IsCoordinator(const gateway& aGateway, const workspace_id& aWorkspace,
-                   workspace_tokens& aTokens, absl::Time aNow);
+                   const workspace_tokens& aTokens, absl::Time aNow);
+bool UpdateCoordinator(const gateway& aGateway, const workspace_id& aWorkspace,
+                       workspace_tokens& aTokens, absl::Time aNow);
 
 // Records that a peer did not respond, and that it did.
 void SuspectPeer(gateway& aGateway, const std::string& aPeer, absl::Time aNow);
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -46,7 +46,7 @@
     // A gateway that gets token requests acts in place of a coordinator that
     // cannot transfer tokens.
     const bool isCoordinator =
-      IsCoordinator(aGateway, entry.first, tokens, aNow) ||
+      UpdateCoordinator(aGateway, entry.first, tokens, aNow) ||
       HasPeerWaiting(tokens);
     UpdateNeededTokens(tokens, aGateway.mSettings.mGrants, aNow);
     UpdatePlannedTokens(tokens);
@@ -88,15 +88,20 @@
                     ComputeTotal(share.mRecord);
 }
 
+// Returns true if no tokens are left to grant for a waiter.
+bool IsShort(const workspace_tokens& aTokens, const grant_options& aOptions)
+{
+  return LacksTokens(aTokens) || HasExhaustedWaiter(aTokens, aOptions);
+}
+
 // Ends the waiters for whose priority no tokens are left to grant, after the
 // other gateways have returned what they do not need soon.
 void RecallIfUsedUp(gateway& aGateway, const workspace_id& aWorkspace,
                     absl::Time aNow)
 {
   const workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
-  const bool isShort = LacksTokens(tokens) ||
-                       HasExhaustedWaiter(tokens, aGateway.mSettings.mGrants);
-  if (!isShort || !RecallTokens(aGateway, aWorkspace, true, aNow)) {
+  if (!IsShort(tokens, aGateway.mSettings.mGrants) ||
+      !RecallTokens(aGateway, aWorkspace, true, aNow)) {
     EndExhaustedWaiters(aGateway, aWorkspace, aNow);
   }
 }
@@ -105,28 +110,34 @@
                    absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
-  coordinator_choice coordinator =
-    FindCoordinator(aGateway, aWorkspace, true, token_call::Need, aNow);
-  if (coordinator.mPeer.empty()) {
-    if (!IsStoreUnavailable(aGateway)) {
-      RecallIfUsedUp(aGateway, aWorkspace, aNow);
+  acquisition plan =
+    PlanAcquisition(aGateway, aWorkspace, tokens, aGateway.mRandom, aNow);
+  ApplyRecall(aGateway, aWorkspace, std::move(plan.mRecall));
+  switch (plan.mSource) {
+    case token_source::Recall:
+      if (!IsStoreUnavailable(aGateway)) {
+        WriteGrants(aGateway, aNow);
+      }
+      return;
+    case token_source::Grant:
+      EndExhaustedWaiters(aGateway, aWorkspace, aNow);
       WriteGrants(aGateway, aNow);
       return;
-    }
-    if (RecallTokens(aGateway, aWorkspace,
-                     IsExhausted(tokens.mShare, tokens.mPrepaid), aNow)) {
+    case token_source::Unreachable:
+      EndPeerWaiters(aGateway, aWorkspace, aNow);
+      ReserveForWaiters(aGateway, aWorkspace, true, aNow);
       return;
-    }
-    // Peers may still reach the store. Requests of other gateways are not
-    // forwarded to them; those gateways try other peers themselves.
-    EndPeerWaiters(aGateway, aWorkspace, aNow);
-    coordinator =
-      FindCoordinator(aGateway, aWorkspace, false, token_call::Need, aNow);
-  }
-  if (coordinator.mPeer.empty()) {
-    ReserveForWaiters(aGateway, aWorkspace, true, aNow);
-    return;
+    case token_source::OtherCoordinator:
+      // Peers may still reach the store. Requests of other gateways are not
+      // forwarded to them; those gateways try other peers themselves.
+      EndPeerWaiters(aGateway, aWorkspace, aNow);
+      break;
+    case token_source::NotNeeded:
+    case token_source::Held:
+    case token_source::Coordinator:
+      break;
   }
+  const coordinator_choice& coordinator = plan.mCoordinator;
   if (tokens.mIsRequesting || tokens.mWaiters.empty()) {
     return;
   }
@@ -216,6 +227,45 @@
 
 } // namespace
 
+acquisition PlanAcquisition(const gateway& aGateway,
+                            const workspace_id& aWorkspace,
+                            const workspace_tokens& aTokens,
+                            random_engine& aRandom, absl::Time aNow)
+{
+  acquisition plan;
+  plan.mCoordinator =
+    FindCoordinator(aGateway, aWorkspace, true, token_call::Need, aNow);
+  if (!plan.mCoordinator.mPeer.empty()) {
+    plan.mSource = token_source::Coordinator;
+    return plan;
+  }
+  const bool isStoreAway = IsStoreUnavailable(aGateway);
+  const bool recalls =
+    isStoreAway || IsShort(aTokens, aGateway.mSettings.mGrants);
+  if (recalls) {
+    plan.mRecall =
+      PlanRecall(aGateway, aWorkspace, aTokens,
+                 !isStoreAway || IsExhausted(aTokens.mShare, aTokens.mPrepaid),
+                 aRandom, aNow);
+  }
+  const token_recall& recall =
+    plan.mRecall ? plan.mRecall->mRecall : aTokens.mRecall;
+  if (recalls && !recall.mOpenPeers.empty()) {
+    plan.mSource = token_source::Recall;
+    return plan;
+  }
+  if (!isStoreAway) {
+    plan.mSource = token_source::Grant;
+    return plan;
+  }
+  plan.mCoordinator =
+    FindCoordinator(aGateway, aWorkspace, false, token_call::Need, aNow);
+  plan.mSource = plan.mCoordinator.mPeer.empty()
+                   ? token_source::Unreachable
+                   : token_source::OtherCoordinator;
+  return plan;
+}
+
 bool IsReturningGrants(const gateway& aGateway)
 {
   return aGateway.mReturnDeadline != absl::InfiniteFuture();
@@ -231,7 +281,7 @@
                        absl::Time aNow)
 {
   const request_handle handle = aRequest.mCaller.mHandle;
-  if (!aRequest.mIsPrepaid || aRequest.mWorstCaseCost == 0) {
+  if (!NeedsTokens(aRequest)) {
     FireRequest(aGateway, handle, forward_event::Funded, aNow);
     return;
   }
@@ -239,9 +289,7 @@
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[workspace];
   RecordOwnDemand(aGateway, tokens, aRequest.mWorstCaseCost,
                   aRequest.mRoutePriority, aNow);
-  tokens.mWaiters.push_back(
-    { handle, 0, aRequest.mWorstCaseCost, aRequest.mRoutePriority,
-      std::min(aRequest.mDeadline, aNow + kFundingTimeout) });
+  tokens.mWaiters.push_back(MakeWaiter(aRequest, aNow));
   ReserveForWaiters(aGateway, workspace, false, aNow);
   if (!tokens.mWaiters.empty()) {
     AcquireTokens(aGateway, workspace, aNow);
--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -71,6 +71,17 @@
                                     ComputeTotal(aTokens.mShare.mRecord));
 }
 
+// Returns true if a recall may start now. One of a used-up total brings more
+// than an earlier one did.
+bool IsRecallDue(const workspace_tokens& aTokens, bool aIsUsedUp,
+                 absl::Time aNow)
+{
+  const token_recall& recall = aTokens.mRecall;
+  return recall.mOpenPeers.empty() &&
+         (aNow - recall.mStartedAt >= kRecallInterval ||
+          (aIsUsedUp && !recall.mIsUsedUp));
+}
+
 // Returns true if tokens of the total were granted before this process started.
 bool IsKnownTotal(const workspace_tokens& aTokens)
 {
@@ -183,7 +194,7 @@
     return;
   }
   if (aNow >= placement.mDueAt + kPlacementTime || aGateway.mStopping ||
-      !IsCoordinator(aGateway, aWorkspace, tokens, aNow)) {
+      !UpdateCoordinator(aGateway, aWorkspace, tokens, aNow)) {
     EndPlacement(tokens);
     return;
   }
@@ -331,44 +342,70 @@
     { taken, false, taken == 0 && IsStoreUnavailable(aGateway) } });
 }
 
-bool RecallTokens(gateway& aGateway, const workspace_id& aWorkspace,
-                  bool aIsUsedUp, absl::Time aNow)
+std::optional<recall_plan> PlanRecall(const gateway& aGateway,
+                                      const workspace_id& aWorkspace,
+                                      const workspace_tokens& aTokens,
+                                      bool aIsUsedUp, random_engine& aRandom,
+                                      absl::Time aNow)
 {
-  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
-  token_recall& recall = tokens.mRecall;
-  // A recall of a used-up total brings more than an earlier one did.
-  const bool isDue =
-    recall.mOpenPeers.empty() && (aNow - recall.mStartedAt >= kRecallInterval ||
-                                  (aIsUsedUp && !recall.mIsUsedUp));
-  if (!isDue || !IsCoordinator(aGateway, aWorkspace, tokens, aNow)) {
-    return !recall.mOpenPeers.empty();
+  if (!IsRecallDue(aTokens, aIsUsedUp, aNow) ||
+      !IsCoordinator(aGateway, aWorkspace, aTokens, aNow)) {
+    return std::nullopt;
   }
-  recall = { aNow, aIsUsedUp, {}, true, 0 };
+  recall_plan plan;
+  plan.mRecall = { aNow, aIsUsedUp, {}, true, 0 };
   std::vector<const decltype(aGateway.mPeers)::value_type*> peers;
   for (const auto& peer : aGateway.mPeers) {
     if (aNow >= peer.second.mSuspectUntil) {
       peers.push_back(&peer);
     } else {
-      recall.mIsComplete = false;
+      plan.mRecall.mIsComplete = false;
     }
   }
   if (peers.size() > kMaxRecalledPeers) {
-    std::shuffle(peers.begin(), peers.end(), aGateway.mRandom);
+    std::shuffle(peers.begin(), peers.end(), aRandom);
     peers.resize(kMaxRecalledPeers);
   }
   for (const auto* peer : peers) {
     // A doubtful peer is asked, but its response is not waited for.
     if (peer->second.mIsDoubtful) {
-      recall.mIsComplete = false;
+      plan.mRecall.mIsComplete = false;
     } else {
-      recall.mOpenPeers.insert(peer->first);
+      plan.mRecall.mOpenPeers.insert(peer->first);
+    }
+    plan.mCalls.push_back(
+      { peer->first, peer->second.mPeer.mAddress, aWorkspace, aIsUsedUp });
+  }
+  return plan;
+}
+
+bool ApplyRecall(gateway& aGateway, const workspace_id& aWorkspace,
+                 std::optional<recall_plan> aPlan)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  token_recall& recall = tokens.mRecall;
+  if (aPlan) {
+    UpdateCoordinator(aGateway, aWorkspace, tokens, aPlan->mRecall.mStartedAt);
+    recall = std::move(aPlan->mRecall);
+    for (recall_tokens& call : aPlan->mCalls) {
+      aGateway.mActions.push_back(std::move(call));
     }
-    aGateway.mActions.push_back(recall_tokens{
-      peer->first, peer->second.mPeer.mAddress, aWorkspace, aIsUsedUp });
   }
   return !recall.mOpenPeers.empty();
 }
 
+bool RecallTokens(gateway& aGateway, const workspace_id& aWorkspace,
+                  bool aIsUsedUp, absl::Time aNow)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  if (IsRecallDue(tokens, aIsUsedUp, aNow)) {
+    UpdateCoordinator(aGateway, aWorkspace, tokens, aNow);
+  }
+  return ApplyRecall(aGateway, aWorkspace,
+                     PlanRecall(aGateway, aWorkspace, tokens, aIsUsedUp,
+                                aGateway.mRandom, aNow));
+}
+
 void RecordRecallResponse(gateway& aGateway,
                           const token_response_received& aEvent,
                           absl::Time aNow)
--- a/src/core/gateway_placement.h
+++ b/src/core/gateway_placement.h
@@ -5,6 +5,11 @@
 #ifndef FOXTAILQUAY_CORE_GATEWAY_PLACEMENT_H
 #define FOXTAILQUAY_CORE_GATEWAY_PLACEMENT_H
 
+#include <optional>
+#include <vector>
+
+#include "foxtailquay/explanation.h"
+#include "gateway_coordinator.h"
 #include "gateway_state.h"
 
 namespace foxtailquay {
@@ -70,6 +75,38 @@
 void ServeRefill(gateway& aGateway, const tokens_requested& aEvent,
                  workspace_tokens& aTokens, absl::Time aNow);
 
+// A recall that starts, and its calls.
+struct recall_plan
+{
+  token_recall mRecall;
+  std::vector<recall_tokens> mCalls;
+};
+
+// Decides whether a recall starts, and whom it asks.
+std::optional<recall_plan> PlanRecall(const gateway& aGateway,
+                                      const workspace_id& aWorkspace,
+                                      const workspace_tokens& aTokens,
+                                      bool aIsUsedUp, random_engine& aRandom,
+                                      absl::Time aNow);
+// Starts the recall, if one is planned. Returns true while responses are open.
+bool ApplyRecall(gateway& aGateway, const workspace_id& aWorkspace,
+                 std::optional<recall_plan> aPlan);
+
+// How missing tokens are acquired.
+struct acquisition
+{
+  token_source mSource = token_source::Grant;
+  // The gateway that is asked, for Coordinator and OtherCoordinator.
+  coordinator_choice mCoordinator;
+  std::optional<recall_plan> mRecall;
+};
+
+// Decides how the tokens that the waiters lack are acquired (gateway_fund.cc).
+acquisition PlanAcquisition(const gateway& aGateway,
+                            const workspace_id& aWorkspace,
+                            const workspace_tokens& aTokens,
+                            random_engine& aRandom, absl::Time aNow);
+
 // Asks the other gateways for tokens that they do not need if this gateway is
 // the coordinator, at most once a second. aIsUsedUp: the total has no tokens
 // left to grant. Returns true while responses are open.
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -4,9 +4,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
+#include "gateway_choice.h"
 #include "gateway_cold.h"
 #include "gateway_work.h"
-#include "xxhash.h"
 
 namespace foxtailquay {
 
@@ -102,105 +102,6 @@
   return false;
 }
 
-// Returns the service for a request. It is the same for all attempts with the
-// same id, and over all requests in proportion to the weights.
-service_id ChooseService(const caller_request& aCaller,
-                         const traffic_route& aRoute)
-{
-  double total = 0;
-  for (const weighted_service& each : aRoute.mServices) {
-    total += each.mWeight;
-  }
-  const std::uint64_t hash =
-    XXH64(aCaller.mAttemptId.data(), aCaller.mAttemptId.size(), 1);
-  double point = static_cast<double>(hash >> 11) /
-                 static_cast<double>(std::uint64_t{ 1 } << 53) * total;
-  for (const weighted_service& each : aRoute.mServices) {
-    if (each.mWeight > 0 && point < each.mWeight) {
-      return each.mService;
-    }
-    point -= each.mWeight;
-  }
-  return aRoute.mServices.empty() ? service_id{} : aRoute.mServices[0].mService;
-}
-
-// Sets the fields of the request that depend on its service.
-void ApplyServiceSettings(gateway& aGateway, forwarded_request& aRequest)
-{
-  const traffic_service* service =
-    FindService(*aGateway.mTable, aRequest.mService);
-  if (service != nullptr) {
-    aRequest.mIsEngine = service->mIsEngine;
-    aRequest.mTokensPerEvent = service->mTokensPerEvent;
-    aRequest.mMaxConnections = service->mMaxConnections;
-  }
-  if (aRequest.mIsEngine) {
-    aRequest.mWorstCaseCost = AddTokens(aRequest.mCaller.mPromptTokens,
-                                        aRequest.mCaller.mMaxOutputTokens);
-  }
-}
-
-// Finds the route and the workspace that pays, and sets the fields that depend
-// on them. Errors: ShuttingDown, NotReady, NotFound, Unauthorized,
-// BudgetExhausted, PromptQuarantined.
-result<success> Admit(gateway& aGateway, forwarded_request& aRequest,
-                      absl::Time aNow)
-{
-  const caller_request& caller = aRequest.mCaller;
-  // A later request might not end before the platform kills the process.
-  if (aGateway.mStopping && aNow >= aGateway.mStopStartedAt + kStopDrainTime) {
-    return MakeError(error_code::ShuttingDown, executed::No,
-                     "the gateway is stopping");
-  }
-  if (!IsDirectoryKnown(aGateway)) {
-    return MakeError(
-      error_code::NotReady, executed::No,
-      "the configuration and the backend servers have not been read "
-      "from the store yet; retry later");
-  }
-  const traffic_route* route =
-    FindRoute(*aGateway.mTable, caller.mHost, caller.mPath);
-  if (route == nullptr) {
-    return MakeError(error_code::NotFound, executed::No,
-                     "no route matches host and path");
-  }
-  const traffic_workspace* payer = FindWorkspace(*aGateway.mTable, caller.mKey);
-  if (payer == nullptr && !route->mPublic &&
-      !aGateway.mTable->mConfig.mWorkspaces.empty()) {
-    return MakeError(error_code::Unauthorized, executed::No, "unknown API key");
-  }
-  aRequest.mRoute = *route;
-  aRequest.mRoutePriority =
-    std::clamp(route->mPriority, 0, kRequestPriorities - 1);
-  aRequest.mPriority = aRequest.mRoutePriority;
-  if (payer != nullptr) {
-    aRequest.mWorkspace = payer->mId;
-    aRequest.mIsPrepaid = payer->mPrepaid.has_value();
-    aRequest.mPriority = std::clamp(payer->mPriority.value_or(route->mPriority),
-                                    0, kRequestPriorities - 1);
-  }
-  aRequest.mService = ChooseService(caller, *route);
-  ApplyServiceSettings(aGateway, aRequest);
-  if (aRequest.mIsPrepaid && aRequest.mWorstCaseCost > *payer->mPrepaid) {
-    return MakeError(error_code::BudgetExhausted, executed::No,
-                     absl::StrCat("the request needs ", aRequest.mWorstCaseCost,
-                                  " tokens, the prepaid total is ",
-                                  *payer->mPrepaid));
-  }
-  if (aRequest.mIsEngine) {
-    if (auto refusal = CheckPrompt(aGateway, aRequest, aNow)) {
-      return *std::move(refusal);
-    }
-    if (auto refusal = CheckMemory(aGateway, aRequest)) {
-      return *std::move(refusal);
-    }
-  }
-  aRequest.mDeadline =
-    aNow + std::min(route->mTimeout,
-                    caller.mCallerTimeout.value_or(absl::InfiniteDuration()));
-  return success{};
-}
-
 void RefuseRequest(gateway& aGateway, forwarded_request& aRequest,
                    absl::Time aNow)
 {
@@ -246,16 +147,16 @@
 {
   const bool isRepeat = aRequest.mSentAttempts > 0;
   aGateway.mRouting.mRouters = CountGateways(aGateway, aNow);
-  routing_query query = MakeRoutingQuery(aGateway, aRequest, aNow);
-  query.mLimitedUse = ChooseLimitedUse(aGateway, aRequest, aNow);
-  const auto chosen = ChooseBackend(aGateway.mViews, query, aGateway.mRouting,
-                                    aNow, aGateway.mRandom);
-  const auto found =
-    chosen ? aGateway.mViews.find(*chosen) : aGateway.mViews.end();
-  const bool mustWait = MustWait(aGateway, aRequest, query,
-                                 chosen ? &found->second : nullptr, aNow);
+  const std::string& service = aRequest.mService.mValue;
+  const dispatch_choice choice = ChooseDispatch(
+    aGateway, aRequest, aGateway.mRouting,
+    { aGateway.mCosts[service], aGateway.mPaces[service], aGateway.mRandom },
+    aNow);
+  const routing_query& query = choice.mQuery;
+  const std::optional<backend_id>& chosen = choice.mBackend;
+  aRequest.mDemandRank = choice.mDemandRank;
   aRequest.mHasTurn = false;
-  if (mustWait) {
+  if (choice.mMustWait) {
     FireRequest(aGateway, aRequest.mCaller.mHandle, forward_event::NoRoom,
                 aNow);
     return;
@@ -266,7 +167,7 @@
                 aNow);
     return;
   }
-  backend_view& view = found->second;
+  backend_view& view = aGateway.mViews.at(*chosen);
   const double backlog = StartWork(aGateway, aRequest, *chosen, query, aNow);
   const retry_options options = MakeRetryOptions(aGateway, aNow);
   retry_state& repeats =
@@ -431,6 +332,16 @@
   return query;
 }
 
+std::vector<forward_action> FireForwardChart(const gateway& aGateway,
+                                             forwarded_request& aRequest,
+                                             forward_event aEvent,
+                                             absl::Time aNow)
+{
+  const forward_context context{ aGateway, aRequest, aNow };
+  return Fire(aGateway.mCharts.mForward, aRequest.mStatus, aEvent, context,
+              &EvaluateGuard);
+}
+
 void FireRequest(gateway& aGateway, request_handle aHandle,
                  forward_event aEvent, absl::Time aNow)
 {
@@ -439,9 +350,8 @@
     return;
   }
   forwarded_request& request = *found->second;
-  const forward_context context{ aGateway, request, aNow };
-  for (forward_action action : Fire(aGateway.mCharts.mForward, request.mStatus,
-                                    aEvent, context, &EvaluateGuard)) {
+  for (forward_action action :
+       FireForwardChart(aGateway, request, aEvent, aNow)) {
     PerformAction(aGateway, request, action, aNow);
     // An action may have ended the request by firing another event.
     if (aGateway.mRequests.find(aHandle) == aGateway.mRequests.end()) {
@@ -465,7 +375,7 @@
   request->mStatus = GetInitialState(aGateway.mCharts.mForward);
   request->mArrivedAt = aNow;
   request->mDeadline = absl::InfiniteFuture();
-  const auto admitted = Admit(aGateway, *request, aNow);
+  const auto admitted = AdmitRequest(aGateway, *request, aNow);
   if (!IsOk(admitted)) {
     request->mError = GetError(admitted);
   }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -2,7 +2,9 @@
 // thread-safe: only the control thread uses it.
 //
 // gateway.cc          construction, event dispatch, timers, planned stop
-// gateway_request.cc  one request: admission, attempts, end
+// gateway_request.cc  one request: attempts, end
+// gateway_choice.cc   decisions on one request: admission, choice of a server
+// gateway_explain.cc  where a request would go, without sending it
 // gateway_work.cc     what is learned from requests on work and speed
 // gateway_share.cc    reports between gateways on prompts sent to engines
 // gateway_memory.cc   memory of the engines
@@ -385,6 +387,12 @@
 void OnFirstByte(gateway& aGateway, const first_byte& aEvent, absl::Time aNow);
 void OnCallerDisconnected(gateway& aGateway, const caller_disconnected& aEvent,
                           absl::Time aNow);
+// Fires aEvent in the request's chart, sets its state and returns the actions
+// to perform.
+std::vector<forward_action> FireForwardChart(const gateway& aGateway,
+                                             forwarded_request& aRequest,
+                                             forward_event aEvent,
+                                             absl::Time aNow);
 // Fires aEvent in the request's chart and performs the actions. Removes the
 // request if its chart reaches the final state.
 void FireRequest(gateway& aGateway, request_handle aHandle,
@@ -419,11 +427,12 @@
 // limit or is cold.
 void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
                            absl::Time aNow);
-// Records the cost of a new request. Returns how the request uses the servers
-// of its service that state a rate limit or are cold.
-limited_use ChooseLimitedUse(gateway& aGateway,
+// Records the cost of a new request in the costs of its service. Returns how
+// the request uses the servers of its service that state a rate limit or are
+// cold.
+limited_use ChooseLimitedUse(const gateway& aGateway,
                              const forwarded_request& aRequest,
-                             absl::Time aNow);
+                             cost_profile& aCosts, absl::Time aNow);
 // Returns the error for a request that no backend server can take. If one can
 // take it once its rate limit allows, the caller is told when.
 error MakeUnroutableError(const gateway& aGateway, const routing_query& aQuery,
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -174,22 +174,22 @@
   RecordColdRun(aView.mCold, aNow);
 }
 
-limited_use ChooseLimitedUse(gateway& aGateway,
-                             const forwarded_request& aRequest, absl::Time aNow)
+limited_use ChooseLimitedUse(const gateway& aGateway,
+                             const forwarded_request& aRequest,
+                             cost_profile& aCosts, absl::Time aNow)
 {
   if (!aRequest.mIsEngine) {
     return limited_use::Alike;
   }
   const double cost = ComputeCost(aRequest.mCaller);
-  cost_profile& costs = aGateway.mCosts[aRequest.mService.mValue];
   if (aRequest.mAttempts == 0 && !aRequest.mHasTurn) {
-    AddCost(costs, cost, aNow);
+    AddCost(aCosts, cost, aNow);
   }
   const double rate = ComputeLimitedRate(aGateway, aRequest.mService, aNow);
   if (rate <= 0) {
     return limited_use::Alike;
   }
-  return cost >= FindCostOfTop(costs, kReservedRatio * rate, aNow)
+  return cost >= FindCostOfTop(aCosts, kReservedRatio * rate, aNow)
            ? limited_use::First
            : limited_use::Last;
 }
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -14,26 +14,6 @@
 // and the others return it.
 constexpr absl::Duration kExhaustionTime = absl::Seconds(2);
 
-// Reserves the tokens of aWaiter. Returns false, without effect, if too few are
-// available.
-bool ReserveForWaiter(workspace_tokens& aTokens, const token_waiter& aWaiter,
-                      const grant_options& aOptions, const grant_clock& aClock)
-{
-  grant_share& share = aTokens.mShare;
-  const token_count headroom =
-    ComputeRequiredHeadroom(share, aWaiter.mPriority, aOptions, aClock.mNow);
-  const bool isReserved = MaySpend(share, aTokens.mPrepaid) &&
-                          share.mFreeTokens - aWaiter.mAmount >= headroom &&
-                          Reserve(share, aWaiter.mAmount, aClock);
-  // Only successful reservations count as demand, because refused callers
-  // repeat their requests.
-  if (isReserved) {
-    RecordDemand(share, aWaiter.mAmount, aWaiter.mPriority, aOptions,
-                 aClock.mNow);
-  }
-  return isReserved;
-}
-
 // Returns true if the grant record proves that the total is used up: no other
 // router can hold unspent tokens of it.
 bool IsCertainlyExhausted(const gateway& aGateway,
@@ -45,6 +25,15 @@
          record.mEntries.count(aGateway.mHolder.mId) == 1;
 }
 
+// Returns true if, in addition, the other gateways have returned what they do
+// not need.
+bool IsUsedUpForAll(const gateway& aGateway, const workspace_tokens& aTokens,
+                    absl::Time aNow)
+{
+  return IsCertainlyExhausted(aGateway, aTokens) &&
+         HasRecalledAll(aGateway, aTokens, aNow);
+}
+
 // Time from a response of the store or of a gateway to the tokens that it leads
 // to: a grant write, the copies of its record and a transfer.
 constexpr absl::Duration kAcquisitionTime = absl::Milliseconds(300);
@@ -124,9 +113,8 @@
 void EndWaiter(gateway& aGateway, workspace_tokens& aTokens,
                const token_waiter& aWaiter, bool aIsReserved, absl::Time aNow)
 {
-  const bool isExhausted = IsCertainlyExhausted(aGateway, aTokens) &&
-                           HasRecalledAll(aGateway, aTokens, aNow);
   if (aWaiter.mCall != 0) {
+    const bool isExhausted = IsUsedUpForAll(aGateway, aTokens, aNow);
     token_count amount = aIsReserved ? aWaiter.mAmount : 0;
     if (aIsReserved) {
       AddDemand(aTokens.mTransfers, amount, aNow);
@@ -163,11 +151,7 @@
     FireRequest(aGateway, aWaiter.mHandle, forward_event::Funded, aNow);
     return;
   }
-  const bool isCertain =
-    aWaiter.mAmount > aTokens.mShare.mFreeTokens &&
-    (isExhausted || aNow - aTokens.mExhaustedSince >= kExhaustionTime);
-  request->second->mError =
-    MakeFundingError(aGateway, aTokens, aWaiter.mAmount, isCertain, aNow);
+  request->second->mError = MakeWaiterError(aGateway, aTokens, aWaiter, aNow);
   FireRequest(aGateway, aWaiter.mHandle, forward_event::Unfunded, aNow);
 }
 
@@ -244,16 +228,60 @@
   }
 }
 
+bool NeedsTokens(const forwarded_request& aRequest)
+{
+  return aRequest.mIsPrepaid && aRequest.mWorstCaseCost > 0;
+}
+
+token_waiter MakeWaiter(const forwarded_request& aRequest, absl::Time aNow)
+{
+  return { aRequest.mCaller.mHandle, 0, aRequest.mWorstCaseCost,
+           aRequest.mRoutePriority,
+           std::min(aRequest.mDeadline, aNow + kFundingTimeout) };
+}
+
+bool ReserveForWaiter(workspace_tokens& aTokens, const token_waiter& aWaiter,
+                      const grant_options& aOptions, const grant_clock& aClock)
+{
+  grant_share& share = aTokens.mShare;
+  const token_count headroom =
+    ComputeRequiredHeadroom(share, aWaiter.mPriority, aOptions, aClock.mNow);
+  const bool isReserved = MaySpend(share, aTokens.mPrepaid) &&
+                          share.mFreeTokens - aWaiter.mAmount >= headroom &&
+                          Reserve(share, aWaiter.mAmount, aClock);
+  // Only successful reservations count as demand, because refused callers
+  // repeat their requests.
+  if (isReserved) {
+    RecordDemand(share, aWaiter.mAmount, aWaiter.mPriority, aOptions,
+                 aClock.mNow);
+  }
+  return isReserved;
+}
+
+error MakeWaiterError(const gateway& aGateway, const workspace_tokens& aTokens,
+                      const token_waiter& aWaiter, absl::Time aNow)
+{
+  const bool isCertain = aWaiter.mAmount > aTokens.mShare.mFreeTokens &&
+                         (IsUsedUpForAll(aGateway, aTokens, aNow) ||
+                          aNow - aTokens.mExhaustedSince >= kExhaustionTime);
+  return MakeFundingError(aGateway, aTokens, aWaiter.mAmount, isCertain, aNow);
+}
+
+void SortWaiters(std::deque<token_waiter>& aWaiters)
+{
+  std::stable_sort(aWaiters.begin(), aWaiters.end(),
+                   [](const token_waiter& aLeft, const token_waiter& aRight) {
+                     return aLeft.mPriority < aRight.mPriority;
+                   });
+}
+
 void ReserveForWaiters(gateway& aGateway, const workspace_id& aWorkspace,
                        bool aEndAll, absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
   std::deque<token_waiter> waiters;
   waiters.swap(tokens.mWaiters);
-  std::stable_sort(waiters.begin(), waiters.end(),
-                   [](const token_waiter& aLeft, const token_waiter& aRight) {
-                     return aLeft.mPriority < aRight.mPriority;
-                   });
+  SortWaiters(waiters);
   for (const token_waiter& waiter : waiters) {
     if (ReserveForWaiter(tokens, waiter, aGateway.mSettings.mGrants,
                          MakeGrantClock(aGateway, aNow))) {
--- a/src/core/gateway_waiters.h
+++ b/src/core/gateway_waiters.h
@@ -31,6 +31,22 @@
 void RecordExhaustion(workspace_tokens& aTokens, bool aIsExhausted,
                       absl::Time aNow);
 
+// Returns true if the request needs tokens of a prepaid total.
+bool NeedsTokens(const forwarded_request& aRequest);
+// Returns the request's place among those that wait for tokens.
+token_waiter MakeWaiter(const forwarded_request& aRequest, absl::Time aNow);
+// Puts the waiters in the order in which they get tokens.
+void SortWaiters(std::deque<token_waiter>& aWaiters);
+
+// Reserves the tokens of aWaiter. Returns false, without effect, if too few are
+// available.
+bool ReserveForWaiter(workspace_tokens& aTokens, const token_waiter& aWaiter,
+                      const grant_options& aOptions, const grant_clock& aClock);
+
+// Returns the error for a request whose wait ends without tokens.
+error MakeWaiterError(const gateway& aGateway, const workspace_tokens& aTokens,
+                      const token_waiter& aWaiter, absl::Time aNow);
+
 // Reserves tokens for the waiters, the highest priority first. A large request
 // does not block smaller ones behind it. Ends overdue waiters, and with aEndAll
 // all others too, without tokens.
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -4,8 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "routing_candidates.h"
 #include "routing_estimate.h"
-#include "xxhash.h"
 
 namespace foxtailquay {
 
@@ -14,182 +14,6 @@
 // Minimum estimated cached fraction of the prompt for which a server is always
 // compared.
 constexpr double kMinHolderFraction = 0.1;
-struct candidate
-{
-  const backend_id* mId = nullptr;
-  const backend_view* mView = nullptr;
-  std::uint64_t mRank = 0;
-};
-
-using candidates = std::vector<candidate>;
-
-// The backend servers of a target. The first mSubsetCount of them are this
-// router's subset.
-struct ranked_backends
-{
-  candidates mCandidates;
-  std::size_t mSubsetCount = 0;
-  double mRoutersPerBackend = 1;
-};
-
-std::uint64_t ComputeHash(const std::string& aText, std::uint64_t aSeed)
-{
-  return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
-}
-
-bool IsRankedBefore(const candidate& aLeft, const candidate& aRight)
-{
-  return aLeft.mRank != aRight.mRank ? aLeft.mRank > aRight.mRank
-                                     : *aLeft.mId < *aRight.mId;
-}
-
-ranked_backends RankBackends(const std::map<backend_id, backend_view>& aViews,
-                             backend_kind aKind, const std::string& aTarget,
-                             const routing_options& aOptions)
-{
-  ranked_backends backends;
-  for (const auto& [id, view] : aViews) {
-    if (IsConfiguredFor(view.mConfig, aKind, aTarget)) {
-      backends.mCandidates.push_back({ &id, &view, 0 });
-    }
-  }
-  const auto limit =
-    static_cast<std::size_t>(std::max(1, aOptions.mSubsetSize));
-  backends.mSubsetCount = std::min(limit, backends.mCandidates.size());
-  backends.mRoutersPerBackend = std::max(1, aOptions.mRouters);
-  if (backends.mSubsetCount < backends.mCandidates.size()) {
-    const std::uint64_t seed = ComputeHash(aOptions.mRouter.mValue, 0);
-    for (candidate& each : backends.mCandidates) {
-      each.mRank = ComputeHash(each.mId->mValue, seed);
-    }
-    std::sort(backends.mCandidates.begin(), backends.mCandidates.end(),
-              &IsRankedBefore);
-    backends.mRoutersPerBackend =
-      std::max(1.0, backends.mRoutersPerBackend *
-                      static_cast<double>(backends.mSubsetCount) /
-                      static_cast<double>(backends.mCandidates.size()));
-  }
-  return backends;
-}
-
-// Returns true if the server accepts runs, regardless of ejection and of all
-// limits.
-bool IsAvailable(const candidate& aCandidate, const routing_query& aQuery)
-{
-  const backend_view& view = *aCandidate.mView;
-  return !view.mIsEvacuated && !view.mConfig.mDrain && !view.mLeaving &&
-         !view.mReport.mLeaving && view.mStatus != backend_status::Leaving &&
-         view.mStatus != backend_status::Gone && !view.mAddress.empty() &&
-         aQuery.mExcludedBackends.count(*aCandidate.mId) == 0;
-}
-
-bool HasFreeSlot(const backend_view& aView)
-{
-  return aView.mOutstanding < aView.mConfig.mMaxConcurrency;
-}
-
-// Returns true if the server accepts runs and has a free slot and enough
-// memory, regardless of ejection and of the limits that it states.
-bool AcceptsRuns(const candidate& aCandidate, const routing_query& aQuery)
-{
-  return IsAvailable(aCandidate, aQuery) && HasFreeSlot(*aCandidate.mView) &&
-         FitsMemory(*aCandidate.mView, aQuery);
-}
-
-// Returns the earliest time at which the server takes a request of this router,
-// according to what it states and to whether it is cold.
-absl::Time GetNextRunTime(const backend_view& aView, absl::Time aNow)
-{
-  return std::max({ aView.mRateLimit.mNextRunAt, aView.mBackoffUntil,
-                    GetColdRunTime(aView.mCold, aNow) });
-}
-
-// Returns true if a limit restricts the requests of this router to the server.
-bool IsLimited(const backend_view& aView, absl::Time aNow)
-{
-  return aView.mRateLimit.mStatus == rate_status::Limited ||
-         IsColdLimited(aView.mCold, aNow);
-}
-
-// Returns the time until which an unused request of the server is kept for the
-// requests that use limited servers first.
-absl::Time GetSpareTime(const backend_view& aView, absl::Time aNow)
-{
-  return std::max(aView.mRateLimit.mSpareAt, IsColdLimited(aView.mCold, aNow)
-                                               ? aView.mCold.mSpareAt
-                                               : absl::InfinitePast());
-}
-
-// Returns true if the server can be used, regardless of ejection.
-bool IsEligible(const candidate& aCandidate, const routing_query& aQuery,
-                absl::Time aNow)
-{
-  return AcceptsRuns(aCandidate, aQuery) &&
-         aNow >= GetNextRunTime(*aCandidate.mView, aNow);
-}
-
-bool IsUsable(const candidate& aCandidate, const routing_query& aQuery,
-              absl::Time aNow)
-{
-  return IsEligible(aCandidate, aQuery, aNow) &&
-         aCandidate.mView->mCold.mStatus != cold_status::Unreachable &&
-         aCandidate.mView->mOutstanding <
-           GetConcurrencyLimit(*aCandidate.mView, aNow);
-}
-
-template<typename Predicate>
-candidates FilterCandidates(const candidates& aFrom, std::size_t aBegin,
-                            std::size_t aEnd, Predicate aKeep)
-{
-  candidates selected;
-  std::copy_if(aFrom.begin() + static_cast<std::ptrdiff_t>(aBegin),
-               aFrom.begin() + static_cast<std::ptrdiff_t>(aEnd),
-               std::back_inserter(selected), aKeep);
-  return selected;
-}
-
-// Returns true if the server's rate limit speaks against using it.
-bool IsKeptForOthers(const candidate& aCandidate, const routing_query& aQuery,
-                     absl::Time aNow)
-{
-  return aQuery.mLimitedUse == limited_use::Last &&
-         aNow < GetSpareTime(*aCandidate.mView, aNow);
-}
-
-// Returns the first non-empty list of: usable servers with a rate limit, if the
-// query uses these first; usable servers of the subset, other usable servers,
-// all eligible servers (kept for others, ejected, at the limit of Probing or
-// not reached since their connections failed).
-candidates ListCandidates(const ranked_backends& aBackends,
-                          const routing_query& aQuery, absl::Time aNow)
-{
-  const auto usable = [&](const candidate& aEach) {
-    return IsUsable(aEach, aQuery, aNow) &&
-           !IsKeptForOthers(aEach, aQuery, aNow);
-  };
-  const auto limited = [&](const candidate& aEach) {
-    return usable(aEach) && IsLimited(*aEach.mView, aNow);
-  };
-  const auto eligible = [&](const candidate& aEach) {
-    return IsEligible(aEach, aQuery, aNow);
-  };
-  const std::size_t size = aBackends.mCandidates.size();
-  candidates pool;
-  if (aQuery.mLimitedUse == limited_use::First) {
-    pool = FilterCandidates(aBackends.mCandidates, 0, size, limited);
-  }
-  if (pool.empty()) {
-    pool = FilterCandidates(aBackends.mCandidates, 0, aBackends.mSubsetCount,
-                            usable);
-  }
-  if (pool.empty()) {
-    pool = FilterCandidates(aBackends.mCandidates, aBackends.mSubsetCount, size,
-                            usable);
-  }
-  return pool.empty()
-           ? FilterCandidates(aBackends.mCandidates, 0, size, eligible)
-           : pool;
-}
 
 void RecordLocalChange(backend_view& aView, int aDelta, absl::Time aNow)
 {
@@ -285,6 +109,28 @@
   return processing * aOptions.mAffinityWeight * fraction;
 }
 
+// Estimates for one server. In seconds.
+struct server_estimate
+{
+  double mCachedFraction = 0;
+  double mDelay = 0;
+  double mAffinityPenalty = 0;
+};
+
+server_estimate EstimateServer(const backend_view& aView,
+                               const affinity_backends& aAffinityBackends,
+                               const routing_query& aQuery,
+                               double aRoutersPerBackend,
+                               const routing_options& aOptions, absl::Time aNow)
+{
+  const double cached = EstimateCachedFraction(aView, aQuery, aOptions, aNow);
+  return { cached,
+           EstimateDelayWith(aView, aQuery, cached, aRoutersPerBackend,
+                             aOptions, aNow),
+           ComputeAffinityPenalty(aView, aAffinityBackends, aQuery, cached,
+                                  aOptions) };
+}
+
 void UpdateBestChoice(const candidates& aSample,
                       const affinity_backends& aAffinityBackends,
                       const routing_query& aQuery, double aRoutersPerBackend,
@@ -292,29 +138,23 @@
                       best_choice& aChoice)
 {
   for (const candidate& each : aSample) {
-    const double cached =
-      EstimateCachedFraction(*each.mView, aQuery, aOptions, aNow);
-    const double delay = EstimateDelayWith(*each.mView, aQuery, cached,
-                                           aRoutersPerBackend, aOptions, aNow) +
-                         ComputeAffinityPenalty(*each.mView, aAffinityBackends,
-                                                aQuery, cached, aOptions);
+    const server_estimate estimate =
+      EstimateServer(*each.mView, aAffinityBackends, aQuery, aRoutersPerBackend,
+                     aOptions, aNow);
+    const double delay = estimate.mDelay + estimate.mAffinityPenalty;
     if (delay < aChoice.mDelay) {
       aChoice = { each.mId, delay };
     }
   }
 }
 
-backend_id ChooseFromCandidates(candidates aPool, const routing_query& aQuery,
-                                double aRoutersPerBackend,
-                                const routing_options& aOptions,
-                                absl::Time aNow, random_engine& aRandom)
+// Reduces aPool to the servers that have the model loaded while one of them has
+// a free slot. A small sample could miss these, and the model would be loaded
+// once more.
+candidates SelectReady(candidates aPool, const routing_query& aQuery,
+                       double aRoutersPerBackend,
+                       const routing_options& aOptions, absl::Time aNow)
 {
-  const std::size_t count = aOptions.mSampleSize > 0
-                              ? static_cast<std::size_t>(aOptions.mSampleSize)
-                              : aPool.size();
-  // A small sample could miss the servers that have the model loaded, and the
-  // model would be loaded once more. So only these are considered while one of
-  // them has a free slot.
   candidates ready =
     FilterCandidates(aPool, 0, aPool.size(), [&](const candidate& aEach) {
       return IsTargetLoaded(*aEach.mView, aQuery, aNow);
@@ -324,7 +164,19 @@
       return EstimateLoad(*aEach.mView, aRoutersPerBackend, aOptions, aNow) <
              aEach.mView->mConfig.mMaxConcurrency;
     });
-  candidates pool = room ? std::move(ready) : std::move(aPool);
+  return room ? std::move(ready) : std::move(aPool);
+}
+
+backend_id ChooseFromCandidates(candidates aPool, const routing_query& aQuery,
+                                double aRoutersPerBackend,
+                                const routing_options& aOptions,
+                                absl::Time aNow, random_engine& aRandom)
+{
+  const std::size_t count = aOptions.mSampleSize > 0
+                              ? static_cast<std::size_t>(aOptions.mSampleSize)
+                              : aPool.size();
+  candidates pool =
+    SelectReady(std::move(aPool), aQuery, aRoutersPerBackend, aOptions, aNow);
   const affinity_backends affinity = FindAffinityBackends(pool, aQuery);
   best_choice choice;
   if (aOptions.mSampleSize > 0) {
@@ -371,6 +223,44 @@
                               aRandom);
 }
 
+std::vector<backend_assessment> AssessBackends(
+  const std::map<backend_id, backend_view>& aViews, const routing_query& aQuery,
+  const routing_options& aOptions, absl::Time aNow)
+{
+  const ranked_backends backends =
+    RankBackends(aViews, aQuery.mKind, aQuery.mTarget, aOptions);
+  const candidates pool = ListCandidates(backends, aQuery, aNow);
+  const candidates compared =
+    SelectReady(pool, aQuery, backends.mRoutersPerBackend, aOptions, aNow);
+  const affinity_backends affinity = FindAffinityBackends(compared, aQuery);
+  const auto contains = [](const candidates& aList, const candidate& aEach) {
+    return std::any_of(
+      aList.begin(), aList.end(),
+      [&aEach](const candidate& aOther) { return aOther.mId == aEach.mId; });
+  };
+  std::vector<backend_assessment> assessments;
+  for (const candidate& each : backends.mCandidates) {
+    const server_estimate estimate =
+      EstimateServer(*each.mView, affinity, aQuery, backends.mRoutersPerBackend,
+                     aOptions, aNow);
+    server_verdict verdict = CheckServer(each, aQuery, aNow);
+    if (verdict == server_verdict::Usable && !contains(pool, each)) {
+      verdict = aQuery.mLimitedUse == limited_use::First
+                  ? server_verdict::LimitedFirst
+                  : server_verdict::OutsideSubset;
+    } else if (verdict == server_verdict::Usable) {
+      verdict = contains(compared, each) ? server_verdict::NotFaster
+                                         : server_verdict::ModelNotLoaded;
+    }
+    assessments.push_back(
+      { each.mId, each.mView, verdict, estimate.mDelay,
+        estimate.mAffinityPenalty, estimate.mCachedFraction,
+        EstimateLoad(*each.mView, backends.mRoutersPerBackend, aOptions, aNow),
+        GetNextRunTime(*each.mView, aNow) });
+  }
+  return assessments;
+}
+
 absl::Time FindNextRunTime(const std::map<backend_id, backend_view>& aViews,
                            const routing_query& aQuery, absl::Time aNow)
 {
@@ -378,7 +268,7 @@
   for (const auto& [id, view] : aViews) {
     if (IsConfiguredFor(view.mConfig, aQuery.mKind, aQuery.mTarget) &&
         GetNextRunTime(view, aNow) > aNow &&
-        AcceptsRuns({ &id, &view, 0 }, aQuery)) {
+        CheckCapacity({ &id, &view, 0 }, aQuery) == server_verdict::Usable) {
       next = std::min(next, GetNextRunTime(view, aNow));
     }
   }
@@ -391,7 +281,8 @@
   shortage lacking = shortage::Servers;
   for (const auto& [id, view] : aViews) {
     if (!IsConfiguredFor(view.mConfig, aQuery.mKind, aQuery.mTarget) ||
-        !IsAvailable({ &id, &view, 0 }, aQuery) ||
+        CheckAvailability({ &id, &view, 0 }, aQuery) !=
+          server_verdict::Usable ||
         aNow < GetNextRunTime(view, aNow)) {
       continue;
     }
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -31,6 +31,7 @@
 #include "cold_start.h"
 #include "engine_memory.h"
 #include "foxtailquay/config.h"
+#include "foxtailquay/explanation.h"
 #include "foxtailquay/messages.h"
 #include "rate_limit.h"
 #include "remaining_work.h"
@@ -232,6 +233,27 @@
   const std::map<backend_id, backend_view>& aViews, const routing_query& aQuery,
   const routing_options& aOptions, absl::Time aNow, random_engine& aRandom);
 
+// One server of a query, and why ChooseBackend does not choose it, if it does
+// not. Times in seconds, as ChooseBackend computes them.
+struct backend_assessment
+{
+  const backend_id* mId = nullptr;
+  const backend_view* mView = nullptr;
+  server_verdict mVerdict = server_verdict::Usable;
+  double mDelay = 0;
+  double mAffinityPenalty = 0;
+  double mCachedFraction = 0;
+  double mLoad = 0;
+  absl::Time mNextRunAt = absl::InfinitePast();
+};
+
+// Returns the servers of the query, in no particular order. One that could be
+// chosen has the verdict NotFaster, or its own if it is used only as the last
+// resort. The pointers refer to aViews.
+std::vector<backend_assessment> AssessBackends(
+  const std::map<backend_id, backend_view>& aViews, const routing_query& aQuery,
+  const routing_options& aOptions, absl::Time aNow);
+
 // Returns the earliest time at which a server of the query that cannot be used
 // now because of what it states can be used; InfiniteFuture if there is none.
 absl::Time FindNextRunTime(const std::map<backend_id, backend_view>& aViews,
