Explain where a request would go at a gateway

Operators could see where requests went only in the log lines afterwards.

foxtailquayctl explain asks a gateway on its port for other gateways. The node answers the event explain_requested on the control thread: ExplainRequest calls the functions that decide, with copies of what they record. The command prints a table or JSON.

--- a/include/foxtailquay/explanation.h
+++ b/include/foxtailquay/explanation.h
@@ -150,6 +150,10 @@
   token_count mFree = 0;
   token_count mGranted = 0;
   token_count mPrepaid = 0;
+  // Number of others that wait for tokens of the total here and would get
+  // theirs when the request arrives. The load that they add is not taken into
+  // account.
+  int mServedWaiters = 0;
 };
 
 // One server of the service.
--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -26,6 +26,7 @@
 
 #include "absl/time/time.h"
 #include "foxtailquay/error.h"
+#include "foxtailquay/explanation.h"
 #include "foxtailquay/gateway_events.h"
 #include "foxtailquay/grant.h"
 #include "foxtailquay/name_table.h"
@@ -329,7 +330,7 @@
                return_tokens, report_prompts, probe_server, crash_report_write,
                grant_read, share_grants, send_share_response,
                deregistration_call, set_ready, set_closing, set_limits,
-               stop_finished, decision_record>;
+               stop_finished, send_explanation, decision_record>;
 
 using gateway_actions = std::vector<gateway_action>;
 
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -526,6 +526,33 @@
 struct stop_requested
 {};
 
+// The request that is asked about.
+struct explain_query
+{
+  std::string mHost;
+  // Path without the query.
+  std::string mPath;
+  // The API key, or the workspace in its place; both are empty for a request
+  // without a key.
+  std::string mKey;
+  workspace_id mWorkspace;
+  // The caller's id of the attempt, which selects one of several services.
+  std::string mAttemptId;
+  token_count mPromptTokens = 0;
+  token_count mMaxOutputTokens = 0;
+  std::optional<token_count> mLengthHint;
+  std::optional<absl::Duration> mTimeLeft;
+  std::vector<prompt_part> mPromptParts;
+};
+
+// Asks where a request would go (explanation.h). Changes nothing that later
+// decisions depend on.
+struct explain_requested
+{
+  std::uint64_t mCall = 0;
+  explain_query mQuery;
+};
+
 // Any event of a gateway.
 using gateway_event =
   std::variant<caller_request, attempt_report, first_byte, caller_disconnected,
@@ -533,8 +560,8 @@
                tokens_requested, tokens_recalled, tokens_returned,
                token_response_received, prompts_reported, load_measured,
                server_probed, crash_report_write_response, grants_read,
-               grants_shared, share_response_received, gateway_tick,
-               stop_requested>;
+               grants_shared, share_response_received, explain_requested,
+               gateway_tick, stop_requested>;
 
 } // namespace foxtailquay
 
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -125,6 +125,27 @@
       "  foxtailquayctl drain 192.0.2.7:8080\n"
       "  foxtailquayctl drain 192.0.2.31:9090 --peer_key_file=peer.key\n",
       hostFlags, &DrainProcess },
+    { "explain",
+      "GATEWAY --host=HOST --path=PATH",
+      1,
+      1,
+      "show where a request would go now, and why",
+      "Asks the gateway at GATEWAY (IP:port, its port for other gateways) what "
+      "would become of a request now: whether it would be sent, would wait or "
+      "would be refused, where its prepaid tokens would come from, and for "
+      "each server of the service the estimated delay and work and why it was "
+      "passed over. Nothing is sent to a server, and nothing changes at the "
+      "gateway.\n\n"
+      "The workspace is given by its name or by a file with an API key, which "
+      "is never printed. Other gateways know other loads, so that their "
+      "choices may differ.",
+      "  foxtailquayctl explain 192.0.2.21:7101 --host=shop.example "
+      "--path=/chat/1 \\\n"
+      "    --workspace=pleatdesk --tokens=1460,80\n",
+      { flag::Host, flag::Path, flag::Workspace, flag::ApiKeyFile, flag::Tokens,
+        flag::PromptParts, flag::LengthHint, flag::TimeLeft, flag::Attempt,
+        flag::Timeout },
+      &ExplainRequest },
     { "charts",
       "",
       0,
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -23,6 +23,7 @@
 
 cli_result<success> ShowState(const command_context& aContext);
 cli_result<success> DrainProcess(const command_context& aContext);
+cli_result<success> ExplainRequest(const command_context& aContext);
 cli_result<success> ShowCharts(const command_context& aContext);
 
 } // namespace foxtailquay
--- a/src/cli/settings.cc
+++ b/src/cli/settings.cc
@@ -121,31 +121,6 @@
   return SetFlag(*flag, aArguments[++aIndex]);
 }
 
-// Returns the key in the file at aPath, which is the value of aFlag, or an
-// empty text if aPath is empty.
-cli_result<std::string> ReadKeyFile(cli_flag aFlag, const std::string& aPath)
-{
-  if (aPath.empty()) {
-    return std::string();
-  }
-  auto text = ReadFile(aPath, kMaxKeyBytes);
-  if (!IsOk(text)) {
-    return text;
-  }
-  const std::string key(absl::StripAsciiWhitespace(GetValue(text)));
-  const bool valid =
-    !key.empty() && std::all_of(key.begin(), key.end(), [](char aLetter) {
-      return absl::ascii_isgraph(static_cast<unsigned char>(aLetter));
-    });
-  if (!valid) {
-    return MakeUsageError(ToFlagText(aFlag),
-                          absl::StrCat("\"", aPath,
-                                       "\" must contain one line of printable "
-                                       "characters without spaces"));
-  }
-  return key;
-}
-
 cli_result<std::vector<std::string>> ParseRouters(const std::string& aText)
 {
   std::vector<std::string> routers =
@@ -203,8 +178,31 @@
 
 bool IsInEnvironment(cli_flag aFlag)
 {
-  return aFlag != cli_flag::IfVersion && aFlag != cli_flag::Id &&
-         !IsSwitch(aFlag);
+  switch (aFlag) {
+    case cli_flag::Router:
+    case cli_flag::OperatorKeyFile:
+    case cli_flag::PeerKeyFile:
+    case cli_flag::TlsCaFile:
+    case cli_flag::Output:
+    case cli_flag::Timeout:
+    case cli_flag::ChartsDir:
+      return true;
+    case cli_flag::IfVersion:
+    case cli_flag::Id:
+    case cli_flag::Host:
+    case cli_flag::Path:
+    case cli_flag::ApiKeyFile:
+    case cli_flag::Workspace:
+    case cli_flag::Attempt:
+    case cli_flag::Tokens:
+    case cli_flag::PromptParts:
+    case cli_flag::LengthHint:
+    case cli_flag::TimeLeft:
+    case cli_flag::Help:
+    case cli_flag::Version:
+      return false;
+  }
+  return false;
 }
 
 std::string ToEnvironmentName(cli_flag aFlag)
@@ -293,6 +291,29 @@
   return settings;
 }
 
+cli_result<std::string> ReadKeyFile(cli_flag aFlag, const std::string& aPath)
+{
+  if (aPath.empty()) {
+    return std::string();
+  }
+  auto text = ReadFile(aPath, kMaxKeyBytes);
+  if (!IsOk(text)) {
+    return text;
+  }
+  const std::string key(absl::StripAsciiWhitespace(GetValue(text)));
+  const bool valid =
+    !key.empty() && std::all_of(key.begin(), key.end(), [](char aLetter) {
+      return absl::ascii_isgraph(static_cast<unsigned char>(aLetter));
+    });
+  if (!valid) {
+    return MakeUsageError(ToFlagText(aFlag),
+                          absl::StrCat("\"", aPath,
+                                       "\" must contain one line of printable "
+                                       "characters without spaces"));
+  }
+  return key;
+}
+
 cli_result<success> CheckAddress(const std::string& aField,
                                  const std::string& aText)
 {
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -4,7 +4,8 @@
 // from the environment as FOXTAILQUAY_CTL_<NAME>; a flag on the command line
 // has precedence. The flags that identify one operation (--id, --if_version)
 // are not read from the environment, since an --id left there would turn the
-// next top-up into a repetition of the previous one.
+// next top-up into a repetition of the previous one. Nor are the flags that
+// describe the request of "explain".
 //
 //   cli_result<parsed_command_line> line =
 //     ParseCommandLine(arguments, environment);
@@ -49,6 +50,15 @@
   ChartsDir,
   IfVersion,
   Id,
+  Host,
+  Path,
+  ApiKeyFile,
+  Workspace,
+  Attempt,
+  Tokens,
+  PromptParts,
+  LengthHint,
+  TimeLeft,
   Help,
   Version,
 };
@@ -66,6 +76,15 @@
       { cli_flag::ChartsDir, "charts_dir" },
       { cli_flag::IfVersion, "if_version" },
       { cli_flag::Id, "id" },
+      { cli_flag::Host, "host" },
+      { cli_flag::Path, "path" },
+      { cli_flag::ApiKeyFile, "api_key_file" },
+      { cli_flag::Workspace, "workspace" },
+      { cli_flag::Attempt, "attempt" },
+      { cli_flag::Tokens, "tokens" },
+      { cli_flag::PromptParts, "prompt_parts" },
+      { cli_flag::LengthHint, "length_hint" },
+      { cli_flag::TimeLeft, "time_left" },
       { cli_flag::Help, "help" },
       { cli_flag::Version, "version" } });
 }
@@ -126,6 +145,11 @@
 // form expected.
 cli_result<cli_settings> ReadCliSettings();
 
+// Returns the key in the file at aPath, which is the value of aFlag, or an
+// empty text if aPath is empty. Errors: Usage if the file does not contain one
+// line of printable characters without spaces.
+cli_result<std::string> ReadKeyFile(cli_flag aFlag, const std::string& aPath);
+
 // Checks that aText is "IP:port" or "[IPv6]:port". Errors: Usage with aField.
 cli_result<success> CheckAddress(const std::string& aField,
                                  const std::string& aText);
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -8,6 +8,7 @@
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
 #include "gateway_evacuation.h"
+#include "gateway_explain.h"
 #include "gateway_state.h"
 #include "gateway_work.h"
 
@@ -227,6 +228,11 @@
   {
     OnShareResponse(mGateway, aEvent, mNow);
   }
+  void operator()(const explain_requested& aEvent)
+  {
+    mGateway.mActions.push_back(send_explanation{
+      aEvent.mCall, ExplainRequest(mGateway, aEvent.mQuery, mNow) });
+  }
   void operator()(const gateway_tick&) { AdvanceGateway(mGateway, mNow); }
   void operator()(const stop_requested&) { OnStopRequested(mGateway, mNow); }
 };
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -170,14 +170,8 @@
       tokens.mWaiters.push_back(waiter);
       continue;
     }
-    const token_count rest =
-      tokens.mShare.mFreeTokens -
-      ComputeRequiredHeadroom(tokens.mShare, waiter.mPriority, options, aNow);
-    const bool isPeer = waiter.mCall != 0;
-    waiter.mAmount = isPeer ? std::min(waiter.mAmount, rest) : waiter.mAmount;
-    const bool isTransferred =
-      isPeer && waiter.mAmount > 0 &&
-      ReserveForWaiter(tokens, waiter, options, MakeGrantClock(aGateway, aNow));
+    const bool isTransferred = ReserveRestForPeer(
+      tokens, waiter, options, MakeGrantClock(aGateway, aNow));
     EndWaiter(aGateway, tokens, waiter, isTransferred, aNow);
   }
 }
@@ -258,6 +252,22 @@
   return isReserved;
 }
 
+bool ReserveRestForPeer(workspace_tokens& aTokens, token_waiter& aWaiter,
+                        const grant_options& aOptions,
+                        const grant_clock& aClock)
+{
+  if (aWaiter.mCall == 0) {
+    return false;
+  }
+  const token_count rest =
+    aTokens.mShare.mFreeTokens - ComputeRequiredHeadroom(aTokens.mShare,
+                                                         aWaiter.mPriority,
+                                                         aOptions, aClock.mNow);
+  aWaiter.mAmount = std::min(aWaiter.mAmount, rest);
+  return aWaiter.mAmount > 0 &&
+         ReserveForWaiter(aTokens, aWaiter, aOptions, aClock);
+}
+
 error MakeWaiterError(const gateway& aGateway, const workspace_tokens& aTokens,
                       const token_waiter& aWaiter, absl::Time aNow)
 {
--- a/src/core/gateway_waiters.h
+++ b/src/core/gateway_waiters.h
@@ -43,6 +43,13 @@
 bool ReserveForWaiter(workspace_tokens& aTokens, const token_waiter& aWaiter,
                       const grant_options& aOptions, const grant_clock& aClock);
 
+// Reserves the available tokens for another gateway whose wait ends, up to the
+// amount of aWaiter, and sets the amount. Returns false if there are none, or
+// for a request of this gateway.
+bool ReserveRestForPeer(workspace_tokens& aTokens, token_waiter& aWaiter,
+                        const grant_options& aOptions,
+                        const grant_clock& aClock);
+
 // Returns the error for a request whose wait ends without tokens.
 error MakeWaiterError(const gateway& aGateway, const workspace_tokens& aTokens,
                       const token_waiter& aWaiter, absl::Time aNow);
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -126,7 +126,8 @@
 bool PostEvent(gateway_host& aHost, gateway_event aEvent)
 {
   IncrementEventCounters(*aHost.mMetrics, aEvent);
-  const bool isNewWork = std::holds_alternative<caller_request>(aEvent);
+  const bool isNewWork = std::holds_alternative<caller_request>(aEvent) ||
+                         std::holds_alternative<explain_requested>(aEvent);
   return IsOk(Post(aHost.mQueue, std::move(aEvent),
                    isNewWork ? event_class::NewWork : event_class::Conclusion));
 }
@@ -402,6 +403,11 @@
     mHost.mTraffic.mLimits = aAction.mLimits;
   }
   void operator()(const stop_finished&) { FinishStop(mHost); }
+  void operator()(const send_explanation& aAction)
+  {
+    SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
+                 EncodeExplanation(aAction.mExplanation));
+  }
   void operator()(const decision_record& aAction)
   {
     LogDecision(mHost.mDecisionLog, aAction, MonotonicNow());
@@ -451,6 +457,13 @@
     PostEvent(aHost, std::move(*grants));
     return;
   }
+  if (auto* explain = std::get_if<explain_requested>(&message)) {
+    explain->mCall = aCall.mChannel;
+    if (!PostEvent(aHost, std::move(*explain))) {
+      SendResponse(aHost.mPeerService, aCall.mChannel, 503, "text/plain", "");
+    }
+    return;
+  }
   if (auto* returned = std::get_if<tokens_returned>(&message)) {
     PostEvent(aHost, std::move(*returned));
   } else {
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "wire/document_codec.h"
+#include "wire/explain_codec.h"
 #include "wire/grant_codec.h"
 #include "json/json.h"
 
@@ -262,6 +263,13 @@
   if (method == kRecallTokensMethod) {
     return DecodeRecall(call["params"]);
   }
+  if (method == kExplainMethod) {
+    auto query = DecodeExplainQuery(call["params"]);
+    if (!IsOk(query)) {
+      return GetError(query);
+    }
+    return gateway_message(explain_requested{ 0, GetValue(std::move(query)) });
+  }
   return MakeProtocolError("unknown method");
 }
 
@@ -287,6 +295,11 @@
   return EncodeResult(result);
 }
 
+std::string EncodeExplanation(const explanation& aExplanation)
+{
+  return EncodeResult(ToJson(aExplanation));
+}
+
 result<share_response> DecodeShareResponse(const std::string& aText)
 {
   auto parsed = ParseJson(aText);
--- a/src/wire/gateway_codec.h
+++ b/src/wire/gateway_codec.h
@@ -1,6 +1,6 @@
 // Encodes and decodes the JSON-RPC 2.0 messages between gateways: requests for
-// tokens, returned tokens, reports of the prompts sent to engines, and copies
-// of grant records.
+// tokens, returned tokens, reports of the prompts sent to engines, copies of
+// grant records, and the operators' question where a request would go.
 //
 // The JSON-RPC envelope is made with jsoncpp alone, because libjsonrpccpp needs
 // the response when its handler returns, whereas a response here may wait for
@@ -29,10 +29,10 @@
 
 using gateway_message =
   std::variant<tokens_requested, tokens_recalled, tokens_returned,
-               prompts_reported, grants_shared>;
+               prompts_reported, grants_shared, explain_requested>;
 
-// Decodes a call. mCall of tokens_requested, tokens_recalled and grants_shared
-// is 0; the calling code sets it. Errors: ProtocolViolation.
+// Decodes a call. mCall of tokens_requested, tokens_recalled, grants_shared and
+// explain_requested is 0; the calling code sets it. Errors: ProtocolViolation.
 result<gateway_message> DecodeGatewayCall(const std::string& aText);
 
 // Returns the text of the response to a request for tokens or a recall.
@@ -45,6 +45,9 @@
 // Decodes that response. Errors: ProtocolViolation.
 result<share_response> DecodeShareResponse(const std::string& aText);
 
+// Returns the text of the response to the question where a request would go.
+std::string EncodeExplanation(const explanation& aExplanation);
+
 } // namespace foxtailquay
 
 #endif
--- a/standins/gateway_fleet.cc
+++ b/standins/gateway_fleet.cc
@@ -29,12 +29,13 @@
   gateway_process started;
   started.mCallerPort = ReservePort(aFleet);
   started.mReadyPort = ReservePort(aFleet);
-  const int peerPort = ReservePort(aFleet);
+  started.mPeerPort = ReservePort(aFleet);
   const std::string file = aFleet.mFolder / (aName + ".conf");
   std::ofstream(file) << "node_name=" << aName << "\nzone=z-a\nip=127.0.0.1\n"
                       << "listen.front=127.0.0.1:" << started.mCallerPort
                       << "\nlisten.ready=127.0.0.1:" << started.mReadyPort
-                      << "\ninternal_ports=" << peerPort << "," << peerPort
+                      << "\ninternal_ports=" << started.mPeerPort << ","
+                      << started.mPeerPort
                       << "\nplatform.address=127.0.0.1:" << aFleet.mStore.mPort
                       << "\nbounds.grace_s=8\n"
                       << "bounds.retry_budget_ratio=0.2\n"
--- a/standins/gateway_fleet.h
+++ b/standins/gateway_fleet.h
@@ -29,6 +29,8 @@
   int mCallerPort = 0;
   // Port of the readiness check.
   int mReadyPort = 0;
+  // Port for other gateways.
+  int mPeerPort = 0;
 };
 
 struct gateway_fleet
--- a/tests/gateway_process_test.cc
+++ b/tests/gateway_process_test.cc
@@ -20,7 +20,9 @@
 #include <boost/asio/write.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "cli_run.h"
 #include "gateway_fleet.h"
+#include "wire/document_codec.h"
 
 namespace foxtailquay {
 namespace {
@@ -47,6 +49,53 @@
   BOOST_TEST(fleet.mOrders.mReceivedKeys == 0);
 }
 
+// Returns the explanation of a gateway as JSON.
+Json::Value Explain(const gateway_process& aGateway,
+                    std::vector<std::string> aFlags)
+{
+  std::vector<std::string> words = {
+    "explain", absl::StrCat("127.0.0.1:", aGateway.mPeerPort), "--output=json",
+    "--host=shop.example"
+  };
+  words.insert(words.end(), aFlags.begin(), aFlags.end());
+  const run_outcome run = RunCli(words);
+  BOOST_REQUIRE_MESSAGE(run.mExit == exit_code::Ok, run.mErr);
+  BOOST_TEST(!Contains(run.mOut, "key-1"));
+  auto parsed = ParseJson(run.mOut);
+  BOOST_REQUIRE(IsOk(parsed));
+  return GetValue(std::move(parsed));
+}
+
+// Guards against an explanation that a real process does not give, that differs
+// from what becomes of the request, or that sends one to a server.
+BOOST_AUTO_TEST_CASE(a_gateway_explains_where_a_request_would_go)
+{
+  gateway_fleet fleet;
+  BOOST_REQUIRE(StartGateways(fleet, 100000, 1));
+  const gateway_process& gateway = fleet.mGateways[0];
+  const scratch_folder folder;
+  const std::string keyFlag =
+    "--api_key_file=" + WriteFile(folder, "key", "key-1\n");
+  BOOST_REQUIRE(CallHttp(gateway, "/chat/1").mStatus == 200);
+  const std::int64_t executed = GetExecutedTokens(fleet);
+  const Json::Value chat =
+    Explain(gateway, { "--path=/chat/1", keyFlag, "--tokens=100,70" });
+  BOOST_TEST(chat["outcome"].asString() == "sent");
+  BOOST_TEST(chat["workspace"].asString() == "w1");
+  BOOST_TEST(chat["tokens"]["source"].asString() == "held");
+  BOOST_TEST(chat["server"].asString() == "i-engine");
+  BOOST_REQUIRE(chat["servers"].size() == 1U);
+  BOOST_TEST(chat["servers"][0]["verdict"].asString() == "chosen");
+  const Json::Value large = Explain(
+    gateway, { "--path=/chat/1", "--workspace=w1", "--tokens=100001,1" });
+  BOOST_TEST(large["refusal"]["code"].asString() == "budget_exhausted");
+  const Json::Value none =
+    Explain(gateway, { "--path=/none/1", "--workspace=w1" });
+  BOOST_TEST(none["refusal"]["code"].asString() == "not_found");
+  BOOST_TEST(GetExecutedTokens(fleet) == executed);
+  BOOST_TEST(CallHttp(gateway, "/chat/1").mStatus == 200);
+}
+
 // If two gateways spent the same tokens, or a restarted gateway did not know
 // what it spent before, the budget would be overspent. If the tokens of a
 // killed gateway were not returned, requests would be refused too early.
