--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -91,6 +91,7 @@
   }
   for (const Json::Value& server : aServers) {
     std::vector<std::string> row;
+    row.reserve(kServerColumns.size());
     for (const server_column& column : kServerColumns) {
       row.push_back(ToCell(server[column.mMember], column.mDigits));
     }
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr int kServers = 10;
-constexpr int kPeers = 3;
+constexpr int kPeers = 24;
 
 // Two gateways with the same history, of which only the first is asked.
 struct twins
