--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -520,6 +520,31 @@
   BOOST_TEST(counts.mServedFirst < kStates / 20);
 }
 
+// Each of the other gateways is taken to send as much as this one. The estimate
+// must be for the gateways that are known now, not for those that were known
+// when the last request was sent.
+BOOST_AUTO_TEST_CASE(the_explanation_is_for_the_present_number_of_gateways)
+{
+  constexpr int kOthers = 11;
+  gateway_fixture fixture = MakeReadyGateway();
+  FireEvent(fixture, MakeCallerRequest(fixture, "/order/1"));
+  const backend_id busy = TakeOnlyDispatch(fixture).mBackend;
+  std::vector<directory_change<gateway_peer>> peers;
+  for (int i = 0; i < kOthers; ++i) {
+    const std::string name = absl::StrCat("p", i);
+    peers.push_back({ name, 20, gateway_peer{ name } });
+  }
+  DeliverPeers(fixture, 20, peers);
+  FireEvent(fixture, explain_requested{
+                       1, MakeQuery(MakeCallerRequest(fixture, "/order/1")) });
+  const auto sent = TakeActions<send_explanation>(fixture);
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_REQUIRE(sent[0].mExplanation.mServers.size() == 2U);
+  for (const explained_server& server : sent[0].mExplanation.mServers) {
+    BOOST_TEST(server.mLoad == (server.mBackend == busy ? kOthers + 1.0 : 0.0));
+  }
+}
+
 // A workspace that is named in place of a key must pay, and one that does not
 // exist must not be taken for a caller without a key.
 BOOST_AUTO_TEST_CASE(a_workspace_can_be_named_in_place_of_a_key)
