--- a/src/daemon/gateway_actions.cc
+++ b/src/daemon/gateway_actions.cc
@@ -244,6 +244,11 @@
     mHost.mTraffic.mLimits = aAction.mLimits;
   }
   void operator()(const stop_finished&) { FinishStop(mHost); }
+  void operator()(const send_explanation& aAction)
+  {
+    SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
+                 EncodeExplanation(aAction.mExplanation));
+  }
   void operator()(const decision_record& aAction)
   {
     LogDecision(mHost.mDecisionLog, aAction, MonotonicNow());
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -282,7 +282,8 @@
 bool PostEvent(gateway_host& aHost, gateway_event aEvent)
 {
   IncrementEventCounters(*aHost.mMetrics, aEvent);
-  const bool isNewWork = std::holds_alternative<caller_request>(aEvent);
+  const bool isNewWork = std::holds_alternative<caller_request>(aEvent) ||
+                         std::holds_alternative<explain_requested>(aEvent);
   return IsOk(Post(aHost.mQueue, std::move(aEvent),
                    isNewWork ? event_class::NewWork : event_class::Conclusion));
 }
--- a/src/daemon/gateway_services.cc
+++ b/src/daemon/gateway_services.cc
@@ -64,6 +64,13 @@
     PostEvent(aHost, std::move(*grants));
     return;
   }
+  if (auto* explain = std::get_if<explain_requested>(&message)) {
+    explain->mCall = aCall.mChannel;
+    if (!PostEvent(aHost, std::move(*explain))) {
+      SendResponse(aHost.mPeerService, aCall.mChannel, 503, "text/plain", "");
+    }
+    return;
+  }
   if (auto* returned = std::get_if<tokens_returned>(&message)) {
     PostEvent(aHost, std::move(*returned));
   } else {
