--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
+#include "gateway_directory.h"
 #include "gateway_evacuation.h"
 
 namespace foxtailquay {
@@ -124,9 +125,11 @@
     return;
   }
   const rate_context context = MakeRateContext(aGateway, aNow);
+  const server_counts before = CountServer(aView);
   if (!RecordStatement(limit, aStatement, aRequest.mDispatchedAt, context)) {
     return;
   }
+  ReplaceCounts(aGateway.mServerCounts, before, CountServer(aView));
   RecordDecision(
     aGateway, decision::RateLimitChanged,
     { { "backend", aRequest.mBackend.mValue },
@@ -164,6 +167,12 @@
   RecordLoadReport(view->second, report, aNow);
   RecordSlowness(view->second.mSlowness, aLoad->mSlowness, aNow);
   RecordMemoryLoad(aGateway, aBackend, view->second, aNow);
+  const auto listing = aGateway.mListings.find(aBackend);
+  if (listing != aGateway.mListings.end()) {
+    RecordStatedSlowness(aGateway.mWork, listing->second.mEntry.mService.mValue,
+                         view->second.mStatements,
+                         view->second.mSlowness.mFactor, aNow);
+  }
 }
 
 void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
