--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -166,6 +166,7 @@
   report.mLoadedModels = view->second.mConfig.mModels;
   RecordLoadReport(view->second, report, aNow);
   RecordSlowness(view->second.mSlowness, aLoad->mSlowness, aNow);
+  RecordMemoryLoad(aGateway, aBackend, view->second, aNow);
   const auto listing = aGateway.mListings.find(aBackend);
   if (listing != aGateway.mListings.end()) {
     RecordStatedSlowness(aGateway.mWork, listing->second.mEntry.mService.mValue,
