--- a/src/core/gateway_admission.cc
+++ b/src/core/gateway_admission.cc
@@ -59,6 +59,10 @@
 // keep the proportions of the demand before the servers were full. With equal
 // limits, a gateway with six times the mean would bear the shortage alone.
 constexpr double kWindowStep = 0.1;
+// Multiple of the step for a response of a server with free slots, which the
+// limit leaves unused. With 1, a gateway with many callers was still limited
+// seconds after an excess had ended.
+constexpr double kFreeStepFactor = 3;
 // Time constant of the demand of workspaces, some seconds in which a workspace
 // with usual demand sends several requests.
 constexpr absl::Duration kDemandWindow = absl::Seconds(5);
@@ -373,9 +377,10 @@
   }
   // A limit that is not used says nothing about the load that it leads to.
   if (pace.mOutstanding + 1 >= pace.mWindow) {
-    pace.mWindow = load >= kTargetFactor
-                     ? std::max(kMinWindow, pace.mWindow - kWindowStep)
-                     : pace.mWindow + kWindowStep;
+    pace.mWindow =
+      load >= kTargetFactor
+        ? std::max(kMinWindow, pace.mWindow - kWindowStep)
+        : pace.mWindow + kWindowStep * (load < 1 ? kFreeStepFactor : 1);
   }
 }
 
