Simulate a restart of all gateways and classify refusals for tokens

Cause: the split of the refusals after a restart of all gateways into used up, lost, free at a reachable gateway and free out of reach was not known. Change: the gateway simulation restarts all gateways at two thirds of the traffic, as kill and as power loss, with callers that retry once, and finds for each refusal where the tokens are. It counts priced store calls.

--- a/tests/gateway_sim/gateway_sim.cc
+++ b/tests/gateway_sim/gateway_sim.cc
@@ -31,13 +31,6 @@
   Perform(aSim, aIndex, Start(*gateway.mNode, aSim.mNow));
 }
 
-void KillAllGateways(fleet_sim& aSim, bool aIsPowerLoss)
-{
-  for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
-    KillGateway(aSim, i, aIsPowerLoss);
-  }
-}
-
 traffic_route MakeRoute(const char* aName, call_kind aKind, int aPriority)
 {
   traffic_route route;
@@ -191,6 +184,13 @@
            });
 }
 
+void KillAllGateways(fleet_sim& aSim, bool aIsPowerLoss)
+{
+  for (std::size_t i = 0; i < aSim.mGateways.size(); ++i) {
+    KillGateway(aSim, i, aIsPowerLoss);
+  }
+}
+
 void PutConfig(fleet_sim& aSim, config_version aVersion)
 {
   traffic_config config;
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -228,6 +228,8 @@
   // True if the request has a prompt with parts, none of them poisonous.
   bool mIsSound = false;
   absl::Time mSentAt;
+  // True if the caller repeats a refused request.
+  bool mIsRepeated = false;
 };
 
 // An attempt at a backend server that has not ended.
@@ -284,6 +286,68 @@
   crash_moment mMoment = crash_moment::AfterHeaderSection;
 };
 
+// Callers with prepaid tokens. Some workspaces, with a third of all requests,
+// arrive at one or two gateways only; the others arrive at all.
+struct token_load
+{
+  std::size_t mGateways = 23;
+  int mWorkspaces = 24;
+  int mConcentrated = 5;
+  double mRequestsPerSecond = 400;
+  // Mean of a request; the largest takes 18 times as many.
+  double mMeanTokens = 3000;
+  // Totals, as multiples of the demand of mDay.
+  double mTotalRatio = 1.3;
+  absl::Duration mDay = absl::Seconds(34);
+  // Added to the gateway of each request: callers have moved.
+  std::size_t mOffset = 0;
+  // Further requests per second for one of the workspaces that arrive at all
+  // gateways.
+  double mHotPerSecond = 0;
+  // Callers repeat a refused request once, after the stated time.
+  bool mRetries = false;
+};
+
+// Where the tokens were that a refused request lacked.
+enum class refusal_cause
+{
+  // The total does not cover the request.
+  UsedUp,
+  // They were granted to processes that have ended, or were in messages.
+  Lost,
+  // Free at gateways that can be reached and need them within 1 s.
+  NeededSoon,
+  // Free at the refusing gateway or at others that can be reached.
+  Reachable,
+  // Not granted, with the store in reach.
+  Ungranted,
+  // Free at gateways out of reach, or not granted while the store is.
+  Unreachable,
+};
+
+constexpr auto NameTable(refusal_cause)
+{
+  using c = refusal_cause;
+  return MakeNameTable<c>({ { c::UsedUp, "used_up" },
+                            { c::Lost, "lost" },
+                            { c::NeededSoon, "needed_soon" },
+                            { c::Reachable, "reachable" },
+                            { c::Ungranted, "ungranted" },
+                            { c::Unreachable, "unreachable" } });
+}
+
+// The tokens of one workspace, or of all.
+struct token_census
+{
+  token_count mPrepaid = 0;
+  token_count mUnspent = 0;
+  token_count mUngranted = 0;
+  // Free at live gateways.
+  token_count mFree = 0;
+  // Granted, unspent and not free at a live gateway.
+  token_count mLost = 0;
+};
+
 // What RunTokenLoad observes, over all workspaces.
 struct token_counts
 {
@@ -295,6 +359,13 @@
   // Refusals of either kind although 5% of the total were unspent, and enough
   // for the request.
   int mFalselyRefused = 0;
+  // Refusals of either kind by cause, and those of mFalselyRefused.
+  std::map<refusal_cause, int> mCauses;
+  std::map<refusal_cause, int> mFalseCauses;
+  // Refused requests that their callers repeated, and those of them that were
+  // refused again.
+  int mRepeated = 0;
+  int mRefusedAgain = 0;
   // Refusals of either kind by workspace.
   std::map<workspace_id, int> mRefusedOf;
   // Longest time from a request to its refusal.
@@ -372,6 +443,9 @@
   std::map<std::string, absl::Duration> mRefusing;
   prompt_counts mPrompts;
   token_counts mTokens;
+  token_load mTokenLoad;
+  // Price of the calls to the store, in reads.
+  double mStoreCalls = 0;
   // Number of responses that were delivered completely.
   int mServed = 0;
   std::vector<violation> mViolations;
@@ -446,26 +520,6 @@
 // killed. Checks that each gateway heeds what servers have told it.
 void RunServerNotices(fleet_sim& aSim, absl::Duration aTime);
 
-// Callers with prepaid tokens. Some workspaces, with a third of all requests,
-// arrive at one or two gateways only; the others arrive at all.
-struct token_load
-{
-  std::size_t mGateways = 23;
-  int mWorkspaces = 24;
-  int mConcentrated = 5;
-  double mRequestsPerSecond = 400;
-  // Mean of a request; the largest takes 18 times as many.
-  double mMeanTokens = 3000;
-  // Totals, as multiples of the demand of mDay.
-  double mTotalRatio = 1.3;
-  absl::Duration mDay = absl::Seconds(34);
-  // Added to the gateway of each request: callers have moved.
-  std::size_t mOffset = 0;
-  // Further requests per second for one of the workspaces that arrive at all
-  // gateways.
-  double mHotPerSecond = 0;
-};
-
 // Returns a simulation with the gateways and workspaces of aLoad, whose first
 // parts have been placed. No request has arrived.
 std::unique_ptr<fleet_sim> MakeTokenSim(
@@ -476,6 +530,13 @@
 void RunTokenLoad(fleet_sim& aSim, const token_load& aLoad,
                   absl::Duration aTime);
 
+// Kills all gateways, which restart. A power loss also resets their steady
+// clocks.
+void KillAllGateways(fleet_sim& aSim, bool aIsPowerLoss);
+
+// Returns the sums over all workspaces.
+token_census CountTokens(const fleet_sim& aSim);
+
 // Cuts off all gateways from the store and from each other, or ends that.
 void SetAllAlone(fleet_sim& aSim, bool aIsAlone);
 
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -7,6 +7,7 @@
 // sim_limits.cc   rate limits that servers state
 // sim_notices.cc  servers that leave or back off
 // sim_prompts.cc  prompts with parts, servers that crash
+// sim_refusals.cc where the tokens are that a refused request lacked
 // sim_tokens.cc   callers with prepaid tokens
 // sim_traffic.cc  callers, backend servers, tokens between gateways
 
@@ -119,9 +120,17 @@
 
 // Counts a message about tokens.
 void CountTokenMessage(fleet_sim& aSim, std::size_t aIndex);
-// Counts a refusal for tokens.
-void CountTokenRefusal(fleet_sim& aSim, const sim_request& aRequest,
-                       const error& aError);
+// Counts a refusal for tokens by gateway aIndex. The caller repeats the request
+// if the load says so.
+void CountTokenRefusal(fleet_sim& aSim, std::size_t aIndex,
+                       const sim_request& aRequest, const error& aError);
+
+// --- sim_refusals.cc --------------------------------------------------------
+
+// Returns where the tokens are that a request at gateway aIndex lacks.
+refusal_cause FindRefusalCause(const fleet_sim& aSim, std::size_t aIndex,
+                               const workspace_id& aWorkspace,
+                               token_count aNeeded);
 
 // --- sim_traffic.cc ---------------------------------------------------------
 
--- a/tests/gateway_sim/sim_store.cc
+++ b/tests/gateway_sim/sim_store.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr absl::Duration kStoreLatency = absl::Milliseconds(4);
+// Prices of a call and of the renewal of a lease.
+constexpr double kCallPrice = 1;
+constexpr double kRenewalPrice = 0.1;
 
 bool CanReachStore(const fleet_sim& aSim, std::size_t aIndex)
 {
@@ -212,6 +215,7 @@
 void HandleQuery(fleet_sim& aSim, std::size_t aIndex,
                  const directory_query& aQuery)
 {
+  aSim.mStoreCalls += kCallPrice;
   sim_gateway& gateway = aSim.mGateways[aIndex];
   const std::uint64_t query = ++gateway.mQueries[aQuery.mArea];
   gateway.mWatches.erase(aQuery.mArea);
@@ -253,6 +257,7 @@
 void HandleGrantWrite(fleet_sim& aSim, std::size_t aIndex,
                       const grant_write& aWrite)
 {
+  aSim.mStoreCalls += kCallPrice;
   grant_write_response unknown;
   unknown.mOutcome = grant_outcome::Unknown;
   unknown.mEra.mKnown = aWrite.mEra;
@@ -275,6 +280,7 @@
 void HandleGrantRead(fleet_sim& aSim, std::size_t aIndex,
                      const grant_read& aRead)
 {
+  aSim.mStoreCalls += kCallPrice;
   grants_read response;
   response.mEra.mKnown = aRead.mEra;
   if (!CanReachStore(aSim, aIndex)) {
@@ -295,6 +301,7 @@
 void HandleCrashReportWrite(fleet_sim& aSim, std::size_t aIndex,
                             const crash_report_write& aWrite)
 {
+  aSim.mStoreCalls += kCallPrice;
   if (!CanReachStore(aSim, aIndex)) {
     DeliverFailure(
       aSim, kStoreResponseTime, aIndex,
@@ -379,6 +386,7 @@
 void HandleRegistration(fleet_sim& aSim, std::size_t aIndex,
                         const registration_call& aCall)
 {
+  aSim.mStoreCalls += aCall.mLease == 0 ? kCallPrice : kRenewalPrice;
   registration_response response;
   response.mEra.mKnown = aCall.mEra;
   if (!CanReachStore(aSim, aIndex)) {
--- a/tests/gateway_sim/sim_tokens.cc
+++ b/tests/gateway_sim/sim_tokens.cc
@@ -55,11 +55,11 @@
   return index;
 }
 
-void SendTokenRequest(fleet_sim& aSim, const token_load& aLoad, int aWorkspace)
+// Sends a request of aPrompt tokens. aIsRepeated: its caller repeats it if it
+// is refused.
+void SendTokenRequest(fleet_sim& aSim, const token_load& aLoad, int aWorkspace,
+                      token_count aPrompt, bool aIsRepeated)
 {
-  constexpr double kSpread = 1;
-  std::lognormal_distribution<double> cost(
-    std::log(aLoad.mMeanTokens) - kSpread * kSpread / 2, kSpread);
   caller_request request;
   request.mHandle = aSim.mNextHandle++;
   request.mAttemptId = absl::StrCat("a", request.mHandle);
@@ -67,8 +67,7 @@
   request.mPath = "/chat/";
   request.mKey = absl::StrCat("key-", aWorkspace);
   request.mCallerTimeout = absl::Seconds(3);
-  request.mPromptTokens = static_cast<token_count>(
-    std::min(cost(aSim.mRandom), kLargestRatio * aLoad.mMeanTokens));
+  request.mPromptTokens = aPrompt;
   request.mMaxOutputTokens = kMaxOutput;
   sim_request& known = aSim.mRequests[request.mHandle];
   known.mWorkspace = workspace_id{ absl::StrCat("w", aWorkspace) };
@@ -76,10 +75,20 @@
   known.mPrompt = request.mPromptTokens;
   known.mMaxOutput = request.mMaxOutputTokens;
   known.mSentAt = aSim.mNow;
-  ++aSim.mTokens.mSent;
+  known.mIsRepeated = aIsRepeated;
+  aSim.mTokens.mSent += 1;
   Deliver(aSim, DrawGatewayOf(aSim, aLoad, aWorkspace), request);
 }
 
+token_count DrawPrompt(fleet_sim& aSim, const token_load& aLoad)
+{
+  constexpr double kSpread = 1;
+  std::lognormal_distribution<double> cost(
+    std::log(aLoad.mMeanTokens) - kSpread * kSpread / 2, kSpread);
+  return static_cast<token_count>(
+    std::min(cost(aSim.mRandom), kLargestRatio * aLoad.mMeanTokens));
+}
+
 // Sends requests until aEnd.
 void SendTokenRequests(fleet_sim& aSim, const token_load& aLoad,
                        absl::Time aEnd)
@@ -97,7 +106,9 @@
     // The last workspace arrives at all gateways.
     weights.back() += aLoad.mHotPerSecond;
     std::discrete_distribution<int> workspace(weights.begin(), weights.end());
-    SendTokenRequest(aSim, aLoad, workspace(aSim.mRandom));
+    const int drawn = workspace(aSim.mRandom);
+    SendTokenRequest(aSim, aLoad, drawn, DrawPrompt(aSim, aLoad),
+                     aLoad.mRetries);
     SendTokenRequests(aSim, aLoad, aEnd);
   });
 }
@@ -118,8 +129,8 @@
     std::max(aSim.mTokens.mMaxBurst, static_cast<int>(sent.size()));
 }
 
-void CountTokenRefusal(fleet_sim& aSim, const sim_request& aRequest,
-                       const error& aError)
+void CountTokenRefusal(fleet_sim& aSim, std::size_t aIndex,
+                       const sim_request& aRequest, const error& aError)
 {
   const bool isUsedUp = aError.mCode == error_code::BudgetExhausted;
   if (!isUsedUp && aError.mCode != error_code::RateLimited) {
@@ -128,13 +139,30 @@
   token_counts& counts = aSim.mTokens;
   ++(isUsedUp ? counts.mUsedUp : counts.mRefused);
   ++counts.mRefusedOf[aRequest.mWorkspace];
+  const token_count needed = aRequest.mPrompt + aRequest.mMaxOutput;
   const token_count prepaid = aSim.mPrepaid[aRequest.mWorkspace];
   const token_count unspent = prepaid - aSim.mSpent[aRequest.mWorkspace];
   const bool isFalse =
-    unspent >= aRequest.mPrompt + aRequest.mMaxOutput &&
+    unspent >= needed &&
     static_cast<double>(unspent) >= 0.05 * static_cast<double>(prepaid);
   counts.mFalselyRefused += isFalse ? 1 : 0;
   counts.mMaxWait = std::max(counts.mMaxWait, aSim.mNow - aRequest.mSentAt);
+  const refusal_cause cause =
+    FindRefusalCause(aSim, aIndex, aRequest.mWorkspace, needed);
+  ++counts.mCauses[cause];
+  counts.mFalseCauses[cause] += isFalse ? 1 : 0;
+  if (aSim.mTokenLoad.mRetries && !aRequest.mIsRepeated) {
+    ++counts.mRefusedAgain;
+  }
+  if (isUsedUp || !aRequest.mIsRepeated) {
+    return;
+  }
+  ++counts.mRepeated;
+  const int workspace = std::stoi(aRequest.mWorkspace.mValue.substr(1));
+  Schedule(aSim, aError.mRetryAfter,
+           [&aSim, workspace, prompt = aRequest.mPrompt] {
+             SendTokenRequest(aSim, aSim.mTokenLoad, workspace, prompt, false);
+           });
 }
 
 std::unique_ptr<fleet_sim> MakeTokenSim(
@@ -160,6 +188,7 @@
 void RunTokenLoad(fleet_sim& aSim, const token_load& aLoad,
                   absl::Duration aTime)
 {
+  aSim.mTokenLoad = aLoad;
   SendTokenRequests(aSim, aLoad, aSim.mNow + aTime);
   RunUntil(aSim, aSim.mNow + aTime);
 }
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -200,7 +200,7 @@
   const bool isQuarantined =
     aAction.mError.mCode == error_code::PromptQuarantined;
   aSim.mPrompts.mSoundQuarantined += request.mIsSound && isQuarantined ? 1 : 0;
-  CountTokenRefusal(aSim, request, aAction.mError);
+  CountTokenRefusal(aSim, aIndex, request, aAction.mError);
   if (aAction.mError.mExecuted == executed::No) {
     request.mWasRefused = true;
     if (request.mExecutionCount > 0) {
--- a/tests/token_fleet_test.cc
+++ b/tests/token_fleet_test.cc
@@ -178,6 +178,116 @@
   }
 }
 
+// What PrintRefusals compares.
+struct load_state
+{
+  token_counts mTokens;
+  double mStoreCalls = 0;
+  absl::Time mAt;
+};
+
+load_state GetState(const fleet_sim& aSim)
+{
+  return { aSim.mTokens, aSim.mStoreCalls, aSim.mNow };
+}
+
+// Prints what has been refused since aBefore, by cause, and the calls to the
+// store.
+void PrintRefusals(const fleet_sim& aSim, const load_state& aBefore,
+                   const std::string& aName)
+{
+  const token_counts& after = aSim.mTokens;
+  const token_counts& before = aBefore.mTokens;
+  std::string causes;
+  for (const auto& [cause, count] : after.mCauses) {
+    const auto was = before.mCauses.find(cause);
+    const auto falsely = after.mFalseCauses.find(cause);
+    const auto falselyWas = before.mFalseCauses.find(cause);
+    causes +=
+      " " + std::string(ToName(cause)) + " " +
+      std::to_string(count - (was == before.mCauses.end() ? 0 : was->second)) +
+      " (" +
+      std::to_string(falsely->second - (falselyWas == before.mFalseCauses.end()
+                                          ? 0
+                                          : falselyWas->second)) +
+      ")";
+  }
+  const double time = absl::ToDoubleSeconds(aSim.mNow - aBefore.mAt);
+  std::printf(
+    "%s: sent %d, 429 %d, 402 %d, repeated %d, refused again %d, while 5%% are "
+    "unspent %d;%s; %.0f store calls/s\n",
+    aName.c_str(), after.mSent - before.mSent, after.mRefused - before.mRefused,
+    after.mUsedUp - before.mUsedUp, after.mRepeated - before.mRepeated,
+    after.mRefusedAgain - before.mRefusedAgain,
+    after.mFalselyRefused - before.mFalselyRefused, causes.c_str(),
+    (aSim.mStoreCalls - aBefore.mStoreCalls) / time);
+}
+
+void PrintCensus(const fleet_sim& aSim)
+{
+  const token_census census = CountTokens(aSim);
+  const auto percent = [&](token_count aTokens) {
+    return 100 * static_cast<double>(aTokens) /
+           static_cast<double>(census.mPrepaid);
+  };
+  std::printf(
+    "%% of the totals: unspent %.2f, not granted %.2f, free %.2f, lost %.2f\n",
+    percent(census.mUnspent), percent(census.mUngranted), percent(census.mFree),
+    percent(census.mLost));
+}
+
+// Runs the load with a restart of all gateways after two thirds of the traffic,
+// until well after the totals are used up.
+void RunRestartOfAll(std::size_t aGateways, bool aIsPowerLoss)
+{
+  constexpr absl::Duration kRestartTime = absl::Milliseconds(4500);
+  token_load load;
+  load.mGateways = aGateways;
+  load.mRetries = true;
+  const std::string name =
+    std::to_string(aGateways) + (aIsPowerLoss ? " power loss" : " kill");
+  const auto sim = MakeFleet(load);
+  load_state before = GetState(*sim);
+  RunTokenLoad(*sim, load, load.mDay * 2 / 3);
+  PrintRefusals(*sim, before, name + ", before");
+  PrintCensus(*sim);
+  before = GetState(*sim);
+  KillAllGateways(*sim, aIsPowerLoss);
+  RunTokenLoad(*sim, load, kRestartTime);
+  PrintRefusals(*sim, before, name + ", restart");
+  PrintCensus(*sim);
+  before = GetState(*sim);
+  RunTokenLoad(*sim, load, load.mDay / 3 - kRestartTime);
+  PrintRefusals(*sim, before, name + ", rest of the day");
+  PrintCensus(*sim);
+  before = GetState(*sim);
+  RunTokenLoad(*sim, load, absl::Seconds(15));
+  PrintRefusals(*sim, before, name + ", beyond the totals");
+  PrintCensus(*sim);
+  for (const violation& each : sim->mViolations) {
+    BOOST_ERROR(each.mDetail);
+  }
+}
+
+// All gateways restart at two thirds of the traffic. Callers who have paid are
+// refused only for tokens that nobody can reach.
+BOOST_AUTO_TEST_CASE(a_restart_of_all_keeps_no_tokens_from_callers)
+{
+  for (const std::size_t gateways : { 23, 100 }) {
+    for (const bool isPowerLoss : { false, true }) {
+      RunRestartOfAll(gateways, isPowerLoss);
+    }
+  }
+}
+
+// Takes too long for each run; prints figures for docs/design.
+BOOST_AUTO_TEST_CASE(a_restart_of_300_gateways, *boost::unit_test::disabled())
+{
+  for (const bool isPowerLoss : { false, true }) {
+    RunRestartOfAll(300, isPowerLoss);
+  }
+}
+
 // Half of the callers move to other gateways.
 BOOST_AUTO_TEST_CASE(tokens_follow_callers_that_move)
 {
