Serve callers in the first seconds after a restart of all gateways

Cause: the peer list still names processes that have ended. A request for tokens to one of them takes 600 ms, longer than a caller may wait, and so do copies of a new grant record; a coordinator that has just started answers that it has nothing. Change: while the coordinator has not shown that it is alive, or has nothing although tokens are not granted, a gateway also writes a grant for its own waiting requests, without the part that a coordinator grants ahead of need. Copies of a record go to gateways that are known to be alive first, and a request waits 300 ms longer for tokens that are granted and withheld.

--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -142,6 +142,8 @@
   // only, if there is other demand: half a minute of such demand at an eighth
   // of all tokens.
   double mReservedFraction = 0.05;
+  // True if a holder is granted at least mInitialFraction of what is left.
+  bool mHasFloor = true;
   // Averaging time of the demand.
   absl::Duration mRateWindow = absl::Seconds(3);
   // Fraction of the total that a router requests before the demand is known.
--- a/src/core/gateway_coordinator.cc
+++ b/src/core/gateway_coordinator.cc
@@ -97,6 +97,7 @@
   if (peer != aGateway.mPeers.end()) {
     peer->second.mSuspectUntil = absl::InfinitePast();
     peer->second.mIsDoubtful = false;
+    peer->second.mIsKnownAlive = true;
   }
 }
 
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -222,7 +222,7 @@
 }
 
 void ApplyPeer(gateway& aGateway, const directory_change<gateway_peer>& aChange,
-               absl::Time aNow)
+               bool aIsComplete, absl::Time aNow)
 {
   if (aChange.mName == aGateway.mSettings.mName) {
     return;
@@ -234,7 +234,8 @@
   }
   if (aChange.mEntry) {
     aGateway.mPeers[aChange.mName] = { *aChange.mEntry, aChange.mRevision,
-                                       absl::InfinitePast(), false };
+                                       absl::InfinitePast(), false,
+                                       !aIsComplete };
   } else if (peer != aGateway.mPeers.end()) {
     const watched_area& area = GetArea(aGateway, directory_area::Peers);
     if (MayHaveExpired(area, kPeerGracePeriod, aNow)) {
@@ -298,7 +299,7 @@
     ApplyBackend(aGateway, change, aResponse.mComplete, aNow);
   }
   for (const auto& change : peers) {
-    ApplyPeer(aGateway, change, aNow);
+    ApplyPeer(aGateway, change, aResponse.mComplete, aNow);
   }
   if (aResponse.mArea == directory_area::Peers) {
     ApplyCrashReports(aGateway, aResponse, aNow);
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -16,6 +16,11 @@
 // Shortest interval between two grant writes of this gateway.
 constexpr absl::Duration kWriteInterval = absl::Milliseconds(25);
 
+// Time by which a request waits longer for tokens that are granted to this
+// gateway and withheld: a call that sends a copy of the record ends within 600
+// ms of the write.
+constexpr absl::Duration kWithheldTime = absl::Milliseconds(300);
+
 // Starts to acquire the tokens that the waiters need, by a grant write or from
 // another gateway.
 void AcquireTokens(gateway& aGateway, const workspace_id& aWorkspace,
@@ -29,6 +34,39 @@
   return write;
 }
 
+// Returns true if this gateway writes grants for its own waiters in place of
+// the coordinator.
+bool IsActing(const workspace_tokens& aTokens, absl::Time aNow)
+{
+  return aNow < aTokens.mActsUntil && !aTokens.mWaiters.empty();
+}
+
+// Plans the next write of a workspace, if there is one.
+std::optional<grant_plan> PlanWrite(gateway& aGateway,
+                                    const workspace_id& aWorkspace,
+                                    workspace_tokens& aTokens, bool aIsDue,
+                                    absl::Time aNow)
+{
+  grant_options options = aGateway.mSettings.mGrants;
+  // A gateway that gets token requests acts in place of a coordinator that
+  // cannot transfer tokens.
+  const bool isCoordinator =
+    IsCoordinator(aGateway, aWorkspace, aTokens, aNow) ||
+    HasPeerWaiting(aTokens);
+  const std::optional<token_count> hold = aTokens.mShare.mTokensToHold;
+  if (!isCoordinator && IsActing(aTokens, aNow)) {
+    // The coordinator grants what is ahead of need: if each gateway did, all
+    // would hold more than may be lost.
+    options.mHasFloor = false;
+    aTokens.mShare.mTokensToHold = EstimateSoonNeeded(aGateway, aTokens, aNow);
+  }
+  auto plan = PlanGrant(aTokens.mShare, aGateway.mHolder, aTokens.mPrepaid,
+                        isCoordinator || IsActing(aTokens, aNow), aIsDue,
+                        options, MakeGrantClock(aGateway, aNow));
+  aTokens.mShare.mTokensToHold = hold;
+  return plan;
+}
+
 // Writes the grants of all workspaces that need a write. At most one write
 // is in flight.
 void WriteGrants(gateway& aGateway, absl::Time aNow)
@@ -43,17 +81,10 @@
   for (auto& entry : aGateway.mWorkspaceTokens) {
     workspace_tokens& tokens = entry.second;
     tokens.mShare.mEra = aGateway.mEra;
-    // A gateway that gets token requests acts in place of a coordinator that
-    // cannot transfer tokens.
-    const bool isCoordinator =
-      IsCoordinator(aGateway, entry.first, tokens, aNow) ||
-      HasPeerWaiting(tokens);
     UpdateNeededTokens(tokens, aGateway.mSettings.mGrants, aNow);
     UpdatePlannedTokens(tokens);
     const bool isDue = isPeriodic && !(entry.first < aGateway.mPeriodicFrom);
-    auto plan = PlanGrant(tokens.mShare, aGateway.mHolder, tokens.mPrepaid,
-                          isCoordinator, isDue, aGateway.mSettings.mGrants,
-                          MakeGrantClock(aGateway, aNow));
+    auto plan = PlanWrite(aGateway, entry.first, tokens, isDue, aNow);
     if (plan) {
       write.mEntries.push_back({ entry.first, std::move(*plan) });
     }
@@ -88,6 +119,22 @@
                     ComputeTotal(share.mRecord);
 }
 
+// Returns true if this gateway may soon have tokens for a waiter that the
+// coordinator has none for: by a write of its own, or because they are
+// withheld.
+bool MayHaveRoom(const gateway& aGateway, const workspace_tokens& aTokens)
+{
+  const grant_share& share = aTokens.mShare;
+  const token_count left = AddTokens(
+    share.mFreeTokens + share.mWithheldTokens,
+    std::max<token_count>(0, aTokens.mPrepaid - ComputeTotal(share.mRecord)));
+  return !IsStoreUnavailable(aGateway) && MayWriteGrants(aGateway) &&
+         std::any_of(aTokens.mWaiters.begin(), aTokens.mWaiters.end(),
+                     [&](const token_waiter& aWaiter) {
+                       return aWaiter.mAmount <= left;
+                     });
+}
+
 // Ends the waiters for whose priority no tokens are left to grant, after the
 // other gateways have returned what they do not need soon.
 void RecallIfUsedUp(gateway& aGateway, const workspace_id& aWorkspace,
@@ -127,7 +174,20 @@
     ReserveForWaiters(aGateway, aWorkspace, true, aNow);
     return;
   }
-  if (tokens.mIsRequesting || tokens.mWaiters.empty()) {
+  if (tokens.mWaiters.empty()) {
+    return;
+  }
+  const auto peer = aGateway.mPeers.find(coordinator.mPeer);
+  if (peer != aGateway.mPeers.end() && !peer->second.mIsKnownAlive) {
+    // After a restart of all gateways, the list names many that have not
+    // started again, and a call to one of them takes longer than a request may
+    // wait.
+    tokens.mActsUntil = aNow + kFundingTimeout;
+  }
+  if (IsActing(tokens, aNow)) {
+    WriteGrants(aGateway, aNow);
+  }
+  if (tokens.mIsRequesting || aNow < tokens.mNextRequestAt) {
     return;
   }
   // A request states one priority, because the coordinator leaves headroom for
@@ -240,8 +300,14 @@
   RecordOwnDemand(aGateway, tokens, aRequest.mWorstCaseCost,
                   aRequest.mRoutePriority, aNow);
   tokens.mWaiters.push_back(
-    { handle, 0, aRequest.mWorstCaseCost, aRequest.mRoutePriority,
-      std::min(aRequest.mDeadline, aNow + kFundingTimeout) });
+    { handle,
+      0,
+      aRequest.mWorstCaseCost,
+      aRequest.mRoutePriority,
+      std::min(aRequest.mDeadline, aNow + kFundingTimeout),
+      {},
+      0,
+      std::min(aRequest.mDeadline, aNow + kFundingTimeout + kWithheldTime) });
   ReserveForWaiters(aGateway, workspace, false, aNow);
   if (!tokens.mWaiters.empty()) {
     AcquireTokens(aGateway, workspace, aNow);
@@ -412,7 +478,14 @@
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
     return;
   }
-  const bool isRefused = aEvent.mResponse->mAmount == 0;
+  bool isRefused = aEvent.mResponse->mAmount == 0;
+  if (isRefused && !aEvent.mResponse->mExhausted &&
+      MayHaveRoom(aGateway, tokens)) {
+    // A coordinator that has just started may have no tokens yet.
+    tokens.mActsUntil = aNow + kFundingTimeout;
+    tokens.mNextRequestAt = tokens.mActsUntil;
+    isRefused = false;
+  }
   ReserveForWaiters(aGateway, aEvent.mWorkspace, isRefused, aNow);
   if (!tokens.mWaiters.empty()) {
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
--- a/src/core/gateway_recovery.cc
+++ b/src/core/gateway_recovery.cc
@@ -225,18 +225,24 @@
   }
 }
 
-// Returns the gateways to which copies are sent: those that respond, chosen at
-// random if there are many.
+// Returns the gateways to which copies are sent: those that are known to
+// respond or, if they are too few, others, chosen at random if there are many.
 std::vector<std::pair<std::string, std::string>> ChooseCopyTargets(
   gateway& aGateway, absl::Time aNow)
 {
   std::vector<std::pair<std::string, std::string>> targets;
+  std::vector<std::pair<std::string, std::string>> others;
   for (const auto& [name, peer] : aGateway.mPeers) {
     if (aNow >= peer.mSuspectUntil) {
-      targets.emplace_back(name, peer.mPeer.mAddress);
+      (peer.mIsKnownAlive ? targets : others)
+        .emplace_back(name, peer.mPeer.mAddress);
     }
   }
   std::shuffle(targets.begin(), targets.end(), aGateway.mRandom);
+  if (targets.size() < static_cast<std::size_t>(kGrantCopies)) {
+    std::shuffle(others.begin(), others.end(), aGateway.mRandom);
+    targets.insert(targets.end(), others.begin(), others.end());
+  }
   targets.resize(std::min(targets.size(), kMaxCopyTargets));
   return targets;
 }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -214,6 +214,9 @@
   absl::Time mSuspectUntil = absl::InfinitePast();
   // True if the peer has not responded since.
   bool mIsDoubtful = false;
+  // True if the peer has responded, or was listed anew, since this process has
+  // started. The entry of a process that has ended stays for some seconds.
+  bool mIsKnownAlive = false;
   // True if the entry may have expired only because the store was unavailable.
   bool mHasExpired = false;
 };
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -171,6 +171,14 @@
   FireRequest(aGateway, aWaiter.mHandle, forward_event::Unfunded, aNow);
 }
 
+bool IsOverdue(const workspace_tokens& aTokens, const token_waiter& aWaiter,
+               absl::Time aNow)
+{
+  const bool isWithheld = aTokens.mShare.mWithheldTokens >= aWaiter.mAmount;
+  return aNow >= aWaiter.mDeadline &&
+         !(isWithheld && aNow < aWaiter.mWithheldDeadline);
+}
+
 // Ends the waiters that aEnds selects. Another gateway receives the available
 // tokens, up to the requested amount.
 template<typename Predicate>
@@ -258,7 +266,7 @@
     if (ReserveForWaiter(tokens, waiter, aGateway.mSettings.mGrants,
                          MakeGrantClock(aGateway, aNow))) {
       EndWaiter(aGateway, tokens, waiter, true, aNow);
-    } else if (aEndAll || aNow >= waiter.mDeadline) {
+    } else if (aEndAll || IsOverdue(tokens, waiter, aNow)) {
       EndWaiter(aGateway, tokens, waiter, false, aNow);
     } else {
       tokens.mWaiters.push_back(waiter);
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -287,11 +287,13 @@
   }
   // Gateways that start together take the floor of what is left, so that they
   // do not take up the rest of a total together.
-  demand =
-    std::max(ComputeInitialGrant(
-               aShare.mTokensToHold ? aRoom + GetHeldTokens(aShare) : aPrepaid,
-               aOptions),
-             demand);
+  if (aOptions.mHasFloor) {
+    demand = std::max(
+      ComputeInitialGrant(
+        aShare.mTokensToHold ? aRoom + GetHeldTokens(aShare) : aPrepaid,
+        aOptions),
+      demand);
+  }
   // Planned transfers do not use the part that is granted for demand of the
   // highest priority only.
   const token_count planned = isForAll ? aShare.mPlanned : 0;
--- a/src/core/workspace_tokens.h
+++ b/src/core/workspace_tokens.h
@@ -30,6 +30,8 @@
   std::string mPeer = {};
   // Tokens that another gateway requests beyond mAmount, ahead of need.
   token_count mExtra = 0;
+  // Deadline if granted tokens are still withheld at mDeadline.
+  absl::Time mWithheldDeadline = absl::InfinitePast();
 };
 
 // The first parts of a workspace's tokens, which its coordinator sends to the
@@ -68,6 +70,12 @@
   std::deque<token_waiter> mWaiters;
   // True while a request for tokens to another gateway has no response.
   bool mIsRequesting = false;
+  // Until then this gateway writes grants for its own waiters, because the
+  // coordinator may not respond in time.
+  absl::Time mActsUntil = absl::InfinitePast();
+  // Time before which the coordinator is not asked again: it has just had no
+  // tokens, and this gateway may get some itself.
+  absl::Time mNextRequestAt = absl::InfinitePast();
   // The prepaid total by the current configuration.
   token_count mPrepaid = 0;
   // Peers that could not transfer tokens, with the time until which they get no
