Refuse with 402 at once when no gateway holds the tokens, and let recalls reach all

Cause: after any restart no refusal was 402, since closed entries and several holders counted as tokens that may come back. Callers repeated requests that could not be served. Gateways retained 1 s of demand also where that is less than a request, a recall in a large fleet left out all but 128 gateways, a limit kept free tokens from requests for 5 s where less than 1% of the total was unspent, and tokens that a recall had brought were handed out ahead of need again. Change: a recall response states what is retained, and a response that transfers nothing states what is left of the total. A request above that sum gets 402 at once; otherwise the retry time is that of the next recall. Nothing is retained that serves no request. A recall asks all gateways, at most 128 a second on average. A limit that keeps free tokens from those who need them is moved at once. What a recall of a used-up total has brought goes to waiting requests only.

--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -472,6 +472,11 @@
   // True if nothing was transferred because this gateway cannot reach the
   // store. Another gateway may reach it.
   bool mStoreUnavailable = false;
+  // In a response to a recall: free tokens that the responder retains. In
+  // another one that transfers nothing: tokens of the total that are not
+  // granted or free at a gateway that responds. Absent if that is not known, as
+  // from a gateway of an earlier version.
+  std::optional<token_count> mLeft = std::nullopt;
 };
 
 // The response to request_tokens or recall_tokens. mResponse is absent if the
--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -308,6 +308,11 @@
 bool IsExhaustedFor(const grant_share& aShare, int aPriority,
                     token_count aPrepaid, const grant_options& aOptions);
 
+// Returns the tokens of the total that are not granted and that a request of
+// aPriority may be granted.
+token_count ComputeRoomFor(const grant_share& aShare, int aPriority,
+                           token_count aPrepaid, const grant_options& aOptions);
+
 // Returns true if there is demand of a higher priority than aPriority.
 bool HasHigherPriorityDemand(const grant_share& aShare, int aPriority);
 
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -203,6 +203,8 @@
                shortage + (waiter.mPriority == priority ? waiter.mAmount : 0));
   }
   if (shortage <= 0) {
+    // The limit keeps free tokens from the waiters.
+    WriteGrants(aGateway, aNow);
     return;
   }
   tokens.mIsRequesting = true;
@@ -436,7 +438,9 @@
                       absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aEvent.mWorkspace];
-  AddReceivedTokens(tokens.mShare, std::max<token_count>(0, aEvent.mAmount));
+  const token_count amount = std::max<token_count>(0, aEvent.mAmount);
+  AddReceivedTokens(tokens.mShare, amount);
+  tokens.mPartsOut = std::max<token_count>(0, tokens.mPartsOut - amount);
   ReserveForWaiters(aGateway, aEvent.mWorkspace, false, aNow);
 }
 
@@ -479,6 +483,8 @@
     return;
   }
   bool isRefused = aEvent.mResponse->mAmount == 0;
+  tokens.mStatedLeft = aEvent.mResponse->mLeft;
+  tokens.mStatedLeftAt = aNow;
   if (isRefused && !aEvent.mResponse->mExhausted &&
       MayHaveRoom(aGateway, tokens)) {
     // A coordinator that has just started may have no tokens yet.
@@ -508,6 +514,7 @@
     const bool lowered = *workspace.mPrepaid < tokens.mPrepaid;
     if (*workspace.mPrepaid != tokens.mPrepaid) {
       RecordExhaustion(tokens, false, aNow);
+      tokens.mStatedLeft.reset();
     }
     tokens.mPrepaid = *workspace.mPrepaid;
     ScheduleFirstParts(tokens, aNow);
--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -30,11 +30,13 @@
 constexpr absl::Duration kRequestersTime = absl::Seconds(2);
 // Shortest interval between two recalls of a workspace.
 constexpr absl::Duration kRecallInterval = absl::Seconds(1);
-// Time for which the outcome of a recall counts: two intervals, so that a
+// Number of intervals for which the outcome of a recall counts, so that a
 // coordinator with waiting requests always knows a recent one.
-constexpr absl::Duration kRecallValidity = absl::Seconds(2);
-// Largest number of gateways that one recall asks.
-constexpr std::size_t kMaxRecalledPeers = 128;
+constexpr int kRecallValidity = 2;
+// Largest number of gateways that a recall asks in a second, on average. In
+// larger fleets recalls are less frequent: one that left out some gateways
+// would refuse callers while those hold tokens.
+constexpr int kMaxRecalledPerSecond = 128;
 
 token_count ComputeOwnPart(const gateway& aGateway,
                            const workspace_tokens& aTokens)
@@ -54,6 +56,14 @@
     startPart, std::min(target, ComputeEqualPart(aTokens.mPrepaid, 1)));
 }
 
+absl::Duration ComputeRecallInterval(const gateway& aGateway)
+{
+  return std::max(kRecallInterval,
+                  absl::Seconds(1) *
+                    static_cast<double>(aGateway.mPeers.size()) /
+                    kMaxRecalledPerSecond);
+}
+
 // Returns the tokens that can be transferred now without those that this
 // gateway holds for its own callers.
 token_count ComputeSpare(const gateway& aGateway,
@@ -256,8 +266,9 @@
 token_count EstimateSoonNeeded(const gateway& aGateway,
                                const workspace_tokens& aTokens, absl::Time aNow)
 {
-  return EstimateMean(aTokens.mDemand, aGateway.mTrafficSince,
-                      kUsedUpRetainedTime, aNow);
+  const token_count mean = EstimateMean(aTokens.mDemand, aGateway.mTrafficSince,
+                                        kUsedUpRetainedTime, aNow);
+  return mean < EstimateRequestSize(aTokens.mDemand) ? 0 : mean;
 }
 
 token_count TakeSpareTokens(gateway& aGateway, workspace_tokens& aTokens,
@@ -278,6 +289,13 @@
 token_count LimitAheadOfNeed(const workspace_tokens& aTokens,
                              token_count aAmount, absl::Time aNow)
 {
+  // What a recall of a used-up total has brought is for requests that wait. In
+  // small parts it would serve nobody.
+  const token_recall& recall = aTokens.mRecall;
+  if (recall.mIsUsedUp && aNow - recall.mStartedAt < kPlacementHorizon &&
+      ComputeRoom(aTokens) == 0) {
+    return 0;
+  }
   const token_count own = std::min(aTokens.mTarget, aTokens.mShare.mFreeTokens);
   // Free tokens above the own target are to be transferred, as are those that
   // are not granted.
@@ -337,34 +355,29 @@
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
   token_recall& recall = tokens.mRecall;
   // A recall of a used-up total brings more than an earlier one did.
-  const bool isDue =
-    recall.mOpenPeers.empty() && (aNow - recall.mStartedAt >= kRecallInterval ||
-                                  (aIsUsedUp && !recall.mIsUsedUp));
+  const bool isDue = recall.mOpenPeers.empty() &&
+                     (aNow >= FindNextRecallTime(aGateway, tokens) ||
+                      (aIsUsedUp && !recall.mIsUsedUp));
   if (!isDue || !IsCoordinator(aGateway, aWorkspace, tokens, aNow)) {
     return !recall.mOpenPeers.empty();
   }
-  recall = { aNow, aIsUsedUp, {}, true, 0 };
-  std::vector<const decltype(aGateway.mPeers)::value_type*> peers;
-  for (const auto& peer : aGateway.mPeers) {
-    if (aNow >= peer.second.mSuspectUntil) {
-      peers.push_back(&peer);
-    } else {
+  recall = {};
+  recall.mStartedAt = aNow;
+  recall.mIsUsedUp = aIsUsedUp;
+  recall.mIsComplete = true;
+  for (const auto& [name, peer] : aGateway.mPeers) {
+    if (aNow < peer.mSuspectUntil) {
       recall.mIsComplete = false;
+      continue;
     }
-  }
-  if (peers.size() > kMaxRecalledPeers) {
-    std::shuffle(peers.begin(), peers.end(), aGateway.mRandom);
-    peers.resize(kMaxRecalledPeers);
-  }
-  for (const auto* peer : peers) {
     // A doubtful peer is asked, but its response is not waited for.
-    if (peer->second.mIsDoubtful) {
+    if (peer.mIsDoubtful) {
       recall.mIsComplete = false;
     } else {
-      recall.mOpenPeers.insert(peer->first);
+      recall.mOpenPeers.insert(name);
     }
-    aGateway.mActions.push_back(recall_tokens{
-      peer->first, peer->second.mPeer.mAddress, aWorkspace, aIsUsedUp });
+    aGateway.mActions.push_back(
+      recall_tokens{ name, peer.mPeer.mAddress, aWorkspace, aIsUsedUp });
   }
   return !recall.mOpenPeers.empty();
 }
@@ -378,6 +391,11 @@
   recall.mIsComplete = recall.mIsComplete && aEvent.mResponse;
   const token_count amount = aEvent.mResponse ? aEvent.mResponse->mAmount : 0;
   recall.mAmount += amount;
+  if (aEvent.mResponse && aEvent.mResponse->mLeft) {
+    recall.mRetained = AddTokens(recall.mRetained, *aEvent.mResponse->mLeft);
+  } else {
+    recall.mIsRetainedKnown = false;
+  }
   AddHolding(tokens.mHoldings, aEvent.mPeer, -amount, aNow);
   if (recall.mOpenPeers.erase(aEvent.mPeer) == 0 ||
       !recall.mOpenPeers.empty()) {
@@ -386,6 +404,7 @@
   RecordDecision(aGateway, decision::TokensRecalled,
                  { { "workspace", aEvent.mWorkspace.mValue },
                    { "amount", absl::StrCat(recall.mAmount) },
+                   { "retained", absl::StrCat(recall.mRetained) },
                    { "used_up", recall.mIsUsedUp ? "true" : "false" },
                    { "complete", recall.mIsComplete ? "true" : "false" },
                    { "after_ms", absl::StrCat(absl::ToInt64Milliseconds(
@@ -398,7 +417,32 @@
   const token_recall& recall = aTokens.mRecall;
   return aGateway.mPeers.empty() ||
          (recall.mIsUsedUp && recall.mIsComplete && recall.mOpenPeers.empty() &&
-          aNow - recall.mStartedAt < kRecallValidity);
+          aNow - recall.mStartedAt <
+            kRecallValidity * ComputeRecallInterval(aGateway));
+}
+
+absl::Time FindNextRecallTime(const gateway& aGateway,
+                              const workspace_tokens& aTokens)
+{
+  return aTokens.mRecall.mStartedAt + ComputeRecallInterval(aGateway);
+}
+
+std::optional<token_count> FindLeft(const gateway& aGateway,
+                                    const workspace_tokens& aTokens,
+                                    int aPriority, absl::Time aNow)
+{
+  const grant_share& share = aTokens.mShare;
+  if (share.mVersion == 0 || share.mPending || IsFromEarlierEra(share) ||
+      !HasRecalledAll(aGateway, aTokens, aNow) ||
+      !aTokens.mRecall.mIsRetainedKnown) {
+    return std::nullopt;
+  }
+  const token_count own = share.mFreeTokens + share.mWithheldTokens +
+                          ComputeRoomFor(share, aPriority, aTokens.mPrepaid,
+                                         aGateway.mSettings.mGrants);
+  const token_count out = aNow < aTokens.mPartsOutUntil ? aTokens.mPartsOut : 0;
+  return AddTokens(std::max<token_count>(0, own),
+                   AddTokens(aTokens.mRecall.mRetained, out));
 }
 
 void OnTokensRecalled(gateway& aGateway, const tokens_recalled& aEvent,
@@ -406,6 +450,7 @@
 {
   const auto found = aGateway.mWorkspaceTokens.find(aEvent.mWorkspace);
   token_count returned = 0;
+  token_count left = 0;
   if (found != aGateway.mWorkspaceTokens.end()) {
     workspace_tokens& tokens = found->second;
     token_count retained = 0;
@@ -414,15 +459,23 @@
                                   : tokens.mTarget;
     }
     const grant_clock clock = MakeGrantClock(aGateway, aNow);
+    const token_count available = ComputeAvailable(tokens.mShare, clock);
     const token_count surplus =
-      std::min(tokens.mShare.mFreeTokens - retained,
-               ComputeAvailable(tokens.mShare, clock));
+      std::min(tokens.mShare.mFreeTokens - retained, available);
+    if (surplus == available && aEvent.mIsUsedUp) {
+      // The next write of the limit covers what the next recall takes.
+      tokens.mUnserved =
+        std::max(tokens.mUnserved, tokens.mShare.mFreeTokens - retained);
+      UpdatePlannedTokens(tokens);
+    }
     if (surplus > 0 && Reserve(tokens.mShare, surplus, clock)) {
       returned = surplus;
     }
+    left = std::max<token_count>(0, tokens.mShare.mFreeTokens +
+                                      tokens.mShare.mWithheldTokens);
   }
   aGateway.mActions.push_back(
-    send_token_response{ aEvent.mCall, { returned, false, false } });
+    send_token_response{ aEvent.mCall, { returned, false, false, left } });
 }
 
 } // namespace foxtailquay
--- a/src/core/gateway_placement.h
+++ b/src/core/gateway_placement.h
@@ -42,7 +42,8 @@
                             const workspace_tokens& aTokens, absl::Time aNow);
 
 // Returns the number of tokens that this gateway retains when the total has no
-// tokens left to grant.
+// tokens left to grant: 0 if they would hardly serve a request. All gateways
+// together would then keep many tokens that serve nobody.
 token_count EstimateSoonNeeded(const gateway& aGateway,
                                const workspace_tokens& aTokens,
                                absl::Time aNow);
@@ -81,6 +82,17 @@
                           const token_response_received& aEvent,
                           absl::Time aNow);
 
+// Returns the time from which on RecallTokens asks the other gateways again.
+absl::Time FindNextRecallTime(const gateway& aGateway,
+                              const workspace_tokens& aTokens);
+
+// Returns the tokens that are not granted, for a request of aPriority, or free
+// at this gateway or at others; absent if this is not known, as while a gateway
+// does not respond.
+std::optional<token_count> FindLeft(const gateway& aGateway,
+                                    const workspace_tokens& aTokens,
+                                    int aPriority, absl::Time aNow);
+
 // Returns true if all other gateways have just returned what they do not need
 // soon.
 bool HasRecalledAll(const gateway& aGateway, const workspace_tokens& aTokens,
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -14,6 +14,14 @@
 // and the others return it.
 constexpr absl::Duration kExhaustionTime = absl::Seconds(2);
 
+// Time for which a statement of the coordinator counts: that in which requests
+// wait for its response.
+constexpr absl::Duration kStatementTime = kFundingTimeout;
+
+// Time within which a gateway returns tokens that do not cover what it needs:
+// it first asks for the rest, in a round trip and a wait for copies of a grant.
+constexpr absl::Duration kPartReturnTime = absl::Milliseconds(100);
+
 // Reserves the tokens of aWaiter. Returns false, without effect, if too few are
 // available.
 bool ReserveForWaiter(workspace_tokens& aTokens, const token_waiter& aWaiter,
@@ -114,18 +122,37 @@
                                   : reach.mNextCallAt - aNow;
     refusal.mRetryAfter =
       std::clamp(wait + kAcquisitionTime, kRetryAfter, kMaxFundingRetry);
+  } else {
+    // The next recall brings what the other gateways have not spent by then.
+    refusal.mRetryAfter = std::clamp(FindNextRecallTime(aGateway, aTokens) -
+                                       aNow + kAcquisitionTime,
+                                     kRetryAfter, kMaxFundingRetry);
   }
   return refusal;
 }
 
+// Returns true if the coordinator has just stated that the total does not cover
+// a request of aNeeded tokens.
+bool IsKnownUncovered(const workspace_tokens& aTokens, token_count aNeeded,
+                      absl::Time aNow)
+{
+  return aTokens.mStatedLeft && aNow - aTokens.mStatedLeftAt < kStatementTime &&
+         aNeeded > AddTokens(aTokens.mShare.mFreeTokens, *aTokens.mStatedLeft);
+}
+
 // Reports the result to a waiter that has been removed: fires an event on the
-// request or responds to the other gateway. aIsReserved states whether the
-// tokens are reserved; they are released if the request no longer waits.
+// request or responds to the other gateway. aNeeded: what it has waited for.
+// aIsReserved states whether the tokens are reserved; they are released if the
+// request no longer waits.
 void EndWaiter(gateway& aGateway, workspace_tokens& aTokens,
-               const token_waiter& aWaiter, bool aIsReserved, absl::Time aNow)
+               const token_waiter& aWaiter, token_count aNeeded,
+               bool aIsReserved, absl::Time aNow)
 {
-  const bool isExhausted = IsCertainlyExhausted(aGateway, aTokens) &&
-                           HasRecalledAll(aGateway, aTokens, aNow);
+  const std::optional<token_count> left =
+    FindLeft(aGateway, aTokens, aWaiter.mPriority, aNow);
+  const bool isExhausted =
+    (left && *left < aNeeded) || (IsCertainlyExhausted(aGateway, aTokens) &&
+                                  HasRecalledAll(aGateway, aTokens, aNow));
   if (aWaiter.mCall != 0) {
     token_count amount = aIsReserved ? aWaiter.mAmount : 0;
     if (aIsReserved) {
@@ -147,7 +174,8 @@
     }
     aGateway.mActions.push_back(send_token_response{
       aWaiter.mCall,
-      { amount, isExhausted, !aIsReserved && IsStoreUnavailable(aGateway) } });
+      { amount, isExhausted, !aIsReserved && IsStoreUnavailable(aGateway),
+        amount == 0 ? left : std::nullopt } });
     return;
   }
   auto request = aGateway.mRequests.find(aWaiter.mHandle);
@@ -165,7 +193,8 @@
   }
   const bool isCertain =
     aWaiter.mAmount > aTokens.mShare.mFreeTokens &&
-    (isExhausted || aNow - aTokens.mExhaustedSince >= kExhaustionTime);
+    (isExhausted || IsKnownUncovered(aTokens, aWaiter.mAmount, aNow) ||
+     aNow - aTokens.mExhaustedSince >= kExhaustionTime);
   request->second->mError =
     MakeFundingError(aGateway, aTokens, aWaiter.mAmount, isCertain, aNow);
   FireRequest(aGateway, aWaiter.mHandle, forward_event::Unfunded, aNow);
@@ -198,11 +227,18 @@
       tokens.mShare.mFreeTokens -
       ComputeRequiredHeadroom(tokens.mShare, waiter.mPriority, options, aNow);
     const bool isPeer = waiter.mCall != 0;
+    const token_count needed = waiter.mAmount;
     waiter.mAmount = isPeer ? std::min(waiter.mAmount, rest) : waiter.mAmount;
     const bool isTransferred =
       isPeer && waiter.mAmount > 0 &&
       ReserveForWaiter(tokens, waiter, options, MakeGrantClock(aGateway, aNow));
-    EndWaiter(aGateway, tokens, waiter, isTransferred, aNow);
+    EndWaiter(aGateway, tokens, waiter, needed, isTransferred, aNow);
+    if (isTransferred) {
+      const bool isRecent = aNow < tokens.mPartsOutUntil;
+      tokens.mPartsOut =
+        AddTokens(isRecent ? tokens.mPartsOut : 0, waiter.mAmount);
+      tokens.mPartsOutUntil = aNow + kPartReturnTime;
+    }
   }
 }
 
@@ -265,9 +301,9 @@
   for (const token_waiter& waiter : waiters) {
     if (ReserveForWaiter(tokens, waiter, aGateway.mSettings.mGrants,
                          MakeGrantClock(aGateway, aNow))) {
-      EndWaiter(aGateway, tokens, waiter, true, aNow);
+      EndWaiter(aGateway, tokens, waiter, waiter.mAmount, true, aNow);
     } else if (aEndAll || IsOverdue(tokens, waiter, aNow)) {
-      EndWaiter(aGateway, tokens, waiter, false, aNow);
+      EndWaiter(aGateway, tokens, waiter, waiter.mAmount, false, aNow);
     } else {
       tokens.mWaiters.push_back(waiter);
     }
@@ -289,8 +325,13 @@
   EndWaiters(
     aGateway, aWorkspace,
     [&](const token_waiter& aWaiter) {
-      return IsExhaustedFor(tokens.mShare, aWaiter.mPriority, tokens.mPrepaid,
-                            aGateway.mSettings.mGrants);
+      const std::optional<token_count> left =
+        FindLeft(aGateway, tokens, aWaiter.mPriority, aNow);
+      const bool isCovered = left && *left >= aWaiter.mAmount;
+      return (left && !isCovered) ||
+             (!(isCovered && aNow < tokens.mPartsOutUntil) &&
+              IsExhaustedFor(tokens.mShare, aWaiter.mPriority, tokens.mPrepaid,
+                             aGateway.mSettings.mGrants));
     },
     aNow);
 }
--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -134,10 +134,9 @@
 double ComputeDecay(const grant_share& aShare, const grant_options& aOptions,
                     absl::Time aNow)
 {
-  const double windows =
-    absl::FDivDuration(std::max(absl::ZeroDuration(), aNow - aShare.mRateAt),
-                       aOptions.mRateWindow);
-  return std::exp(-windows);
+  return std::exp(
+    -absl::FDivDuration(std::max(absl::ZeroDuration(), aNow - aShare.mRateAt),
+                        aOptions.mRateWindow));
 }
 
 // Averaged rate, in tokens per second, below which there is no demand: the
@@ -255,6 +254,15 @@
          (left < aMargin / 4 || left < aShare.mNeeded + aShare.mPlanned);
 }
 
+// Returns true if the limit keeps free tokens from those who need them.
+bool IsBlockedByLimit(const grant_share& aShare)
+{
+  const token_count needed = AddTokens(aShare.mNeeded, aShare.mPlanned);
+  return aShare.mEntry.mLimit < aShare.mEntry.mGranted &&
+         aShare.mEntry.mLimit - aShare.mUsedTokens <
+           std::min(aShare.mFreeTokens, needed);
+}
+
 // Returns the number of tokens to request before the demand is known.
 token_count ComputeInitialGrant(token_count aPrepaid,
                                 const grant_options& aOptions)
@@ -288,11 +296,11 @@
   // Gateways that start together take the floor of what is left, so that they
   // do not take up the rest of a total together.
   if (aOptions.mHasFloor) {
-    demand = std::max(
-      ComputeInitialGrant(
-        aShare.mTokensToHold ? aRoom + GetHeldTokens(aShare) : aPrepaid,
-        aOptions),
-      demand);
+    demand = std::max(ComputeInitialGrant(aShare.mTokensToHold
+                                            ? aRoom + GetHeldTokens(aShare)
+                                            : aPrepaid,
+                                          aOptions),
+                      demand);
   }
   // Planned transfers do not use the part that is granted for demand of the
   // highest priority only.
@@ -475,19 +483,25 @@
   return ComputeTotal(aShare.mRecord) <= aPrepaid;
 }
 
-bool IsExhausted(const grant_share& aShare, token_count aPrepaid)
+token_count ComputeRoomFor(const grant_share& aShare, int aPriority,
+                           token_count aPrepaid, const grant_options& aOptions)
 {
-  return aShare.mVersion > 0 && !aShare.mPending && !IsFromEarlierEra(aShare) &&
-         ComputeTotal(aShare.mRecord) >= aPrepaid;
+  const bool isReserved = HasHigherPriorityDemand(aShare, aPriority);
+  return std::max<token_count>(
+    0, aPrepaid - ComputeTotal(aShare.mRecord) -
+         (isReserved ? ComputeReserved(aShare, aPrepaid, aOptions) : 0));
 }
 
 bool IsExhaustedFor(const grant_share& aShare, int aPriority,
                     token_count aPrepaid, const grant_options& aOptions)
 {
-  const token_count reserved = HasHigherPriorityDemand(aShare, aPriority)
-                                 ? ComputeReserved(aShare, aPrepaid, aOptions)
-                                 : 0;
-  return IsExhausted(aShare, aPrepaid - reserved);
+  return aShare.mVersion > 0 && !aShare.mPending && !IsFromEarlierEra(aShare) &&
+         ComputeRoomFor(aShare, aPriority, aPrepaid, aOptions) == 0;
+}
+
+bool IsExhausted(const grant_share& aShare, token_count aPrepaid)
+{
+  return IsExhaustedFor(aShare, 0, aPrepaid, {});
 }
 
 bool HasEarlierEntries(const grant_share& aShare, const grant_holder& aHolder)
@@ -532,15 +546,14 @@
   if (aIsCoordinator && missing > 0) {
     return PlanWrite(aShare, aHolder, missing, margin, aClock);
   }
-  const double unspent =
-    static_cast<double>(aShare.mEntry.mGranted - aShare.mUsedTokens);
   const bool isUnspent =
-    unspent > aOptions.mMinLimitedFraction * static_cast<double>(aPrepaid);
+    static_cast<double>(aShare.mEntry.mGranted - aShare.mUsedTokens) >
+    aOptions.mMinLimitedFraction * static_cast<double>(aPrepaid);
   // A limit of the whole grant protects nothing if the process dies.
   const bool isBounding = aShare.mUsedTokens + margin < aShare.mEntry.mGranted;
   if ((isUnspent &&
        ((aIsPeriodic && isBounding) || IsLimitNear(aShare, margin))) ||
-      HasEarlierEntries(aShare, aHolder)) {
+      IsBlockedByLimit(aShare) || HasEarlierEntries(aShare, aHolder)) {
     return PlanWrite(aShare, aHolder, 0, margin, aClock);
   }
   return std::nullopt;
--- a/src/core/token_placement.cc
+++ b/src/core/token_placement.cc
@@ -46,6 +46,11 @@
     absl::ToDoubleSeconds(aTime) / ComputeCountedSeconds(aSince, aNow));
 }
 
+token_count EstimateRequestSize(const demand_average& aDemand)
+{
+  return aDemand.mTokens > 0 ? ToTokens(aDemand.mSquares / aDemand.mTokens) : 0;
+}
+
 bool HasDemand(const demand_average& aDemand, absl::Time aNow)
 {
   return aNow - aDemand.mAt < kIdleTime;
--- a/src/core/token_placement.h
+++ b/src/core/token_placement.h
@@ -75,6 +75,10 @@
 token_count EstimateMean(const demand_average& aDemand, absl::Time aSince,
                          absl::Duration aTime, absl::Time aNow);
 
+// Returns the mean size of a request, weighted by size: a mean token belongs to
+// a request of this size. Returns 0 without demand.
+token_count EstimateRequestSize(const demand_average& aDemand);
+
 // Returns true if there was a request within kIdleTime.
 bool HasDemand(const demand_average& aDemand, absl::Time aNow);
 
--- a/src/core/workspace_tokens.h
+++ b/src/core/workspace_tokens.h
@@ -61,6 +61,9 @@
   // False if a peer was not asked or did not respond.
   bool mIsComplete = false;
   token_count mAmount = 0;
+  // Free tokens that the peers retain, and whether each has stated them.
+  token_count mRetained = 0;
+  bool mIsRetainedKnown = true;
 };
 
 // The tokens of one prepaid workspace at this gateway.
@@ -84,6 +87,9 @@
   // Time since which each response of the coordinator has stated that the
   // prepaid total has no tokens left to grant; infinite otherwise.
   absl::Time mExhaustedSince = absl::InfiniteFuture();
+  // What the coordinator has stated to be left of the total, and when.
+  std::optional<token_count> mStatedLeft;
+  absl::Time mStatedLeftAt = absl::InfinitePast();
   // True if this gateway is the coordinator, and until when that is used.
   bool mIsCoordinator = false;
   absl::Time mCoordinatorUntil = absl::InfinitePast();
@@ -110,6 +116,10 @@
   // Gateways that have requested tokens of this one.
   std::set<std::string> mRequesters;
   absl::Time mRequestedSince = absl::InfiniteFuture();
+  // Tokens that were transferred although they do not cover what the other
+  // gateway needs. Until then, it may return them.
+  token_count mPartsOut = 0;
+  absl::Time mPartsOutUntil = absl::InfinitePast();
   first_placement mPlacement;
   token_recall mRecall;
 };
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -271,6 +271,9 @@
   result["amount"] = Json::Int64(aResponse.mAmount);
   result["exhausted"] = aResponse.mExhausted;
   result["store_lost"] = aResponse.mStoreUnavailable;
+  if (aResponse.mLeft) {
+    result["left"] = Json::Int64(*aResponse.mLeft);
+  }
   return EncodeResult(result);
 }
 
@@ -332,8 +335,17 @@
   const auto flag = [&result](const char* aName) {
     return result[aName].isBool() && result[aName].asBool();
   };
-  return token_response{ std::min(kMaxTokenCount, result["amount"].asInt64()),
-                         flag("exhausted"), flag("store_lost") };
+  token_response decoded{ std::min(kMaxTokenCount, result["amount"].asInt64()),
+                          flag("exhausted"), flag("store_lost") };
+  // Earlier versions do not state it.
+  const Json::Value& left = result["left"];
+  if (!left.isNull()) {
+    if (!left.isInt64() || left.asInt64() < 0) {
+      return MakeProtocolError("the tokens that are left have another type");
+    }
+    decoded.mLeft = std::min(kMaxTokenCount, left.asInt64());
+  }
+  return decoded;
 }
 
 } // namespace foxtailquay
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -807,6 +807,11 @@
   BOOST_REQUIRE(IsOk(response));
   BOOST_TEST(GetValue(response).mAmount == 44);
   BOOST_TEST(GetValue(response).mExhausted);
+  BOOST_TEST(!GetValue(response).mLeft);
+  const auto refused =
+    DecodeTokenResponse(EncodeTokenResponse({ 0, true, false, 45 }));
+  BOOST_REQUIRE(IsOk(refused));
+  BOOST_TEST(*GetValue(refused).mLeft == 45);
 }
 
 // Prefixes are 64-bit hashes, which lose bits in a JSON number that is read as
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -362,6 +362,8 @@
   // Refusals of either kind by cause, and those of mFalselyRefused.
   std::map<refusal_cause, int> mCauses;
   std::map<refusal_cause, int> mFalseCauses;
+  // Refusals for good although tokens for the request were free or not granted.
+  int mFalselyUsedUp = 0;
   // Refused requests that their callers repeated, and those of them that were
   // refused again.
   int mRepeated = 0;
--- a/tests/gateway_sim/sim_tokens.cc
+++ b/tests/gateway_sim/sim_tokens.cc
@@ -151,6 +151,9 @@
     FindRefusalCause(aSim, aIndex, aRequest.mWorkspace, needed);
   ++counts.mCauses[cause];
   counts.mFalseCauses[cause] += isFalse ? 1 : 0;
+  const bool isCovered =
+    cause != refusal_cause::UsedUp && cause != refusal_cause::Lost;
+  counts.mFalselyUsedUp += isUsedUp && isCovered ? 1 : 0;
   if (aSim.mTokenLoad.mRetries && !aRequest.mIsRepeated) {
     ++counts.mRefusedAgain;
   }
