Count late answers of doubtful gateways in a recall

Cause: a gateway that had not responded once made a recall incomplete, also if it answered this one. With 300 gateways, where recalls are 2.3 s apart, callers of a used-up total got 429 for 4.7 s after a restart of all. A gateway also waited 0.5 s before it asked the coordinator again when its record no longer showed tokens to be granted. Change: a recall is complete once doubtful gateways have answered, too. The coordinator is asked again at once if this gateway cannot get a grant.

--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -187,7 +187,8 @@
   if (IsActing(tokens, aNow)) {
     WriteGrants(aGateway, aNow);
   }
-  if (tokens.mIsRequesting || aNow < tokens.mNextRequestAt) {
+  if (tokens.mIsRequesting ||
+      (aNow < tokens.mNextRequestAt && MayHaveRoom(aGateway, tokens))) {
     return;
   }
   // A request states one priority, because the coordinator leaves headroom for
--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -56,6 +56,13 @@
     startPart, std::min(target, ComputeEqualPart(aTokens.mPrepaid, 1)));
 }
 
+// Returns true if all peers were asked and have responded.
+bool IsComplete(const token_recall& aRecall)
+{
+  return aRecall.mIsComplete && aRecall.mOpenPeers.empty() &&
+         aRecall.mDoubtfulPeers.empty();
+}
+
 absl::Duration ComputeRecallInterval(const gateway& aGateway)
 {
   return std::max(kRecallInterval,
@@ -371,11 +378,7 @@
       continue;
     }
     // A doubtful peer is asked, but its response is not waited for.
-    if (peer.mIsDoubtful) {
-      recall.mIsComplete = false;
-    } else {
-      recall.mOpenPeers.insert(name);
-    }
+    (peer.mIsDoubtful ? recall.mDoubtfulPeers : recall.mOpenPeers).insert(name);
     aGateway.mActions.push_back(
       recall_tokens{ name, peer.mPeer.mAddress, aWorkspace, aIsUsedUp });
   }
@@ -397,6 +400,9 @@
     recall.mIsRetainedKnown = false;
   }
   AddHolding(tokens.mHoldings, aEvent.mPeer, -amount, aNow);
+  if (aEvent.mResponse) {
+    recall.mDoubtfulPeers.erase(aEvent.mPeer);
+  }
   if (recall.mOpenPeers.erase(aEvent.mPeer) == 0 ||
       !recall.mOpenPeers.empty()) {
     return;
@@ -406,7 +412,7 @@
                    { "amount", absl::StrCat(recall.mAmount) },
                    { "retained", absl::StrCat(recall.mRetained) },
                    { "used_up", recall.mIsUsedUp ? "true" : "false" },
-                   { "complete", recall.mIsComplete ? "true" : "false" },
+                   { "complete", IsComplete(recall) ? "true" : "false" },
                    { "after_ms", absl::StrCat(absl::ToInt64Milliseconds(
                                    aNow - recall.mStartedAt)) } });
 }
@@ -416,7 +422,7 @@
 {
   const token_recall& recall = aTokens.mRecall;
   return aGateway.mPeers.empty() ||
-         (recall.mIsUsedUp && recall.mIsComplete && recall.mOpenPeers.empty() &&
+         (recall.mIsUsedUp && IsComplete(recall) &&
           aNow - recall.mStartedAt <
             kRecallValidity * ComputeRecallInterval(aGateway));
 }
--- a/src/core/workspace_tokens.h
+++ b/src/core/workspace_tokens.h
@@ -58,6 +58,8 @@
   bool mIsUsedUp = false;
   // Peers whose responses are waited for.
   std::set<std::string> mOpenPeers;
+  // Peers that were asked and are not waited for, until they have responded.
+  std::set<std::string> mDoubtfulPeers;
   // False if a peer was not asked or did not respond.
   bool mIsComplete = false;
   token_count mAmount = 0;
