--- a/include/foxtailquay/grant.h
+++ b/include/foxtailquay/grant.h
@@ -142,6 +142,8 @@
   // only, if there is other demand: half a minute of such demand at an eighth
   // of all tokens.
   double mReservedFraction = 0.05;
+  // True if a holder is granted at least mInitialFraction of what is left.
+  bool mHasFloor = true;
   // Averaging time of the demand.
   absl::Duration mRateWindow = absl::Seconds(3);
   // Fraction of the total that a router requests before the demand is known.
@@ -307,6 +309,11 @@
 bool IsExhaustedFor(const grant_share& aShare, int aPriority,
                     token_count aPrepaid, const grant_options& aOptions);
 
+// Returns the tokens of the total that are not granted and that a request of
+// aPriority may be granted.
+token_count ComputeRoomFor(const grant_share& aShare, int aPriority,
+                           token_count aPrepaid, const grant_options& aOptions);
+
 // Returns true if there is demand of a higher priority than aPriority.
 bool HasHigherPriorityDemand(const grant_share& aShare, int aPriority);
 
--- a/src/core/gateway_explain.cc
+++ b/src/core/gateway_explain.cc
@@ -126,16 +126,15 @@
     return forward_event::Funded;
   }
   const token_waiter waiter = MakeWaiter(request, aTrial.mNow);
-  acquisition plan = PlanAcquisition(node, request.mWorkspace, tokens,
-                                     aTrial.mRandom, aTrial.mNow);
+  acquisition plan =
+    PlanAcquisition(node, request.mWorkspace, tokens, aTrial.mNow);
   if (plan.mRecall) {
     tokens.mRecall = std::move(plan.mRecall->mRecall);
   }
   aTrial.mTokens.mSource = plan.mSource;
   aTrial.mTokens.mPeer = plan.mCoordinator.mPeer;
   const bool isUsedUp = plan.mSource == token_source::Grant &&
-                        IsExhaustedFor(tokens.mShare, waiter.mPriority,
-                                       tokens.mPrepaid, node.mSettings.mGrants);
+                        IsExhaustedWaiter(node, tokens, waiter, aTrial.mNow);
   if (plan.mSource == token_source::Unreachable) {
     for (token_waiter& each : tokens.mWaiters) {
       ReserveRestForPeer(tokens, each, node.mSettings.mGrants,
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -29,6 +29,39 @@
   return write;
 }
 
+// Returns true if this gateway writes grants for its own waiters in place of
+// the coordinator.
+bool IsActing(const workspace_tokens& aTokens, absl::Time aNow)
+{
+  return aNow < aTokens.mActsUntil && !aTokens.mWaiters.empty();
+}
+
+// Plans the next write of a workspace, if there is one.
+std::optional<grant_plan> PlanWrite(gateway& aGateway,
+                                    const workspace_id& aWorkspace,
+                                    workspace_tokens& aTokens, bool aIsDue,
+                                    absl::Time aNow)
+{
+  grant_options options = aGateway.mSettings.mGrants;
+  // A gateway that gets token requests acts in place of a coordinator that
+  // cannot transfer tokens.
+  const bool isCoordinator =
+    UpdateCoordinator(aGateway, aWorkspace, aTokens, aNow) ||
+    HasPeerWaiting(aTokens);
+  const std::optional<token_count> hold = aTokens.mShare.mTokensToHold;
+  if (!isCoordinator && IsActing(aTokens, aNow)) {
+    // The coordinator grants what is ahead of need: if each gateway did, all
+    // would hold more than may be lost.
+    options.mHasFloor = false;
+    aTokens.mShare.mTokensToHold = EstimateSoonNeeded(aGateway, aTokens, aNow);
+  }
+  auto plan = PlanGrant(aTokens.mShare, aGateway.mHolder, aTokens.mPrepaid,
+                        isCoordinator || IsActing(aTokens, aNow), aIsDue,
+                        options, MakeGrantClock(aGateway, aNow));
+  aTokens.mShare.mTokensToHold = hold;
+  return plan;
+}
+
 // Writes the grants of all workspaces that need a write. At most one write
 // is in flight.
 void WriteGrants(gateway& aGateway, absl::Time aNow)
@@ -43,17 +76,10 @@
   for (auto& entry : aGateway.mWorkspaceTokens) {
     workspace_tokens& tokens = entry.second;
     tokens.mShare.mEra = aGateway.mEra;
-    // A gateway that gets token requests acts in place of a coordinator that
-    // cannot transfer tokens.
-    const bool isCoordinator =
-      UpdateCoordinator(aGateway, entry.first, tokens, aNow) ||
-      HasPeerWaiting(tokens);
     UpdateNeededTokens(tokens, aGateway.mSettings.mGrants, aNow);
     UpdatePlannedTokens(tokens);
     const bool isDue = isPeriodic && !(entry.first < aGateway.mPeriodicFrom);
-    auto plan = PlanGrant(tokens.mShare, aGateway.mHolder, tokens.mPrepaid,
-                          isCoordinator, isDue, aGateway.mSettings.mGrants,
-                          MakeGrantClock(aGateway, aNow));
+    auto plan = PlanWrite(aGateway, entry.first, tokens, isDue, aNow);
     if (plan) {
       write.mEntries.push_back({ entry.first, std::move(*plan) });
     }
@@ -88,6 +114,22 @@
                     ComputeTotal(share.mRecord);
 }
 
+// Returns true if this gateway may soon have tokens for a waiter that the
+// coordinator has none for: by a write of its own, or because they are
+// withheld.
+bool MayHaveRoom(const gateway& aGateway, const workspace_tokens& aTokens)
+{
+  const grant_share& share = aTokens.mShare;
+  const token_count left = AddTokens(
+    share.mFreeTokens + share.mWithheldTokens,
+    std::max<token_count>(0, aTokens.mPrepaid - ComputeTotal(share.mRecord)));
+  return !IsStoreUnavailable(aGateway) && MayWriteGrants(aGateway) &&
+         std::any_of(aTokens.mWaiters.begin(), aTokens.mWaiters.end(),
+                     [&](const token_waiter& aWaiter) {
+                       return aWaiter.mAmount <= left;
+                     });
+}
+
 // Returns true if no tokens are left to grant for a waiter.
 bool IsShort(const workspace_tokens& aTokens, const grant_options& aOptions)
 {
@@ -110,8 +152,7 @@
                    absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
-  acquisition plan =
-    PlanAcquisition(aGateway, aWorkspace, tokens, aGateway.mRandom, aNow);
+  acquisition plan = PlanAcquisition(aGateway, aWorkspace, tokens, aNow);
   ApplyRecall(aGateway, aWorkspace, std::move(plan.mRecall));
   switch (plan.mSource) {
     case token_source::Recall:
@@ -138,7 +179,21 @@
       break;
   }
   const coordinator_choice& coordinator = plan.mCoordinator;
-  if (tokens.mIsRequesting || tokens.mWaiters.empty()) {
+  if (tokens.mWaiters.empty()) {
+    return;
+  }
+  const auto peer = aGateway.mPeers.find(coordinator.mPeer);
+  if (peer != aGateway.mPeers.end() && !peer->second.mIsKnownAlive) {
+    // After a restart of all gateways, the list names many that have not
+    // started again, and a call to one of them takes longer than a request may
+    // wait.
+    tokens.mActsUntil = aNow + kFundingTimeout;
+  }
+  if (IsActing(tokens, aNow)) {
+    WriteGrants(aGateway, aNow);
+  }
+  if (tokens.mIsRequesting ||
+      (aNow < tokens.mNextRequestAt && MayHaveRoom(aGateway, tokens))) {
     return;
   }
   // A request states one priority, because the coordinator leaves headroom for
@@ -154,6 +209,8 @@
                shortage + (waiter.mPriority == priority ? waiter.mAmount : 0));
   }
   if (shortage <= 0) {
+    // The limit keeps free tokens from the waiters.
+    WriteGrants(aGateway, aNow);
     return;
   }
   tokens.mIsRequesting = true;
@@ -229,8 +286,7 @@
 
 acquisition PlanAcquisition(const gateway& aGateway,
                             const workspace_id& aWorkspace,
-                            const workspace_tokens& aTokens,
-                            random_engine& aRandom, absl::Time aNow)
+                            const workspace_tokens& aTokens, absl::Time aNow)
 {
   acquisition plan;
   plan.mCoordinator =
@@ -243,10 +299,9 @@
   const bool recalls =
     isStoreAway || IsShort(aTokens, aGateway.mSettings.mGrants);
   if (recalls) {
-    plan.mRecall =
-      PlanRecall(aGateway, aWorkspace, aTokens,
-                 !isStoreAway || IsExhausted(aTokens.mShare, aTokens.mPrepaid),
-                 aRandom, aNow);
+    plan.mRecall = PlanRecall(
+      aGateway, aWorkspace, aTokens,
+      !isStoreAway || IsExhausted(aTokens.mShare, aTokens.mPrepaid), aNow);
   }
   const token_recall& recall =
     plan.mRecall ? plan.mRecall->mRecall : aTokens.mRecall;
@@ -423,6 +478,7 @@
   if (aGateway.mPeers.count(aEvent.mPeer) > 0) {
     AddHolding(tokens.mHoldings, aEvent.mPeer, -amount);
   }
+  tokens.mPartsOut = std::max<token_count>(0, tokens.mPartsOut - amount);
   ReserveForWaiters(aGateway, aEvent.mWorkspace, false, aNow);
 }
 
@@ -464,7 +520,16 @@
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
     return;
   }
-  const bool isRefused = aEvent.mResponse->mAmount == 0;
+  bool isRefused = aEvent.mResponse->mAmount == 0;
+  tokens.mStatedLeft = aEvent.mResponse->mLeft;
+  tokens.mStatedLeftAt = aNow;
+  if (isRefused && !aEvent.mResponse->mExhausted &&
+      MayHaveRoom(aGateway, tokens)) {
+    // A coordinator that has just started may have no tokens yet.
+    tokens.mActsUntil = aNow + kFundingTimeout;
+    tokens.mNextRequestAt = tokens.mActsUntil;
+    isRefused = false;
+  }
   ReserveForWaiters(aGateway, aEvent.mWorkspace, isRefused, aNow);
   if (!tokens.mWaiters.empty()) {
     AcquireTokens(aGateway, aEvent.mWorkspace, aNow);
@@ -487,6 +552,7 @@
     const bool lowered = *workspace.mPrepaid < tokens.mPrepaid;
     if (*workspace.mPrepaid != tokens.mPrepaid) {
       RecordExhaustion(tokens, false, aNow);
+      tokens.mStatedLeft.reset();
     }
     tokens.mPrepaid = *workspace.mPrepaid;
     ScheduleFirstParts(tokens, aNow);
--- a/src/core/gateway_waiters.cc
+++ b/src/core/gateway_waiters.cc
@@ -14,6 +14,19 @@
 // and the others return it.
 constexpr absl::Duration kExhaustionTime = absl::Seconds(2);
 
+// Time by which a request waits longer for tokens that are granted to this
+// gateway and withheld: a call that sends a copy of the record ends within 600
+// ms of the write.
+constexpr absl::Duration kWithheldTime = absl::Milliseconds(300);
+
+// Time for which a statement of the coordinator counts: that in which requests
+// wait for its response.
+constexpr absl::Duration kStatementTime = kFundingTimeout;
+
+// Time within which a gateway returns tokens that do not cover what it needs:
+// it first asks for the rest, in a round trip and a wait for copies of a grant.
+constexpr absl::Duration kPartReturnTime = absl::Milliseconds(100);
+
 // Returns true if the grant record proves that the total is used up: no other
 // router can hold unspent tokens of it.
 bool IsCertainlyExhausted(const gateway& aGateway,
@@ -25,13 +38,17 @@
          record.mEntries.count(aGateway.mHolder.mId) == 1;
 }
 
-// Returns true if, in addition, the other gateways have returned what they do
-// not need.
-bool IsUsedUpForAll(const gateway& aGateway, const workspace_tokens& aTokens,
-                    absl::Time aNow)
+// Returns true if the total is known not to cover a request of aNeeded tokens:
+// the other gateways have stated what they retain, or have returned what they
+// do not need.
+bool IsUsedUpFor(const gateway& aGateway, const workspace_tokens& aTokens,
+                 int aPriority, token_count aNeeded, absl::Time aNow)
 {
-  return IsCertainlyExhausted(aGateway, aTokens) &&
-         HasRecalledAll(aGateway, aTokens, aNow);
+  const std::optional<token_count> left =
+    FindLeft(aGateway, aTokens, aPriority, aNow);
+  return (left && *left < aNeeded) ||
+         (IsCertainlyExhausted(aGateway, aTokens) &&
+          HasRecalledAll(aGateway, aTokens, aNow));
 }
 
 // Time from a response of the store or of a gateway to the tokens that it leads
@@ -103,18 +120,37 @@
                                   : reach.mNextCallAt - aNow;
     refusal.mRetryAfter =
       std::clamp(wait + kAcquisitionTime, kRetryAfter, kMaxFundingRetry);
+  } else {
+    // The next recall brings what the other gateways have not spent by then.
+    refusal.mRetryAfter = std::clamp(FindNextRecallTime(aGateway, aTokens) -
+                                       aNow + kAcquisitionTime,
+                                     kRetryAfter, kMaxFundingRetry);
   }
   return refusal;
 }
 
+// Returns true if the coordinator has just stated that the total does not cover
+// a request of aNeeded tokens.
+bool IsKnownUncovered(const workspace_tokens& aTokens, token_count aNeeded,
+                      absl::Time aNow)
+{
+  return aTokens.mStatedLeft && aNow - aTokens.mStatedLeftAt < kStatementTime &&
+         aNeeded > AddTokens(aTokens.mShare.mFreeTokens, *aTokens.mStatedLeft);
+}
+
 // Reports the result to a waiter that has been removed: fires an event on the
-// request or responds to the other gateway. aIsReserved states whether the
-// tokens are reserved; they are released if the request no longer waits.
+// request or responds to the other gateway. aNeeded: what it has waited for.
+// aIsReserved states whether the tokens are reserved; they are released if the
+// request no longer waits.
 void EndWaiter(gateway& aGateway, workspace_tokens& aTokens,
-               const token_waiter& aWaiter, bool aIsReserved, absl::Time aNow)
+               const token_waiter& aWaiter, token_count aNeeded,
+               bool aIsReserved, absl::Time aNow)
 {
   if (aWaiter.mCall != 0) {
-    const bool isExhausted = IsUsedUpForAll(aGateway, aTokens, aNow);
+    const std::optional<token_count> left =
+      FindLeft(aGateway, aTokens, aWaiter.mPriority, aNow);
+    const bool isExhausted =
+      IsUsedUpFor(aGateway, aTokens, aWaiter.mPriority, aNeeded, aNow);
     token_count amount = aIsReserved ? aWaiter.mAmount : 0;
     if (aIsReserved) {
       AddDemand(aTokens.mTransfers, amount, aNow);
@@ -123,18 +159,20 @@
       if (isListed) {
         SetHolding(aTokens.mHoldings, aWaiter.mPeer, 0);
       }
-      const token_count wanted = LimitAheadOfNeed(aTokens, aWaiter.mExtra);
+      const token_count wanted =
+        LimitAheadOfNeed(aTokens, aWaiter.mExtra, aNow);
       const token_count extra =
         TakeSpareTokens(aGateway, aTokens, wanted, aWaiter.mPriority, aNow);
       if (isListed) {
         AddHolding(aTokens.mHoldings, aWaiter.mPeer, extra);
       }
-      AddUnserved(aTokens, wanted - extra);
+      AddUnserved(aTokens, wanted - extra, aNow);
       amount += extra;
     }
     aGateway.mActions.push_back(send_token_response{
       aWaiter.mCall,
-      { amount, isExhausted, !aIsReserved && IsStoreUnavailable(aGateway) } });
+      { amount, isExhausted, !aIsReserved && IsStoreUnavailable(aGateway),
+        amount == 0 ? left : std::nullopt } });
     return;
   }
   auto request = aGateway.mRequests.find(aWaiter.mHandle);
@@ -154,6 +192,14 @@
   FireRequest(aGateway, aWaiter.mHandle, forward_event::Unfunded, aNow);
 }
 
+bool IsOverdue(const workspace_tokens& aTokens, const token_waiter& aWaiter,
+               absl::Time aNow)
+{
+  const bool isWithheld = aTokens.mShare.mWithheldTokens >= aWaiter.mAmount;
+  return aNow >= aWaiter.mDeadline &&
+         !(isWithheld && aNow < aWaiter.mWithheldDeadline);
+}
+
 // Ends the waiters that aEnds selects. Another gateway receives the available
 // tokens, up to the requested amount.
 template<typename Predicate>
@@ -169,9 +215,16 @@
       tokens.mWaiters.push_back(waiter);
       continue;
     }
+    const token_count needed = waiter.mAmount;
     const bool isTransferred = ReserveRestForPeer(
       tokens, waiter, options, MakeGrantClock(aGateway, aNow));
-    EndWaiter(aGateway, tokens, waiter, isTransferred, aNow);
+    EndWaiter(aGateway, tokens, waiter, needed, isTransferred, aNow);
+    if (isTransferred) {
+      const bool isRecent = aNow < tokens.mPartsOutUntil;
+      tokens.mPartsOut =
+        AddTokens(isRecent ? tokens.mPartsOut : 0, waiter.mAmount);
+      tokens.mPartsOutUntil = aNow + kPartReturnTime;
+    }
   }
 }
 
@@ -228,9 +281,15 @@
 
 token_waiter MakeWaiter(const forwarded_request& aRequest, absl::Time aNow)
 {
-  return { aRequest.mCaller.mHandle, 0, aRequest.mWorstCaseCost,
+  return { aRequest.mCaller.mHandle,
+           0,
+           aRequest.mWorstCaseCost,
            aRequest.mRoutePriority,
-           std::min(aRequest.mDeadline, aNow + kFundingTimeout) };
+           std::min(aRequest.mDeadline, aNow + kFundingTimeout),
+           {},
+           0,
+           std::min(aRequest.mDeadline,
+                    aNow + kFundingTimeout + kWithheldTime) };
 }
 
 bool ReserveForWaiter(workspace_tokens& aTokens, const token_waiter& aWaiter,
@@ -270,9 +329,11 @@
 error MakeWaiterError(const gateway& aGateway, const workspace_tokens& aTokens,
                       const token_waiter& aWaiter, absl::Time aNow)
 {
-  const bool isCertain = aWaiter.mAmount > aTokens.mShare.mFreeTokens &&
-                         (IsUsedUpForAll(aGateway, aTokens, aNow) ||
-                          aNow - aTokens.mExhaustedSince >= kExhaustionTime);
+  const bool isCertain =
+    aWaiter.mAmount > aTokens.mShare.mFreeTokens &&
+    (IsUsedUpFor(aGateway, aTokens, aWaiter.mPriority, aWaiter.mAmount, aNow) ||
+     IsKnownUncovered(aTokens, aWaiter.mAmount, aNow) ||
+     aNow - aTokens.mExhaustedSince >= kExhaustionTime);
   return MakeFundingError(aGateway, aTokens, aWaiter.mAmount, isCertain, aNow);
 }
 
@@ -294,9 +355,9 @@
   for (const token_waiter& waiter : waiters) {
     if (ReserveForWaiter(tokens, waiter, aGateway.mSettings.mGrants,
                          MakeGrantClock(aGateway, aNow))) {
-      EndWaiter(aGateway, tokens, waiter, true, aNow);
-    } else if (aEndAll || aNow >= waiter.mDeadline) {
-      EndWaiter(aGateway, tokens, waiter, false, aNow);
+      EndWaiter(aGateway, tokens, waiter, waiter.mAmount, true, aNow);
+    } else if (aEndAll || IsOverdue(tokens, waiter, aNow)) {
+      EndWaiter(aGateway, tokens, waiter, waiter.mAmount, false, aNow);
     } else {
       tokens.mWaiters.push_back(waiter);
     }
@@ -311,6 +372,18 @@
     [](const token_waiter& aWaiter) { return aWaiter.mCall != 0; }, aNow);
 }
 
+bool IsExhaustedWaiter(const gateway& aGateway, const workspace_tokens& aTokens,
+                       const token_waiter& aWaiter, absl::Time aNow)
+{
+  const std::optional<token_count> left =
+    FindLeft(aGateway, aTokens, aWaiter.mPriority, aNow);
+  const bool isCovered = left && *left >= aWaiter.mAmount;
+  return (left && !isCovered) ||
+         (!(isCovered && aNow < aTokens.mPartsOutUntil) &&
+          IsExhaustedFor(aTokens.mShare, aWaiter.mPriority, aTokens.mPrepaid,
+                         aGateway.mSettings.mGrants));
+}
+
 void EndExhaustedWaiters(gateway& aGateway, const workspace_id& aWorkspace,
                          absl::Time aNow)
 {
@@ -318,8 +391,7 @@
   EndWaiters(
     aGateway, aWorkspace,
     [&](const token_waiter& aWaiter) {
-      return IsExhaustedFor(tokens.mShare, aWaiter.mPriority, tokens.mPrepaid,
-                            aGateway.mSettings.mGrants);
+      return IsExhaustedWaiter(aGateway, tokens, aWaiter, aNow);
     },
     aNow);
 }
--- a/src/core/gateway_waiters.h
+++ b/src/core/gateway_waiters.h
@@ -64,11 +64,16 @@
 void EndPeerWaiters(gateway& aGateway, const workspace_id& aWorkspace,
                     absl::Time aNow);
 
-// Ends the waiters for whose priority the total has no tokens left to grant.
+// Returns true if the total has no tokens left to grant for the waiter, or is
+// known not to cover it.
+bool IsExhaustedWaiter(const gateway& aGateway, const workspace_tokens& aTokens,
+                       const token_waiter& aWaiter, absl::Time aNow);
+
+// Ends the waiters for which IsExhaustedWaiter is true.
 void EndExhaustedWaiters(gateway& aGateway, const workspace_id& aWorkspace,
                          absl::Time aNow);
 
-// Returns true if EndExhaustedWaiters would end a waiter.
+// Returns true if the total has no tokens left to grant for a waiter.
 bool HasExhaustedWaiter(const workspace_tokens& aTokens,
                         const grant_options& aOptions);
 
--- a/src/core/workspace_tokens.h
+++ b/src/core/workspace_tokens.h
@@ -30,6 +30,8 @@
   std::string mPeer = {};
   // Tokens that another gateway requests beyond mAmount, ahead of need.
   token_count mExtra = 0;
+  // Deadline if granted tokens are still withheld at mDeadline.
+  absl::Time mWithheldDeadline = absl::InfinitePast();
 };
 
 // The first parts of a workspace's tokens, which its coordinator sends to the
@@ -56,9 +58,14 @@
   bool mIsUsedUp = false;
   // Peers whose responses are waited for.
   std::set<std::string> mOpenPeers;
+  // Peers that were asked and are not waited for, until they have responded.
+  std::set<std::string> mDoubtfulPeers;
   // False if a peer was not asked or did not respond.
   bool mIsComplete = false;
   token_count mAmount = 0;
+  // Free tokens that the peers retain, and whether each has stated them.
+  token_count mRetained = 0;
+  bool mIsRetainedKnown = true;
 };
 
 // The tokens of one prepaid workspace at this gateway.
@@ -68,6 +75,12 @@
   std::deque<token_waiter> mWaiters;
   // True while a request for tokens to another gateway has no response.
   bool mIsRequesting = false;
+  // Until then this gateway writes grants for its own waiters, because the
+  // coordinator may not respond in time.
+  absl::Time mActsUntil = absl::InfinitePast();
+  // Time before which the coordinator is not asked again: it has just had no
+  // tokens, and this gateway may get some itself.
+  absl::Time mNextRequestAt = absl::InfinitePast();
   // The prepaid total by the current configuration.
   token_count mPrepaid = 0;
   // Peers that could not transfer tokens, with the time until which they get no
@@ -76,6 +89,9 @@
   // Time since which each response of the coordinator has stated that the
   // prepaid total has no tokens left to grant; infinite otherwise.
   absl::Time mExhaustedSince = absl::InfiniteFuture();
+  // What the coordinator has stated to be left of the total, and when.
+  std::optional<token_count> mStatedLeft;
+  absl::Time mStatedLeftAt = absl::InfinitePast();
   // True if this gateway is the coordinator, and until when that is used.
   bool mIsCoordinator = false;
   absl::Time mCoordinatorUntil = absl::InfinitePast();
@@ -102,6 +118,10 @@
   // Gateways that have requested tokens of this one.
   std::set<std::string> mRequesters;
   absl::Time mRequestedSince = absl::InfiniteFuture();
+  // Tokens that were transferred although they do not cover what the other
+  // gateway needs. Until then, it may return them.
+  token_count mPartsOut = 0;
+  absl::Time mPartsOutUntil = absl::InfinitePast();
   first_placement mPlacement;
   token_recall mRecall;
 };
