--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -31,11 +31,13 @@
 constexpr absl::Duration kRequestersTime = absl::Seconds(2);
 // Shortest interval between two recalls of a workspace.
 constexpr absl::Duration kRecallInterval = absl::Seconds(1);
-// Time for which the outcome of a recall counts: two intervals, so that a
+// Number of intervals for which the outcome of a recall counts, so that a
 // coordinator with waiting requests always knows a recent one.
-constexpr absl::Duration kRecallValidity = absl::Seconds(2);
-// Largest number of gateways that one recall asks.
-constexpr std::size_t kMaxRecalledPeers = 128;
+constexpr int kRecallValidity = 2;
+// Largest number of gateways that a recall asks in a second, on average. In
+// larger fleets recalls are less frequent: one that left out some gateways
+// would refuse callers while those hold tokens.
+constexpr int kMaxRecalledPerSecond = 128;
 
 token_count ComputeOwnPart(const gateway& aGateway,
                            const workspace_tokens& aTokens)
@@ -55,6 +57,21 @@
     startPart, std::min(target, ComputeEqualPart(aTokens.mPrepaid, 1)));
 }
 
+// Returns true if all peers were asked and have responded.
+bool IsComplete(const token_recall& aRecall)
+{
+  return aRecall.mIsComplete && aRecall.mOpenPeers.empty() &&
+         aRecall.mDoubtfulPeers.empty();
+}
+
+absl::Duration ComputeRecallInterval(const gateway& aGateway)
+{
+  return std::max(kRecallInterval,
+                  absl::Seconds(1) *
+                    static_cast<double>(aGateway.mPeers.size()) /
+                    kMaxRecalledPerSecond);
+}
+
 // Returns the tokens that can be transferred now without those that this
 // gateway holds for its own callers.
 token_count ComputeSpare(const gateway& aGateway,
@@ -74,12 +91,12 @@
 
 // Returns true if a recall may start now. One of a used-up total brings more
 // than an earlier one did.
-bool IsRecallDue(const workspace_tokens& aTokens, bool aIsUsedUp,
-                 absl::Time aNow)
+bool IsRecallDue(const gateway& aGateway, const workspace_tokens& aTokens,
+                 bool aIsUsedUp, absl::Time aNow)
 {
   const token_recall& recall = aTokens.mRecall;
   return recall.mOpenPeers.empty() &&
-         (aNow - recall.mStartedAt >= kRecallInterval ||
+         (aNow >= FindNextRecallTime(aGateway, aTokens) ||
           (aIsUsedUp && !recall.mIsUsedUp));
 }
 
@@ -268,8 +285,9 @@
 token_count EstimateSoonNeeded(const gateway& aGateway,
                                const workspace_tokens& aTokens, absl::Time aNow)
 {
-  return EstimateMean(aTokens.mDemand, aGateway.mTrafficSince,
-                      kUsedUpRetainedTime, aNow);
+  const token_count mean = EstimateMean(aTokens.mDemand, aGateway.mTrafficSince,
+                                        kUsedUpRetainedTime, aNow);
+  return mean < EstimateRequestSize(aTokens.mDemand) ? 0 : mean;
 }
 
 token_count TakeSpareTokens(gateway& aGateway, workspace_tokens& aTokens,
@@ -288,8 +306,15 @@
 }
 
 token_count LimitAheadOfNeed(const workspace_tokens& aTokens,
-                             token_count aAmount)
+                             token_count aAmount, absl::Time aNow)
 {
+  // What a recall of a used-up total has brought is for requests that wait. In
+  // small parts it would serve nobody.
+  const token_recall& recall = aTokens.mRecall;
+  if (recall.mIsUsedUp && aNow - recall.mStartedAt < kPlacementHorizon &&
+      ComputeRoom(aTokens) == 0) {
+    return 0;
+  }
   const token_count own = std::min(aTokens.mTarget, aTokens.mShare.mFreeTokens);
   // Free tokens above the own target are to be transferred, as are those that
   // are not granted.
@@ -299,11 +324,12 @@
   return std::min(aAmount, ComputeTransferable(aTokens.mHoldings, room, own));
 }
 
-void AddUnserved(workspace_tokens& aTokens, token_count aAmount)
+void AddUnserved(workspace_tokens& aTokens, token_count aAmount,
+                 absl::Time aNow)
 {
   // Several requests within one tick do not raise the bound.
   aTokens.mUnserved = std::min(AddTokens(aTokens.mUnserved, aAmount),
-                               LimitAheadOfNeed(aTokens, kMaxTokenCount));
+                               LimitAheadOfNeed(aTokens, kMaxTokenCount, aNow));
   UpdatePlannedTokens(aTokens);
 }
 
@@ -334,13 +360,13 @@
     aTokens.mRequesters.insert(aEvent.mPeer);
     aTokens.mRequestedSince = std::min(aTokens.mRequestedSince, aNow);
   }
-  const token_count amount = LimitAheadOfNeed(aTokens, aEvent.mAmount);
+  const token_count amount = LimitAheadOfNeed(aTokens, aEvent.mAmount, aNow);
   const token_count taken =
     TakeSpareTokens(aGateway, aTokens, amount, aEvent.mPriority, aNow);
   if (isListed) {
     AddHolding(aTokens.mHoldings, aEvent.mPeer, taken);
   }
-  AddUnserved(aTokens, amount - taken);
+  AddUnserved(aTokens, amount - taken, aNow);
   if (taken < aEvent.mAmount && HasFewRequesters(aTokens, aNow)) {
     RecallTokens(aGateway, aEvent.mWorkspace, false, aNow);
   }
@@ -352,36 +378,25 @@
 std::optional<recall_plan> PlanRecall(const gateway& aGateway,
                                       const workspace_id& aWorkspace,
                                       const workspace_tokens& aTokens,
-                                      bool aIsUsedUp, random_engine& aRandom,
-                                      absl::Time aNow)
+                                      bool aIsUsedUp, absl::Time aNow)
 {
-  if (!IsRecallDue(aTokens, aIsUsedUp, aNow) ||
+  if (!IsRecallDue(aGateway, aTokens, aIsUsedUp, aNow) ||
       !IsCoordinator(aGateway, aWorkspace, aTokens, aNow)) {
     return std::nullopt;
   }
   recall_plan plan;
-  plan.mRecall = { aNow, aIsUsedUp, {}, true, 0 };
-  std::vector<const decltype(aGateway.mPeers)::value_type*> peers;
-  for (const auto& peer : aGateway.mPeers) {
-    if (aNow >= peer.second.mSuspectUntil) {
-      peers.push_back(&peer);
-    } else {
+  plan.mRecall.mStartedAt = aNow;
+  plan.mRecall.mIsUsedUp = aIsUsedUp;
+  plan.mRecall.mIsComplete = true;
+  for (const auto& [name, peer] : aGateway.mPeers) {
+    if (aNow < peer.mSuspectUntil) {
       plan.mRecall.mIsComplete = false;
+      continue;
     }
-  }
-  if (peers.size() > kMaxRecalledPeers) {
-    std::shuffle(peers.begin(), peers.end(), aRandom);
-    peers.resize(kMaxRecalledPeers);
-  }
-  for (const auto* peer : peers) {
     // A doubtful peer is asked, but its response is not waited for.
-    if (peer->second.mIsDoubtful) {
-      plan.mRecall.mIsComplete = false;
-    } else {
-      plan.mRecall.mOpenPeers.insert(peer->first);
-    }
-    plan.mCalls.push_back(
-      { peer->first, peer->second.mPeer.mAddress, aWorkspace, aIsUsedUp });
+    (peer.mIsDoubtful ? plan.mRecall.mDoubtfulPeers : plan.mRecall.mOpenPeers)
+      .insert(name);
+    plan.mCalls.push_back({ name, peer.mPeer.mAddress, aWorkspace, aIsUsedUp });
   }
   return plan;
 }
@@ -405,12 +420,11 @@
                   bool aIsUsedUp, absl::Time aNow)
 {
   workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
-  if (IsRecallDue(tokens, aIsUsedUp, aNow)) {
+  if (IsRecallDue(aGateway, tokens, aIsUsedUp, aNow)) {
     UpdateCoordinator(aGateway, aWorkspace, tokens, aNow);
   }
   return ApplyRecall(aGateway, aWorkspace,
-                     PlanRecall(aGateway, aWorkspace, tokens, aIsUsedUp,
-                                aGateway.mRandom, aNow));
+                     PlanRecall(aGateway, aWorkspace, tokens, aIsUsedUp, aNow));
 }
 
 void RecordRecallResponse(gateway& aGateway,
@@ -422,7 +436,15 @@
   recall.mIsComplete = recall.mIsComplete && aEvent.mResponse;
   const token_count amount = aEvent.mResponse ? aEvent.mResponse->mAmount : 0;
   recall.mAmount += amount;
+  if (aEvent.mResponse && aEvent.mResponse->mLeft) {
+    recall.mRetained = AddTokens(recall.mRetained, *aEvent.mResponse->mLeft);
+  } else {
+    recall.mIsRetainedKnown = false;
+  }
   AddHolding(tokens.mHoldings, aEvent.mPeer, -amount);
+  if (aEvent.mResponse) {
+    recall.mDoubtfulPeers.erase(aEvent.mPeer);
+  }
   if (recall.mOpenPeers.erase(aEvent.mPeer) == 0 ||
       !recall.mOpenPeers.empty()) {
     return;
@@ -430,8 +452,9 @@
   RecordDecision(aGateway, decision::TokensRecalled,
                  { { "workspace", aEvent.mWorkspace.mValue },
                    { "amount", absl::StrCat(recall.mAmount) },
+                   { "retained", absl::StrCat(recall.mRetained) },
                    { "used_up", recall.mIsUsedUp ? "true" : "false" },
-                   { "complete", recall.mIsComplete ? "true" : "false" },
+                   { "complete", IsComplete(recall) ? "true" : "false" },
                    { "after_ms", absl::StrCat(absl::ToInt64Milliseconds(
                                    aNow - recall.mStartedAt)) } });
 }
@@ -441,8 +464,33 @@
 {
   const token_recall& recall = aTokens.mRecall;
   return aGateway.mPeers.empty() ||
-         (recall.mIsUsedUp && recall.mIsComplete && recall.mOpenPeers.empty() &&
-          aNow - recall.mStartedAt < kRecallValidity);
+         (recall.mIsUsedUp && IsComplete(recall) &&
+          aNow - recall.mStartedAt <
+            kRecallValidity * ComputeRecallInterval(aGateway));
+}
+
+absl::Time FindNextRecallTime(const gateway& aGateway,
+                              const workspace_tokens& aTokens)
+{
+  return aTokens.mRecall.mStartedAt + ComputeRecallInterval(aGateway);
+}
+
+std::optional<token_count> FindLeft(const gateway& aGateway,
+                                    const workspace_tokens& aTokens,
+                                    int aPriority, absl::Time aNow)
+{
+  const grant_share& share = aTokens.mShare;
+  if (share.mVersion == 0 || share.mPending || IsFromEarlierEra(share) ||
+      !HasRecalledAll(aGateway, aTokens, aNow) ||
+      !aTokens.mRecall.mIsRetainedKnown) {
+    return std::nullopt;
+  }
+  const token_count own = share.mFreeTokens + share.mWithheldTokens +
+                          ComputeRoomFor(share, aPriority, aTokens.mPrepaid,
+                                         aGateway.mSettings.mGrants);
+  const token_count out = aNow < aTokens.mPartsOutUntil ? aTokens.mPartsOut : 0;
+  return AddTokens(std::max<token_count>(0, own),
+                   AddTokens(aTokens.mRecall.mRetained, out));
 }
 
 void OnTokensRecalled(gateway& aGateway, const tokens_recalled& aEvent,
@@ -450,6 +498,7 @@
 {
   const auto found = aGateway.mWorkspaceTokens.find(aEvent.mWorkspace);
   token_count returned = 0;
+  token_count left = 0;
   if (found != aGateway.mWorkspaceTokens.end()) {
     workspace_tokens& tokens = found->second;
     token_count retained = 0;
@@ -458,15 +507,23 @@
                                   : tokens.mTarget;
     }
     const grant_clock clock = MakeGrantClock(aGateway, aNow);
+    const token_count available = ComputeAvailable(tokens.mShare, clock);
     const token_count surplus =
-      std::min(tokens.mShare.mFreeTokens - retained,
-               ComputeAvailable(tokens.mShare, clock));
+      std::min(tokens.mShare.mFreeTokens - retained, available);
+    if (surplus == available && aEvent.mIsUsedUp) {
+      // The next write of the limit covers what the next recall takes.
+      tokens.mUnserved =
+        std::max(tokens.mUnserved, tokens.mShare.mFreeTokens - retained);
+      UpdatePlannedTokens(tokens);
+    }
     if (surplus > 0 && Reserve(tokens.mShare, surplus, clock)) {
       returned = surplus;
     }
+    left = std::max<token_count>(0, tokens.mShare.mFreeTokens +
+                                      tokens.mShare.mWithheldTokens);
   }
   aGateway.mActions.push_back(
-    send_token_response{ aEvent.mCall, { returned, false, false } });
+    send_token_response{ aEvent.mCall, { returned, false, false, left } });
 }
 
 } // namespace foxtailquay
--- a/src/core/gateway_placement.h
+++ b/src/core/gateway_placement.h
@@ -47,7 +47,8 @@
                             const workspace_tokens& aTokens, absl::Time aNow);
 
 // Returns the number of tokens that this gateway retains when the total has no
-// tokens left to grant.
+// tokens left to grant: 0 if they would hardly serve a request. All gateways
+// together would then keep many tokens that serve nobody.
 token_count EstimateSoonNeeded(const gateway& aGateway,
                                const workspace_tokens& aTokens,
                                absl::Time aNow);
@@ -61,11 +62,12 @@
 // Returns how many of aAmount tokens may be transferred ahead of need, so that
 // not too many of the total are held.
 token_count LimitAheadOfNeed(const workspace_tokens& aTokens,
-                             token_count aAmount);
+                             token_count aAmount, absl::Time aNow);
 
 // Adds tokens that could not be transferred ahead of need to those that the
 // next grant is to cover.
-void AddUnserved(workspace_tokens& aTokens, token_count aAmount);
+void AddUnserved(workspace_tokens& aTokens, token_count aAmount,
+                 absl::Time aNow);
 
 // Forgets what a gateway holds that is not listed any more.
 void ForgetPeerTokens(gateway& aGateway, const std::string& aPeer);
@@ -88,8 +90,7 @@
 std::optional<recall_plan> PlanRecall(const gateway& aGateway,
                                       const workspace_id& aWorkspace,
                                       const workspace_tokens& aTokens,
-                                      bool aIsUsedUp, random_engine& aRandom,
-                                      absl::Time aNow);
+                                      bool aIsUsedUp, absl::Time aNow);
 // Starts the recall, if one is planned. Returns true while responses are open.
 bool ApplyRecall(gateway& aGateway, const workspace_id& aWorkspace,
                  std::optional<recall_plan> aPlan);
@@ -106,8 +107,7 @@
 // Decides how the tokens that the waiters lack are acquired (gateway_fund.cc).
 acquisition PlanAcquisition(const gateway& aGateway,
                             const workspace_id& aWorkspace,
-                            const workspace_tokens& aTokens,
-                            random_engine& aRandom, absl::Time aNow);
+                            const workspace_tokens& aTokens, absl::Time aNow);
 
 // Asks the other gateways for tokens that they do not need if this gateway is
 // the coordinator, at most once a second. aIsUsedUp: the total has no tokens
@@ -120,6 +120,17 @@
                           const token_response_received& aEvent,
                           absl::Time aNow);
 
+// Returns the time from which on RecallTokens asks the other gateways again.
+absl::Time FindNextRecallTime(const gateway& aGateway,
+                              const workspace_tokens& aTokens);
+
+// Returns the tokens that are not granted, for a request of aPriority, or free
+// at this gateway or at others; absent if this is not known, as while a gateway
+// does not respond.
+std::optional<token_count> FindLeft(const gateway& aGateway,
+                                    const workspace_tokens& aTokens,
+                                    int aPriority, absl::Time aNow);
+
 // Returns true if all other gateways have just returned what they do not need
 // soon.
 bool HasRecalledAll(const gateway& aGateway, const workspace_tokens& aTokens,
