Remove a check of limits that another one implies

Cause: a limit that blocks waiting requests was checked once more after the check of a near limit lost its condition on unspent tokens; the second check is true whenever the first one is. Change: IsBlockedByLimit is gone.

--- a/src/core/grant.cc
+++ b/src/core/grant.cc
@@ -208,15 +208,6 @@
          (left < aMargin / 4 || left < aShare.mNeeded + aShare.mPlanned);
 }
 
-// Returns true if the limit keeps free tokens from those who need them.
-bool IsBlockedByLimit(const grant_share& aShare)
-{
-  const token_count needed = AddTokens(aShare.mNeeded, aShare.mPlanned);
-  return aShare.mEntry.mLimit < aShare.mEntry.mGranted &&
-         aShare.mEntry.mLimit - aShare.mUsedTokens <
-           std::min(aShare.mFreeTokens, needed);
-}
-
 // Returns the number of tokens to request before the demand is known.
 token_count ComputeInitialGrant(token_count aPrepaid,
                                 const grant_options& aOptions)
@@ -469,7 +460,7 @@
   }
   const bool isLimitDue =
     (aIsPeriodic && IsProtective(aShare, limit, aShare.mEntry.mGranted)) ||
-    IsLimitNear(aShare, limit.mMargin) || IsBlockedByLimit(aShare);
+    IsLimitNear(aShare, limit.mMargin);
   if (isLimitDue || HasEarlierEntries(aShare, aHolder)) {
     return PlanWrite(aShare, aHolder, 0, limit, aClock);
   }
