Count the demand of workspaces without a pass over all of them

Cause: since demand is counted while servers have room too, each request brought the values of all workspaces up to date, so that its cost grew with them. Change: a request adds to one value; the decay is applied to all once in 20 s, and workspaces are compared only while a service is limited or has a queue.

--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -191,7 +191,7 @@
   absl::Time mFirstFullAt = absl::InfinitePast();
   // True if they are of several servers.
   bool mIsFullAtSeveral = false;
-  // Work that each workspace has asked for, with exponential decay since
+  // Work that each workspace has asked for, with exponential decay, relative to
   // mDemandAt.
   std::map<workspace_id, double> mDemand;
   absl::Time mDemandAt = absl::InfinitePast();
--- a/src/core/gateway_admission.cc
+++ b/src/core/gateway_admission.cc
@@ -72,6 +72,10 @@
 constexpr double kHeavyFactor = 2;
 // Part of a request below which the demand of a workspace is forgotten.
 constexpr double kMinDemand = 0.01;
+// Interval at which the decay of the demand is applied to the stored values. In
+// between, they are relative to its start and new ones are scaled up: by 55 at
+// most in four times kDemandWindow.
+constexpr absl::Duration kDemandRescaleTime = absl::Seconds(20);
 // Number of consecutive responses of full servers, of at least two of them,
 // after which all count as full. Gateways with few callers hear of each server
 // too seldom for their stated loads to be recent at the same time: with 100
@@ -224,6 +228,13 @@
   return kMaxWaitFraction;
 }
 
+// Returns the factor by which a new value of the demand is scaled up.
+double ComputeDemandScale(const service_pace& aPace, absl::Time aNow)
+{
+  return std::exp(absl::FDivDuration(
+    std::max(absl::ZeroDuration(), aNow - aPace.mDemandAt), kDemandWindow));
+}
+
 // Returns the work that the request asks for.
 token_count EstimateWork(const forwarded_request& aRequest)
 {
@@ -232,33 +243,48 @@
            : 1;
 }
 
-// Records the work that a request of the workspace asks for.
-demand_rank RecordDemand(service_pace& aPace, const workspace_id& aWorkspace,
-                         double aWork, absl::Time aNow)
+// Adds the work that a request of the workspace asks for, and returns what the
+// workspace has asked for before. Most requests only add to one value: the
+// values of all are brought up to date once in kDemandRescaleTime.
+double RecordDemand(service_pace& aPace, const workspace_id& aWorkspace,
+                    double aWork, absl::Time aNow)
 {
-  const double decay = std::exp(-absl::FDivDuration(
-    std::max(absl::ZeroDuration(), aNow - aPace.mDemandAt), kDemandWindow));
-  aPace.mDemandAt = aNow;
-  double sum = aWork;
-  for (auto it = aPace.mDemand.begin(); it != aPace.mDemand.end();) {
-    it->second *= decay;
-    sum += it->second;
-    it =
-      it->second < kMinDemand * aWork ? aPace.mDemand.erase(it) : std::next(it);
+  if (aNow - aPace.mDemandAt >= kDemandRescaleTime) {
+    const double decay = 1 / ComputeDemandScale(aPace, aNow);
+    for (auto it = aPace.mDemand.begin(); it != aPace.mDemand.end();) {
+      it->second *= decay;
+      it = it->second < kMinDemand * aWork ? aPace.mDemand.erase(it)
+                                           : std::next(it);
+    }
+    aPace.mDemandAt = aNow;
   }
-  // Without this request: a workspace with few would count as heavy with each.
-  const double before = aPace.mDemand[aWorkspace];
-  aPace.mDemand[aWorkspace] += aWork;
-  const double mean =
-    sum / static_cast<double>(std::max<std::size_t>(1, aPace.mDemand.size()));
-  const double heavy = kHeavyFactor * mean;
-  if (before > heavy) {
+  double& demand = aPace.mDemand[aWorkspace];
+  const double before = demand;
+  demand += aWork * ComputeDemandScale(aPace, aNow);
+  return before;
+}
+
+// Compares the demand of the workspace before its request, aBefore, with that
+// of all. Without the request: a workspace with few would count as heavy with
+// each.
+demand_rank RankDemand(const service_pace& aPace, double aBefore, double aWork,
+                       absl::Time aNow)
+{
+  const double least = kMinDemand * aWork * ComputeDemandScale(aPace, aNow);
+  double sum = 0;
+  double largest = 0;
+  int workspaces = 0;
+  for (const auto& entry : aPace.mDemand) {
+    const bool counts = entry.second >= least;
+    sum += counts ? entry.second : 0;
+    workspaces += counts ? 1 : 0;
+    largest = std::max(largest, entry.second);
+  }
+  const double heavy = kHeavyFactor * sum / std::max(1, workspaces);
+  if (aBefore > heavy) {
     return demand_rank::Heavy;
   }
-  const bool hasHeavy =
-    std::any_of(aPace.mDemand.begin(), aPace.mDemand.end(),
-                [heavy](const auto& aEach) { return aEach.second > heavy; });
-  return hasHeavy ? demand_rank::Favoured : demand_rank::Usual;
+  return largest > heavy ? demand_rank::Favoured : demand_rank::Usual;
 }
 
 // Records that all servers are full. aLoad: load of one of them as a multiple
@@ -412,9 +438,8 @@
     return decision;
   }
   // Also while there is room, so that it is known once there is none.
-  decision.mRank =
-    RecordDemand(aPace, aRequest.mWorkspace,
-                 static_cast<double>(EstimateWork(aRequest)), aNow);
+  const auto work = static_cast<double>(EstimateWork(aRequest));
+  const double before = RecordDemand(aPace, aRequest.mWorkspace, work, aNow);
   if (!HasRoom(aGateway, *aChosen, aRouting, aNow) &&
       !HasRoomAtAny(aGateway, aQuery, aRouting, aNow)) {
     const double stated = static_cast<double>(aChosen->mReport.mRunning +
@@ -422,9 +447,13 @@
                           aChosen->mConfig.mMaxConcurrency;
     RecordFull(aPace, std::max<double>(kRoomFactor, stated), 1, aNow);
   }
+  const bool hasQueue = HasQueue(aGateway, aRequest.mService.mValue);
+  const bool isLimited = IsLimited(aPace, aNow);
+  if (hasQueue || isLimited) {
+    decision.mRank = RankDemand(aPace, before, work, aNow);
+  }
   decision.mMustWait =
-    HasQueue(aGateway, aRequest.mService.mValue) ||
-    (IsLimited(aPace, aNow) && !HasWindow(aPace, decision.mRank, aNow));
+    hasQueue || (isLimited && !HasWindow(aPace, decision.mRank, aNow));
   return decision;
 }
 
