Correct what is known of other gateways after a failed part and a read

Cause: a first part that was not sent counted as held by the other gateway for good. A complete read of the peers, as after dropped history, made all gateways unknown, so that each wrote grants of its own again. Names of gateways that are gone stayed in two sets. Change: return_tokens names the other gateway, and tokens that were not sent are deducted from what it holds. An unchanged entry keeps a gateway known to be alive. What is kept by name ends with the entry in the list. grant_acting in the log states when a gateway writes grants beside the coordinator. The time between recalls has a unit.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -196,6 +196,8 @@
 // or a first part.
 struct return_tokens
 {
+  // Name of the other gateway.
+  std::string mPeer;
   std::string mAddress;
   workspace_id mWorkspace;
   token_count mAmount = 0;
@@ -275,6 +277,7 @@
   GrantChanged,
   TokensPlaced,
   TokensRecalled,
+  GrantActing,
   StoreLost,
   StoreRegained,
   StoreEraChanged,
@@ -304,6 +307,7 @@
       { d::GrantChanged, "grant_changed" },
       { d::TokensPlaced, "tokens_placed" },
       { d::TokensRecalled, "tokens_recalled" },
+      { d::GrantActing, "grant_acting" },
       { d::StoreLost, "store_lost" },
       { d::StoreRegained, "store_regained" },
       { d::StoreEraChanged, "store_era_changed" },
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -455,12 +455,14 @@
   bool mIsUsedUp = false;
 };
 
-// Another gateway returns tokens to this one.
+// Another gateway returns tokens to this one, or those of return_tokens were
+// not sent.
 struct tokens_returned
 {
   workspace_id mWorkspace;
   token_count mAmount = 0;
-  // Name of the other gateway; empty if it does not state one.
+  // Name of the other gateway, which does not hold them; empty if it does not
+  // state one.
   std::string mPeer;
 };
 
--- a/src/core/gateway_acquisition.cc
+++ b/src/core/gateway_acquisition.cc
@@ -129,7 +129,8 @@
     // After a restart of all gateways, the list names many that have not
     // started again, and a call to one of them takes longer than a request may
     // wait.
-    tokens.mActsUntil = aNow + kFundingTimeout;
+    StartActing(aGateway, aWorkspace, coordinator.mPeer, "not_known_alive",
+                aNow);
   }
   if (IsActing(tokens, aNow)) {
     WriteGrants(aGateway, aNow);
--- a/src/core/gateway_acquisition.h
+++ b/src/core/gateway_acquisition.h
@@ -5,6 +5,9 @@
 #ifndef FOXTAILQUAY_CORE_GATEWAY_ACQUISITION_H
 #define FOXTAILQUAY_CORE_GATEWAY_ACQUISITION_H
 
+#include <string>
+#include <string_view>
+
 #include "gateway_coordinator.h"
 #include "gateway_placement.h"
 #include "gateway_state.h"
@@ -39,6 +42,12 @@
 void RecallIfUsedUp(gateway& aGateway, const workspace_id& aWorkspace,
                     absl::Time aNow);
 
+// Has this gateway write grants for its own waiters, in place of aCoordinator,
+// for as long as a request waits. aCause: for the log.
+void StartActing(gateway& aGateway, const workspace_id& aWorkspace,
+                 const std::string& aCoordinator, std::string_view aCause,
+                 absl::Time aNow);
+
 // Returns true if this gateway writes grants for its own waiters in place of
 // the coordinator.
 bool IsActing(const workspace_tokens& aTokens, absl::Time aNow);
--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -181,9 +181,16 @@
     return;
   }
   if (aChange.mEntry) {
-    aGateway.mPeers[aChange.mName] = { *aChange.mEntry, aChange.mRevision,
-                                       absl::InfinitePast(), false,
-                                       !aIsComplete };
+    // A complete read also names processes that have ended. An entry that has
+    // not changed since its process was known to be alive is of the same one.
+    const bool isSameProcess = peer != aGateway.mPeers.end() &&
+                               peer->second.mIsKnownAlive &&
+                               aChange.mRevision == peer->second.mRevision;
+    peer_listing listing;
+    listing.mPeer = *aChange.mEntry;
+    listing.mRevision = aChange.mRevision;
+    listing.mIsKnownAlive = !aIsComplete || isSameProcess;
+    aGateway.mPeers[aChange.mName] = listing;
   } else if (peer != aGateway.mPeers.end()) {
     const watched_area& area = GetArea(aGateway, directory_area::Peers);
     if (MayHaveExpired(area, kPeerGracePeriod, aNow)) {
--- a/src/core/gateway_fund.cc
+++ b/src/core/gateway_fund.cc
@@ -65,8 +65,9 @@
       !Reserve(tokens.mShare, surplus, clock)) {
     return;
   }
-  aGateway.mActions.push_back(return_tokens{
-    coordinator.mAddress, aWorkspace, surplus, aGateway.mSettings.mName });
+  aGateway.mActions.push_back(
+    return_tokens{ coordinator.mPeer, coordinator.mAddress, aWorkspace, surplus,
+                   aGateway.mSettings.mName });
 }
 
 // Applies the outcome of a grant write to the tokens of one workspace. Returns
@@ -114,6 +115,20 @@
 
 } // namespace
 
+void StartActing(gateway& aGateway, const workspace_id& aWorkspace,
+                 const std::string& aCoordinator, std::string_view aCause,
+                 absl::Time aNow)
+{
+  workspace_tokens& tokens = aGateway.mWorkspaceTokens[aWorkspace];
+  if (aNow >= tokens.mActsUntil) {
+    RecordDecision(aGateway, decision::GrantActing,
+                   { { "workspace", aWorkspace.mValue },
+                     { "coordinator", aCoordinator },
+                     { "cause", std::string(aCause) } });
+  }
+  tokens.mActsUntil = aNow + kFundingTimeout;
+}
+
 bool IsActing(const workspace_tokens& aTokens, absl::Time aNow)
 {
   return aNow < aTokens.mActsUntil && !aTokens.mWaiters.empty();
@@ -360,7 +375,7 @@
   if (isRefused && !aEvent.mResponse->mExhausted &&
       MayHaveRoom(aGateway, tokens)) {
     // A coordinator that has just started may have no tokens yet.
-    tokens.mActsUntil = aNow + kFundingTimeout;
+    StartActing(aGateway, aEvent.mWorkspace, aEvent.mPeer, "no_tokens", aNow);
     tokens.mNextRequestAt = tokens.mActsUntil;
     isRefused = false;
   }
--- a/src/core/gateway_placement.cc
+++ b/src/core/gateway_placement.cc
@@ -34,10 +34,10 @@
 // Number of intervals for which the outcome of a recall counts, so that a
 // coordinator with waiting requests always knows a recent one.
 constexpr int kRecallValidity = 2;
-// Largest number of gateways that a recall asks in a second, on average. In
-// larger fleets recalls are less frequent: one that left out some gateways
-// would refuse callers while those hold tokens.
-constexpr int kMaxRecalledPerSecond = 128;
+// Shortest interval between two recalls of a workspace for each gateway that is
+// asked: 128 calls a second. In larger fleets recalls are less frequent: one
+// that left out some gateways would refuse callers while those hold tokens.
+constexpr absl::Duration kRecallTimePerPeer = absl::Microseconds(7800);
 
 token_count ComputeOwnPart(const gateway& aGateway,
                            const workspace_tokens& aTokens)
@@ -66,10 +66,8 @@
 
 absl::Duration ComputeRecallInterval(const gateway& aGateway)
 {
-  return std::max(kRecallInterval,
-                  absl::Seconds(1) *
-                    static_cast<double>(aGateway.mPeers.size()) /
-                    kMaxRecalledPerSecond);
+  return std::max(kRecallInterval, static_cast<double>(aGateway.mPeers.size()) *
+                                     kRecallTimePerPeer);
 }
 
 // Returns the tokens that can be transferred now without those that this
@@ -235,9 +233,9 @@
       continue;
     }
     --aGateway.mMessagesLeft;
-    aGateway.mActions.push_back(return_tokens{ peer->second.mPeer.mAddress,
-                                               aWorkspace, placement.mPart,
-                                               aGateway.mSettings.mName });
+    aGateway.mActions.push_back(
+      return_tokens{ peer->first, peer->second.mPeer.mAddress, aWorkspace,
+                     placement.mPart, aGateway.mSettings.mName });
   }
   UpdatePlannedTokens(tokens);
   if (placement.mTargets.empty()) {
@@ -347,7 +345,10 @@
 void ForgetPeerTokens(gateway& aGateway, const std::string& aPeer)
 {
   for (auto& entry : aGateway.mWorkspaceTokens) {
-    RemoveHolding(entry.second.mHoldings, aPeer);
+    workspace_tokens& tokens = entry.second;
+    RemoveHolding(tokens.mHoldings, aPeer);
+    tokens.mRequesters.erase(aPeer);
+    tokens.mAvoidUntil.erase(aPeer);
   }
 }
 
@@ -441,7 +442,9 @@
   } else {
     recall.mIsRetainedKnown = false;
   }
-  AddHolding(tokens.mHoldings, aEvent.mPeer, -amount);
+  if (aGateway.mPeers.count(aEvent.mPeer) > 0) {
+    AddHolding(tokens.mHoldings, aEvent.mPeer, -amount);
+  }
   if (aEvent.mResponse) {
     recall.mDoubtfulPeers.erase(aEvent.mPeer);
   }
--- a/src/core/gateway_placement.h
+++ b/src/core/gateway_placement.h
@@ -69,7 +69,8 @@
 void AddUnserved(workspace_tokens& aTokens, token_count aAmount,
                  absl::Time aNow);
 
-// Forgets what a gateway holds that is not listed any more.
+// Forgets a gateway that is not listed any more. Called for each, so that what
+// is kept by name does not grow with the gateways that have been.
 void ForgetPeerTokens(gateway& aGateway, const std::string& aPeer);
 
 // Records that a refill has ended. aIsComplete: it brought what was requested.
--- a/src/daemon/gateway_actions.cc
+++ b/src/daemon/gateway_actions.cc
@@ -83,8 +83,8 @@
       if (aResponse.mNotSent) {
         // The peer cannot have received the tokens, so they stay in this
         // gateway's grant. After any other failure the peer may have them.
-        PostEvent(aHost,
-                  tokens_returned{ aAction.mWorkspace, aAction.mAmount, {} });
+        PostEvent(aHost, tokens_returned{ aAction.mWorkspace, aAction.mAmount,
+                                          aAction.mPeer });
         return;
       }
       if (aResponse.mStatus != 200) {
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -808,7 +808,7 @@
   BOOST_REQUIRE(IsOk(recalled));
   BOOST_TEST(std::get<tokens_recalled>(GetValue(recalled)).mIsUsedUp);
   const auto returned = DecodeGatewayCall(
-    EncodeReturnTokens({ "a", workspace_id{ "w" }, 43, "p" }));
+    EncodeReturnTokens({ "q", "a", workspace_id{ "w" }, 43, "p" }));
   BOOST_REQUIRE(IsOk(returned));
   BOOST_TEST(std::get<tokens_returned>(GetValue(returned)).mAmount == 43);
   const auto response = DecodeTokenResponse(EncodeTokenResponse({ 44, true }));
--- a/tests/gateway_model_test.cc
+++ b/tests/gateway_model_test.cc
@@ -6,8 +6,10 @@
 #define BOOST_TEST_MODULE gateway_model
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <limits>
 
+#include "core/gateway_state.h"
 #include "gateway_fixture.h"
 
 namespace foxtailquay {
@@ -556,6 +558,62 @@
   BOOST_TEST(parts[0].mAmount == kPrepaid * 33 / 100 / 2);
 }
 
+// A part that was not sent counted as held by the other gateway for good, and
+// less was transferred ahead of need.
+BOOST_AUTO_TEST_CASE(a_part_that_was_not_sent_is_not_held_by_the_other_gateway)
+{
+  gateway_fixture fixture = MakeCoordinator();
+  store_version version = 40;
+  const auto parts =
+    RunWithStore<return_tokens>(fixture, absl::Seconds(10), version);
+  BOOST_REQUIRE(parts.size() == 1U);
+  const peer_holdings& holdings =
+    fixture.mNode->mWorkspaceTokens.at(workspace_id{ "w" }).mHoldings;
+  BOOST_TEST(holdings.mTokens == parts[0].mAmount);
+  FireEvent(fixture, tokens_returned{ parts[0].mWorkspace, parts[0].mAmount,
+                                      parts[0].mPeer });
+  BOOST_TEST(holdings.mTokens == 0);
+  // What is kept by name ends with the entry in the list.
+  auto gone = MakeDirectoryResponse(directory_area::Peers, 60, false);
+  gone.mPeers = { { parts[0].mPeer, 60, std::nullopt } };
+  FireEvent(fixture, gone);
+  BOOST_TEST(holdings.mPeers.empty());
+}
+
+// Returns true if a gateway acts for the coordinator when a request arrives
+// after a complete read of the peers, in which their entries have aRevision
+// instead of 20.
+bool ActsAfterRead(store_version aRevision)
+{
+  gateway_fixture fixture = MakeReadyGateway();
+  auto listed = MakeDirectoryResponse(directory_area::Peers, 20, false);
+  std::vector<directory_change<gateway_peer>> read;
+  for (int i = 0; i < 8; ++i) {
+    const std::string name = "peer-" + std::to_string(i);
+    listed.mPeers.push_back({ name, 20, gateway_peer{ "10.0.1.1:1" } });
+    read.push_back({ name, aRevision, gateway_peer{ "10.0.1.1:1" } });
+  }
+  FireEvent(fixture, listed);
+  // The watch rests after a change.
+  AdvanceTime(fixture, absl::Seconds(1));
+  DeliverPeers(fixture, 21, read);
+  fixture.mActions.clear();
+  FireEvent(fixture, MakeChatRequest(fixture, 100, 10));
+  const auto decisions = TakeActions<decision_record>(fixture);
+  return std::any_of(decisions.begin(), decisions.end(),
+                     [](const decision_record& aEach) {
+                       return aEach.mDecision == decision::GrantActing;
+                     });
+}
+
+// After each complete read, as when the store had dropped its history, all
+// gateways wrote grants of their own beside the coordinator.
+BOOST_AUTO_TEST_CASE(a_complete_read_does_not_make_known_gateways_unknown)
+{
+  BOOST_TEST(!ActsAfterRead(20));
+  BOOST_TEST(ActsAfterRead(21));
+}
+
 // A process that starts with a known record must not hand out a third of the
 // rest again, however often it starts.
 BOOST_AUTO_TEST_CASE(no_first_parts_are_sent_of_a_known_total)
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -269,7 +269,9 @@
     DeliverAfter(aSim, kPeerLatency, *peer, returned);
   } else if (FindGateway(aSim, aAction.mAddress)) {
     // No connection: the message was not sent.
-    DeliverAfter(aSim, kPeerTimeout / 2, aIndex, returned);
+    DeliverAfter(
+      aSim, kPeerTimeout / 2, aIndex,
+      tokens_returned{ aAction.mWorkspace, aAction.mAmount, aAction.mPeer });
   }
 }
 
