Log the fingerprint of each request and the probes of broken servers

The log could not tell why a request that crashes its servers is passed on: a server that was never examined leaves no line, as one that had not crashed, and a request that comes again word for word has a new id each time. Each request has a fingerprint now, and each probe a line. No decision depends on them.

--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -45,6 +45,9 @@
   std::optional<token_count> mLengthHint = std::nullopt;
   // Prefixes of the prompt, the one with the most requests in common first.
   std::vector<prompt_part> mPromptParts;
+  // Hash of method, host, target and body, the same for all gateways; absent if
+  // it is not known.
+  std::optional<std::uint64_t> mContentHash = std::nullopt;
 };
 
 // Outcome of one attempt.
--- a/src/core/gateway_choice.cc
+++ b/src/core/gateway_choice.cc
@@ -33,6 +33,18 @@
   return aRoute.mServices.empty() ? service_id{} : aRoute.mServices[0].mService;
 }
 
+// Returns the fingerprint of the request. It does not depend on the API key, of
+// which a workspace may have several.
+std::optional<std::uint64_t> ComputeFingerprint(
+  const forwarded_request& aRequest)
+{
+  const std::optional<std::uint64_t>& content = aRequest.mCaller.mContentHash;
+  const std::string& workspace = aRequest.mWorkspace.mValue;
+  return content ? std::optional<std::uint64_t>(XXH3_64bits_withSeed(
+                     workspace.data(), workspace.size(), *content))
+                 : std::nullopt;
+}
+
 // Sets the fields of the request that depend on its service.
 void ApplyServiceSettings(const gateway& aGateway, forwarded_request& aRequest)
 {
@@ -87,6 +99,7 @@
     aRequest.mPriority = std::clamp(payer->mPriority.value_or(route->mPriority),
                                     0, kRequestPriorities - 1);
   }
+  aRequest.mFingerprint = ComputeFingerprint(aRequest);
   aRequest.mService = ChooseService(caller, *route);
   ApplyServiceSettings(aGateway, aRequest);
   if (aRequest.mIsPrepaid && aRequest.mWorstCaseCost > *payer->mPrepaid) {
--- a/src/core/gateway_log.cc
+++ b/src/core/gateway_log.cc
@@ -7,6 +7,11 @@
 
 namespace {
 
+std::string ToLogText(const std::optional<std::uint64_t>& aFingerprint)
+{
+  return aFingerprint ? absl::StrCat(absl::Hex(*aFingerprint)) : std::string();
+}
+
 // Returns the shared parts of the prompt for the log.
 std::string ToLogText(const std::vector<std::uint64_t>& aParts)
 {
@@ -67,6 +72,7 @@
           : absl::StrCat(absl::ToInt64Milliseconds(aNow - aView.mReportedAt)) },
       { "reserved", absl::StrCat(aRequest.mReserved) },
       { "parts", ToLogText(ListSharedParts(aRequest.mCaller.mPromptParts)) },
+      { "fingerprint", ToLogText(aRequest.mFingerprint) },
       { "version", absl::StrCat(aGateway.mTable->mConfig.mVersion) } });
 }
 
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -151,6 +151,11 @@
   }
   const suspect_parts suspects = std::move(probe->second);
   aGateway.mProbes.erase(probe);
+  RecordDecision(aGateway, decision::ServerProbed,
+                 { { "backend", aEvent.mBackend.mValue },
+                   { "born", absl::StrCat(aEvent.mStartedMs) },
+                   { "crashed", aEvent.mIsRefused ? "yes" : "no" },
+                   { "suspects", absl::StrCat(suspects.size()) } });
   if (!aEvent.mIsRefused) {
     return;
   }
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -99,6 +99,9 @@
   forward_status mStatus = forward_status::Received;
   traffic_route mRoute;
   workspace_id mWorkspace;
+  // Identifies what is requested and the workspace, so that repeats by the
+  // caller have the same; absent if the content is not known.
+  std::optional<std::uint64_t> mFingerprint;
   bool mIsPrepaid = false;
   // Priority at the engines: that of the workspace if it has one, otherwise
   // that of the route. 0 is the highest.
--- a/src/traffic/traffic.cc
+++ b/src/traffic/traffic.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "runtime/clock.h"
+#include "xxhash.h"
 
 namespace foxtailquay {
 
@@ -81,6 +82,19 @@
                           "the request is malformed");
 }
 
+// Returns the hash of what is requested. It does not depend on the framing of
+// the body.
+std::uint64_t HashContent(const message_head& aHead, const std::string& aHost,
+                          const std::string& aBody)
+{
+  std::uint64_t hash = 0;
+  for (const std::string* part :
+       { &aHead.mMethod, &aHost, &aHead.mTarget, &aBody }) {
+    hash = XXH3_64bits_withSeed(part->data(), part->size(), hash);
+  }
+  return hash;
+}
+
 // Starts the exchange of a complete request and posts the request to the
 // control thread.
 void StartExchange(traffic& aTraffic, caller_connection& aCaller)
@@ -98,6 +112,8 @@
   started->mBody = std::move(aCaller.mReader.mBody);
   started->mAttemptId = request.mAttemptId;
   started->mArrivedAt = MonotonicNow();
+  request.mContentHash =
+    HashContent(started->mRequest, request.mHost, started->mBody);
   aCaller.mHandle = started->mHandle;
   aCaller.mCloseAfterResponse = !aCaller.mReader.mKeepAlive;
   request.mHandle = started->mHandle;
