Reproduce requests that crash each server, with real processes

The stand-in server can be run as a process, and a request can name the moment at which it crashes it.

--- a/standins/child_process.cc
+++ b/standins/child_process.cc
@@ -103,6 +103,15 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
+bool HasEnded(child_process& aChild)
+{
+  if (aChild.mPid > 0 &&
+      waitpid(aChild.mPid, nullptr, WNOHANG) == aChild.mPid) {
+    aChild.mPid = -1;
+  }
+  return aChild.mPid <= 0;
+}
+
 void Kill(child_process& aChild)
 {
   if (aChild.mPid > 0) {
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -42,6 +42,8 @@
 // ended it. Kills the process and returns -1 if it has not ended after
 // aSeconds.
 int AwaitExit(child_process& aChild, int aSeconds = 60);
+// Returns whether the process has ended, without waiting.
+bool HasEnded(child_process& aChild);
 // Sends SIGKILL and waits until the process has ended.
 void Kill(child_process& aChild);
 
--- a/standins/gateway_fleet.cc
+++ b/standins/gateway_fleet.cc
@@ -148,8 +148,7 @@
 }
 
 caller_outcome CallHttp(const gateway_process& aGateway,
-                        const std::string& aPath, const std::string& aKey,
-                        int aPromptTokens, int aMaxOutput)
+                        const caller_input& aInput)
 {
   httplib::Client client("127.0.0.1", aGateway.mCallerPort);
   client.set_read_timeout(10);
@@ -157,14 +156,18 @@
     { "Host", "shop.example" },
     { "Foxtailquay-Attempt-Id", "t" + std::to_string(gNextAttempt++) },
     { "Foxtailquay-Deadline-Ms", "4000" },
-    { "Authorization", "Bearer " + aKey },
+    { "Authorization", "Bearer " + aInput.mKey },
   };
-  if (aPath.find("/chat/") == 0) {
-    headers.emplace("Foxtailquay-Token-Count", std::to_string(aPromptTokens) +
-                                                 "," +
-                                                 std::to_string(aMaxOutput));
+  if (aInput.mPath.find("/chat/") == 0) {
+    headers.emplace("Foxtailquay-Token-Count",
+                    std::to_string(aInput.mPromptTokens) + "," +
+                      std::to_string(aInput.mMaxOutput));
+  }
+  if (!aInput.mPromptParts.empty()) {
+    headers.emplace("Foxtailquay-Prompt-Prefix", aInput.mPromptParts);
   }
-  const auto response = client.Post(aPath, headers, "body", "text/plain");
+  const auto response =
+    client.Post(aInput.mPath, headers, aInput.mBody, "text/plain");
   if (!response) {
     return {};
   }
@@ -172,6 +175,18 @@
            response->get_header_value("Foxtailquay-Server-Seal") };
 }
 
+caller_outcome CallHttp(const gateway_process& aGateway,
+                        const std::string& aPath, const std::string& aKey,
+                        int aPromptTokens, int aMaxOutput)
+{
+  caller_input input;
+  input.mPath = aPath;
+  input.mKey = aKey;
+  input.mPromptTokens = aPromptTokens;
+  input.mMaxOutput = aMaxOutput;
+  return CallHttp(aGateway, input);
+}
+
 std::int64_t GetExecutedTokens(gateway_fleet& aFleet)
 {
   const std::lock_guard<std::mutex> lock(aFleet.mEngine.mMutex);
--- a/standins/gateway_fleet.h
+++ b/standins/gateway_fleet.h
@@ -75,8 +75,22 @@
   std::string mAuthenticityMark;
 };
 
+// A request of a caller.
+struct caller_input
+{
+  std::string mPath;
+  std::string mKey = "key-1";
+  std::string mBody = "body";
+  int mPromptTokens = 100;
+  int mMaxOutput = 21;
+  // Value of the header with the parts of the prompt; empty for none.
+  std::string mPromptParts;
+};
+
 // Sends a request with a new attempt id. A path that begins with "/chat/" is a
 // model request and has the token counts.
+caller_outcome CallHttp(const gateway_process& aGateway,
+                        const caller_input& aInput);
 caller_outcome CallHttp(const gateway_process& aGateway,
                         const std::string& aPath,
                         const std::string& aKey = "key-1",
--- a/standins/users_platform.cc
+++ b/standins/users_platform.cc
@@ -1,5 +1,7 @@
 #include "users_platform.h"
 
+#include <cstdlib>
+#include <iostream>
 #include <sstream>
 
 #include <openssl/evp.h>
@@ -329,6 +331,31 @@
   }
 }
 
+// Ends the process as a crash does, after aMoment of the response.
+void CrashDuringResponse(crash_moment aMoment, httplib::Response& aResponse)
+{
+  constexpr std::chrono::milliseconds kRunTime{ 30 };
+  const auto crash = [kRunTime] {
+    std::this_thread::sleep_for(kRunTime);
+    std::_Exit(EXIT_FAILURE);
+  };
+  // Tests count these lines in the log of the process.
+  std::cout << ToName(aMoment) << std::endl;
+  if (aMoment == crash_moment::BeforeResponse) {
+    crash();
+  }
+  aResponse.set_chunked_content_provider(
+    "text/event-stream",
+    [aMoment, crash](std::size_t, httplib::DataSink& aSink) {
+      if (aMoment == crash_moment::AfterFirstEvent) {
+        const std::string event = MakeStreamBody(1, 1);
+        aSink.write(event.data(), event.size());
+      }
+      crash();
+      return false;
+    });
+}
+
 void HandleRequest(users_server& aServer, const httplib::Request& aRequest,
                    httplib::Response& aResponse)
 {
@@ -343,6 +370,11 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(aServer.mDelayMs));
   aResponse.set_header("Foxtailquay-Server-Seal", "seal-" + attempt);
   aResponse.set_header("Foxtailquay-Server-Load", "1,0,8");
+  if (const auto moment = FromName<crash_moment>(aRequest.body);
+      moment && aServer.mCanCrash) {
+    CrashDuringResponse(*moment, aResponse);
+    return;
+  }
   if (aServer.mColdMs >= 0) {
     aResponse.set_header("Foxtailquay-Cold-Ms",
                          std::to_string(aServer.mColdMs));
@@ -455,7 +487,16 @@
   };
   http.Post(".*", handler);
   http.Get(".*", handler);
-  aServer.mPort = http.bind_to_any_port("127.0.0.1");
+  if (aServer.mPort == 0) {
+    aServer.mPort = http.bind_to_any_port("127.0.0.1");
+  } else {
+    // As reserved_port sets it; the library sets another option by default.
+    http.set_socket_options([](socket_t aSocket) {
+      const int yes = 1;
+      setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
+    http.bind_to_port("127.0.0.1", aServer.mPort);
+  }
   aServer.mThread = std::thread([&http] { http.listen_after_bind(); });
   AwaitRunning(aServer.mPort);
 }
@@ -468,15 +509,22 @@
 
 void RegisterServer(users_store& aStore, const users_server& aServer,
                     const std::string& aService, const std::string& aState)
+{
+  RegisterServer(aStore, aServer.mId, aServer.mPort, aService, aState, 1);
+}
+
+void RegisterServer(users_store& aStore, const std::string& aId, int aPort,
+                    const std::string& aService, const std::string& aState,
+                    std::int64_t aStartedMs)
 {
   Json::Value entry;
   entry["service"] = aService;
-  entry["address"] = "127.0.0.1:" + std::to_string(aServer.mPort);
+  entry["address"] = "127.0.0.1:" + std::to_string(aPort);
   entry["zone"] = "z-a";
   entry["slots"] = 8;
   entry["state"] = aState;
-  entry["born"] = 1;
-  PutItem(aStore, "servers/" + aServer.mId, entry);
+  entry["born"] = Json::Int64(aStartedMs);
+  PutItem(aStore, "servers/" + aId, entry);
 }
 
 } // namespace foxtailquay
--- a/standins/users_platform.h
+++ b/standins/users_platform.h
@@ -23,6 +23,7 @@
 #include <thread>
 #include <vector>
 
+#include "foxtailquay/name_table.h"
 #include "httplib.h"
 #include "json/json.h"
 
@@ -111,14 +112,40 @@
   std::atomic<int> mColdMs{ -1 };
   // Number of events in a stream.
   std::atomic<int> mEvents{ 3 };
+  // True if a request whose body is the name of a crash_moment ends the process
+  // of the server.
+  bool mCanCrash = false;
 };
 
+// When a request crashes the server that runs it.
+enum class crash_moment
+{
+  BeforeResponse,
+  AfterHeaderSection,
+  AfterFirstEvent,
+};
+
+constexpr auto NameTable(crash_moment)
+{
+  using m = crash_moment;
+  return MakeNameTable<m>(
+    { { m::BeforeResponse, "crash_before_response" },
+      { m::AfterHeaderSection, "crash_after_header_section" },
+      { m::AfterFirstEvent, "crash_after_first_event" } });
+}
+
+// Listens on mPort, or on any port if it is 0.
 void StartServer(users_server& aServer, const std::string& aId);
 void StopServer(users_server& aServer);
 
 // Registers aServer in the store, as the servers of the platform do.
 void RegisterServer(users_store& aStore, const users_server& aServer,
                     const std::string& aService, const std::string& aState);
+// Registers the server on a port of this machine, which was started at
+// aStartedMs.
+void RegisterServer(users_store& aStore, const std::string& aId, int aPort,
+                    const std::string& aService, const std::string& aState,
+                    std::int64_t aStartedMs);
 
 } // namespace foxtailquay
 
