--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -285,7 +285,7 @@
   GrantRecoveryChanged,
   LoadChanged,
   ServerProbed,
-  PromptPartChanged,
+  CrashSuspectChanged,
   RateLimitChanged,
   ServerColdChanged,
   EvacuationChanged,
@@ -316,7 +316,7 @@
       { d::GrantRecoveryChanged, "grant_recovery_changed" },
       { d::LoadChanged, "load_changed" },
       { d::ServerProbed, "server_probed" },
-      { d::PromptPartChanged, "prompt_part_changed" },
+      { d::CrashSuspectChanged, "crash_suspect_changed" },
       { d::RateLimitChanged, "rate_limit_changed" },
       { d::ServerColdChanged, "server_cold_changed" },
       { d::EvacuationChanged, "evacuation_changed" },
@@ -417,8 +417,8 @@
   std::size_t mRequests = 0;
   std::size_t mBackends = 0;
   std::size_t mPeers = 0;
-  // Parts of prompts for which requests are refused.
-  std::size_t mQuarantinedParts = 0;
+  // Suspects because of which requests are refused.
+  std::size_t mQuarantinedSuspects = 0;
   // Backend servers that state a rate limit.
   std::size_t mRateLimitedBackends = 0;
   // Backend servers that are, or may be, cold.
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -255,7 +257,43 @@
       { crash_evidence::ResponseBegun, "response_begun" } });
 }
 
-// A crash of a backend server under a part of prompts.
+// What requests have in common that may crash the servers that run them.
+enum class suspect_kind
+{
+  // A part of their prompts.
+  PromptPart,
+};
+
+constexpr auto NameTable(suspect_kind)
+{
+  return MakeNameTable<suspect_kind>(
+    { { suspect_kind::PromptPart, "prompt_part" } });
+}
+
+struct suspect_id
+{
+  suspect_kind mKind = suspect_kind::PromptPart;
+  std::uint64_t mHash = 0;
+};
+
+inline bool operator==(const suspect_id& aLeft, const suspect_id& aRight)
+{
+  return aLeft.mKind == aRight.mKind && aLeft.mHash == aRight.mHash;
+}
+
+inline bool operator<(const suspect_id& aLeft, const suspect_id& aRight)
+{
+  return std::tie(aLeft.mKind, aLeft.mHash) <
+         std::tie(aRight.mKind, aRight.mHash);
+}
+
+template<typename H>
+H AbslHashValue(H aState, const suspect_id& aSuspect)
+{
+  return H::combine(std::move(aState), aSuspect.mKind, aSuspect.mHash);
+}
+
+// A crash of a backend server under a suspect.
 struct server_crash
 {
   // Identifies the crashed incarnation of the server.
@@ -269,12 +307,10 @@
          aLeft.mEvidence == aRight.mEvidence;
 }
 
-// Crashes of backend servers under a part of prompts, as reported by one
-// gateway.
+// Crashes of backend servers under a suspect, as reported by one gateway.
 struct crash_report
 {
-  // Hash of the part.
-  std::uint64_t mPart = 0;
+  suspect_id mSuspect;
   std::string mGateway;
   // Empty if the report was removed, or is to be removed.
   std::vector<server_crash> mCrashes;
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/crash_quarantine.cc
@@ -1,4 +1,4 @@
-#include "prompt_quarantine.h"
+#include "crash_quarantine.h"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
 
 // Returns the crashed incarnations that any gateway has reported with this
 // evidence or stronger one.
-std::set<std::string> ListCrashes(const part_record& aRecord,
+std::set<std::string> ListCrashes(const suspect_record& aRecord,
                                   crash_evidence aEvidence)
 {
   std::set<std::string> crashes;
@@ -23,7 +23,7 @@
 }
 
 // Returns true if aAfter has a crash with this evidence that aBefore has not.
-bool HasNewCrash(const part_record& aBefore, const part_record& aAfter,
+bool HasNewCrash(const suspect_record& aBefore, const suspect_record& aAfter,
                  crash_evidence aEvidence)
 {
   const std::set<std::string> before = ListCrashes(aBefore, aEvidence);
@@ -32,16 +32,16 @@
                         after.end());
 }
 
-bool HasEnoughStrongEvidence(const part_record& aRecord)
+bool HasEnoughStrongEvidence(const suspect_record& aRecord)
 {
   return ListCrashes(aRecord, crash_evidence::ResponseBegun).size() >=
          kQuarantineCrashes;
 }
 
-bool EvaluateGuard(part_guard aGuard, const part_record& aRecord)
+bool EvaluateGuard(suspect_guard aGuard, const suspect_record& aRecord)
 {
   switch (aGuard) {
-    case part_guard::CrashesReached:
+    case suspect_guard::CrashesReached:
       return HasEnoughStrongEvidence(aRecord) ||
              ListCrashes(aRecord, crash_evidence::NoResponse).size() >=
                kQuarantineAnyCrashes;
@@ -51,53 +51,53 @@
 
 // Fires aEvent in the chart of a part. Erases its record if it is trusted then.
 // Precondition: the record exists.
-void FirePart(prompt_quarantine& aQuarantine, std::uint64_t aPart,
-              part_event aEvent, absl::Time aNow)
+void FireSuspect(crash_quarantine& aQuarantine, const suspect_id& aSuspect,
+                 suspect_event aEvent, absl::Time aNow)
 {
-  const auto found = aQuarantine.mParts.find(aPart);
-  part_record& record = found->second;
-  const part_status before = record.mStatus;
-  for (part_action action : Fire(aQuarantine.mChart, record.mStatus, aEvent,
-                                 record, &EvaluateGuard)) {
+  const auto found = aQuarantine.mSuspects.find(aSuspect);
+  suspect_record& record = found->second;
+  const suspect_status before = record.mStatus;
+  for (suspect_action action : Fire(aQuarantine.mChart, record.mStatus, aEvent,
+                                    record, &EvaluateGuard)) {
     switch (action) {
-      case part_action::StartSuspicion:
+      case suspect_action::StartSuspicion:
         record.mUntil = aNow + kSuspicionTime;
         break;
-      case part_action::StartQuarantine:
+      case suspect_action::StartQuarantine:
         record.mUntil = aNow + kQuarantineTime;
         break;
-      case part_action::RemoveReports:
+      case suspect_action::RemoveReports:
         for (const auto& report : record.mCrashes) {
-          aQuarantine.mUnwritten.insert({ aPart, report.first });
+          aQuarantine.mUnwritten.insert({ aSuspect, report.first });
         }
         break;
     }
   }
   aQuarantine.mQuarantined +=
-    (record.mStatus == part_status::Quarantined ? 1U : 0U);
-  aQuarantine.mQuarantined -= (before == part_status::Quarantined ? 1U : 0U);
-  if (record.mStatus != before || aEvent == part_event::ServerCrashed) {
+    (record.mStatus == suspect_status::Quarantined ? 1U : 0U);
+  aQuarantine.mQuarantined -= (before == suspect_status::Quarantined ? 1U : 0U);
+  if (record.mStatus != before || aEvent == suspect_event::ServerCrashed) {
     aQuarantine.mChanges.push_back(
-      { aPart, record.mStatus,
+      { aSuspect, record.mStatus,
         ListCrashes(record, crash_evidence::NoResponse).size(),
         ListCrashes(record, crash_evidence::ResponseBegun).size(), aEvent });
   }
-  if (record.mStatus == part_status::Trusted) {
-    aQuarantine.mParts.erase(found);
+  if (record.mStatus == suspect_status::Trusted) {
+    aQuarantine.mSuspects.erase(found);
   }
 }
 
 // Returns the record of a part, a new one if there is none; null if there are
 // too many.
-part_record* FindOrAddRecord(prompt_quarantine& aQuarantine,
-                             std::uint64_t aPart)
+suspect_record* FindOrAddRecord(crash_quarantine& aQuarantine,
+                                const suspect_id& aSuspect)
 {
-  const auto found = aQuarantine.mParts.find(aPart);
-  if (found != aQuarantine.mParts.end()) {
+  const auto found = aQuarantine.mSuspects.find(aSuspect);
+  if (found != aQuarantine.mSuspects.end()) {
     return &found->second;
   }
-  return aQuarantine.mParts.size() < kMaxSuspectParts
-           ? &aQuarantine.mParts[aPart]
+  return aQuarantine.mSuspects.size() < kMaxSuspects
+           ? &aQuarantine.mSuspects[aSuspect]
            : nullptr;
 }
 
@@ -113,10 +113,10 @@
 // Removes a crash from the reports of this gateway on all parts. If it were
 // removed from one only, parts that always come together would seem to have
 // different crashes.
-void ForgetOwnCrash(prompt_quarantine& aQuarantine, const std::string& aOwnName,
+void ForgetOwnCrash(crash_quarantine& aQuarantine, const std::string& aOwnName,
                     const std::string& aCrash)
 {
-  for (auto& part : aQuarantine.mParts) {
+  for (auto& part : aQuarantine.mSuspects) {
     const auto report = part.second.mCrashes.find(aOwnName);
     if (report == part.second.mCrashes.end()) {
       continue;
@@ -132,7 +132,7 @@
 
 // Returns true if a report of this gateway on aCrash would add nothing: it is
 // known, or it may have the same cause as the last one.
-bool IsCounted(const part_record& aRecord, const server_crash& aCrash,
+bool IsCounted(const suspect_record& aRecord, const server_crash& aCrash,
                absl::Time aNow)
 {
   if (ListCrashes(aRecord, aCrash.mEvidence).count(aCrash.mIncarnation) > 0) {
@@ -144,26 +144,28 @@
   return !isStronger && aNow - aRecord.mLastOwnCrashAt < kCoincidenceTime;
 }
 
-bool Contains(const std::vector<std::uint64_t>& aParts, std::uint64_t aPart)
+bool Contains(const std::vector<suspect_id>& aSuspects,
+              const suspect_id& aSuspect)
 {
-  return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+  return std::find(aSuspects.begin(), aSuspects.end(), aSuspect) !=
+         aSuspects.end();
 }
 
-// Returns true if a part that is not among aParts has all crashes of aPart, and
-// so may be the one to blame for them. Where the evidence against aPart is
-// strong, weaker evidence against other parts says nothing.
-bool MayBeBlameless(const prompt_quarantine& aQuarantine, std::uint64_t aPart,
-                    const part_record& aRecord,
-                    const std::vector<std::uint64_t>& aParts)
+// Returns true if a suspect that is not among aSuspects has all crashes of
+// aSuspect, and so may be the one to blame for them. Where the evidence against
+// aSuspect is strong, weaker evidence against others says nothing.
+bool MayBeBlameless(const crash_quarantine& aQuarantine,
+                    const suspect_id& aSuspect, const suspect_record& aRecord,
+                    const std::vector<suspect_id>& aSuspects)
 {
   const crash_evidence evidence = HasEnoughStrongEvidence(aRecord)
                                     ? crash_evidence::ResponseBegun
                                     : crash_evidence::NoResponse;
   const std::set<std::string> crashes = ListCrashes(aRecord, evidence);
   return std::any_of(
-    aQuarantine.mParts.begin(), aQuarantine.mParts.end(),
+    aQuarantine.mSuspects.begin(), aQuarantine.mSuspects.end(),
     [&](const auto& aOther) {
-      if (aOther.first == aPart || Contains(aParts, aOther.first)) {
+      if (aOther.first == aSuspect || Contains(aSuspects, aOther.first)) {
         return false;
       }
       const std::set<std::string> others = ListCrashes(aOther.second, evidence);
@@ -174,31 +176,30 @@
 
 } // namespace
 
-std::vector<std::uint64_t> ListSharedParts(
-  const std::vector<prompt_part>& aParts)
+std::vector<suspect_id> ListSharedParts(const std::vector<prompt_part>& aParts)
 {
-  std::vector<std::uint64_t> shared;
+  std::vector<suspect_id> shared;
   for (std::size_t i = 0; i + 1 < aParts.size(); ++i) {
-    shared.push_back(aParts[i].mHash);
+    shared.push_back({ suspect_kind::PromptPart, aParts[i].mHash });
   }
   return shared;
 }
 
-bool HasRecentSuccess(const prompt_quarantine& aQuarantine, std::uint64_t aPart,
-                      absl::Time aNow)
+bool HasRecentSuccess(const crash_quarantine& aQuarantine,
+                      const suspect_id& aSuspect, absl::Time aNow)
 {
-  const auto found = aQuarantine.mSuccesses.find(aPart);
+  const auto found = aQuarantine.mSuccesses.find(aSuspect);
   return found != aQuarantine.mSuccesses.end() &&
          aNow - found->second < kRecentSuccessTime;
 }
 
-void AddOwnCrash(prompt_quarantine& aQuarantine, const std::string& aOwnName,
-                 std::uint64_t aPart, const server_crash& aCrash,
+void AddOwnCrash(crash_quarantine& aQuarantine, const std::string& aOwnName,
+                 const suspect_id& aSuspect, const server_crash& aCrash,
                  absl::Time aNow)
 {
-  part_record* record = HasRecentSuccess(aQuarantine, aPart, aNow)
-                          ? nullptr
-                          : FindOrAddRecord(aQuarantine, aPart);
+  suspect_record* record = HasRecentSuccess(aQuarantine, aSuspect, aNow)
+                             ? nullptr
+                             : FindOrAddRecord(aQuarantine, aSuspect);
   if (record == nullptr || IsCounted(*record, aCrash, aNow)) {
     return;
   }
@@ -215,14 +216,14 @@
     ForgetOwnCrash(aQuarantine, aOwnName,
                    std::string(crashes.front().mIncarnation));
   }
-  aQuarantine.mUnwritten.insert({ aPart, aOwnName });
-  FirePart(aQuarantine, aPart, part_event::ServerCrashed, aNow);
+  aQuarantine.mUnwritten.insert({ aSuspect, aOwnName });
+  FireSuspect(aQuarantine, aSuspect, suspect_event::ServerCrashed, aNow);
 }
 
-void ApplyCrashReport(prompt_quarantine& aQuarantine,
+void ApplyCrashReport(crash_quarantine& aQuarantine,
                       const crash_report& aReport, absl::Time aNow)
 {
-  const report_key key{ aReport.mPart, aReport.mGateway };
+  const report_key key{ aReport.mSuspect, aReport.mGateway };
   if (aQuarantine.mUnwritten.count(key) > 0) {
     // Another gateway may have removed the report already.
     if (aReport.mCrashes.empty() &&
@@ -232,44 +233,46 @@
     return;
   }
   if (aReport.mCrashes.empty()) {
-    const auto found = aQuarantine.mParts.find(aReport.mPart);
-    if (found == aQuarantine.mParts.end()) {
+    const auto found = aQuarantine.mSuspects.find(aReport.mSuspect);
+    if (found == aQuarantine.mSuspects.end()) {
       return;
     }
     found->second.mCrashes.erase(aReport.mGateway);
     if (found->second.mCrashes.empty()) {
-      FirePart(aQuarantine, aReport.mPart, part_event::Withdrawn, aNow);
+      FireSuspect(aQuarantine, aReport.mSuspect, suspect_event::Withdrawn,
+                  aNow);
     }
     return;
   }
-  if (HasRecentSuccess(aQuarantine, aReport.mPart, aNow)) {
+  if (HasRecentSuccess(aQuarantine, aReport.mSuspect, aNow)) {
     aQuarantine.mUnwritten.insert(key);
     return;
   }
-  part_record* record = FindOrAddRecord(aQuarantine, aReport.mPart);
+  suspect_record* record = FindOrAddRecord(aQuarantine, aReport.mSuspect);
   if (record == nullptr) {
     return;
   }
-  const part_record before = *record;
+  const suspect_record before = *record;
   record->mCrashes[aReport.mGateway] = aReport.mCrashes;
   if (HasNewCrash(before, *record, crash_evidence::NoResponse) ||
       HasNewCrash(before, *record, crash_evidence::ResponseBegun)) {
-    FirePart(aQuarantine, aReport.mPart, part_event::ServerCrashed, aNow);
+    FireSuspect(aQuarantine, aReport.mSuspect, suspect_event::ServerCrashed,
+                aNow);
   }
 }
 
-void RecordSuccess(prompt_quarantine& aQuarantine,
-                   const std::vector<std::uint64_t>& aParts, absl::Time aNow)
+void RecordSuccess(crash_quarantine& aQuarantine,
+                   const std::vector<suspect_id>& aSuspects, absl::Time aNow)
 {
-  for (const std::uint64_t part : aParts) {
-    aQuarantine.mSuccesses[part] = aNow;
-    if (aQuarantine.mParts.count(part) > 0) {
-      FirePart(aQuarantine, part, part_event::Succeeded, aNow);
+  for (const suspect_id& suspect : aSuspects) {
+    aQuarantine.mSuccesses[suspect] = aNow;
+    if (aQuarantine.mSuspects.count(suspect) > 0) {
+      FireSuspect(aQuarantine, suspect, suspect_event::Succeeded, aNow);
     }
   }
 }
 
-void AdvanceQuarantine(prompt_quarantine& aQuarantine, absl::Time aNow)
+void AdvanceQuarantine(crash_quarantine& aQuarantine, absl::Time aNow)
 {
   for (auto it = aQuarantine.mSuccesses.begin();
        it != aQuarantine.mSuccesses.end();) {
@@ -278,46 +281,46 @@
       aQuarantine.mSuccesses.erase(success);
     }
   }
-  for (auto it = aQuarantine.mParts.begin(); it != aQuarantine.mParts.end();) {
+  for (auto it = aQuarantine.mSuspects.begin();
+       it != aQuarantine.mSuspects.end();) {
     const auto part = it++;
     if (aNow >= part->second.mUntil) {
-      FirePart(aQuarantine, part->first, part_event::Expired, aNow);
+      FireSuspect(aQuarantine, part->first, suspect_event::Expired, aNow);
     }
   }
 }
 
-std::optional<std::uint64_t> FindQuarantinedPart(
-  const prompt_quarantine& aQuarantine,
-  const std::vector<std::uint64_t>& aParts)
+std::optional<suspect_id> FindQuarantined(
+  const crash_quarantine& aQuarantine, const std::vector<suspect_id>& aSuspects)
 {
-  for (const std::uint64_t part : aParts) {
-    const auto found = aQuarantine.mParts.find(part);
-    if (found != aQuarantine.mParts.end() &&
-        found->second.mStatus == part_status::Quarantined &&
-        !MayBeBlameless(aQuarantine, part, found->second, aParts)) {
-      return part;
+  for (const suspect_id& suspect : aSuspects) {
+    const auto found = aQuarantine.mSuspects.find(suspect);
+    if (found != aQuarantine.mSuspects.end() &&
+        found->second.mStatus == suspect_status::Quarantined &&
+        !MayBeBlameless(aQuarantine, suspect, found->second, aSuspects)) {
+      return suspect;
     }
   }
   return std::nullopt;
 }
 
-bool HasSuspectPart(const prompt_quarantine& aQuarantine,
-                    const std::vector<std::uint64_t>& aParts)
+bool HasSuspect(const crash_quarantine& aQuarantine,
+                const std::vector<suspect_id>& aSuspects)
 {
-  return std::any_of(aParts.begin(), aParts.end(),
-                     [&aQuarantine](std::uint64_t aPart) {
-                       return aQuarantine.mParts.count(aPart) > 0;
+  return std::any_of(aSuspects.begin(), aSuspects.end(),
+                     [&aQuarantine](const suspect_id& aSuspect) {
+                       return aQuarantine.mSuspects.count(aSuspect) > 0;
                      });
 }
 
-crash_report MakeCrashReport(const prompt_quarantine& aQuarantine,
+crash_report MakeCrashReport(const crash_quarantine& aQuarantine,
                              const report_key& aKey)
 {
   crash_report report;
-  report.mPart = aKey.first;
+  report.mSuspect = aKey.first;
   report.mGateway = aKey.second;
-  const auto found = aQuarantine.mParts.find(aKey.first);
-  if (found != aQuarantine.mParts.end()) {
+  const auto found = aQuarantine.mSuspects.find(aKey.first);
+  if (found != aQuarantine.mSuspects.end()) {
     const auto crashes = found->second.mCrashes.find(aKey.second);
     if (crashes != found->second.mCrashes.end()) {
       report.mCrashes = crashes->second;
--- a/src/core/prompt_quarantine.h
+++ b/src/core/crash_quarantine.h
@@ -6,19 +6,20 @@
 // respond, the evidence is strong; otherwise the request may only have waited.
 // Once enough servers have crashed under a part, requests with it are refused.
 //
-//   AddOwnCrash(quarantine, name, part, crash, now);  // seen by this gateway
-//   ApplyCrashReport(quarantine, report, now);        // seen by another one
-//   RecordSuccess(quarantine, parts, now);            // a complete response
-//   if (FindQuarantinedPart(quarantine, parts)) {}    // refuse the request
+//   AddOwnCrash(quarantine, name, suspect, crash, now);  // seen by this
+//   gateway ApplyCrashReport(quarantine, report, now);           // seen by
+//   another one RecordSuccess(quarantine, suspects, now);            // a
+//   complete response if (FindQuarantined(quarantine, suspects)) {}        //
+//   refuse the request
 //
 // Parts that always come together have the same crashes, so that the evidence
 // does not tell which one is to blame; only requests with all of them are
-// refused. Life cycle of a part: charts/prompt_part.yaml. Memory: at most
-// kMaxSuspectParts records, and one entry for each part that was in a complete
+// refused. Life cycle of a part: charts/crash_suspect.yaml. Memory: at most
+// kMaxSuspects records, and one entry for each part that was in a complete
 // response within kRecentSuccessTime. Not thread-safe.
 
-#ifndef FOXTAILQUAY_CORE_PROMPT_QUARANTINE_H
-#define FOXTAILQUAY_CORE_PROMPT_QUARANTINE_H
+#ifndef FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
+#define FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
 
 #include <cstddef>
 #include <cstdint>
@@ -56,9 +57,9 @@
 constexpr absl::Duration kCoincidenceTime = absl::Milliseconds(100);
 // Number of crashes stored per part and gateway.
 constexpr std::size_t kMaxReportedCrashes = 8;
-constexpr std::size_t kMaxSuspectParts = 1024;
+constexpr std::size_t kMaxSuspects = 1024;
 
-enum class part_status
+enum class suspect_status
 {
   Trusted,
   Suspect,
@@ -66,16 +67,16 @@
   Probation,
 };
 
-constexpr auto NameTable(part_status)
+constexpr auto NameTable(suspect_status)
 {
-  using s = part_status;
+  using s = suspect_status;
   return MakeNameTable<s>({ { s::Trusted, "trusted" },
                             { s::Suspect, "suspect" },
                             { s::Quarantined, "quarantined" },
                             { s::Probation, "probation" } });
 }
 
-enum class part_event
+enum class suspect_event
 {
   ServerCrashed,
   // A request with the part had a complete response.
@@ -85,27 +86,27 @@
   Expired,
 };
 
-constexpr auto NameTable(part_event)
+constexpr auto NameTable(suspect_event)
 {
-  using e = part_event;
+  using e = suspect_event;
   return MakeNameTable<e>({ { e::ServerCrashed, "server_crashed" },
                             { e::Succeeded, "succeeded" },
                             { e::Withdrawn, "withdrawn" },
                             { e::Expired, "expired" } });
 }
 
-enum class part_guard
+enum class suspect_guard
 {
   CrashesReached,
 };
 
-constexpr auto NameTable(part_guard)
+constexpr auto NameTable(suspect_guard)
 {
-  return MakeNameTable<part_guard>(
-    { { part_guard::CrashesReached, "crashes_reached" } });
+  return MakeNameTable<suspect_guard>(
+    { { suspect_guard::CrashesReached, "crashes_reached" } });
 }
 
-enum class part_action
+enum class suspect_action
 {
   StartSuspicion,
   StartQuarantine,
@@ -113,20 +114,21 @@
   RemoveReports,
 };
 
-constexpr auto NameTable(part_action)
+constexpr auto NameTable(suspect_action)
 {
-  using a = part_action;
+  using a = suspect_action;
   return MakeNameTable<a>({ { a::StartSuspicion, "start_suspicion" },
                             { a::StartQuarantine, "start_quarantine" },
                             { a::RemoveReports, "remove_reports" } });
 }
 
-using part_chart = chart<part_status, part_event, part_guard, part_action>;
+using suspect_chart =
+  chart<suspect_status, suspect_event, suspect_guard, suspect_action>;
 
 // What is known of one part.
-struct part_record
+struct suspect_record
 {
-  part_status mStatus = part_status::Trusted;
+  suspect_status mStatus = suspect_status::Trusted;
   // Crashes by the gateway that reported them, oldest first.
   std::map<std::string, std::vector<server_crash>> mCrashes;
   // End of the present state.
@@ -136,82 +138,81 @@
   crash_evidence mLastOwnEvidence = crash_evidence::NoResponse;
 };
 
-// Parts that a crash may have been due to, with the evidence against each.
-using suspect_parts = std::map<std::uint64_t, crash_evidence>;
+// What a crash may have been due to, with the evidence against each.
+using crash_suspects = std::map<suspect_id, crash_evidence>;
 
-// Identifies the report of a gateway on a part.
-using report_key = std::pair<std::uint64_t, std::string>;
+// Identifies the report of a gateway on a suspect.
+using report_key = std::pair<suspect_id, std::string>;
 
 // A part whose state has changed, for the log.
-struct part_change
+struct suspect_change
 {
-  std::uint64_t mPart = 0;
-  part_status mStatus = part_status::Trusted;
+  suspect_id mSuspect;
+  suspect_status mStatus = suspect_status::Trusted;
   std::size_t mCrashes = 0;
   // Those of the crashes for which the evidence is strong.
   std::size_t mStrongCrashes = 0;
-  part_event mCause = part_event::ServerCrashed;
+  suspect_event mCause = suspect_event::ServerCrashed;
 };
 
-struct prompt_quarantine
+struct crash_quarantine
 {
-  part_chart mChart;
-  // Parts that are not trusted.
-  std::map<std::uint64_t, part_record> mParts;
+  suspect_chart mChart;
+  // Those that are not trusted.
+  std::map<suspect_id, suspect_record> mSuspects;
   // Number of those for which requests are refused.
   std::size_t mQuarantined = 0;
-  // Time of the last complete response with a part.
-  absl::flat_hash_map<std::uint64_t, absl::Time> mSuccesses;
+  // Time of the last complete response to a request with a suspect.
+  absl::flat_hash_map<suspect_id, absl::Time> mSuccesses;
   // Reports that differ from those in the store.
   std::set<report_key> mUnwritten;
   // Changes since the caller last took them.
-  std::vector<part_change> mChanges;
+  std::vector<suspect_change> mChanges;
 };
 
 // Returns the hashes of the parts of a prompt that other requests may have too:
 // all but the last.
-std::vector<std::uint64_t> ListSharedParts(
-  const std::vector<prompt_part>& aParts);
+std::vector<suspect_id> ListSharedParts(const std::vector<prompt_part>& aParts);
 
 // Returns true if a request with the part had a complete response within
 // kRecentSuccessTime before aNow.
-bool HasRecentSuccess(const prompt_quarantine& aQuarantine, std::uint64_t aPart,
-                      absl::Time aNow);
+bool HasRecentSuccess(const crash_quarantine& aQuarantine,
+                      const suspect_id& aSuspect, absl::Time aNow);
 
-// Counts a crash under aPart that gateway aOwnName, this one, has observed. A
-// second report of a crash only counts if its evidence is stronger. No effect
+// Counts a crash under aSuspect that gateway aOwnName, this one, has observed.
+// A second report of a crash only counts if its evidence is stronger. No effect
 // after a recent success.
-void AddOwnCrash(prompt_quarantine& aQuarantine, const std::string& aOwnName,
-                 std::uint64_t aPart, const server_crash& aCrash,
+void AddOwnCrash(crash_quarantine& aQuarantine, const std::string& aOwnName,
+                 const suspect_id& aSuspect, const server_crash& aCrash,
                  absl::Time aNow);
 
 // Adopts the report of a gateway from the store. One that this gateway has not
 // written yet is ignored. After a recent success, the report is removed from
 // the store.
-void ApplyCrashReport(prompt_quarantine& aQuarantine,
+void ApplyCrashReport(crash_quarantine& aQuarantine,
                       const crash_report& aReport, absl::Time aNow);
 
 // Records a complete response to a request with these parts, which clears them.
-void RecordSuccess(prompt_quarantine& aQuarantine,
-                   const std::vector<std::uint64_t>& aParts, absl::Time aNow);
+void RecordSuccess(crash_quarantine& aQuarantine,
+                   const std::vector<suspect_id>& aSuspects, absl::Time aNow);
 
 // Ends the states whose time has passed at aNow.
-void AdvanceQuarantine(prompt_quarantine& aQuarantine, absl::Time aNow);
+void AdvanceQuarantine(crash_quarantine& aQuarantine, absl::Time aNow);
 
 // Returns the quarantined part because of which a request with these parts must
 // be refused. Takes time proportional to the number of records if it has a
 // quarantined part, and is short otherwise.
-std::optional<std::uint64_t> FindQuarantinedPart(
-  const prompt_quarantine& aQuarantine,
-  const std::vector<std::uint64_t>& aParts);
+std::optional<suspect_id> FindQuarantined(
+  const crash_quarantine& aQuarantine,
+  const std::vector<suspect_id>& aSuspects);
 
 // Returns true if servers have crashed under one of the parts.
-bool HasSuspectPart(const prompt_quarantine& aQuarantine,
-                    const std::vector<std::uint64_t>& aParts);
+bool HasSuspect(const crash_quarantine& aQuarantine,
+                const std::vector<suspect_id>& aSuspects);
 
 // Returns the report on aKey as it should be in the store; without crashes if
 // it should be removed.
-crash_report MakeCrashReport(const prompt_quarantine& aQuarantine,
+crash_report MakeCrashReport(const crash_quarantine& aQuarantine,
                              const report_key& aKey);
 
 } // namespace foxtailquay
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -293,7 +293,7 @@
   gateway_ptr node(new gateway);
   node->mCharts = GetValue(std::move(charts));
   const auto partChart =
-    ParseChartFile(aChartTexts, "prompt_part.yaml", node->mQuarantine.mChart);
+    ParseChartFile(aChartTexts, "crash_suspect.yaml", node->mQuarantine.mChart);
   if (!IsOk(partChart)) {
     return GetError(partChart);
   }
@@ -362,7 +362,7 @@
   summary.mRequests = aGateway.mRequests.size();
   summary.mBackends = aGateway.mViews.size();
   summary.mPeers = aGateway.mPeers.size();
-  summary.mQuarantinedParts = aGateway.mQuarantine.mQuarantined;
+  summary.mQuarantinedSuspects = aGateway.mQuarantine.mQuarantined;
   // A gateway does not follow the time in which nothing happens, so a state
   // may be over for up to one tick.
   summary.mRateLimitedBackends = aGateway.mServerCounts.mRateLimited;
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -4,8 +4,8 @@
 // servers uses charts/backend_server.yaml (backend_health.h), their rate limits
 // charts/rate_limit.yaml (rate_limit.h), their cold starts
 // charts/cold_start.yaml (cold_start.h), evacuations charts/evacuation.yaml
-// (zone_evacuation.h), the quarantine of prompts charts/prompt_part.yaml
-// (prompt_quarantine.h).
+// (zone_evacuation.h), the quarantine of prompts charts/crash_suspect.yaml
+// (crash_quarantine.h).
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
 #define FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
--- a/src/core/gateway_log.cc
+++ b/src/core/gateway_log.cc
@@ -13,12 +13,12 @@
 }
 
 // Returns the shared parts of the prompt for the log.
-std::string ToLogText(const std::vector<std::uint64_t>& aParts)
+std::string ToLogText(const std::vector<suspect_id>& aParts)
 {
   constexpr std::size_t kMaxLoggedParts = 8;
   std::string text;
   for (std::size_t i = 0; i < aParts.size() && i < kMaxLoggedParts; ++i) {
-    absl::StrAppend(&text, i == 0 ? "" : ",", absl::Hex(aParts[i]));
+    absl::StrAppend(&text, i == 0 ? "" : ",", absl::Hex(aParts[i].mHash));
   }
   return text;
 }
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -16,12 +16,13 @@
 // most gateways see the removal by another one before their own is due.
 constexpr absl::Duration kRemovalSpread = absl::Milliseconds(10);
 
-void RecordPartChanges(gateway& aGateway)
+void RecordSuspectChanges(gateway& aGateway)
 {
-  for (const part_change& change : aGateway.mQuarantine.mChanges) {
+  for (const suspect_change& change : aGateway.mQuarantine.mChanges) {
     RecordDecision(
-      aGateway, decision::PromptPartChanged,
-      { { "part", absl::StrCat(absl::Hex(change.mPart)) },
+      aGateway, decision::CrashSuspectChanged,
+      { { "kind", std::string(ToName(change.mSuspect.mKind)) },
+        { "suspect", absl::StrCat(absl::Hex(change.mSuspect.mHash)) },
         { "state", std::string(ToName(change.mStatus)) },
         { "cause", std::string(ToName(change.mCause)) },
         { "crashes", absl::StrCat(change.mCrashes) },
@@ -86,21 +87,21 @@
       aEvidence == crash_evidence::NoResponse) {
     return;
   }
-  std::vector<std::uint64_t> suspects =
+  std::vector<suspect_id> suspects =
     ListSharedParts(aRequest.mCaller.mPromptParts);
   suspects.erase(std::remove_if(suspects.begin(), suspects.end(),
-                                [&](std::uint64_t aPart) {
+                                [&](const suspect_id& aSuspect) {
                                   return HasRecentSuccess(aGateway.mQuarantine,
-                                                          aPart, aNow);
+                                                          aSuspect, aNow);
                                 }),
                  suspects.end());
   if (suspects.empty()) {
     return;
   }
   const auto [probe, isNew] = aGateway.mProbes.try_emplace(aBackend);
-  for (const std::uint64_t part : suspects) {
+  for (const suspect_id& suspect : suspects) {
     crash_evidence& known =
-      probe->second.try_emplace(part, aEvidence).first->second;
+      probe->second.try_emplace(suspect, aEvidence).first->second;
     known = std::max(known, aEvidence);
   }
   if (isNew) {
@@ -115,7 +116,7 @@
 {
   RecordSuccess(aGateway.mQuarantine,
                 ListSharedParts(aRequest.mCaller.mPromptParts), aNow);
-  RecordPartChanges(aGateway);
+  RecordSuspectChanges(aGateway);
   WriteCrashReports(aGateway, aNow);
 }
 
@@ -149,7 +150,7 @@
   if (probe == aGateway.mProbes.end()) {
     return;
   }
-  const suspect_parts suspects = std::move(probe->second);
+  const crash_suspects suspects = std::move(probe->second);
   aGateway.mProbes.erase(probe);
   RecordDecision(aGateway, decision::ServerProbed,
                  { { "backend", aEvent.mBackend.mValue },
@@ -161,20 +162,20 @@
   }
   const std::string crash =
     absl::StrCat(aEvent.mBackend.mValue, "/", aEvent.mStartedMs);
-  for (const auto& [part, evidence] : suspects) {
-    AddOwnCrash(aGateway.mQuarantine, aGateway.mSettings.mName, part,
+  for (const auto& [suspect, evidence] : suspects) {
+    AddOwnCrash(aGateway.mQuarantine, aGateway.mSettings.mName, suspect,
                 { crash, evidence }, aNow);
   }
-  RecordPartChanges(aGateway);
+  RecordSuspectChanges(aGateway);
   WriteCrashReports(aGateway, aNow);
 }
 
 void RestartCrashReports(gateway& aGateway)
 {
   aGateway.mReportsInFlight.clear();
-  for (const auto& part : aGateway.mQuarantine.mParts) {
-    for (const auto& report : part.second.mCrashes) {
-      aGateway.mQuarantine.mUnwritten.insert({ part.first, report.first });
+  for (const auto& suspect : aGateway.mQuarantine.mSuspects) {
+    for (const auto& report : suspect.second.mCrashes) {
+      aGateway.mQuarantine.mUnwritten.insert({ suspect.first, report.first });
     }
   }
 }
@@ -184,15 +185,15 @@
 {
   std::set<report_key> listed;
   for (const crash_report& report : aResponse.mCrashReports) {
-    listed.insert({ report.mPart, report.mGateway });
+    listed.insert({ report.mSuspect, report.mGateway });
     ApplyCrashReport(aGateway.mQuarantine, report, aNow);
   }
   if (aResponse.mComplete) {
     std::vector<crash_report> removed;
-    for (const auto& part : aGateway.mQuarantine.mParts) {
-      for (const auto& report : part.second.mCrashes) {
-        if (listed.count({ part.first, report.first }) == 0) {
-          removed.push_back({ part.first, report.first, {} });
+    for (const auto& suspect : aGateway.mQuarantine.mSuspects) {
+      for (const auto& report : suspect.second.mCrashes) {
+        if (listed.count({ suspect.first, report.first }) == 0) {
+          removed.push_back({ suspect.first, report.first, {} });
         }
       }
     }
@@ -200,7 +201,7 @@
       ApplyCrashReport(aGateway.mQuarantine, report, aNow);
     }
   }
-  RecordPartChanges(aGateway);
+  RecordSuspectChanges(aGateway);
   WriteCrashReports(aGateway, aNow);
 }
 
@@ -218,7 +219,7 @@
     return;
   }
   for (const crash_report& report : sent) {
-    const report_key key{ report.mPart, report.mGateway };
+    const report_key key{ report.mSuspect, report.mGateway };
     // The report may have changed meanwhile.
     if (MakeCrashReport(aGateway.mQuarantine, key).mCrashes ==
         report.mCrashes) {
@@ -231,7 +232,7 @@
 void AdvanceQuarantine(gateway& aGateway, absl::Time aNow)
 {
   AdvanceQuarantine(aGateway.mQuarantine, aNow);
-  RecordPartChanges(aGateway);
+  RecordSuspectChanges(aGateway);
   WriteCrashReports(aGateway, aNow);
 }
 
@@ -239,27 +240,29 @@
                                  const forwarded_request& aRequest,
                                  absl::Time aNow)
 {
-  if (aGateway.mQuarantine.mParts.empty()) {
+  if (aGateway.mQuarantine.mSuspects.empty()) {
     return std::nullopt;
   }
-  const auto part = FindQuarantinedPart(
+  const auto suspect = FindQuarantined(
     aGateway.mQuarantine, ListSharedParts(aRequest.mCaller.mPromptParts));
-  if (!part) {
+  if (!suspect) {
     return std::nullopt;
   }
-  error refusal = MakeError(error_code::PromptQuarantined, executed::No,
-                            absl::StrCat("backend servers crash under part ",
-                                         absl::Hex(*part), " of the prompt"));
-  refusal.mRetryAfter = aGateway.mQuarantine.mParts.at(*part).mUntil - aNow;
+  error refusal =
+    MakeError(error_code::PromptQuarantined, executed::No,
+              absl::StrCat("backend servers crash under part ",
+                           absl::Hex(suspect->mHash), " of the prompt"));
+  refusal.mRetryAfter =
+    aGateway.mQuarantine.mSuspects.at(*suspect).mUntil - aNow;
   return refusal;
 }
 
 bool HasSuspectPrompt(const gateway& aGateway,
                       const forwarded_request& aRequest)
 {
-  return !aGateway.mQuarantine.mParts.empty() &&
-         HasSuspectPart(aGateway.mQuarantine,
-                        ListSharedParts(aRequest.mCaller.mPromptParts));
+  return !aGateway.mQuarantine.mSuspects.empty() &&
+         HasSuspect(aGateway.mQuarantine,
+                    ListSharedParts(aRequest.mCaller.mPromptParts));
 }
 
 } // namespace foxtailquay
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -39,10 +39,10 @@
 #include "absl/time/time.h"
 #include "admission.h"
 #include "cost_profile.h"
+#include "crash_quarantine.h"
 #include "foxtailquay/gateway.h"
 #include "gateway_charts.h"
 #include "gateway_heartbeat.h"
-#include "prompt_quarantine.h"
 #include "request_work.h"
 #include "retry.h"
 #include "routing.h"
@@ -352,9 +352,9 @@
   // Workspace at which the periodic writes continue that are due.
   workspace_id mPeriodicFrom;
 
-  prompt_quarantine mQuarantine;
+  crash_quarantine mQuarantine;
   // Suspected parts by backend server, until the server has been probed.
-  std::map<backend_id, suspect_parts> mProbes;
+  std::map<backend_id, crash_suspects> mProbes;
   // Reports of the write in flight; empty if there is none.
   std::vector<crash_report> mReportsInFlight;
   absl::Time mNextReportWriteAt = absl::InfinitePast();
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -99,8 +99,8 @@
   OpenRequests,
   ControlQueueLength,
   ConfigVersion,
-  // Parts of prompts for which requests are refused.
-  QuarantinedPromptParts,
+  // Suspects because of which requests are refused.
+  QuarantinedSuspects,
   // Backend servers that state a rate limit.
   RateLimitedServers,
   // Backend servers that are, or may be, cold.
@@ -119,7 +119,7 @@
     { { gauge::OpenRequests, "open_requests" },
       { gauge::ControlQueueLength, "control_queue_length" },
       { gauge::ConfigVersion, "config_version" },
-      { gauge::QuarantinedPromptParts, "quarantined_prompt_parts" },
+      { gauge::QuarantinedSuspects, "quarantined_suspects" },
       { gauge::RateLimitedServers, "rate_limited_servers" },
       { gauge::ColdServers, "cold_servers" },
       { gauge::EvacuatedZones, "evacuated_zones" },
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -632,11 +632,13 @@
 BOOST_AUTO_TEST_CASE(crash_reports_round_trip_beside_peers)
 {
   crash_report_write write;
-  write.mReports = { { 0xdead,
-                       "front-a-1",
-                       { { "i-1/5", crash_evidence::NoResponse },
-                         { "i-2/6", crash_evidence::ResponseBegun } } },
-                     { 0xbeef, "front-a-2", {} } };
+  write.mReports = {
+    { { suspect_kind::PromptPart, 0xdead },
+      "front-a-1",
+      { { "i-1/5", crash_evidence::NoResponse },
+        { "i-2/6", crash_evidence::ResponseBegun } } },
+    { { suspect_kind::PromptPart, 0xbeef }, "front-a-2", {} }
+  };
   const auto body = ParseJsonOrFail(EncodeCrashReportWrite(write).mBody);
   BOOST_REQUIRE(body["puts"].size() == 1U);
   const std::string key = body["puts"][0]["key"].asString();
@@ -653,11 +655,11 @@
       false });
   const directory_response& response = page.mResponse;
   BOOST_REQUIRE(response.mCrashReports.size() == 2U);
-  BOOST_TEST(response.mCrashReports[0].mPart == 0xdeadU);
+  BOOST_TEST(response.mCrashReports[0].mSuspect.mHash == 0xdeadU);
   BOOST_TEST(response.mCrashReports[0].mGateway == "front-a-1");
   BOOST_TEST(
     (response.mCrashReports[0].mCrashes == write.mReports[0].mCrashes));
-  BOOST_TEST(response.mCrashReports[1].mPart == 0xbeefU);
+  BOOST_TEST(response.mCrashReports[1].mSuspect.mHash == 0xbeefU);
   BOOST_TEST(response.mCrashReports[1].mCrashes.empty());
   BOOST_REQUIRE(response.mPeers.size() == 1U);
   BOOST_TEST(response.mPeers[0].mName == "p");
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/crash_quarantine_test.cc
@@ -2,10 +2,10 @@
 // and against sound requests that are refused for it: the evidence against
 // parts of prompts, their quarantine, and its end.
 
-#define BOOST_TEST_MODULE prompt_quarantine
+#define BOOST_TEST_MODULE crash_quarantine
 #include <boost/test/unit_test.hpp>
 
-#include "core/prompt_quarantine.h"
+#include "core/crash_quarantine.h"
 #include "gateway_fixture.h"
 
 namespace foxtailquay {
@@ -21,11 +21,42 @@
 // Longer than kCoincidenceTime.
 constexpr absl::Duration kPause = absl::Seconds(1);
 
-prompt_quarantine MakeQuarantine()
+suspect_id MakePart(std::uint64_t aHash)
 {
-  prompt_quarantine quarantine;
+  return { suspect_kind::PromptPart, aHash };
+}
+
+std::vector<suspect_id> MakeParts(const std::vector<std::uint64_t>& aHashes)
+{
+  std::vector<suspect_id> parts;
+  parts.reserve(aHashes.size());
+  for (const std::uint64_t hash : aHashes) {
+    parts.push_back(MakePart(hash));
+  }
+  return parts;
+}
+
+// Returns the hash of the quarantined part because of which a request with
+// these parts must be refused.
+std::optional<std::uint64_t> FindQuarantinedPart(
+  const crash_quarantine& aQuarantine,
+  const std::vector<std::uint64_t>& aHashes)
+{
+  const auto found = FindQuarantined(aQuarantine, MakeParts(aHashes));
+  return found ? std::optional<std::uint64_t>(found->mHash) : std::nullopt;
+}
+
+bool HasSuspectPart(const crash_quarantine& aQuarantine,
+                    const std::vector<std::uint64_t>& aHashes)
+{
+  return HasSuspect(aQuarantine, MakeParts(aHashes));
+}
+
+crash_quarantine MakeQuarantine()
+{
+  crash_quarantine quarantine;
   const auto charts = ReadChartTexts();
-  auto table = ParseChart(charts.at("prompt_part.yaml"), "prompt_part.yaml",
+  auto table = ParseChart(charts.at("crash_suspect.yaml"), "crash_suspect.yaml",
                           ListNamesOfChart(quarantine.mChart));
   BOOST_REQUIRE(IsOk(table));
   quarantine.mChart.mTable = GetValue(std::move(table));
@@ -34,7 +65,7 @@
 
 // Counts crashes aFrom to aFrom + aCount - 1 under each of the parts. Returns
 // the time after the last one.
-absl::Time AddCrashes(prompt_quarantine& aQuarantine,
+absl::Time AddCrashes(crash_quarantine& aQuarantine,
                       const std::vector<std::uint64_t>& aParts, int aFrom,
                       int aCount, absl::Time aStart = kStart,
                       crash_evidence aEvidence = crash_evidence::ResponseBegun)
@@ -42,7 +73,7 @@
   absl::Time now = aStart;
   for (int i = aFrom; i < aFrom + aCount; ++i) {
     for (const std::uint64_t part : aParts) {
-      AddOwnCrash(aQuarantine, "g", part,
+      AddOwnCrash(aQuarantine, "g", MakePart(part),
                   { "e" + std::to_string(i) + "/1", aEvidence }, now);
     }
     now += kPause;
@@ -51,7 +82,7 @@
 }
 
 // Counts crashes as AddCrashes does, of servers that had not begun to respond.
-absl::Time AddUnansweredCrashes(prompt_quarantine& aQuarantine,
+absl::Time AddUnansweredCrashes(crash_quarantine& aQuarantine,
                                 const std::vector<std::uint64_t>& aParts,
                                 int aFrom, int aCount,
                                 absl::Time aStart = kStart)
@@ -63,7 +94,7 @@
 crash_report MakeReport(std::uint64_t aPart, const std::string& aGateway,
                         const std::vector<std::string>& aCrashes)
 {
-  crash_report report{ aPart, aGateway, {} };
+  crash_report report{ MakePart(aPart), aGateway, {} };
   for (const std::string& crash : aCrashes) {
     report.mCrashes.push_back({ crash, crash_evidence::ResponseBegun });
   }
@@ -72,7 +103,7 @@
 
 BOOST_AUTO_TEST_CASE(a_part_is_quarantined_after_enough_crashes)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   AddCrashes(quarantine, { kPoisonous }, 1, 2);
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kPoisonous }));
   BOOST_TEST(HasSuspectPart(quarantine, { kCommon, kPoisonous }));
@@ -85,9 +116,10 @@
 // A server that crashes once under several attempts has crashed once.
 BOOST_AUTO_TEST_CASE(one_crash_counts_once)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   for (int i = 0; i < 5; ++i) {
-    AddOwnCrash(quarantine, "g", kPoisonous, { "e1/1" }, kStart + i * kPause);
+    AddOwnCrash(quarantine, "g", MakePart(kPoisonous), { "e1/1" },
+                kStart + i * kPause);
   }
   ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e1/1" }), kStart);
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
@@ -96,9 +128,10 @@
 // Servers that crash at the same moment may have lost power together.
 BOOST_AUTO_TEST_CASE(crashes_at_the_same_moment_count_once)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   for (int i = 0; i < 5; ++i) {
-    AddOwnCrash(quarantine, "g", kCommon, { "e" + std::to_string(i) + "/1" },
+    AddOwnCrash(quarantine, "g", MakePart(kCommon),
+                { "e" + std::to_string(i) + "/1" },
                 kStart + i * absl::Milliseconds(10));
   }
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon }));
@@ -107,10 +140,10 @@
 // A part that many sound requests have is on every server that crashes.
 BOOST_AUTO_TEST_CASE(a_part_of_recent_complete_responses_is_not_blamed)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   for (int i = 0; i < 10; ++i) {
     const absl::Time now = kStart + i * kPause;
-    RecordSuccess(quarantine, { kCommon }, now);
+    RecordSuccess(quarantine, MakeParts({ kCommon }), now);
     AddCrashes(quarantine, { kCommon, kPoisonous }, i, 1, now + kPause / 2);
   }
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon }));
@@ -121,8 +154,8 @@
 // A part may become poisonous, for example with a new version of a model.
 BOOST_AUTO_TEST_CASE(an_old_success_does_not_clear_a_part)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
-  RecordSuccess(quarantine, { kPoisonous }, kStart);
+  crash_quarantine quarantine = MakeQuarantine();
+  RecordSuccess(quarantine, MakeParts({ kPoisonous }), kStart);
   AddCrashes(quarantine, { kPoisonous }, 1, 3, kStart + kRecentSuccessTime);
   BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
 }
@@ -131,7 +164,7 @@
 // served.
 BOOST_AUTO_TEST_CASE(a_part_that_always_comes_with_the_poisonous_one_passes)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   absl::Time now = AddCrashes(quarantine, { kSubject, kPoisonous }, 1, 3);
   BOOST_TEST(FindQuarantinedPart(quarantine, { kCommon, kSubject, kPoisonous })
                .has_value());
@@ -143,7 +176,7 @@
     FindQuarantinedPart(quarantine, { kOtherSubject, kPoisonous }).has_value());
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kCommon, kSubject }));
   // So does a complete response without the poisonous part.
-  RecordSuccess(quarantine, { kSubject }, now);
+  RecordSuccess(quarantine, MakeParts({ kSubject }), now);
   BOOST_TEST(!HasSuspectPart(quarantine, { kSubject }));
   BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
 }
@@ -151,7 +184,7 @@
 // More crashes than are stored must not make a companion look guilty.
 BOOST_AUTO_TEST_CASE(old_crashes_are_dropped_for_all_parts_alike)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   const int many = static_cast<int>(kMaxReportedCrashes) + 4;
   const absl::Time now =
     AddCrashes(quarantine, { kSubject, kPoisonous }, 1, many);
@@ -159,14 +192,14 @@
   AddCrashes(quarantine, { kPoisonous }, many + 1, 1, now);
   BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kSubject }));
-  BOOST_TEST(MakeCrashReport(quarantine, { kPoisonous, "g" }).mCrashes.size() ==
-             kMaxReportedCrashes);
+  BOOST_TEST(MakeCrashReport(quarantine, { MakePart(kPoisonous), "g" })
+               .mCrashes.size() == kMaxReportedCrashes);
 }
 
 // Each gateway may see one of the crashes only.
 BOOST_AUTO_TEST_CASE(crashes_of_all_gateways_count_together)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   AddCrashes(quarantine, { kPoisonous }, 1, 1);
   ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e2/1" }), kStart);
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
@@ -177,21 +210,22 @@
 // A gateway that knows better removes the report of another.
 BOOST_AUTO_TEST_CASE(a_success_withdraws_the_reports_of_all_gateways)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   ApplyCrashReport(quarantine, MakeReport(kSubject, "h", { "e1/1" }), kStart);
-  RecordSuccess(quarantine, { kSubject }, kStart);
-  BOOST_TEST(quarantine.mUnwritten.count({ kSubject, "h" }) == 1U);
-  BOOST_TEST(MakeCrashReport(quarantine, { kSubject, "h" }).mCrashes.empty());
+  RecordSuccess(quarantine, MakeParts({ kSubject }), kStart);
+  BOOST_TEST(quarantine.mUnwritten.count({ MakePart(kSubject), "h" }) == 1U);
+  BOOST_TEST(
+    MakeCrashReport(quarantine, { MakePart(kSubject), "h" }).mCrashes.empty());
   // A report that arrives shortly after the success is removed too.
   ApplyCrashReport(quarantine, MakeReport(kSubject, "i", { "e1/1" }),
                    kStart + kPause);
-  BOOST_TEST(quarantine.mUnwritten.count({ kSubject, "i" }) == 1U);
+  BOOST_TEST(quarantine.mUnwritten.count({ MakePart(kSubject), "i" }) == 1U);
   BOOST_TEST(!HasSuspectPart(quarantine, { kSubject }));
 }
 
 BOOST_AUTO_TEST_CASE(a_withdrawn_report_no_longer_counts)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   ApplyCrashReport(
     quarantine, MakeReport(kSubject, "h", { "e1/1", "e2/1", "e3/1" }), kStart);
   BOOST_TEST(FindQuarantinedPart(quarantine, { kSubject }).has_value());
@@ -203,7 +237,7 @@
 // still crashes servers must cost few of them.
 BOOST_AUTO_TEST_CASE(a_quarantine_ends_and_the_next_crash_renews_it)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   absl::Time now = AddCrashes(quarantine, { kPoisonous }, 1, 3);
   AdvanceQuarantine(quarantine, now + kQuarantineTime - 2 * kPause);
   BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
@@ -217,14 +251,14 @@
   now += kSuspicionTime;
   AdvanceQuarantine(quarantine, now);
   BOOST_TEST(!HasSuspectPart(quarantine, { kPoisonous }));
-  BOOST_TEST(quarantine.mUnwritten.count({ kPoisonous, "g" }) == 1U);
+  BOOST_TEST(quarantine.mUnwritten.count({ MakePart(kPoisonous), "g" }) == 1U);
 }
 
 // Guards against crashes before the header section of the response is complete:
 // they are weaker evidence, but they count.
 BOOST_AUTO_TEST_CASE(crashes_before_any_response_quarantine_a_part_later)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   const absl::Time now = AddUnansweredCrashes(
     quarantine, { kPoisonous }, 1, static_cast<int>(kQuarantineAnyCrashes) - 1);
   BOOST_TEST(!FindQuarantinedPart(quarantine, { kPoisonous }));
@@ -238,7 +272,7 @@
 // because of them.
 BOOST_AUTO_TEST_CASE(a_part_that_waited_at_the_same_crashes_passes)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   for (int i = 1; i <= 8; ++i) {
     const absl::Time now = kStart + i * kPause;
     AddCrashes(quarantine, { kPoisonous }, i, 1, now);
@@ -253,7 +287,7 @@
 // on one at the same moment.
 BOOST_AUTO_TEST_CASE(stronger_evidence_replaces_weaker)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   for (int i = 1; i <= 3; ++i) {
     const absl::Time now = kStart + i * kPause;
     AddUnansweredCrashes(quarantine, { kPoisonous }, i, 1, now);
@@ -266,7 +300,7 @@
 // Each gateway may have seen another sign of the same crash.
 BOOST_AUTO_TEST_CASE(evidence_of_other_gateways_counts_by_its_strength)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
+  crash_quarantine quarantine = MakeQuarantine();
   AddUnansweredCrashes(quarantine, { kPoisonous }, 1, 3);
   ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", { "e1/1", "e2/1" }),
                    kStart);
@@ -278,16 +312,16 @@
 // The evidence must not grow with the number of different prompts.
 BOOST_AUTO_TEST_CASE(the_number_of_records_is_bounded)
 {
-  prompt_quarantine quarantine = MakeQuarantine();
-  for (std::uint64_t part = 0; part < 2 * kMaxSuspectParts; ++part) {
-    AddOwnCrash(quarantine, "g", part, { "e1/1" }, kStart);
+  crash_quarantine quarantine = MakeQuarantine();
+  for (std::uint64_t part = 0; part < 2 * kMaxSuspects; ++part) {
+    AddOwnCrash(quarantine, "g", MakePart(part), { "e1/1" }, kStart);
   }
-  BOOST_TEST(quarantine.mParts.size() == kMaxSuspectParts);
-  for (std::uint64_t part = 0; part < kMaxSuspectParts; ++part) {
-    RecordSuccess(quarantine, { part }, kStart);
+  BOOST_TEST(quarantine.mSuspects.size() == kMaxSuspects);
+  for (std::uint64_t part = 0; part < kMaxSuspects; ++part) {
+    RecordSuccess(quarantine, MakeParts({ part }), kStart);
   }
   AdvanceQuarantine(quarantine, kStart + kRecentSuccessTime);
-  BOOST_TEST(quarantine.mParts.empty());
+  BOOST_TEST(quarantine.mSuspects.empty());
   BOOST_TEST(quarantine.mSuccesses.empty());
 }
 
@@ -367,7 +401,7 @@
   // poisonous part always.
   fixture.mActions.clear();
   FireEvent(fixture, MakePrompt(fixture, { kCommon, kPoisonous }));
-  BOOST_TEST(GetSummary(*fixture.mNode).mQuarantinedParts == 2U);
+  BOOST_TEST(GetSummary(*fixture.mNode).mQuarantinedSuspects == 2U);
   const auto errors = TakeActions<send_error>(fixture);
   BOOST_REQUIRE(errors.size() == 1);
   BOOST_TEST((errors[0].mError.mCode == error_code::PromptQuarantined));
@@ -479,7 +513,7 @@
   AdvanceTime(fixture, 2 * kPause);
   const auto repeated = TakeWrittenReports(fixture);
   BOOST_REQUIRE(repeated.size() == 1U);
-  BOOST_TEST(repeated[0].mPart == kPoisonous);
+  BOOST_TEST(repeated[0].mSuspect.mHash == kPoisonous);
   BOOST_TEST(repeated[0].mGateway == "g");
   FireEvent(fixture, crash_report_write_response{ true });
   AdvanceTime(fixture, 2 * kPause);
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -140,8 +140,8 @@
   std::map<std::string, std::pair<std::optional<gateway_peer>, store_version>>
     mPeers;
   std::map<workspace_id, sim_record> mGrants;
-  // By part and gateway. A report without crashes was removed.
-  std::map<std::pair<std::uint64_t, std::string>,
+  // By suspect and gateway. A report without crashes was removed.
+  std::map<std::pair<suspect_id, std::string>,
            std::pair<crash_report, store_version>>
     mCrashReports;
   // Rises when the store returns to an older state.
--- a/tests/gateway_sim/sim_store.cc
+++ b/tests/gateway_sim/sim_store.cc
@@ -310,7 +310,7 @@
   }
   ++aSim.mStore.mRevision;
   for (const crash_report& report : aWrite.mReports) {
-    aSim.mStore.mCrashReports[{ report.mPart, report.mGateway }] = {
+    aSim.mStore.mCrashReports[{ report.mSuspect, report.mGateway }] = {
       report, aSim.mStore.mRevision
     };
   }
--- a/tests/server_counts_test.cc
+++ b/tests/server_counts_test.cc
@@ -222,22 +222,22 @@
                       return aView.mCold.mStatus != cold_status::Warm;
                     }));
       BOOST_REQUIRE(
-        summary.mQuarantinedParts ==
-        Count(node.mQuarantine.mParts, [](const part_record& aPart) {
-          return aPart.mStatus == part_status::Quarantined;
+        summary.mQuarantinedSuspects ==
+        Count(node.mQuarantine.mSuspects, [](const suspect_record& aSuspect) {
+          return aSuspect.mStatus == suspect_status::Quarantined;
         }));
       largest.mRateLimitedBackends =
         std::max(largest.mRateLimitedBackends, summary.mRateLimitedBackends);
       largest.mColdBackends =
         std::max(largest.mColdBackends, summary.mColdBackends);
-      largest.mQuarantinedParts =
-        std::max(largest.mQuarantinedParts, summary.mQuarantinedParts);
+      largest.mQuarantinedSuspects =
+        std::max(largest.mQuarantinedSuspects, summary.mQuarantinedSuspects);
     }
   }
   // The events must have led to all states.
   BOOST_TEST(largest.mRateLimitedBackends >= 2U);
   BOOST_TEST(largest.mColdBackends >= 2U);
-  BOOST_TEST(largest.mQuarantinedParts >= 1U);
+  BOOST_TEST(largest.mQuarantinedSuspects >= 1U);
 }
 
 } // namespace
