Refuse requests that come again and crash each server

Cause: what travels with a request was only known by the shared parts of its prompt. Requests to plain services were not looked at, and a stream whose parts others use soundly was cleared by their responses. The logs show it: the deadly requests have one fingerprint (61 dispatches, others at most 7), and the broken servers were never probed.

A request as a whole is a suspect now, identified by its workspace and a hash of method, host, target and body, for all kinds of service and also if its server had sent output. Three crashes quarantine it. Evidence against it excuses the parts of its prompt, so that sound requests with them are served. New suspects replace old ones when there are too many, successes are bounded, and a gateway with many reports paces its writes.

--- a/include/foxtailquay/error.h
+++ b/include/foxtailquay/error.h
@@ -54,6 +54,8 @@
   NoBackendServer,
   // Backend servers crash under a part of the prompt.
   PromptQuarantined,
+  // Backend servers crash under this request.
+  RequestQuarantined,
   BackendServerFailed,
   BackendServerLeaving,
   StreamBroken,
@@ -99,6 +101,7 @@
     { e::DeadlineExceeded, "deadline_exceeded" },
     { e::NoBackendServer, "no_backend_server" },
     { e::PromptQuarantined, "prompt_quarantined" },
+    { e::RequestQuarantined, "request_quarantined" },
     { e::BackendServerFailed, "backend_server_failed" },
     { e::BackendServerLeaving, "backend_server_leaving" },
     { e::StreamBroken, "stream_broken" },
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -244,16 +244,19 @@
 // evidence first.
 enum class crash_evidence
 {
+  // The server had sent output of the request: it may well have been sound.
+  OutputSent,
   // No byte of the response had arrived: the request may only have waited.
   NoResponse,
-  // The server had begun to respond to the request.
+  // The server had begun to respond to the request and sent no output.
   ResponseBegun,
 };
 
 constexpr auto NameTable(crash_evidence)
 {
   return MakeNameTable<crash_evidence>(
-    { { crash_evidence::NoResponse, "no_response" },
+    { { crash_evidence::OutputSent, "output_sent" },
+      { crash_evidence::NoResponse, "no_response" },
       { crash_evidence::ResponseBegun, "response_begun" } });
 }
 
@@ -262,12 +265,15 @@
 {
   // A part of their prompts.
   PromptPart,
+  // All of it: they are the same request, which comes again.
+  Request,
 };
 
 constexpr auto NameTable(suspect_kind)
 {
   return MakeNameTable<suspect_kind>(
-    { { suspect_kind::PromptPart, "prompt_part" } });
+    { { suspect_kind::PromptPart, "prompt_part" },
+      { suspect_kind::Request, "request" } });
 }
 
 struct suspect_id
--- a/src/core/crash_quarantine.cc
+++ b/src/core/crash_quarantine.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// All crashes have this evidence or stronger one.
+constexpr crash_evidence kAnyEvidence = crash_evidence::OutputSent;
+
 // Returns the crashed incarnations that any gateway has reported with this
 // evidence or stronger one.
 std::set<std::string> ListCrashes(const suspect_record& aRecord,
@@ -38,27 +41,46 @@
          kQuarantineCrashes;
 }
 
-bool EvaluateGuard(suspect_guard aGuard, const suspect_record& aRecord)
+struct suspect_context
+{
+  suspect_kind mKind;
+  const suspect_record& mRecord;
+};
+
+bool HasEnoughCrashes(const suspect_context& aContext)
+{
+  const std::size_t crashes =
+    ListCrashes(aContext.mRecord, kAnyEvidence).size();
+  switch (aContext.mKind) {
+    case suspect_kind::PromptPart:
+      return HasEnoughStrongEvidence(aContext.mRecord) ||
+             crashes >= kQuarantineAnyCrashes;
+    case suspect_kind::Request:
+      return crashes >= kQuarantineCrashes;
+  }
+  return false;
+}
+
+bool EvaluateGuard(suspect_guard aGuard, const suspect_context& aContext)
 {
   switch (aGuard) {
     case suspect_guard::CrashesReached:
-      return HasEnoughStrongEvidence(aRecord) ||
-             ListCrashes(aRecord, crash_evidence::NoResponse).size() >=
-               kQuarantineAnyCrashes;
+      return HasEnoughCrashes(aContext);
   }
   return false;
 }
 
-// Fires aEvent in the chart of a part. Erases its record if it is trusted then.
-// Precondition: the record exists.
+// Fires aEvent in the chart of a suspect. Erases its record if it is trusted
+// then. Precondition: the record exists.
 void FireSuspect(crash_quarantine& aQuarantine, const suspect_id& aSuspect,
                  suspect_event aEvent, absl::Time aNow)
 {
   const auto found = aQuarantine.mSuspects.find(aSuspect);
   suspect_record& record = found->second;
   const suspect_status before = record.mStatus;
-  for (suspect_action action : Fire(aQuarantine.mChart, record.mStatus, aEvent,
-                                    record, &EvaluateGuard)) {
+  for (suspect_action action :
+       Fire(aQuarantine.mChart, record.mStatus, aEvent,
+            suspect_context{ aSuspect.mKind, record }, &EvaluateGuard)) {
     switch (action) {
       case suspect_action::StartSuspicion:
         record.mUntil = aNow + kSuspicionTime;
@@ -78,8 +100,7 @@
   aQuarantine.mQuarantined -= (before == suspect_status::Quarantined ? 1U : 0U);
   if (record.mStatus != before || aEvent == suspect_event::ServerCrashed) {
     aQuarantine.mChanges.push_back(
-      { aSuspect, record.mStatus,
-        ListCrashes(record, crash_evidence::NoResponse).size(),
+      { aSuspect, record.mStatus, ListCrashes(record, kAnyEvidence).size(),
         ListCrashes(record, crash_evidence::ResponseBegun).size(), aEvent });
   }
   if (record.mStatus == suspect_status::Trusted) {
@@ -87,15 +108,35 @@
   }
 }
 
-// Returns the record of a part, a new one if there is none; null if there are
-// too many.
+// Forgets the suspects with the oldest crashes. Those that are, or were,
+// quarantined stay.
+void ForgetOldestSuspects(crash_quarantine& aQuarantine, absl::Time aNow)
+{
+  std::vector<std::pair<absl::Time, suspect_id>> oldest;
+  for (const auto& [suspect, record] : aQuarantine.mSuspects) {
+    if (record.mStatus == suspect_status::Suspect) {
+      oldest.emplace_back(record.mUntil, suspect);
+    }
+  }
+  std::sort(oldest.begin(), oldest.end());
+  oldest.resize(std::min(oldest.size(), kForgottenSuspects));
+  for (const auto& each : oldest) {
+    FireSuspect(aQuarantine, each.second, suspect_event::Expired, aNow);
+  }
+}
+
+// Returns the record of a suspect, a new one if there is none; null if there
+// are too many that cannot be forgotten.
 suspect_record* FindOrAddRecord(crash_quarantine& aQuarantine,
-                                const suspect_id& aSuspect)
+                                const suspect_id& aSuspect, absl::Time aNow)
 {
   const auto found = aQuarantine.mSuspects.find(aSuspect);
   if (found != aQuarantine.mSuspects.end()) {
     return &found->second;
   }
+  if (aQuarantine.mSuspects.size() >= kMaxSuspects) {
+    ForgetOldestSuspects(aQuarantine, aNow);
+  }
   return aQuarantine.mSuspects.size() < kMaxSuspects
            ? &aQuarantine.mSuspects[aSuspect]
            : nullptr;
@@ -132,15 +173,18 @@
 
 // Returns true if a report of this gateway on aCrash would add nothing: it is
 // known, or it may have the same cause as the last one.
-bool IsCounted(const suspect_record& aRecord, const server_crash& aCrash,
-               absl::Time aNow)
+bool IsCounted(suspect_kind aKind, const suspect_record& aRecord,
+               const server_crash& aCrash, absl::Time aNow)
 {
   if (ListCrashes(aRecord, aCrash.mEvidence).count(aCrash.mIncarnation) > 0) {
     return true;
   }
-  const bool isStronger = ListCrashes(aRecord, crash_evidence::NoResponse)
-                              .count(aCrash.mIncarnation) > 0 ||
-                          aCrash.mEvidence > aRecord.mLastOwnEvidence;
+  if (aKind == suspect_kind::Request) {
+    return false;
+  }
+  const bool isStronger =
+    ListCrashes(aRecord, kAnyEvidence).count(aCrash.mIncarnation) > 0 ||
+    aCrash.mEvidence > aRecord.mLastOwnEvidence;
   return !isStronger && aNow - aRecord.mLastOwnCrashAt < kCoincidenceTime;
 }
 
@@ -153,15 +197,19 @@
 
 // Returns true if a suspect that is not among aSuspects has all crashes of
 // aSuspect, and so may be the one to blame for them. Where the evidence against
-// aSuspect is strong, weaker evidence against others says nothing.
+// aSuspect is strong, weaker evidence against others says nothing. Two requests
+// that come at the same moments would excuse each other for good, so after many
+// crashes only a suspect with still more of them excuses a request.
 bool MayBeBlameless(const crash_quarantine& aQuarantine,
                     const suspect_id& aSuspect, const suspect_record& aRecord,
                     const std::vector<suspect_id>& aSuspects)
 {
   const crash_evidence evidence = HasEnoughStrongEvidence(aRecord)
                                     ? crash_evidence::ResponseBegun
-                                    : crash_evidence::NoResponse;
+                                    : kAnyEvidence;
   const std::set<std::string> crashes = ListCrashes(aRecord, evidence);
+  const bool needsMore = aSuspect.mKind == suspect_kind::Request &&
+                         crashes.size() >= kQuarantineAnyCrashes;
   return std::any_of(
     aQuarantine.mSuspects.begin(), aQuarantine.mSuspects.end(),
     [&](const auto& aOther) {
@@ -170,7 +218,8 @@
       }
       const std::set<std::string> others = ListCrashes(aOther.second, evidence);
       return std::includes(others.begin(), others.end(), crashes.begin(),
-                           crashes.end());
+                           crashes.end()) &&
+             (!needsMore || others.size() > crashes.size());
     });
 }
 
@@ -199,8 +248,8 @@
 {
   suspect_record* record = HasRecentSuccess(aQuarantine, aSuspect, aNow)
                              ? nullptr
-                             : FindOrAddRecord(aQuarantine, aSuspect);
-  if (record == nullptr || IsCounted(*record, aCrash, aNow)) {
+                             : FindOrAddRecord(aQuarantine, aSuspect, aNow);
+  if (record == nullptr || IsCounted(aSuspect.mKind, *record, aCrash, aNow)) {
     return;
   }
   record->mLastOwnCrashAt = aNow;
@@ -248,13 +297,13 @@
     aQuarantine.mUnwritten.insert(key);
     return;
   }
-  suspect_record* record = FindOrAddRecord(aQuarantine, aReport.mSuspect);
+  suspect_record* record = FindOrAddRecord(aQuarantine, aReport.mSuspect, aNow);
   if (record == nullptr) {
     return;
   }
   const suspect_record before = *record;
   record->mCrashes[aReport.mGateway] = aReport.mCrashes;
-  if (HasNewCrash(before, *record, crash_evidence::NoResponse) ||
+  if (HasNewCrash(before, *record, kAnyEvidence) ||
       HasNewCrash(before, *record, crash_evidence::ResponseBegun)) {
     FireSuspect(aQuarantine, aReport.mSuspect, suspect_event::ServerCrashed,
                 aNow);
@@ -265,7 +314,12 @@
                    const std::vector<suspect_id>& aSuspects, absl::Time aNow)
 {
   for (const suspect_id& suspect : aSuspects) {
-    aQuarantine.mSuccesses[suspect] = aNow;
+    const auto known = aQuarantine.mSuccesses.find(suspect);
+    if (known != aQuarantine.mSuccesses.end()) {
+      known->second = aNow;
+    } else if (aQuarantine.mSuccesses.size() < kMaxSuccesses) {
+      aQuarantine.mSuccesses.emplace(suspect, aNow);
+    }
     if (aQuarantine.mSuspects.count(suspect) > 0) {
       FireSuspect(aQuarantine, suspect, suspect_event::Succeeded, aNow);
     }
--- a/src/core/crash_quarantine.h
+++ b/src/core/crash_quarantine.h
@@ -1,22 +1,25 @@
-// Parts of prompts under which backend servers crash.
+// Parts of prompts, and whole requests, under which backend servers crash.
 //
-// A request whose prompt crashes the engine that responds to it would crash one
-// engine after the other. A crash is evidence against the parts of the prompts
-// that the server had and to which it had sent no output. Where it had begun to
-// respond, the evidence is strong; otherwise the request may only have waited.
-// Once enough servers have crashed under a part, requests with it are refused.
+// A request that crashes the server that runs it would crash one server after
+// the other, since it is sent to another one or comes again. A crash is
+// evidence against what the server was running: against the shared parts of
+// prompts to which it had sent no output, and against each request as a whole.
+// Once enough servers have crashed under a suspect, requests with it are
+// refused.
 //
-//   AddOwnCrash(quarantine, name, suspect, crash, now);  // seen by this
-//   gateway ApplyCrashReport(quarantine, report, now);           // seen by
-//   another one RecordSuccess(quarantine, suspects, now);            // a
-//   complete response if (FindQuarantined(quarantine, suspects)) {}        //
-//   refuse the request
+//   // A crash that this gateway has seen, and what another one has reported.
+//   AddOwnCrash(quarantine, name, suspect, crash, now);
+//   ApplyCrashReport(quarantine, report, now);
+//   // A complete response to a request with these suspects.
+//   RecordSuccess(quarantine, suspects, now);
+//   if (FindQuarantined(quarantine, suspects)) { refuse the request }
 //
-// Parts that always come together have the same crashes, so that the evidence
-// does not tell which one is to blame; only requests with all of them are
-// refused. Life cycle of a part: charts/crash_suspect.yaml. Memory: at most
-// kMaxSuspects records, and one entry for each part that was in a complete
-// response within kRecentSuccessTime. Not thread-safe.
+// Suspects that always come together have the same crashes, so that the
+// evidence does not tell which one is to blame; only requests with all of them
+// are refused. A part of a prompt is also in requests that only wait at a
+// server, so weak evidence counts less against it; a request that comes again
+// is the same one. Life cycle of a suspect: charts/crash_suspect.yaml. Memory:
+// at most kMaxSuspects records and kMaxSuccesses successes. Not thread-safe.
 
 #ifndef FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
 #define FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
@@ -38,26 +41,32 @@
 
 namespace foxtailquay {
 
-// Number of crashes after which a part is quarantined if the servers had begun
-// to respond. Two may be a coincidence.
+// Number of crashes after which a request is quarantined, and a part of prompts
+// if the servers had begun to respond. Two may be a coincidence.
 constexpr std::size_t kQuarantineCrashes = 3;
-// Number of crashes after which a part is quarantined whether or not the
-// servers had begun to respond. Sound requests that wait at a server crash with
-// it too, but rarely so often without a complete response in between.
+// Number of crashes after which a part of prompts is quarantined whether or not
+// the servers had begun to respond. Sound requests that wait at a server crash
+// with it too, but rarely so often without a complete response in between.
 constexpr std::size_t kQuarantineAnyCrashes = 5;
-// Time for which requests with a part are refused after its last crash.
+// Time for which requests with a suspect are refused after its last crash.
 constexpr absl::Duration kQuarantineTime = absl::Minutes(2);
-// Time without a crash after which the crashes of a part that is not
+// Time without a crash after which the crashes of a suspect that is not
 // quarantined are forgotten.
 constexpr absl::Duration kSuspicionTime = absl::Minutes(5);
-// A part of a complete response is not blamed for crashes during this time.
+// A suspect with a complete response is not blamed for crashes during this
+// time.
 constexpr absl::Duration kRecentSuccessTime = absl::Seconds(3);
-// Crashes of several servers within this time count once, since they may have
-// one common cause.
+// Crashes of several servers within this time count once against a part of
+// prompts, since they may have one common cause. A single request is sent to
+// the next server after the first has crashed.
 constexpr absl::Duration kCoincidenceTime = absl::Milliseconds(100);
-// Number of crashes stored per part and gateway.
+// Number of crashes stored per suspect and gateway.
 constexpr std::size_t kMaxReportedCrashes = 8;
 constexpr std::size_t kMaxSuspects = 1024;
+// Number of the oldest suspects that are forgotten at once if there are
+// kMaxSuspects.
+constexpr std::size_t kForgottenSuspects = kMaxSuspects / 4;
+constexpr std::size_t kMaxSuccesses = 8192;
 
 enum class suspect_status
 {
@@ -79,9 +88,9 @@
 enum class suspect_event
 {
   ServerCrashed,
-  // A request with the part had a complete response.
+  // A request with the suspect had a complete response.
   Succeeded,
-  // Other gateways have removed all reports on the part.
+  // Other gateways have removed all reports on the suspect.
   Withdrawn,
   Expired,
 };
@@ -125,7 +134,7 @@
 using suspect_chart =
   chart<suspect_status, suspect_event, suspect_guard, suspect_action>;
 
-// What is known of one part.
+// What is known of one suspect.
 struct suspect_record
 {
   suspect_status mStatus = suspect_status::Trusted;
@@ -135,7 +144,7 @@
   absl::Time mUntil = absl::InfiniteFuture();
   // Time and evidence of the last crash that this gateway has counted.
   absl::Time mLastOwnCrashAt = absl::InfinitePast();
-  crash_evidence mLastOwnEvidence = crash_evidence::NoResponse;
+  crash_evidence mLastOwnEvidence = crash_evidence::OutputSent;
 };
 
 // What a crash may have been due to, with the evidence against each.
@@ -144,7 +153,7 @@
 // Identifies the report of a gateway on a suspect.
 using report_key = std::pair<suspect_id, std::string>;
 
-// A part whose state has changed, for the log.
+// A suspect whose state has changed, for the log.
 struct suspect_change
 {
   suspect_id mSuspect;
@@ -170,18 +179,18 @@
   std::vector<suspect_change> mChanges;
 };
 
-// Returns the hashes of the parts of a prompt that other requests may have too:
-// all but the last.
+// Returns the parts of a prompt that other requests may have too: all but the
+// last.
 std::vector<suspect_id> ListSharedParts(const std::vector<prompt_part>& aParts);
 
-// Returns true if a request with the part had a complete response within
+// Returns true if a request with the suspect had a complete response within
 // kRecentSuccessTime before aNow.
 bool HasRecentSuccess(const crash_quarantine& aQuarantine,
                       const suspect_id& aSuspect, absl::Time aNow);
 
 // Counts a crash under aSuspect that gateway aOwnName, this one, has observed.
 // A second report of a crash only counts if its evidence is stronger. No effect
-// after a recent success.
+// after a recent success. Forgets the oldest suspects if there are too many.
 void AddOwnCrash(crash_quarantine& aQuarantine, const std::string& aOwnName,
                  const suspect_id& aSuspect, const server_crash& aCrash,
                  absl::Time aNow);
@@ -192,21 +201,22 @@
 void ApplyCrashReport(crash_quarantine& aQuarantine,
                       const crash_report& aReport, absl::Time aNow);
 
-// Records a complete response to a request with these parts, which clears them.
+// Records a complete response to a request with these suspects, which clears
+// them.
 void RecordSuccess(crash_quarantine& aQuarantine,
                    const std::vector<suspect_id>& aSuspects, absl::Time aNow);
 
 // Ends the states whose time has passed at aNow.
 void AdvanceQuarantine(crash_quarantine& aQuarantine, absl::Time aNow);
 
-// Returns the quarantined part because of which a request with these parts must
-// be refused. Takes time proportional to the number of records if it has a
-// quarantined part, and is short otherwise.
+// Returns the quarantined suspect because of which a request with these must be
+// refused. Takes time proportional to the number of records if it has a
+// quarantined one, and is short otherwise.
 std::optional<suspect_id> FindQuarantined(
   const crash_quarantine& aQuarantine,
   const std::vector<suspect_id>& aSuspects);
 
-// Returns true if servers have crashed under one of the parts.
+// Returns true if servers have crashed under one of the suspects.
 bool HasSuspect(const crash_quarantine& aQuarantine,
                 const std::vector<suspect_id>& aSuspects);
 
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -50,6 +50,7 @@
     case error_code::Overloaded:
     case error_code::NoBackendServer:
     case error_code::PromptQuarantined:
+    case error_code::RequestQuarantined:
     case error_code::BackendServerLeaving:
     case error_code::ClaimUnavailable:
     case error_code::ClaimCapacity:
--- a/src/core/gateway_choice.cc
+++ b/src/core/gateway_choice.cc
@@ -108,10 +108,10 @@
                                   " tokens, the prepaid total is ",
                                   *payer->mPrepaid));
   }
+  if (auto refusal = CheckQuarantine(aGateway, aRequest, aNow)) {
+    return *std::move(refusal);
+  }
   if (aRequest.mIsEngine) {
-    if (auto refusal = CheckPrompt(aGateway, aRequest, aNow)) {
-      return *std::move(refusal);
-    }
     if (auto refusal = CheckMemory(aGateway, aRequest)) {
       return *std::move(refusal);
     }
--- a/src/core/gateway_choice.h
+++ b/src/core/gateway_choice.h
@@ -35,7 +35,8 @@
 
 // Finds the route and the workspace that pays, and sets the fields of the
 // request that depend on them. Errors: ShuttingDown, NotReady, NotFound,
-// Unauthorized, BudgetExhausted, PromptQuarantined, InvalidRequest.
+// Unauthorized, BudgetExhausted, PromptQuarantined, RequestQuarantined,
+// InvalidRequest.
 result<success> AdmitRequest(const gateway& aGateway,
                              forwarded_request& aRequest, absl::Time aNow);
 
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -1,4 +1,4 @@
-// Prompt quarantine of a gateway: confirms that servers have crashed, and
+// Crash quarantine of a gateway: confirms that servers have crashed, and
 // exchanges reports on crashes with the other gateways through the store.
 
 #include <algorithm>
@@ -15,6 +15,40 @@
 // Mean time between two gateways that remove the same report. In a large fleet,
 // most gateways see the removal by another one before their own is due.
 constexpr absl::Duration kRemovalSpread = absl::Milliseconds(10);
+// Mean time between two writes of all gateways while each has more reports than
+// fit into one. The store takes several hundred writes a second in all.
+constexpr absl::Duration kWriteSpread = absl::Milliseconds(5);
+constexpr absl::Duration kMaxWriteInterval = absl::Seconds(1);
+
+// Returns what the request has in common with others that may crash servers.
+std::vector<suspect_id> ListSuspects(const forwarded_request& aRequest)
+{
+  std::vector<suspect_id> suspects;
+  if (aRequest.mIsEngine) {
+    suspects = ListSharedParts(aRequest.mCaller.mPromptParts);
+  }
+  if (aRequest.mFingerprint) {
+    suspects.push_back({ suspect_kind::Request, *aRequest.mFingerprint });
+  }
+  return suspects;
+}
+
+crash_evidence ClassifyEvidence(const attempt_report& aReport)
+{
+  if (aReport.mHasOutput) {
+    return crash_evidence::OutputSent;
+  }
+  return aReport.mHasBegun ? crash_evidence::ResponseBegun
+                           : crash_evidence::NoResponse;
+}
+
+// Returns true if a crash with this evidence counts against the suspect. Output
+// shows that the prompt did not crash the server.
+bool IsEvidenceAgainst(const suspect_id& aSuspect, crash_evidence aEvidence)
+{
+  return aSuspect.mKind == suspect_kind::Request ||
+         aEvidence != crash_evidence::OutputSent;
+}
 
 void RecordSuspectChanges(gateway& aGateway)
 {
@@ -73,7 +107,7 @@
   }
 }
 
-// Probes a server whose response broke off before its first output.
+// Probes a server at which an attempt broke off.
 void ProbeBrokenServer(gateway& aGateway, const forwarded_request& aRequest,
                        const backend_id& aBackend, crash_evidence aEvidence,
                        absl::Time aNow)
@@ -82,16 +116,17 @@
   if (listing == aGateway.mListings.end()) {
     return;
   }
-  // A server that leaves ends with requests that wait.
+  // A server that leaves ends with requests that wait or are not complete.
   if (listing->second.mEntry.mLeaving &&
-      aEvidence == crash_evidence::NoResponse) {
+      aEvidence != crash_evidence::ResponseBegun) {
     return;
   }
-  std::vector<suspect_id> suspects =
-    ListSharedParts(aRequest.mCaller.mPromptParts);
+  std::vector<suspect_id> suspects = ListSuspects(aRequest);
   suspects.erase(std::remove_if(suspects.begin(), suspects.end(),
                                 [&](const suspect_id& aSuspect) {
-                                  return HasRecentSuccess(aGateway.mQuarantine,
+                                  return !IsEvidenceAgainst(aSuspect,
+                                                            aEvidence) ||
+                                         HasRecentSuccess(aGateway.mQuarantine,
                                                           aSuspect, aNow);
                                 }),
                  suspects.end());
@@ -111,35 +146,27 @@
   }
 }
 
-void RecordPromptSuccess(gateway& aGateway, const forwarded_request& aRequest,
-                         absl::Time aNow)
-{
-  RecordSuccess(aGateway.mQuarantine,
-                ListSharedParts(aRequest.mCaller.mPromptParts), aNow);
-  RecordSuspectChanges(aGateway);
-  WriteCrashReports(aGateway, aNow);
-}
-
 } // namespace
 
-void RecordPromptOutcome(gateway& aGateway, const forwarded_request& aRequest,
+void RecordCrashEvidence(gateway& aGateway, const forwarded_request& aRequest,
                          const attempt_report& aReport,
                          const backend_id& aBackend, absl::Time aNow)
 {
-  if (!aRequest.mIsEngine) {
-    return;
-  }
-  if (aReport.mOutcome == attempt_outcome::Delivered) {
-    RecordPromptSuccess(aGateway, aRequest, aNow);
-    return;
-  }
-  const bool isBroken = aReport.mOutcome == attempt_outcome::Broken ||
-                        aReport.mOutcome == attempt_outcome::BrokenMidway;
-  if (isBroken && !aReport.mHasOutput) {
-    ProbeBrokenServer(aGateway, aRequest, aBackend,
-                      aReport.mHasBegun ? crash_evidence::ResponseBegun
-                                        : crash_evidence::NoResponse,
-                      aNow);
+  switch (aReport.mOutcome) {
+    case attempt_outcome::Delivered:
+      RecordSuccess(aGateway.mQuarantine, ListSuspects(aRequest), aNow);
+      RecordSuspectChanges(aGateway);
+      WriteCrashReports(aGateway, aNow);
+      break;
+    case attempt_outcome::Broken:
+    case attempt_outcome::BrokenMidway:
+      ProbeBrokenServer(aGateway, aRequest, aBackend, ClassifyEvidence(aReport),
+                        aNow);
+      break;
+    case attempt_outcome::Failed:
+    case attempt_outcome::NotRun:
+    case attempt_outcome::NotSent:
+      break;
   }
 }
 
@@ -226,6 +253,12 @@
       aGateway.mQuarantine.mUnwritten.erase(key);
     }
   }
+  // After the crash of many servers, most reports are on sound requests.
+  if (sent.size() == kMaxReportsPerWrite) {
+    aGateway.mNextReportWriteAt =
+      aNow + std::min(kWriteSpread * CountGateways(aGateway, aNow),
+                      kMaxWriteInterval);
+  }
   WriteCrashReports(aGateway, aNow);
 }
 
@@ -236,33 +269,37 @@
   WriteCrashReports(aGateway, aNow);
 }
 
-std::optional<error> CheckPrompt(const gateway& aGateway,
-                                 const forwarded_request& aRequest,
-                                 absl::Time aNow)
+std::optional<error> CheckQuarantine(const gateway& aGateway,
+                                     const forwarded_request& aRequest,
+                                     absl::Time aNow)
 {
-  if (aGateway.mQuarantine.mSuspects.empty()) {
+  if (aGateway.mQuarantine.mQuarantined == 0) {
     return std::nullopt;
   }
-  const auto suspect = FindQuarantined(
-    aGateway.mQuarantine, ListSharedParts(aRequest.mCaller.mPromptParts));
+  const auto suspect =
+    FindQuarantined(aGateway.mQuarantine, ListSuspects(aRequest));
   if (!suspect) {
     return std::nullopt;
   }
+  const std::string hash = absl::StrCat(absl::Hex(suspect->mHash));
   error refusal =
-    MakeError(error_code::PromptQuarantined, executed::No,
-              absl::StrCat("backend servers crash under part ",
-                           absl::Hex(suspect->mHash), " of the prompt"));
+    suspect->mKind == suspect_kind::PromptPart
+      ? MakeError(error_code::PromptQuarantined, executed::No,
+                  absl::StrCat("backend servers crash under part ", hash,
+                               " of the prompt"))
+      : MakeError(error_code::RequestQuarantined, executed::No,
+                  absl::StrCat("backend servers crash under the request with "
+                               "fingerprint ",
+                               hash));
   refusal.mRetryAfter =
     aGateway.mQuarantine.mSuspects.at(*suspect).mUntil - aNow;
   return refusal;
 }
 
-bool HasSuspectPrompt(const gateway& aGateway,
-                      const forwarded_request& aRequest)
+bool HasSuspect(const gateway& aGateway, const forwarded_request& aRequest)
 {
   return !aGateway.mQuarantine.mSuspects.empty() &&
-         HasSuspect(aGateway.mQuarantine,
-                    ListSharedParts(aRequest.mCaller.mPromptParts));
+         HasSuspect(aGateway.mQuarantine, ListSuspects(aRequest));
 }
 
 } // namespace foxtailquay
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -78,9 +78,8 @@
   if (request.mIsLastUnsent && request.mSentAttempts == 0) {
     return request.mAttempts <= kMaxUnsentAttempts;
   }
-  if (request.mMayHaveExecuted &&
-      (!IsRepeatable(request.mRoute) ||
-       HasSuspectPrompt(aContext.mGateway, request))) {
+  if (request.mMayHaveExecuted && (!IsRepeatable(request.mRoute) ||
+                                   HasSuspect(aContext.mGateway, request))) {
     return false;
   }
   if (request.mSentAttempts >= request.mRoute.mMaxAttempts) {
@@ -147,6 +146,13 @@
 void Dispatch(gateway& aGateway, forwarded_request& aRequest, absl::Time aNow)
 {
   const bool isRepeat = aRequest.mSentAttempts > 0;
+  // Servers may have crashed under the request while it waited.
+  if (auto refusal = CheckQuarantine(aGateway, aRequest, aNow)) {
+    aRequest.mError = *std::move(refusal);
+    FireRequest(aGateway, aRequest.mCaller.mHandle, forward_event::Unroutable,
+                aNow);
+    return;
+  }
   aGateway.mRouting.mRouters = CountGateways(aGateway, aNow);
   const std::string& service = aRequest.mService.mValue;
   const dispatch_choice choice = ChooseDispatch(
@@ -404,7 +410,7 @@
                     aReport.mOutcome == attempt_outcome::Delivered, aNow);
   ApplyAttemptReport(aGateway, request, aReport, aNow);
   RecordRequestFinished(aGateway, request, aReport, backend, aNow);
-  RecordPromptOutcome(aGateway, request, aReport, backend, aNow);
+  RecordCrashEvidence(aGateway, request, aReport, backend, aNow);
   FireRequest(aGateway, aReport.mHandle,
               aReport.mOutcome == attempt_outcome::Delivered
                 ? forward_event::Delivered
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -10,7 +10,7 @@
 // gateway_memory.cc   memory of the engines
 // gateway_admission.cc  requests that wait while all servers are full
 // gateway_log.cc      log records on requests
-// gateway_quarantine.cc  parts of prompts under which servers crash
+// gateway_quarantine.cc  prompts and requests under which servers crash
 // gateway_fund.cc     prepaid totals: grants, transfers between gateways
 // gateway_waiters.cc  requests and gateways that wait for tokens
 // gateway_placement.cc  prepaid tokens held ahead of need: first parts, refill,
@@ -353,7 +353,7 @@
   workspace_id mPeriodicFrom;
 
   crash_quarantine mQuarantine;
-  // Suspected parts by backend server, until the server has been probed.
+  // Suspects by backend server, until the server has been probed.
   std::map<backend_id, crash_suspects> mProbes;
   // Reports of the write in flight; empty if there is none.
   std::vector<crash_report> mReportsInFlight;
@@ -448,8 +448,9 @@
 
 // --- gateway_quarantine.cc --------------------------------------------------
 
-// Records what an attempt at an engine shows of the parts of its prompt.
-void RecordPromptOutcome(gateway& aGateway, const forwarded_request& aRequest,
+// Records what the end of an attempt shows of crashes of its server and of what
+// the request has in common with others.
+void RecordCrashEvidence(gateway& aGateway, const forwarded_request& aRequest,
                          const attempt_report& aReport,
                          const backend_id& aBackend, absl::Time aNow);
 void OnServerProbed(gateway& aGateway, const server_probed& aEvent,
@@ -464,15 +465,14 @@
                                 absl::Time aNow);
 // Ends quarantines whose time has passed and repeats failed writes.
 void AdvanceQuarantine(gateway& aGateway, absl::Time aNow);
-// Returns the error with which the request must be refused because of its
-// prompt; nothing if it may be sent.
-std::optional<error> CheckPrompt(const gateway& aGateway,
-                                 const forwarded_request& aRequest,
-                                 absl::Time aNow);
-// Returns true if servers have crashed under a part of the prompt.
-bool HasSuspectPrompt(const gateway& aGateway,
-                      const forwarded_request& aRequest);
-
+// Returns the error with which the request must be refused because servers
+// crash under it; nothing if it may be sent.
+std::optional<error> CheckQuarantine(const gateway& aGateway,
+                                     const forwarded_request& aRequest,
+                                     absl::Time aNow);
+// Returns true if servers have crashed under the request or a part of its
+// prompt.
+bool HasSuspect(const gateway& aGateway, const forwarded_request& aRequest);
 // --- gateway_fund.cc --------------------------------------------------------
 
 // Reserves the worst-case cost of a request, immediately or after a wait. Fires
