Reject responses whose status HTTP does not define

A server in trouble that responded with status 600 or 999 was relayed as a failure response to half of the callers; with 000 or 099, the response was taken for an interim one, and the caller waited until its deadline (504 after 6 s). Nothing checked the status: the parser takes any three digits.

The reader treats a response with a status outside 100 to 599 as malformed, for gateways, their calls to each other and those to the store: the attempt ends as broken at once. a_status_that_http_does_not_define_is_no_response failed before (no report within 5 s). a_response_that_is_reset_during_an_upload_is_incomplete guards what held before: a server that responds to an upload of 900 kB at once, without a length, and resets the connection after 0, 20 or 500 ms.

--- a/src/transport/client_call.cc
+++ b/src/transport/client_call.cc
@@ -45,7 +45,9 @@
   CancelTimer(aCalls.mLoop, call->mTimer);
   call_response response;
   response.mNotSent = aNotSent;
-  if (call->mReader.mIsComplete) {
+  const bool isComplete =
+    call->mReader.mIsComplete && call->mReader.mFailure == reader_failure::None;
+  if (isComplete) {
     response.mStatus = call->mReader.mHead.mStatus;
     response.mHead = std::move(call->mReader.mHead);
     response.mBody = std::move(call->mReader.mBody);
@@ -56,7 +58,7 @@
   } else {
     CloseChannel(aCalls.mLoop, aCalls.mPool, call->mAddress, aChannel);
   }
-  if (!call->mReader.mIsComplete) {
+  if (!isComplete) {
     CloseIdleChannels(aCalls.mLoop, aCalls.mPool, call->mAddress);
   }
   call->mOnDone(response);
@@ -73,8 +75,8 @@
   ParseInput(call.mReader, call.mInput);
   if (call.mReader.mFailure != reader_failure::None ||
       call.mReader.mIsComplete) {
-    const bool keep = call.mReader.mIsComplete && call.mReader.mKeepAlive &&
-                      call.mInput.empty();
+    const bool keep = call.mReader.mFailure == reader_failure::None &&
+                      call.mReader.mKeepAlive && call.mInput.empty();
     FinishCall(aCalls, aChannel, false, keep);
   }
 }
--- a/src/transport/http_reader.cc
+++ b/src/transport/http_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <type_traits>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -112,6 +113,13 @@
   return false;
 }
 
+// Returns true if the status is one of the classes 1xx to 5xx. Others have no
+// meaning (RFC 9110, section 15).
+bool IsDefinedStatus(int aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 template<typename Parser>
 void UpdateState(http_reader& aReader, const Parser& aParser)
 {
@@ -158,8 +166,10 @@
                          ? reader_failure::BodyTooLarge
                          : reader_failure::HeaderTooLarge;
   }
+  constexpr bool kIsResponse = std::is_same_v<Parser, reader_parser<false>>;
   if (!aReader.mIsHeadComplete && aParser.is_header_done() &&
-      HasUnknownCoding(aReader.mHead)) {
+      (HasUnknownCoding(aReader.mHead) ||
+       (kIsResponse && !IsDefinedStatus(aReader.mHead.mStatus)))) {
     aReader.mFailure = reader_failure::Malformed;
   }
   UpdateState(aReader, aParser);
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -7,7 +7,8 @@
 //
 // Beast rejects messages that two parsers could split differently: conflicting
 // or repeated lengths, a length together with chunks, and malformed chunk
-// sizes; the reader rejects transfer codings other than chunked. A message that
+// sizes; the reader rejects transfer codings other than chunked and statuses
+// outside 100 to 599. A message that
 // is cut short is never reported as complete. Memory is bounded by the limits;
 // a user that removes the bytes of mBody as they arrive needs less. Not
 // thread-safe.
--- a/tests/hostile_response_test.cc
+++ b/tests/hostile_response_test.cc
@@ -6,6 +6,7 @@
 #define BOOST_TEST_MODULE hostile_response
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
 #include <vector>
 
 #include "traffic_fixture.h"
@@ -125,5 +126,72 @@
   }
 }
 
+// A status outside 100 to 599 is none that HTTP defines. Such a response must
+// neither reach the caller nor make it wait until its deadline.
+BOOST_AUTO_TEST_CASE(a_status_that_http_does_not_define_is_no_response)
+{
+  for (const char* status : { "000", "099", "600", "999" }) {
+    for (const call_kind kind : { call_kind::Stream, call_kind::Idempotent,
+                                  call_kind::NonIdempotent }) {
+      BOOST_TEST_CONTEXT(ToName(kind) << ", status " << status)
+      {
+        traffic_fixture fixture;
+        tcp::socket caller = SendCallerBytes(fixture, MakeRequest());
+        const auto request = AwaitEvent<caller_request>(fixture);
+        DispatchAttempt(fixture, request.mHandle, 1, kind);
+        const tcp::socket server =
+          RespondOnce(fixture, std::string("HTTP/1.1 ") + status +
+                                 " Odd\r\nFoxtailquay-Attempt-Id: a1\r\n"
+                                 "Foxtailquay-Server-Seal: s1\r\n" +
+                                 kOkBody);
+        BOOST_TEST(ToName(AwaitEvent<attempt_report>(fixture).mOutcome) ==
+                   ToName(attempt_outcome::Broken));
+        BOOST_TEST(caller.available() == 0U);
+      }
+    }
+  }
+}
+
+// A server that responds before it has read a long body and then resets the
+// connection, which the unsent rest of the body would hide, has sent a part of
+// its response only.
+BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_an_upload_is_incomplete)
+{
+  const std::string body(900 << 10, 'u');
+  const std::string head = "POST /p/1 HTTP/1.1\r\nHost: h.example\r\n"
+                           "Foxtailquay-Attempt-Id: a1\r\n"
+                           "Content-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n";
+  for (const call_kind kind :
+       { call_kind::Stream, call_kind::Idempotent, call_kind::NonIdempotent }) {
+    for (const int pauseMs : { 0, 20, 500 }) {
+      BOOST_TEST_CONTEXT(ToName(kind) << ", reset after " << pauseMs << " ms")
+      {
+        traffic_fixture fixture;
+        tcp::socket caller = SendCallerBytes(fixture, head + body);
+        const auto request = AwaitEvent<caller_request>(fixture);
+        DispatchAttempt(fixture, request.mHandle, 1, kind);
+        tcp::socket server = fixture.mServerAcceptor.accept();
+        ReadUntil(server, "\r\n\r\n");
+        asio::write(server,
+                    asio::buffer(kResponseHead + "\r\nid: 1\ndata: part\n\n"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(pauseMs));
+        ResetConnection(server);
+        const auto outcome = AwaitEvent<attempt_report>(fixture).mOutcome;
+        BOOST_TEST((outcome == attempt_outcome::Broken ||
+                    (outcome == attempt_outcome::BrokenMidway &&
+                     kind == call_kind::Stream)));
+        Post(fixture.mLoop, [&fixture, handle = request.mHandle] {
+          SendError(fixture.mTraffic, { handle, error{} });
+        });
+        const std::string seen = ReadUntil(caller, "}");
+        BOOST_TEST((outcome == attempt_outcome::BrokenMidway ||
+                    seen.find("200") == std::string::npos));
+        BOOST_TEST(seen.find("\r\n0\r\n\r\n") == std::string::npos);
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace foxtailquay
