Reject responses to agents whose status is not a final one

An agent relayed the response of a service with status 099, 103, 600 or 999 to the router as a complete one, and that of an engine with 103: the HTTP library takes any three digits and follows 100 only.

--- a/src/wire/engine_client.cc
+++ b/src/wire/engine_client.cc
@@ -70,9 +70,20 @@
          (aRun.mStatus >= 500 || aRun.mStatus == 429);
 }
 
+bool IsFinalStatus(int aStatus)
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
 bool OnHead(backend_run& aRun, int aStatus, const std::string& aContentType)
 {
   aRun.mStatus = aStatus;
+  if (!IsFinalStatus(aStatus)) {
+    aRun.mError =
+      MakeBackendError(absl::StrCat("the backend server responded with status ",
+                                    aStatus, ", which is no final status"));
+    return false;
+  }
   if (IsEngineFailure(aRun)) {
     aRun.mError = MakeBackendError(
       absl::StrCat("the engine responded with status ", aStatus));
--- a/tests/engine_client_test.cc
+++ b/tests/engine_client_test.cc
@@ -5,6 +5,13 @@
 #define BOOST_TEST_MODULE engine_client
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 #include "runtime/clock.h"
@@ -15,6 +22,9 @@
 namespace foxtailquay {
 namespace {
 
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+
 constexpr char kToken[] = R"({"choices":[{"text":"x"}]})";
 constexpr char kUsage[] =
   R"({"choices":[],"usage":{"prompt_tokens":4,"completion_tokens":2}})";
@@ -68,17 +78,18 @@
   std::vector<run_frame> mFrames;
 };
 
-relayed_run CallFakeBackend(const engine_options& aOptions,
-                            backend_kind aKind = backend_kind::Engine,
-                            absl::Duration aTimeout = absl::Seconds(20),
-                            std::size_t aDisconnectAfterFrames = 1000)
+relayed_run CallFakeBackend(
+  const engine_options& aOptions, backend_kind aKind = backend_kind::Engine,
+  absl::Duration aTimeout = absl::Seconds(20),
+  std::size_t aDisconnectAfterFrames = 1000,
+  const std::string& aBody = R"({"model":"m","prompt":"abcd"})")
 {
   run_request run;
   run.mRequest = GetValue(ParseRequestId("b/r1/1/7"));
   run.mKind = aKind;
   run.mMethod = "POST";
   run.mPath = "/v1/completions";
-  run.mBody = R"({"model":"m","prompt":"abcd"})";
+  run.mBody = aBody;
   run.mMaxTokens = 3;
   run.mMaxPromptTokens = 8;
   run.mTimeout = aTimeout;
@@ -262,5 +273,69 @@
   BOOST_TEST((GetError(rejected).mCode == error_code::StaleFence));
 }
 
+// A server that reads one header section, sends some bytes and resets the
+// connection after a pause.
+struct scripted_backend
+{
+  scripted_backend(const std::string& aBytes, std::chrono::milliseconds aPause)
+    : mThread([this, aBytes, aPause] {
+      tcp::socket socket = mAcceptor.accept();
+      std::string received;
+      asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+      asio::write(socket, asio::buffer(aBytes));
+      std::this_thread::sleep_for(aPause);
+      socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+    })
+  {
+    mOptions.mAddress =
+      absl::StrCat("127.0.0.1:", mAcceptor.local_endpoint().port());
+  }
+  ~scripted_backend() { mThread.join(); }
+
+  asio::io_context mIo;
+  tcp::acceptor mAcceptor{ mIo, { asio::ip::address_v4::loopback(), 0 } };
+  engine_options mOptions;
+  std::thread mThread;
+};
+
+// A status outside 200 to 599 is no final status of HTTP. It must not reach the
+// caller as the response of a service.
+BOOST_AUTO_TEST_CASE(a_status_that_is_not_final_is_no_response)
+{
+  for (const char* status : { "000", "099", "103", "600", "999" }) {
+    for (const backend_kind kind :
+         { backend_kind::Engine, backend_kind::Service }) {
+      BOOST_TEST_CONTEXT(ToName(kind) << ", status " << status)
+      {
+        const scripted_backend backend(std::string("HTTP/1.1 ") + status +
+                                         " Odd\r\nContent-Length: 2\r\n\r\nok",
+                                       std::chrono::milliseconds(50));
+        const relayed_run run = CallFakeBackend(backend.mOptions, kind);
+        BOOST_TEST(!run.mOutcome.mComplete);
+        BOOST_TEST(run.mFrames.empty());
+      }
+    }
+  }
+}
+
+// A service that responds while a long body is still being sent, and resets the
+// connection, has sent a part of its response only.
+BOOST_AUTO_TEST_CASE(a_response_that_is_reset_during_an_upload_is_incomplete)
+{
+  for (const int pauseMs : { 0, 20, 500 }) {
+    BOOST_TEST_CONTEXT("reset after " << pauseMs << " ms")
+    {
+      const scripted_backend backend("HTTP/1.1 200 OK\r\n\r\npart",
+                                     std::chrono::milliseconds(pauseMs));
+      const relayed_run run =
+        CallFakeBackend(backend.mOptions, backend_kind::Service,
+                        absl::Seconds(20), 1000, std::string(4 << 20, 'u'));
+      BOOST_TEST(!run.mOutcome.mComplete);
+      BOOST_TEST((run.mOutcome.mLast.mType == frame_type::Broken));
+    }
+  }
+}
+
 } // namespace
 } // namespace foxtailquay
