Ask for more crashes where a request had output from its servers

Cause: sound streams that are in the middle of their responses at three crashes in a row were refused for two minutes.

A request is quarantined after three crashes before its first output, or five of any kind.

--- a/src/core/crash_quarantine.cc
+++ b/src/core/crash_quarantine.cc
@@ -49,14 +49,16 @@
 
 bool HasEnoughCrashes(const suspect_context& aContext)
 {
-  const std::size_t crashes =
-    ListCrashes(aContext.mRecord, kAnyEvidence).size();
+  const suspect_record& record = aContext.mRecord;
+  if (ListCrashes(record, kAnyEvidence).size() >= kQuarantineAnyCrashes) {
+    return true;
+  }
   switch (aContext.mKind) {
     case suspect_kind::PromptPart:
-      return HasEnoughStrongEvidence(aContext.mRecord) ||
-             crashes >= kQuarantineAnyCrashes;
+      return HasEnoughStrongEvidence(record);
     case suspect_kind::Request:
-      return crashes >= kQuarantineCrashes;
+      return ListCrashes(record, crash_evidence::NoResponse).size() >=
+             kQuarantineCrashes;
   }
   return false;
 }
--- a/src/core/crash_quarantine.h
+++ b/src/core/crash_quarantine.h
@@ -41,12 +41,14 @@
 
 namespace foxtailquay {
 
-// Number of crashes after which a request is quarantined, and a part of prompts
-// if the servers had begun to respond. Two may be a coincidence.
+// Number of crashes after which a request is quarantined if the servers had not
+// sent output yet, and a part of prompts if they had begun to respond. Two may
+// be a coincidence.
 constexpr std::size_t kQuarantineCrashes = 3;
-// Number of crashes after which a part of prompts is quarantined whether or not
-// the servers had begun to respond. Sound requests that wait at a server crash
-// with it too, but rarely so often without a complete response in between.
+// Number of crashes of any kind after which a suspect is quarantined. Sound
+// requests that wait at a server, or are in the middle of a long response,
+// crash with it too, but rarely so often without a complete response in
+// between.
 constexpr std::size_t kQuarantineAnyCrashes = 5;
 // Time for which requests with a suspect are refused after its last crash.
 constexpr absl::Duration kQuarantineTime = absl::Minutes(2);
--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -178,8 +178,9 @@
 constexpr absl::Duration kPromptRunTime = absl::Seconds(30);
 
 // Guards against requests of one kind that crash one server after the other:
-// once five servers have crashed under a part of a prompt, at most three more
-// requests with it may reach servers, and sound requests must be served.
+// once five servers have crashed under a part of a prompt, or three under a
+// request that comes again, at most three more of these requests may reach
+// servers, and sound requests must be served.
 void CheckPoisonousPrompts(crash_moment aMoment, bool aRestarts)
 {
   for (const auto& pattern : NameTable(poisonous_pattern{})) {
