--- a/tests/gateway_fault_test.cc
+++ b/tests/gateway_fault_test.cc
@@ -214,6 +214,8 @@
   CheckPoisonousPrompts(crash_moment::InHeaderSection, false);
 }
 
+// Guards against gateways that forget poisonous requests when they are killed,
+// or do not learn of them when they reach the store again.
 BOOST_AUTO_TEST_CASE(a_poisonous_part_is_remembered_over_restarts)
 {
   CheckPoisonousPrompts(crash_moment::AfterHeaderSection, true);
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -276,7 +276,8 @@
   // Number of crashes after which poisonous requests must be recognized.
   std::size_t mAllowedCrashes = 5;
   // Poisonous requests that reached servers later than the contact time after
-  // the last of these crashes, sent by gateways that had run for that time.
+  // the last of these crashes, sent by gateways that had run and reached the
+  // store for that time.
   int mLatePoisonous = 0;
   // Sound requests from twice the contact time after that crash on, and those
   // of them that reached a server.
--- a/tests/gateway_sim/sim_config.cc
+++ b/tests/gateway_sim/sim_config.cc
@@ -76,22 +76,6 @@
   });
 }
 
-void DisconnectGateway(fleet_sim& aSim, std::size_t aIndex,
-                       absl::Duration aTime)
-{
-  sim_gateway& gateway = aSim.mGateways[aIndex];
-  gateway.mIsDisconnected = true;
-  gateway.mDisturbedUntil =
-    std::max(gateway.mDisturbedUntil, aSim.mNow + aTime);
-  Schedule(aSim, aTime, [&aSim, aIndex] {
-    sim_gateway& cut = aSim.mGateways[aIndex];
-    if (aSim.mNow >= cut.mDisturbedUntil) {
-      cut.mIsDisconnected = false;
-      SendWatchResponses(aSim);
-    }
-  });
-}
-
 void SilenceGateway(fleet_sim& aSim, std::size_t aIndex)
 {
   sim_gateway& gateway = aSim.mGateways[aIndex];
@@ -157,6 +141,22 @@
 
 } // namespace
 
+void DisconnectGateway(fleet_sim& aSim, std::size_t aIndex,
+                       absl::Duration aTime)
+{
+  sim_gateway& gateway = aSim.mGateways[aIndex];
+  gateway.mIsDisconnected = true;
+  gateway.mDisturbedUntil =
+    std::max(gateway.mDisturbedUntil, aSim.mNow + aTime);
+  Schedule(aSim, aTime, [&aSim, aIndex] {
+    sim_gateway& cut = aSim.mGateways[aIndex];
+    if (aSim.mNow >= cut.mDisturbedUntil) {
+      cut.mIsDisconnected = false;
+      SendWatchResponses(aSim);
+    }
+  });
+}
+
 void RunConfigurationChanges(fleet_sim& aSim, absl::Duration aTime)
 {
   ChangeConfigPeriodically(aSim);
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -175,6 +175,12 @@
 void SendTokenResponse(fleet_sim& aSim, std::uint64_t aCall,
                        std::optional<token_response> aResponse);
 
+// --- sim_config.cc ----------------------------------------------------------
+
+// Cuts a gateway off from the store for aTime.
+void DisconnectGateway(fleet_sim& aSim, std::size_t aIndex,
+                       absl::Duration aTime);
+
 } // namespace foxtailquay::gateway_sim
 
 #endif
--- a/tests/gateway_sim/sim_prompts.cc
+++ b/tests/gateway_sim/sim_prompts.cc
@@ -124,14 +124,20 @@
     [&aSim, aPattern, aEnd] { SendPromptsPeriodically(aSim, aPattern, aEnd); });
 }
 
-void RestartGatewaysPeriodically(fleet_sim& aSim, absl::Time aEnd)
+void DisturbGatewaysPeriodically(fleet_sim& aSim, absl::Time aEnd)
 {
   if (aSim.mNow >= aEnd) {
     return;
   }
-  KillGateway(aSim, DrawGateway(aSim), Draw(aSim, 2) == 0);
+  const std::size_t index = DrawGateway(aSim);
+  if (Draw(aSim, 3) == 0) {
+    DisconnectGateway(aSim, index,
+                      absl::Seconds(1) + DrawTime(aSim, absl::Seconds(4)));
+  } else {
+    KillGateway(aSim, index, Draw(aSim, 2) == 0);
+  }
   Schedule(aSim, absl::Seconds(2) + DrawTime(aSim, absl::Seconds(4)),
-           [&aSim, aEnd] { RestartGatewaysPeriodically(aSim, aEnd); });
+           [&aSim, aEnd] { DisturbGatewaysPeriodically(aSim, aEnd); });
 }
 
 void CrashServersPeriodically(fleet_sim& aSim, absl::Time aEnd)
@@ -158,7 +164,7 @@
   const absl::Time end = aSim.mNow + aTime;
   SendPromptsPeriodically(aSim, aRequests.mPattern, end);
   if (aRestarts) {
-    RestartGatewaysPeriodically(aSim, end);
+    DisturbGatewaysPeriodically(aSim, end);
   }
   RunUntil(aSim, end);
 }
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -2,6 +2,7 @@
 
 #include "gateway_sim/sim_parts.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -80,8 +81,10 @@
   }
   const absl::Duration since =
     aSim.mNow - counts.mCrashes[counts.mAllowedCrashes - 1];
+  const sim_gateway& gateway = aSim.mGateways[aIndex];
   const bool hasSettled =
-    aSim.mNow - aSim.mGateways[aIndex].mStartedAt > kContactTime;
+    aSim.mNow - std::max(gateway.mStartedAt, gateway.mDisturbedUntil) >
+    kContactTime;
   if (request.mIsPoisonous && hasSettled && since > kContactTime) {
     ++counts.mLatePoisonous;
   }
