Write the reports on likely culprits first

Cause: after the crash of many servers, a gateway has a report on each request that was running there, in the order of their hashes, and its writes are paced. The report on the request that may have caused a crash could wait for up to a minute behind them.

--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -82,6 +82,33 @@
   }
 }
 
+// Returns true if the report may complete the evidence against a suspect. After
+// the crash of many servers, most reports are on sound requests with output.
+bool IsUrgent(const crash_report& aReport)
+{
+  return aReport.mCrashes.size() > 1 ||
+         std::any_of(aReport.mCrashes.begin(), aReport.mCrashes.end(),
+                     [](const server_crash& aCrash) {
+                       return aCrash.mEvidence != crash_evidence::OutputSent;
+                     });
+}
+
+// Returns the reports for the next write, the urgent ones first.
+std::vector<crash_report> ListDueReports(const gateway& aGateway,
+                                         absl::Time aNow)
+{
+  std::vector<crash_report> reports;
+  for (const report_key& key : aGateway.mQuarantine.mUnwritten) {
+    const bool isOwn = key.second == aGateway.mSettings.mName;
+    if (isOwn || aNow >= aGateway.mRemoveReportsAt) {
+      reports.push_back(MakeCrashReport(aGateway.mQuarantine, key));
+    }
+  }
+  std::stable_partition(reports.begin(), reports.end(), &IsUrgent);
+  reports.resize(std::min(reports.size(), kMaxReportsPerWrite));
+  return reports;
+}
+
 // Writes the reports that differ from the store. At most one write is in
 // flight.
 void WriteCrashReports(gateway& aGateway, absl::Time aNow)
@@ -91,16 +118,7 @@
       aNow < aGateway.mNextReportWriteAt) {
     return;
   }
-  for (const report_key& key : aGateway.mQuarantine.mUnwritten) {
-    const bool isOwn = key.second == aGateway.mSettings.mName;
-    if (isOwn || aNow >= aGateway.mRemoveReportsAt) {
-      aGateway.mReportsInFlight.push_back(
-        MakeCrashReport(aGateway.mQuarantine, key));
-    }
-    if (aGateway.mReportsInFlight.size() == kMaxReportsPerWrite) {
-      break;
-    }
-  }
+  aGateway.mReportsInFlight = ListDueReports(aGateway, aNow);
   if (!aGateway.mReportsInFlight.empty()) {
     aGateway.mActions.push_back(
       crash_report_write{ aGateway.mReportsInFlight, aGateway.mEra });
@@ -253,11 +271,10 @@
       aGateway.mQuarantine.mUnwritten.erase(key);
     }
   }
-  // After the crash of many servers, most reports are on sound requests.
   if (sent.size() == kMaxReportsPerWrite) {
     aGateway.mNextReportWriteAt =
-      aNow + std::min(kWriteSpread * CountGateways(aGateway, aNow),
-                      kMaxWriteInterval);
+      aNow +
+      std::min(kWriteSpread * CountGateways(aGateway, aNow), kMaxWriteInterval);
   }
   WriteCrashReports(aGateway, aNow);
 }
--- a/tests/crash_quarantine_test.cc
+++ b/tests/crash_quarantine_test.cc
@@ -742,5 +742,52 @@
   BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
 }
 
+// Guards against a store that is overloaded after the crash of many servers:
+// all gateways then have reports on all requests that were running.
+BOOST_AUTO_TEST_CASE(many_reports_are_written_in_few_calls)
+{
+  constexpr int kGateways = 400;
+  constexpr absl::Duration kTime = absl::Seconds(10);
+  // The store takes several hundred writes a second, also for other purposes.
+  constexpr int kMaxWritesPerSecond = 2;
+  gateway_fixture fixture = MakePromptGateway();
+  std::vector<directory_change<gateway_peer>> peers;
+  peers.reserve(kGateways);
+  for (int i = 0; i < kGateways; ++i) {
+    peers.push_back({ "p" + std::to_string(i), 40, gateway_peer{ "a:1" } });
+  }
+  DeliverPeers(fixture, 40, peers);
+  for (std::uint64_t i = 0; i < kMaxSuspects; ++i) {
+    AddOwnCrash(fixture.mNode->mQuarantine, "g", MakeRequest(i),
+                { "e1/1", crash_evidence::OutputSent }, fixture.mNow);
+  }
+  // The one that may be deadly must not wait for the others.
+  const suspect_id urgent = MakeRequest(kMaxSuspects - 1);
+  AddOwnCrash(fixture.mNode->mQuarantine, "g", urgent,
+              { "e2/1", crash_evidence::NoResponse }, fixture.mNow);
+  fixture.mActions.clear();
+  AdvanceTime(fixture, kMaxWatchDelay);
+  const auto first = TakeWrittenReports(fixture);
+  BOOST_REQUIRE(!first.empty());
+  BOOST_TEST((first[0].mSuspect == urgent));
+  fixture.mActions.clear();
+  FireEvent(fixture, crash_report_write_response{ true });
+  int writes = 0;
+  std::size_t reports = 0;
+  const absl::Time end = fixture.mNow + kTime;
+  while (fixture.mNow < end) {
+    const auto written = TakeWrittenReports(fixture);
+    fixture.mActions.clear();
+    if (!written.empty()) {
+      ++writes;
+      reports += written.size();
+      FireEvent(fixture, crash_report_write_response{ true });
+    }
+    AdvanceTime(fixture, absl::Milliseconds(10));
+  }
+  BOOST_TEST(writes <= kMaxWritesPerSecond * absl::ToInt64Seconds(kTime));
+  BOOST_TEST(reports > 100U);
+}
+
 } // namespace
 } // namespace foxtailquay
