Bound the crash reports that wait to be written

Cause: each forgotten suspect left the removal of its report in the set of unwritten reports, which the pause between writes lets grow without limit while servers crash by the hundred.

--- a/src/core/crash_quarantine.cc
+++ b/src/core/crash_quarantine.cc
@@ -92,7 +92,12 @@
         break;
       case suspect_action::RemoveReports:
         for (const auto& report : record.mCrashes) {
-          aQuarantine.mUnwritten.insert({ aSuspect, report.first });
+          const report_key key{ aSuspect, report.first };
+          if (aQuarantine.mUnwritten.size() < kMaxUnwritten) {
+            aQuarantine.mUnwritten.insert(key);
+          } else {
+            aQuarantine.mUnwritten.erase(key);
+          }
         }
         break;
     }
@@ -153,22 +158,22 @@
                       });
 }
 
-// Removes a crash from the reports of this gateway on all parts. If it were
-// removed from one only, parts that always come together would seem to have
+// Removes a crash from the reports of this gateway on all suspects. If it were
+// removed from one only, suspects that always come together would seem to have
 // different crashes.
 void ForgetOwnCrash(crash_quarantine& aQuarantine, const std::string& aOwnName,
                     const std::string& aCrash)
 {
-  for (auto& part : aQuarantine.mSuspects) {
-    const auto report = part.second.mCrashes.find(aOwnName);
-    if (report == part.second.mCrashes.end()) {
+  for (auto& suspect : aQuarantine.mSuspects) {
+    const auto report = suspect.second.mCrashes.find(aOwnName);
+    if (report == suspect.second.mCrashes.end()) {
       continue;
     }
     std::vector<server_crash>& crashes = report->second;
     const auto found = FindCrash(crashes, aCrash);
     if (found != crashes.end()) {
       crashes.erase(found);
-      aQuarantine.mUnwritten.insert({ part.first, aOwnName });
+      aQuarantine.mUnwritten.insert({ suspect.first, aOwnName });
     }
   }
 }
--- a/src/core/crash_quarantine.h
+++ b/src/core/crash_quarantine.h
@@ -69,6 +69,9 @@
 // kMaxSuspects.
 constexpr std::size_t kForgottenSuspects = kMaxSuspects / 4;
 constexpr std::size_t kMaxSuccesses = 8192;
+// Number of unwritten reports above which the removal of further ones is left
+// to gateways that start later and read them.
+constexpr std::size_t kMaxUnwritten = 4 * kMaxSuspects;
 
 enum class suspect_status
 {
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -339,10 +339,10 @@
 
 absl::Time GetNextWakeTime(const gateway& aGateway)
 {
-  absl::Time next = std::min(
-    { aGateway.mNextTickAt, aGateway.mReportAt, aGateway.mRecovery.mRetryAt,
-      GetNextRegistrationTime(aGateway), GetNextEvacuationTime(aGateway),
-      GetNextReviewTime(aGateway) });
+  absl::Time next =
+    std::min({ aGateway.mNextTickAt, aGateway.mReportAt,
+               aGateway.mRecovery.mRetryAt, GetNextRegistrationTime(aGateway),
+               GetNextEvacuationTime(aGateway), GetNextReviewTime(aGateway) });
   if (!aGateway.mDeadlines.empty()) {
     next = std::min(next, aGateway.mDeadlines.begin()->first);
   }
--- a/tests/crash_quarantine_test.cc
+++ b/tests/crash_quarantine_test.cc
@@ -322,13 +322,14 @@
 {
   crash_quarantine quarantine = MakeQuarantine();
   AddCrashes(quarantine, { kPoisonous }, 1, 3);
-  for (std::uint64_t i = 0; i < 2 * kMaxSuspects; ++i) {
+  for (std::uint64_t i = 0; i < 8 * kMaxSuspects; ++i) {
     const absl::Time now = kStart + static_cast<int>(i) * kPause / 100;
     const suspect_id suspect =
       i % 2 == 0 ? MakePart(i + 0x10000) : MakeRequest(i + 0x10000);
     AddOwnCrash(quarantine, "g", suspect, { "e1/1" }, now);
     BOOST_REQUIRE(quarantine.mSuspects.count(suspect) == 1U);
     BOOST_REQUIRE(quarantine.mSuspects.size() <= kMaxSuspects);
+    BOOST_REQUIRE(quarantine.mUnwritten.size() <= kMaxUnwritten + kMaxSuspects);
   }
   BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
   std::vector<suspect_id> all;
--- a/tests/deadly_request_test.cc
+++ b/tests/deadly_request_test.cc
@@ -153,7 +153,7 @@
 struct caller_load
 {
   caller_load(const std::vector<gateway_process>& aGateways,
-              caller_input aInput)
+              const caller_input& aInput)
     : mThread([this, &aGateways, aInput] {
       for (std::size_t i = 0; !mIsStopping; ++i) {
         const auto outcome = CallHttp(aGateways[i % aGateways.size()], aInput);
