--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -113,11 +113,11 @@
 // flight.
 void WriteCrashReports(gateway& aGateway, absl::Time aNow)
 {
-  ScheduleRemovals(aGateway, aNow);
   if (!aGateway.mReportsInFlight.empty() ||
       aNow < aGateway.mNextReportWriteAt) {
     return;
   }
+  ScheduleRemovals(aGateway, aNow);
   aGateway.mReportsInFlight = ListDueReports(aGateway, aNow);
   if (!aGateway.mReportsInFlight.empty()) {
     aGateway.mActions.push_back(
