Test that a request is not sent after its quarantine

A request that was admitted before and is sent again after it was not covered: without the check at the dispatch, no test failed. The new one does.

--- a/tests/gateway_quarantine_test.cc
+++ b/tests/gateway_quarantine_test.cc
@@ -335,6 +335,41 @@
   BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
 }
 
+// Guards against a request that was admitted before its quarantine and is sent
+// after it, for example to another server because the first was not reached.
+BOOST_AUTO_TEST_CASE(a_request_is_not_sent_once_servers_have_crashed_under_it)
+{
+  for (const bool isQuarantined : { false, true }) {
+    gateway_fixture fixture = MakePromptGateway();
+    DeliverBackends(
+      fixture, 30, false,
+      { { "e9", 30, MakeBackendEntry("engines", "10.0.0.9:1") } });
+    caller_request request = MakePrompt(fixture, { kSubject });
+    request.mContentHash = 7;
+    fixture.mActions.clear();
+    FireEvent(fixture, request);
+    const dispatch_request dispatch = TakeOnlyDispatch(fixture);
+    const suspect_id suspect =
+      MakeRequest(*fixture.mNode->mRequests.at(request.mHandle)->mFingerprint);
+    if (isQuarantined) {
+      for (const char* crash : { "e7/1", "e8/1", "e9/1" }) {
+        AddOwnCrash(fixture.mNode->mQuarantine, "g", suspect,
+                    { crash, crash_evidence::NoResponse }, fixture.mNow);
+      }
+    }
+    fixture.mActions.clear();
+    FireEvent(fixture, MakeAttemptReport(dispatch, attempt_outcome::NotSent));
+    if (isQuarantined) {
+      const auto errors = TakeActions<send_error>(fixture);
+      BOOST_REQUIRE(errors.size() == 1U);
+      BOOST_TEST((errors[0].mError.mCode == error_code::RequestQuarantined));
+      BOOST_TEST((errors[0].mError.mExecuted == executed::No));
+    } else {
+      BOOST_TEST(TakeActions<dispatch_request>(fixture).size() == 1U);
+    }
+  }
+}
+
 // Guards against a store that is overloaded after the crash of many servers:
 // all gateways then have reports on all requests that were running.
 BOOST_AUTO_TEST_CASE(many_reports_are_written_in_few_calls)
