--- a/src/core/crash_quarantine.h
+++ b/src/core/crash_quarantine.h
@@ -19,7 +19,8 @@
 // are refused. A part of a prompt is also in requests that only wait at a
 // server, so weak evidence counts less against it; a request that comes again
 // is the same one. Life cycle of a suspect: charts/crash_suspect.yaml. Memory:
-// at most kMaxSuspects records and kMaxSuccesses successes. Not thread-safe.
+// at most kMaxSuspects records, kMaxSuccesses successes, and kMaxUnwritten +
+// kMaxSuspects names of unwritten reports. Not thread-safe.
 
 #ifndef FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
 #define FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -199,7 +199,7 @@
   aGateway.mProbes.erase(probe);
   RecordDecision(aGateway, decision::ServerProbed,
                  { { "backend", aEvent.mBackend.mValue },
-                   { "born", absl::StrCat(aEvent.mStartedMs) },
+                   { "started_ms", absl::StrCat(aEvent.mStartedMs) },
                    { "crashed", aEvent.mIsRefused ? "yes" : "no" },
                    { "suspects", absl::StrCat(suspects.size()) } });
   if (!aEvent.mIsRefused) {
