Bound the writes of crash reports for the fleet, not for each gateway

Cause: the pause after a full write ended after a second at most, so 420 gateways could make 420 writes a second after the crash of many servers, more than a store of 400 takes, which also has the grants to write.

--- a/src/core/gateway_quarantine.cc
+++ b/src/core/gateway_quarantine.cc
@@ -18,7 +18,6 @@
 // Mean time between two writes of all gateways while each has more reports than
 // fit into one. The store takes several hundred writes a second in all.
 constexpr absl::Duration kWriteSpread = absl::Milliseconds(5);
-constexpr absl::Duration kMaxWriteInterval = absl::Seconds(1);
 
 // Returns what the request has in common with others that may crash servers.
 std::vector<suspect_id> ListSuspects(const forwarded_request& aRequest)
@@ -273,8 +272,7 @@
   }
   if (sent.size() == kMaxReportsPerWrite) {
     aGateway.mNextReportWriteAt =
-      aNow +
-      std::min(kWriteSpread * CountGateways(aGateway, aNow), kMaxWriteInterval);
+      aNow + kWriteSpread * CountGateways(aGateway, aNow);
   }
   WriteCrashReports(aGateway, aNow);
 }
