--- a/review/common-2/rig.cpp
+++ b/review/common-2/rig.cpp
@@ -298,6 +298,14 @@
             break;
           }
           mHandler(call);
+          if (call.mReset) {
+            const linger none{ 1, 0 };
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+            const std::lock_guard<std::mutex> lockReset(mMutex);
+            mSockets.erase(std::find(mSockets.begin(), mSockets.end(), socket));
+            close(socket);
+            return;
+          }
           if (call.mClose) {
             break;
           }
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -71,6 +71,8 @@
   message mRequest;
   // Set by the handler to close the channel after the call.
   bool mClose = false;
+  // Set by the handler to reset the channel after the call.
+  bool mReset = false;
 };
 
 // A worker on 127.0.0.1. Each call is handled on the thread of its connection.
