--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -11,6 +11,7 @@
 
 constexpr int kGateways = 5;
 constexpr int kWorkers = 3;
+constexpr int kCallers = 10;
 constexpr long kHeartbeatMs = 1200;
 constexpr long kContactMs = 3000;
 constexpr long kDrainMs = 2000;
@@ -20,7 +21,7 @@
 // Time from the lost answer to the report: beyond contact_ms, so that the store
 // is stable.
 constexpr long kStableMs = 3200;
-// Shortest time between two requests at one gateway; the longest is twice as
+// Shortest time between two requests of one caller; the longest is twice as
 // long.
 constexpr long kPauseMs = 30;
 
@@ -120,22 +121,27 @@
     std::atomic<int> served{ 0 };
     std::atomic<int> sent{ 0 };
     std::vector<std::thread> callers;
-    for (const gateway& each : fronts) {
-      callers.emplace_back([&, front = &each] {
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&, i] {
+        const gateway* const front =
+          &fronts[static_cast<std::size_t>(i % kGateways)];
         channel caller;
         bool isOpen = false;
-        std::minstd_rand pauses(static_cast<unsigned>(front->mFrontPort));
+        std::minstd_rand pauses(static_cast<unsigned>(front->mFrontPort + i));
         while (!isStopping) {
           isOpen = isOpen || Open(caller, front->mIp, front->mFrontPort);
+          const int number = ++sent;
           SendAll(caller.mSocket,
                   "GET /lookup/x HTTP/1.1\r\nHost: shop.example\r\n"
                   "Foxtailquay-Attempt-Id: a-" +
-                    std::to_string(++sent) +
+                    std::to_string(number) +
                     "\r\nFoxtailquay-Deadline-Ms: 1500\r\nX-Sent-At: " +
                     std::to_string(NowMs()) + "\r\n\r\n");
           const message got =
             ReadMessage(caller.mSocket, caller.mBuffer, true, 3000);
           isOpen = got.mIsComplete && got.Get("Connection") != "close";
+          Note("a-%d sent at %s and answered: %d", number,
+               front->mName.c_str(), got.Status());
           served += got.mIsComplete && got.Status() == 200 ? 1 : 0;
           SleepMs(kPauseMs + static_cast<long>(pauses() % kPauseMs));
         }
