Log the order of what servers state in the store

A line backend_changed named the revision of the store at which an entry was written, but not which statement of the server it holds.

The adapter now decodes the number of the heartbeat, and the line gives it with the start time of the server. A number of another type makes the entry malformed, as for other fields. Decisions are unchanged.

--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -171,6 +171,8 @@
   bool mLeaving = false;
   // Start time of this incarnation, in Unix milliseconds; 0 if unknown.
   std::int64_t mStartedMs = 0;
+  // Counts what this incarnation has stated; 0 if unknown.
+  std::int64_t mSequence = 0;
   // Time for which the server stayed cold when the entry was written, 0 if it
   // was warm; absent if not stated.
   std::optional<absl::Duration> mColdLeft = std::nullopt;
--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -130,6 +130,8 @@
                      { "state", aEntry.mLeaving ? "leaving" : "ready" },
                      { "address", aEntry.mAddress },
                      { "service", aEntry.mService.mValue },
+                     { "started_ms", absl::StrCat(aEntry.mStartedMs) },
+                     { "sequence", absl::StrCat(aEntry.mSequence) },
                      { "revision", absl::StrCat(aRevision) } });
   }
 }
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -212,12 +212,14 @@
 {
   const auto entry = DecodeBackend(ParseJsonOrFail(
     R"({"service":"s1","address":"10.0.0.9:80","zone":"z-a","slots":64,
-             "state":"draining","born":1786548750000,"more":[]})"));
+             "state":"draining","born":1786548750000,"sequence":7,
+             "more":[]})"));
   BOOST_REQUIRE(entry);
   BOOST_TEST(entry->mService.mValue == "s1");
   BOOST_TEST(entry->mSlots == 64);
   BOOST_TEST(entry->mLeaving);
   BOOST_TEST(entry->mStartedMs == 1786548750000);
+  BOOST_TEST(entry->mSequence == 7);
 }
 
 // A malformed entry, for example by another writer, must not make a backend
@@ -238,6 +240,10 @@
     R"({"service":"s","address":"a:0","zone":"z","slots":1,"state":"ready"})",
     R"({"service":"s","address":"a:1","zone":"z","slots":1e30,"state":"ready"})",
     R"({"service":"s","address":"a:1","zone":"z","slots":-1,"state":"ready"})",
+    R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready",
+        "born":"1"})",
+    R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready",
+        "sequence":1.5})",
   };
   for (const char* text : cases) {
     BOOST_TEST(!DecodeBackend(ParseJsonOrFail(text)), text);
