Order the entries of servers by what they state, not by revision

Cause: the adapter dropped the count of heartbeats, and ApplyBackend ordered entries by the revision of the store. A later revision does not mean a later statement. Evidence: with the count in backend_changed, all gateways that sent a late request log sequence 8 (leaving, revision 11) and then sequence 5 (ready, revision 12). Ruled out: a read of an older state, and a ready statement made after the drain began.

Change: an entry that conflicts with what is known of its server is withheld, and what is known stays in force. It is confirmed once it has stood for four heartbeat intervals, in which the store was reached, and a further call shows that it still stands. The store removes the entry of a silent server after three intervals and a living one corrects its entry within one, so an entry that stands is current. A server that returns is therefore never kept out for good. New: log line entry_withheld (at most 20 a second), gauge unconfirmed_servers, verdict unconfirmed of foxtailquayctl explain. What is known of removed servers is kept for 60 s and for at most 4,096 of them.

gateway_era_test a_removed_server_stays_unused_until_it_is_written_again took any write after a removal as proof that the server lives. A late heartbeat is such a write too, so the test is replaced by one that also requires that the server stays unused after the write, and that it is used once the entry has stood.

--- a/include/foxtailquay/explanation.h
+++ b/include/foxtailquay/explanation.h
@@ -78,6 +78,8 @@
   Draining,
   // It stops, or the store does not list it any more.
   Leaving,
+  // Its entry in the store contradicts what is known of it.
+  Unconfirmed,
   // Its address is not known.
   NoAddress,
   // It has refused or failed the request.
@@ -115,6 +117,7 @@
                             { v::Evacuated, "evacuated" },
                             { v::Draining, "draining" },
                             { v::Leaving, "leaving" },
+                            { v::Unconfirmed, "unconfirmed" },
                             { v::NoAddress, "no_address" },
                             { v::AlreadyTried, "already_tried" },
                             { v::NoSlot, "no_slot" },
--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -273,6 +273,7 @@
   RequestCancelled,
   ConfigApplied,
   BackendChanged,
+  EntryWithheld,
   PeerChanged,
   GrantChanged,
   TokensPlaced,
@@ -304,6 +305,7 @@
       { d::RequestCancelled, "request_cancelled" },
       { d::ConfigApplied, "config_applied" },
       { d::BackendChanged, "backend_changed" },
+      { d::EntryWithheld, "entry_withheld" },
       { d::PeerChanged, "peer_changed" },
       { d::GrantChanged, "grant_changed" },
       { d::TokensPlaced, "tokens_placed" },
@@ -376,6 +378,9 @@
   // Time for which a gateway may be without contact to the store, without
   // knowing it, before it must follow changes again.
   absl::Duration mContactTime = absl::Seconds(3);
+  // Time after which backend servers write their entries again. The store
+  // removes an entry after three times as long without a heartbeat.
+  absl::Duration mServerHeartbeat = absl::Milliseconds(1200);
   // Absent if cold servers have no limit.
   std::optional<cold_bounds> mColdBounds = std::nullopt;
   // Time from the acknowledgement of an evacuation until no request may reach
@@ -423,6 +428,8 @@
   std::size_t mRateLimitedBackends = 0;
   // Backend servers that are, or may be, cold.
   std::size_t mColdBackends = 0;
+  // Backend servers whose entry in the store contradicts what is known of them.
+  std::size_t mUnconfirmedBackends = 0;
   // Availability zones that are being or have been evacuated.
   std::size_t mEvacuatedZones = 0;
   // Requests that wait because all servers of their service are full.
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -8,6 +8,7 @@
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
 #include "gateway_directory.h"
+#include "gateway_entries.h"
 #include "gateway_evacuation.h"
 #include "gateway_explain.h"
 #include "gateway_state.h"
@@ -48,6 +49,7 @@
          ParseChartFile(aTexts, "rate_limit.yaml", charts.mRate),
          ParseChartFile(aTexts, "cold_start.yaml", charts.mCold),
          ParseChartFile(aTexts, "evacuation.yaml", charts.mEvacuation),
+         ParseChartFile(aTexts, "stored_entry.yaml", charts.mEntry),
          ParseChartFile(aTexts, "grant_recovery.yaml", charts.mRecovery) }) {
     if (!IsOk(loaded)) {
       return GetError(loaded);
@@ -128,6 +130,7 @@
     AdvanceQuarantine(aGateway, aNow);
     RemoveExpiredPeers(aGateway, aNow);
     AdvanceNotices(aGateway, aNow);
+    AdvanceWithheldEntries(aGateway, aNow);
     AdvanceColdServers(aGateway, aNow);
     AdvanceHoldings(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
@@ -367,6 +370,7 @@
   // may be over for up to one tick.
   summary.mRateLimitedBackends = aGateway.mServerCounts.mRateLimited;
   summary.mColdBackends = aGateway.mServerCounts.mCold;
+  summary.mUnconfirmedBackends = aGateway.mWithheldEntries.size();
   summary.mEvacuatedZones = aGateway.mEvacuations.mZones.size();
   summary.mWaitingRequests = aGateway.mAdmission.mQueued.size();
   summary.mTokensHeld = aGateway.mTokensHeld;
--- a/src/core/gateway_charts.h
+++ b/src/core/gateway_charts.h
@@ -4,7 +4,8 @@
 // servers uses charts/backend_server.yaml (backend_health.h), their rate limits
 // charts/rate_limit.yaml (rate_limit.h), their cold starts
 // charts/cold_start.yaml (cold_start.h), evacuations charts/evacuation.yaml
-// (zone_evacuation.h), the quarantine of prompts charts/crash_suspect.yaml
+// (zone_evacuation.h), entries in the store charts/stored_entry.yaml
+// (stored_entry.h), the quarantine of prompts charts/crash_suspect.yaml
 // (crash_quarantine.h).
 
 #ifndef FOXTAILQUAY_CORE_GATEWAY_CHARTS_H
@@ -15,6 +16,7 @@
 #include "foxtailquay/chart.h"
 #include "foxtailquay/name_table.h"
 #include "rate_limit.h"
+#include "stored_entry.h"
 #include "zone_evacuation.h"
 
 namespace foxtailquay {
@@ -324,6 +326,7 @@
   rate_chart mRate;
   cold_chart mCold;
   evacuation_chart mEvacuation;
+  entry_chart mEntry;
   recovery_chart mRecovery;
 };
 
--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
+#include "gateway_entries.h"
 #include "gateway_evacuation.h"
 #include "gateway_placement.h"
 
@@ -71,11 +72,11 @@
 }
 
 void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
-                   std::string_view aCause)
+                   std::string_view aCause, bool aHasExpired)
 {
   const auto listing = aGateway.mListings.find(aBackend);
   if (listing != aGateway.mListings.end()) {
-    AddRemovedNotice(aGateway, aBackend, listing->second.mEntry);
+    AddRemovedNotice(aGateway, aBackend, listing->second.mEntry, aHasExpired);
   }
   aGateway.mListings.erase(aBackend);
   RemoveView(aGateway, aBackend);
@@ -85,55 +86,17 @@
                    { "cause", std::string(aCause) } });
 }
 
-void UpdateBackend(gateway& aGateway, const backend_id& aBackend,
-                   const backend_entry& aEntry, store_version aRevision,
-                   absl::Time aNow)
+// Returns the revision at which the entry of the server was last written, as
+// far as is known; 0 if it is not listed.
+store_version GetKnownRevision(const gateway& aGateway,
+                               const backend_id& aBackend)
 {
-  auto listing = aGateway.mListings.find(aBackend);
-  const bool restarted =
-    listing != aGateway.mListings.end() &&
-    (listing->second.mEntry.mStartedMs != aEntry.mStartedMs ||
-     listing->second.mEntry.mAddress != aEntry.mAddress ||
-     listing->second.mEntry.mService != aEntry.mService);
-  if (restarted) {
-    RemoveView(aGateway, aBackend);
-  }
-  const bool isWritten = listing == aGateway.mListings.end() ||
-                         aRevision > listing->second.mRevision;
-  const bool changed = listing == aGateway.mListings.end() || restarted ||
-                       listing->second.mEntry.mLeaving != aEntry.mLeaving;
-  aGateway.mListings[aBackend] = { aEntry, aRevision, absl::InfiniteFuture() };
-  backend_view& view = aGateway.mViews[aBackend];
-  view.mConfig = GetConfig(aGateway, aEntry);
-  view.mAgent = member_id{ aBackend.mValue };
-  view.mAddress = aEntry.mAddress;
-  view.mMemory.mCapacity = GetEngineMemory(aGateway, aEntry.mService);
-  const auto notice = aGateway.mNotices.find(aBackend);
-  if (notice != aGateway.mNotices.end()) {
-    view.mBackoffUntil = notice->second.mBackoffUntil;
-  }
-  UpdateEvacuated(aGateway, aBackend, view);
-  if (isWritten) {
-    RecordColdEntry(aGateway, aBackend, restarted, aNow);
-  }
-  if (view.mLeaving != aEntry.mLeaving) {
-    view.mLeaving = aEntry.mLeaving;
-    view.mLeavingSince = aNow;
-    FireHealth(view,
-               aEntry.mLeaving ? backend_event::LeaveAnnounced
-                               : backend_event::Rejoined,
-               &aGateway.mCharts.mBackend, aGateway.mRouting, aNow);
-  }
-  if (changed) {
-    RecordDecision(aGateway, decision::BackendChanged,
-                   { { "backend", aBackend.mValue },
-                     { "state", aEntry.mLeaving ? "leaving" : "ready" },
-                     { "address", aEntry.mAddress },
-                     { "service", aEntry.mService.mValue },
-                     { "started_ms", absl::StrCat(aEntry.mStartedMs) },
-                     { "sequence", absl::StrCat(aEntry.mSequence) },
-                     { "revision", absl::StrCat(aRevision) } });
-  }
+  const auto listing = aGateway.mListings.find(aBackend);
+  const auto withheld = aGateway.mWithheldEntries.find(aBackend);
+  return std::max(
+    listing == aGateway.mListings.end() ? 0 : listing->second.mRevision,
+    withheld == aGateway.mWithheldEntries.end() ? 0
+                                                : withheld->second.mRevision);
 }
 
 void ApplyBackend(gateway& aGateway,
@@ -141,21 +104,20 @@
                   bool aIsComplete, absl::Time aNow)
 {
   const backend_id id{ aChange.mName };
-  auto listing = aGateway.mListings.find(id);
-  const bool known = listing != aGateway.mListings.end();
-  if (known && aChange.mRevision < listing->second.mRevision) {
+  if (aChange.mRevision < GetKnownRevision(aGateway, id)) {
     return;
   }
   if (aChange.mEntry) {
     // Within one era, an entry that is listed again was written again.
     const bool isChange =
       !aIsComplete || !GetArea(aGateway, directory_area::Backends).mIsFirstRead;
-    UpdateBackend(aGateway, id,
-                  AddNotice(aGateway, id, *aChange.mEntry, isChange),
-                  aChange.mRevision, aNow);
+    OnEntryListed(aGateway, id, *aChange.mEntry, aChange.mRevision, isChange,
+                  aNow);
     return;
   }
-  if (!known) {
+  OnEntryRemoved(aGateway, id, aNow);
+  const auto listing = aGateway.mListings.find(id);
+  if (listing == aGateway.mListings.end()) {
     return;
   }
   watched_area& area = GetArea(aGateway, directory_area::Backends);
@@ -168,7 +130,7 @@
     listing->second.mRevision = aChange.mRevision;
     return;
   }
-  RemoveBackend(aGateway, id, "entry removed");
+  RemoveBackend(aGateway, id, "entry removed", false);
 }
 
 void ApplyPeer(gateway& aGateway, const directory_change<gateway_peer>& aChange,
@@ -246,6 +208,11 @@
     for (const auto& listing : aGateway.mListings) {
       known.push_back(listing.first.mValue);
     }
+    for (const auto& entry : aGateway.mWithheldEntries) {
+      if (aGateway.mListings.count(entry.first) == 0) {
+        known.push_back(entry.first.mValue);
+      }
+    }
     backends = AddRemovals(std::move(backends), known, aResponse.mRevision);
   }
   if (aResponse.mComplete && aResponse.mArea == directory_area::Peers) {
@@ -278,12 +245,66 @@
   }
 }
 
+void ApplyEntry(gateway& aGateway, const backend_id& aBackend,
+                const backend_entry& aEntry, store_version aRevision,
+                bool aIsConfirmed, absl::Time aNow)
+{
+  const backend_entry entry =
+    AddNotice(aGateway, aBackend, aEntry, aIsConfirmed);
+  auto listing = aGateway.mListings.find(aBackend);
+  const bool restarted =
+    listing != aGateway.mListings.end() &&
+    (listing->second.mEntry.mStartedMs != entry.mStartedMs ||
+     listing->second.mEntry.mAddress != entry.mAddress ||
+     listing->second.mEntry.mService != entry.mService);
+  if (restarted) {
+    RemoveView(aGateway, aBackend);
+  }
+  const bool isWritten = listing == aGateway.mListings.end() ||
+                         aRevision > listing->second.mRevision;
+  const bool changed = listing == aGateway.mListings.end() || restarted ||
+                       listing->second.mEntry.mLeaving != entry.mLeaving;
+  aGateway.mListings[aBackend] = { entry, aRevision, absl::InfiniteFuture() };
+  backend_view& view = aGateway.mViews[aBackend];
+  view.mConfig = GetConfig(aGateway, entry);
+  view.mAgent = member_id{ aBackend.mValue };
+  view.mAddress = entry.mAddress;
+  view.mMemory.mCapacity = GetEngineMemory(aGateway, entry.mService);
+  const auto notice = aGateway.mNotices.find(aBackend);
+  if (notice != aGateway.mNotices.end()) {
+    view.mBackoffUntil = notice->second.mBackoffUntil;
+  }
+  UpdateEvacuated(aGateway, aBackend, view);
+  if (isWritten) {
+    RecordColdEntry(aGateway, aBackend, restarted, aNow);
+  }
+  if (view.mLeaving != entry.mLeaving) {
+    view.mLeaving = entry.mLeaving;
+    view.mLeavingSince = aNow;
+    FireHealth(view,
+               entry.mLeaving ? backend_event::LeaveAnnounced
+                              : backend_event::Rejoined,
+               &aGateway.mCharts.mBackend, aGateway.mRouting, aNow);
+  }
+  if (changed) {
+    RecordDecision(aGateway, decision::BackendChanged,
+                   { { "backend", aBackend.mValue },
+                     { "state", entry.mLeaving ? "leaving" : "ready" },
+                     { "address", entry.mAddress },
+                     { "service", entry.mService.mValue },
+                     { "started_ms", absl::StrCat(entry.mStartedMs) },
+                     { "sequence", absl::StrCat(entry.mSequence) },
+                     { "revision", absl::StrCat(aRevision) } });
+  }
+}
+
 void RemoveExpiredBackends(gateway& aGateway, absl::Time aNow)
 {
   for (auto it = aGateway.mListings.begin(); it != aGateway.mListings.end();) {
     const auto listing = it++;
     if (aNow >= listing->second.mRemoveAt) {
-      RemoveBackend(aGateway, backend_id(listing->first), "entry expired");
+      RemoveBackend(aGateway, backend_id(listing->first), "entry expired",
+                    true);
     }
   }
 }
--- a/src/core/gateway_directory.h
+++ b/src/core/gateway_directory.h
@@ -16,6 +16,11 @@
 // Applies the changes in a response that belongs to the present era.
 void ApplyDirectory(gateway& aGateway, const directory_response& aResponse,
                     absl::Time aNow);
+// Puts the entry of a backend server in force. aIsConfirmed: it is known to be
+// later than what the server has stated of itself elsewhere.
+void ApplyEntry(gateway& aGateway, const backend_id& aBackend,
+                const backend_entry& aEntry, store_version aRevision,
+                bool aIsConfirmed, absl::Time aNow);
 // Removes the backend servers whose entries have expired.
 void RemoveExpiredBackends(gateway& aGateway, absl::Time aNow);
 // Removes the peers that have expired and did not register again.
--- /dev/null
+++ b/src/core/gateway_entries.h
@@ -0,0 +1,32 @@
+// Entries of backend servers that contradict what the gateway knows. What was
+// known stays in force until such an entry is confirmed (stored_entry.h). At
+// most one entry is kept for each id that the store lists. Not thread-safe:
+// only the control thread uses it.
+
+#ifndef FOXTAILQUAY_CORE_GATEWAY_ENTRIES_H
+#define FOXTAILQUAY_CORE_GATEWAY_ENTRIES_H
+
+#include "gateway_state.h"
+
+namespace foxtailquay {
+
+// Applies an entry that the store lists, or withholds it if it contradicts what
+// is known. aIsChange: the entry was written just now, and not only found in
+// the store.
+void OnEntryListed(gateway& aGateway, const backend_id& aBackend,
+                   const backend_entry& aEntry, store_version aRevision,
+                   bool aIsChange, absl::Time aNow);
+// Forgets the withheld entry of the server, which the store has removed.
+void OnEntryRemoved(gateway& aGateway, const backend_id& aBackend,
+                    absl::Time aNow);
+// Checks the withheld entries that have stood for the confirmation time.
+void AdvanceWithheldEntries(gateway& aGateway, absl::Time aNow);
+// Applies the entries whose check a call that began at aCalledAt has answered.
+// Precondition: its response has been applied.
+void ConfirmEntries(gateway& aGateway, absl::Time aCalledAt, absl::Time aNow);
+// Returns true if an entry waits for the answer to its check.
+bool IsCheckingEntries(const gateway& aGateway);
+
+} // namespace foxtailquay
+
+#endif
--- a/src/core/gateway_explain.cc
+++ b/src/core/gateway_explain.cc
@@ -298,6 +298,31 @@
   return server;
 }
 
+// Adds the servers of the service that are not used because of a withheld
+// entry.
+void ExplainWithheldEntries(const trial& aTrial, explanation& aExplanation)
+{
+  for (const auto& [id, withheld] : aTrial.mGateway.mWithheldEntries) {
+    const backend_id& backend = id;
+    const auto server = std::find_if(
+      aExplanation.mServers.begin(), aExplanation.mServers.end(),
+      [&](const auto& aEach) { return aEach.mBackend == backend; });
+    if (server != aExplanation.mServers.end()) {
+      if (server->mVerdict == server_verdict::Leaving) {
+        server->mVerdict = server_verdict::Unconfirmed;
+      }
+    } else if (withheld.mEntry.mService == aExplanation.mService) {
+      explained_server unlisted;
+      unlisted.mBackend = backend;
+      unlisted.mAddress = withheld.mEntry.mAddress;
+      unlisted.mZone = withheld.mEntry.mZone;
+      unlisted.mVerdict = server_verdict::Unconfirmed;
+      unlisted.mSlots = withheld.mEntry.mSlots;
+      aExplanation.mServers.push_back(std::move(unlisted));
+    }
+  }
+}
+
 // Adds the servers of the service. Precondition: a server was chosen.
 void ExplainServers(const trial& aTrial, explanation& aExplanation)
 {
@@ -309,6 +334,7 @@
          aTrial.mGateway.mViews, choice.mQuery, aTrial.mRouting, aTrial.mNow)) {
     aExplanation.mServers.push_back(ExplainServer(aTrial, each));
   }
+  ExplainWithheldEntries(aTrial, aExplanation);
   std::sort(aExplanation.mServers.begin(), aExplanation.mServers.end(),
             [](const explained_server& aLeft, const explained_server& aRight) {
               return aLeft.mBackend < aRight.mBackend;
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gateway_directory.h"
+#include "gateway_entries.h"
 #include "gateway_evacuation.h"
 
 namespace foxtailquay {
@@ -27,17 +28,19 @@
 // priced call, so it is long; the store allows 30 s. Renewals of the
 // registration show whether the store can still be reached.
 constexpr absl::Duration kWatchTime = absl::Seconds(20);
-// Time of the first watch after a failure. Its response shows that the store is
-// reached again.
+// Time of the first watch after a failure, and of one that checks withheld
+// entries. Its response shows that the gateway knows what the store holds.
 constexpr absl::Duration kFirstWatchTime = absl::Milliseconds(200);
 
 // Returns how long the store may hold a watch without changes. Without renewals
 // of the registration, a silent connection shows only when the call times out.
 // The next call must be answered within the contact time nevertheless.
-absl::Duration ComputeWatchTime(const gateway& aGateway,
-                                const watched_area& aArea)
+absl::Duration ComputeWatchTime(const gateway& aGateway, directory_area aArea)
 {
-  if (!aArea.mIsConnected) {
+  const bool isCheck =
+    aArea == directory_area::Backends && IsCheckingEntries(aGateway);
+  const watched_area& area = aGateway.mAreas[static_cast<std::size_t>(aArea)];
+  if (!area.mIsConnected || isCheck) {
     return kFirstWatchTime;
   }
   return aGateway.mStopping
@@ -101,7 +104,7 @@
     case watch_action::Watch:
       CheckWatch(aGateway, aNow);
       CallStore(aGateway,
-                { aArea, area.mRevision, ComputeWatchTime(aGateway, area) },
+                { aArea, area.mRevision, ComputeWatchTime(aGateway, aArea) },
                 aNow);
       break;
     case watch_action::Rest:
@@ -210,6 +213,9 @@
   for (auto& listing : aGateway.mListings) {
     listing.second.mRevision = 0;
   }
+  for (auto& entry : aGateway.mWithheldEntries) {
+    entry.second.mRevision = 0;
+  }
   for (auto& peer : aGateway.mPeers) {
     peer.second.mRevision = 0;
   }
@@ -250,6 +256,10 @@
   }
   FireArea(aGateway, aResponse.mArea, ToEvent(aResponse.mStatus), aResponse,
            aNow);
+  if (aResponse.mArea == directory_area::Backends &&
+      aResponse.mStatus == directory_status::Ok) {
+    ConfirmEntries(aGateway, calledAt, aNow);
+  }
   if (isConnected) {
     OnStoreCallAnswered(aGateway, calledAt, aNow);
   } else if (hasTimedOut) {
@@ -268,6 +278,11 @@
   }
 }
 
+void RestartCall(gateway& aGateway, directory_area aArea, absl::Time aNow)
+{
+  FireArea(aGateway, aArea, watch_event::StoreAnswered, {}, aNow);
+}
+
 void MarkStoreRegained(gateway& aGateway, absl::Time aBefore, absl::Time aNow)
 {
   for (const auto& entry : NameTable(directory_area{})) {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -19,6 +19,7 @@
 // gateway_load.cc     load of this process
 // gateway_follow.cc   watches on the store
 // gateway_directory.cc  what the store lists: configuration, servers, peers
+// gateway_entries.cc  entries of servers that contradict what is known
 // gateway_heartbeat.cc  registration, whether the store can be reached
 // gateway_cold.cc, gateway_evacuation.cc  cold servers, evacuated zones
 // gateway_era.cc      returns of the store to an older state
@@ -47,6 +48,7 @@
 #include "retry.h"
 #include "routing.h"
 #include "server_counts.h"
+#include "stored_entry.h"
 #include "work_model.h"
 #include "workspace_tokens.h"
 
@@ -194,18 +196,23 @@
   absl::Time mRemoveAt = absl::InfiniteFuture();
 };
 
-// What an incarnation of a backend server has stated of itself and holds as
-// long as it runs, whatever the store lists.
+// What is known of an incarnation of a backend server beside its entry, and the
+// position of its last entry once the store does not list it.
 struct server_notice
 {
   // Identify the incarnation.
   std::int64_t mStartedMs = 0;
   std::string mAddress;
+  // Number of its last heartbeat that was in force.
+  std::int64_t mSequence = 0;
   bool mIsLeaving = false;
-  // True if its entry was removed in an era of the store that has ended. An
-  // older state of the store may list it again, which says nothing; only an
-  // entry that is written anew does.
+  // True if its entry was removed. Its return alone does not show that the
+  // server runs: the store may execute a heartbeat late, or list an older
+  // state.
   bool mIsRemoved = false;
+  // True if the entry may have been removed only because the store was
+  // unavailable.
+  bool mHasExpired = false;
   absl::Time mBackoffUntil = absl::InfinitePast();
   // Time at which the notice is forgotten because the store no longer lists the
   // server; infinite while it does.
@@ -279,6 +286,15 @@
   bool mIsClosing = false;
 };
 
+// Bounds the log lines on withheld entries.
+struct entry_log
+{
+  absl::Time mWindowStart = absl::InfinitePast();
+  int mLines = 0;
+  // Lines that were not logged since the last one that was.
+  std::uint64_t mOmitted = 0;
+};
+
 // State of a gateway node.
 struct gateway
 {
@@ -306,6 +322,9 @@
   // Sums over mViews.
   server_counts mServerCounts;
   std::map<backend_id, server_notice> mNotices;
+  // At most one for each id that the store lists.
+  std::map<backend_id, withheld_entry> mWithheldEntries;
+  entry_log mEntryLog;
   zone_evacuations mEvacuations;
   std::map<std::string, peer_listing> mPeers;
   std::uint64_t mLoadSequence = 0;
@@ -421,14 +440,15 @@
 void ApplyServerReport(gateway& aGateway, const forwarded_request& aRequest,
                        const attempt_report& aReport, absl::Time aNow);
 // Returns aEntry with what the incarnation has stated of itself, and forgets
-// what an earlier one has. aIsChange: the entry was written just now, and not
-// only found in the store.
+// what another one has. aIsConfirmed: the entry is known to be later than that.
 backend_entry AddNotice(gateway& aGateway, const backend_id& aBackend,
-                        backend_entry aEntry, bool aIsChange);
+                        backend_entry aEntry, bool aIsConfirmed);
 // Remembers over a change of the era that the server leaves or is gone.
 void KeepLeavingNotices(gateway& aGateway);
+// aHasExpired: the entry may have been removed only because the store was
+// unavailable.
 void AddRemovedNotice(gateway& aGateway, const backend_id& aBackend,
-                      const backend_entry& aEntry);
+                      const backend_entry& aEntry, bool aHasExpired);
 // Forgets what servers have stated that have not been listed for long.
 void AdvanceNotices(gateway& aGateway, absl::Time aNow);
 // Records that a request is being sent to the server, if that states a rate
@@ -581,6 +601,8 @@
 // may refuse them although it serves others.
 void RestartWaitingCalls(gateway& aGateway, absl::Time aBefore,
                          absl::Time aNow);
+// Starts the call on the area anew if it waits for a response.
+void RestartCall(gateway& aGateway, directory_area aArea, absl::Time aNow);
 // Records for all areas that a call started at aSince did not reach the store.
 void MarkStoreLost(gateway& aGateway, absl::Time aSince, absl::Time aNow);
 // Records that the store is reached again, for the areas whose watches were
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -20,6 +20,9 @@
 // Time for which what a server has stated is known after the store has ceased
 // to list it: its entry may only have expired.
 constexpr absl::Duration kNoticeMemory = absl::Seconds(60);
+// Largest number of servers that are not listed and of which something is
+// known: far more than leave a large fleet within kNoticeMemory.
+constexpr std::size_t kMaxUnlistedNotices = 4096;
 
 rate_context MakeRateContext(gateway& aGateway, absl::Time aNow)
 {
@@ -67,6 +70,7 @@
   server_notice& notice = aGateway.mNotices[aServer.first];
   notice.mStartedMs = aServer.second.mEntry.mStartedMs;
   notice.mAddress = aServer.second.mEntry.mAddress;
+  notice.mSequence = aServer.second.mEntry.mSequence;
   return notice;
 }
 
@@ -228,7 +232,7 @@
 }
 
 backend_entry AddNotice(gateway& aGateway, const backend_id& aBackend,
-                        backend_entry aEntry, bool aIsChange)
+                        backend_entry aEntry, bool aIsConfirmed)
 {
   const auto notice = aGateway.mNotices.find(aBackend);
   if (notice == aGateway.mNotices.end()) {
@@ -239,11 +243,12 @@
     aGateway.mNotices.erase(notice);
     return aEntry;
   }
-  if (aIsChange) {
-    notice->second.mIsRemoved = false;
+  notice->second.mIsRemoved = false;
+  notice->second.mHasExpired = false;
+  if (aIsConfirmed) {
+    notice->second.mIsLeaving = aEntry.mLeaving;
   }
-  aEntry.mLeaving =
-    aEntry.mLeaving || notice->second.mIsLeaving || notice->second.mIsRemoved;
+  aEntry.mLeaving = aEntry.mLeaving || notice->second.mIsLeaving;
   return aEntry;
 }
 
@@ -257,16 +262,19 @@
 }
 
 void AddRemovedNotice(gateway& aGateway, const backend_id& aBackend,
-                      const backend_entry& aEntry)
+                      const backend_entry& aEntry, bool aHasExpired)
 {
   server_notice& notice = aGateway.mNotices[aBackend];
   notice.mStartedMs = aEntry.mStartedMs;
   notice.mAddress = aEntry.mAddress;
+  notice.mSequence = aEntry.mSequence;
   notice.mIsRemoved = true;
+  notice.mHasExpired = aHasExpired;
 }
 
 void AdvanceNotices(gateway& aGateway, absl::Time aNow)
 {
+  std::vector<std::pair<absl::Time, backend_id>> unlisted;
   for (auto it = aGateway.mNotices.begin(); it != aGateway.mNotices.end();) {
     const auto notice = it++;
     if (aGateway.mListings.count(notice->first) > 0) {
@@ -275,6 +283,17 @@
       notice->second.mForgetAt = aNow + kNoticeMemory;
     } else if (aNow >= notice->second.mForgetAt) {
       aGateway.mNotices.erase(notice);
+      continue;
+    }
+    if (notice->second.mForgetAt != absl::InfiniteFuture()) {
+      unlisted.emplace_back(notice->second.mForgetAt, notice->first);
+    }
+  }
+  if (unlisted.size() > kMaxUnlistedNotices) {
+    std::sort(unlisted.begin(), unlisted.end());
+    unlisted.resize(unlisted.size() - kMaxUnlistedNotices);
+    for (const auto& each : unlisted) {
+      aGateway.mNotices.erase(each.second);
     }
   }
 }
--- a/src/daemon/gateway_host.cc
+++ b/src/daemon/gateway_host.cc
@@ -221,6 +221,7 @@
   settings.mIsEngineMemoryLimited = aNode.mIsEngineMemoryLimited;
   settings.mStopTime = aNode.mStopTime;
   settings.mContactTime = aNode.mContactTime;
+  settings.mServerHeartbeat = aNode.mServerHeartbeat;
   if (aNode.mColdOverage && aNode.mColdSlack) {
     settings.mColdBounds =
       cold_bounds{ *aNode.mColdOverage, *aNode.mColdSlack };
--- a/src/daemon/gateway_services.cc
+++ b/src/daemon/gateway_services.cc
@@ -20,6 +20,7 @@
     { gauge::QuarantinedSuspects, double(aHost.mSummary.mQuarantinedSuspects) },
     { gauge::RateLimitedServers, double(aHost.mSummary.mRateLimitedBackends) },
     { gauge::ColdServers, double(aHost.mSummary.mColdBackends) },
+    { gauge::UnconfirmedServers, double(aHost.mSummary.mUnconfirmedBackends) },
     { gauge::EvacuatedZones, double(aHost.mSummary.mEvacuatedZones) },
     { gauge::WaitingRequests, double(aHost.mSummary.mWaitingRequests) },
     { gauge::PrepaidTokensHeld, double(aHost.mSummary.mTokensHeld) },
@@ -97,6 +98,7 @@
                  ",\"quarantined_suspects\":", summary.mQuarantinedSuspects,
                  ",\"rate_limited_servers\":", summary.mRateLimitedBackends,
                  ",\"cold_servers\":", summary.mColdBackends,
+                 ",\"unconfirmed_servers\":", summary.mUnconfirmedBackends,
                  ",\"evacuated_zones\":", summary.mEvacuatedZones,
                  ",\"waiting_requests\":", summary.mWaitingRequests,
                  ",\"ready\":", summary.mReady ? "true" : "false", "}\n"));
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -105,6 +105,7 @@
   RateLimitedServers,
   // Backend servers that are, or may be, cold.
   ColdServers,
+  UnconfirmedServers,
   // Availability zones that are evacuated.
   EvacuatedZones,
   WaitingRequests,
@@ -122,6 +123,7 @@
       { gauge::QuarantinedSuspects, "quarantined_suspects" },
       { gauge::RateLimitedServers, "rate_limited_servers" },
       { gauge::ColdServers, "cold_servers" },
+      { gauge::UnconfirmedServers, "unconfirmed_servers" },
       { gauge::EvacuatedZones, "evacuated_zones" },
       { gauge::WaitingRequests, "waiting_requests" },
       { gauge::PrepaidTokensHeld, "prepaid_tokens_held" },
--- a/tests/gateway_era_test.cc
+++ b/tests/gateway_era_test.cc
@@ -124,8 +124,10 @@
 }
 
 // The older state lists a server whose entry was removed later. It is used
-// again only if it proves that it lives by writing its entry.
-BOOST_AUTO_TEST_CASE(a_removed_server_stays_unused_until_it_is_written_again)
+// again only if it proves that it lives. A write of its entry alone does not:
+// the store may execute one of its heartbeats late. That the entry stands for
+// longer than a silent server's does, and is still there when asked for, does.
+BOOST_AUTO_TEST_CASE(a_removed_server_stays_unused_until_its_entry_stands)
 {
   gateway_fixture fixture = MakeGatewayInFirstEra();
   FireEvent(fixture, MakeBackendsResponse(30, false, { 1, 1 },
@@ -136,6 +138,11 @@
   FireEvent(fixture, MakeBackendsResponse(
                        12, false, kSecondEra,
                        { MakeChange("o1", "10.0.0.1:1", 12, false) }));
+  BOOST_TEST((FindServersInUse(fixture) == std::set<std::string>{ "o2" }));
+  AdvanceTime(fixture, 4 * gateway_settings{}.mServerHeartbeat);
+  BOOST_TEST((FindServersInUse(fixture) == std::set<std::string>{ "o2" }));
+  AdvanceTime(fixture, absl::Milliseconds(300));
+  FireEvent(fixture, MakeBackendsResponse(12, false, kSecondEra, {}));
   BOOST_TEST(FindServersInUse(fixture).count("o1") == 1U);
 }
 
