Use a server again that has ended its drain

Callers: a server that drained, said so in its responses and became ready again got no requests from the gateways that had such a response, for as long as it ran. A response made during the drain that arrived after its end had the same effect.

Cause: what a response states is kept for the incarnation and nothing ended that, since a response has no number to compare with that of an entry.

--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -264,7 +264,8 @@
                          aRevision > listing->second.mRevision;
   const bool changed = listing == aGateway.mListings.end() || restarted ||
                        listing->second.mEntry.mLeaving != entry.mLeaving;
-  aGateway.mListings[aBackend] = { entry, aRevision, absl::InfiniteFuture() };
+  aGateway.mListings[aBackend] = { entry, aRevision, aNow,
+                                   absl::InfiniteFuture() };
   backend_view& view = aGateway.mViews[aBackend];
   view.mConfig = GetConfig(aGateway, entry);
   view.mAgent = member_id{ aBackend.mValue };
--- a/src/core/gateway_entries.cc
+++ b/src/core/gateway_entries.cc
@@ -69,6 +69,7 @@
     known.mAddress = notice->second.mAddress;
   }
   if (hasNotice) {
+    known.mIsLeaving = notice->second.mIsLeaving;
     // Servers whose entries expired in an outage write them again at once.
     known.mIsRemoved =
       notice->second.mIsRemoved && !(notice->second.mHasExpired && aIsChange);
@@ -130,6 +131,9 @@
       aEntry.mSince = aNow;
       RecordEntry(aGateway, aBackend, aEntry, "ignored", aNow);
       break;
+    case entry_action::Restart:
+      aEntry.mSince = aNow;
+      break;
     case entry_action::Discard:
       RecordEntry(aGateway, aBackend, aEntry, "removed", aNow);
       break;
@@ -214,6 +218,27 @@
   }
 }
 
+void OnLeavingStated(gateway& aGateway, const backend_id& aBackend,
+                     absl::Time aSentAt, absl::Time aNow)
+{
+  const auto withheld = aGateway.mWithheldEntries.find(aBackend);
+  if (withheld != aGateway.mWithheldEntries.end()) {
+    FireEntry(aGateway, aBackend, withheld->second, entry_event::Contradicted,
+              false, absl::InfinitePast(), aNow);
+    return;
+  }
+  const backend_listing& listing = aGateway.mListings.at(aBackend);
+  if (listing.mEntry.mLeaving || aSentAt >= listing.mReadAt) {
+    return;
+  }
+  withheld_entry entry;
+  entry.mEntry = listing.mEntry;
+  entry.mRevision = listing.mRevision;
+  entry.mConflict = entry_conflict::AfterLeaving;
+  FireEntry(aGateway, aBackend, std::move(entry), entry_event::Contradicted,
+            false, absl::InfinitePast(), aNow);
+}
+
 void AdvanceWithheldEntries(gateway& aGateway, absl::Time aNow)
 {
   FireAll(aGateway, entry_event::TimePassed, absl::InfinitePast(), aNow);
--- a/src/core/gateway_entries.h
+++ b/src/core/gateway_entries.h
@@ -19,6 +19,11 @@
 // Forgets the withheld entry of the server, which the store has removed.
 void OnEntryRemoved(gateway& aGateway, const backend_id& aBackend,
                     absl::Time aNow);
+// Records that the server has stated in a response to a request sent at aSentAt
+// that it leaves. Its entry may be a later statement if it was read since then.
+// Precondition: the server is listed.
+void OnLeavingStated(gateway& aGateway, const backend_id& aBackend,
+                     absl::Time aSentAt, absl::Time aNow);
 // Checks the withheld entries that have stood for the confirmation time.
 void AdvanceWithheldEntries(gateway& aGateway, absl::Time aNow);
 // Applies the entries whose check a call that began at aCalledAt has answered.
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -191,6 +191,8 @@
 {
   backend_entry mEntry;
   store_version mRevision = 0;
+  // Time at which the gateway applied the entry.
+  absl::Time mReadAt = absl::InfinitePast();
   // Time at which the entry is removed because it expired while the store was
   // unavailable; infinite if it has not expired.
   absl::Time mRemoveAt = absl::InfiniteFuture();
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -6,6 +6,7 @@
 #include "gateway_capacity.h"
 #include "gateway_cold.h"
 #include "gateway_directory.h"
+#include "gateway_entries.h"
 #include "gateway_evacuation.h"
 
 namespace foxtailquay {
@@ -78,6 +79,7 @@
                   backend_view& aView, const forwarded_request& aRequest,
                   absl::Time aNow)
 {
+  OnLeavingStated(aGateway, aServer.first, aRequest.mDispatchedAt, aNow);
   server_notice& notice = GetOrCreateNotice(aGateway, aServer);
   if (notice.mIsLeaving) {
     return;
--- a/src/core/stored_entry.cc
+++ b/src/core/stored_entry.cc
@@ -28,6 +28,9 @@
   if (aEntry.mSequence < aKnown->mOrder.mSequence) {
     return entry_conflict::EarlierStatement;
   }
+  if (aKnown->mIsLeaving && !aEntry.mLeaving) {
+    return entry_conflict::AfterLeaving;
+  }
   if (!aKnown->mIsListed && aKnown->mIsRemoved) {
     return entry_conflict::AfterRemoval;
   }
--- a/src/core/stored_entry.h
+++ b/src/core/stored_entry.h
@@ -40,6 +40,8 @@
   // The entry of the incarnation was removed. Only its return is known, not
   // whether the server wrote it before or after the removal.
   AfterRemoval,
+  // The incarnation has stated elsewhere that it leaves.
+  AfterLeaving,
 };
 
 constexpr auto NameTable(entry_conflict)
@@ -47,7 +49,8 @@
   using c = entry_conflict;
   return MakeNameTable<c>({ { c::EarlierStatement, "earlier_statement" },
                             { c::EarlierIncarnation, "earlier_incarnation" },
-                            { c::AfterRemoval, "after_removal" } });
+                            { c::AfterRemoval, "after_removal" },
+                            { c::AfterLeaving, "after_leaving" } });
 }
 
 enum class entry_status
@@ -68,6 +71,8 @@
 enum class entry_event
 {
   Written,
+  // The server has stated otherwise in a response that may be later.
+  Contradicted,
   Removed,
   TimePassed,
   // A call on the area of the backend servers was answered.
@@ -78,6 +83,7 @@
 {
   using e = entry_event;
   return MakeNameTable<e>({ { e::Written, "written" },
+                            { e::Contradicted, "contradicted" },
                             { e::Removed, "removed" },
                             { e::TimePassed, "time_passed" },
                             { e::AreaRead, "area_read" } });
@@ -105,6 +111,8 @@
 {
   Apply,
   Withhold,
+  // Starts the confirmation time anew.
+  Restart,
   Discard,
   // Calls the store.
   Check,
@@ -117,6 +125,7 @@
   using a = entry_action;
   return MakeNameTable<a>({ { a::Apply, "apply" },
                             { a::Withhold, "withhold" },
+                            { a::Restart, "restart" },
                             { a::Discard, "discard" },
                             { a::Check, "check" },
                             { a::Confirm, "confirm" } });
@@ -144,6 +153,8 @@
   std::string mAddress;
   // True if the gateway has an entry of the server in force.
   bool mIsListed = false;
+  // True if the incarnation has stated outside of its entry that it leaves.
+  bool mIsLeaving = false;
   // True if its entry was removed although it had not expired in an outage of
   // the store.
   bool mIsRemoved = false;
--- a/tests/statement_fixture.h
+++ b/tests/statement_fixture.h
@@ -63,6 +63,14 @@
   DeliverChange(aServer, std::nullopt);
 }
 
+// Leaves the service without another server.
+inline void RemoveOtherServer(server_fixture& aServer)
+{
+  ++aServer.mRevision;
+  DeliverBackends(aServer.mGateway, aServer.mRevision, false,
+                  { { "o2", aServer.mRevision, std::nullopt } });
+}
+
 // Delivers a complete read, as after the loss of the store's history.
 inline void DeliverComplete(server_fixture& aServer,
                             std::optional<backend_entry> aEntry)
@@ -133,6 +141,33 @@
   return count;
 }
 
+// Sends requests until the server gets one, which stays open.
+inline dispatch_request SendUntilServer(server_fixture& aServer)
+{
+  while (true) {
+    FireEvent(aServer.mGateway,
+              MakeCallerRequest(aServer.mGateway, "/order/1"));
+    const auto dispatch = TakeOnlyDispatch(aServer.mGateway);
+    if (dispatch.mBackend.mValue == "o1") {
+      return dispatch;
+    }
+    FireEvent(aServer.mGateway,
+              MakeAttemptReport(dispatch, attempt_outcome::Delivered));
+  }
+}
+
+// Ends the request with a response that states that the server leaves.
+inline void StateLeaving(server_fixture& aServer,
+                         const dispatch_request& aDispatch)
+{
+  attempt_report report =
+    MakeAttemptReport(aDispatch, attempt_outcome::Delivered);
+  report.mStatement = server_statement{};
+  report.mStatement->mIsLeaving = true;
+  FireEvent(aServer.mGateway, report);
+  aServer.mGateway.mActions.clear();
+}
+
 inline std::size_t CountUnconfirmed(const server_fixture& aServer)
 {
   return GetSummary(*aServer.mGateway.mNode).mUnconfirmedBackends;
--- a/tests/stored_entry_test.cc
+++ b/tests/stored_entry_test.cc
@@ -153,6 +153,39 @@
   BOOST_TEST(CountRequests(server) > 0);
 }
 
+// Guards against a server that gets no requests any more since one of its
+// responses said that it leaves, although it has ended its drain.
+BOOST_AUTO_TEST_CASE(a_server_that_stated_its_drain_in_responses_returns)
+{
+  server_fixture server = MakeServerFixture();
+  const dispatch_request dispatch = SendUntilServer(server);
+  StateLeaving(server, dispatch);
+  Deliver(server, MakeEntry(8, true));
+  // A heartbeat from before the response.
+  Deliver(server, MakeEntry(5, false));
+  BOOST_TEST(CountRequests(server) == 0);
+  Deliver(server, MakeEntry(12, false));
+  BOOST_TEST(CountRequests(server) == 0);
+  Await(server, kRemovalTime + 2 * kHeartbeat);
+  BOOST_TEST(CountRequests(server) > 0);
+}
+
+// Guards against a response that was made during a drain, arrives after its end
+// and takes the server out of use for good.
+BOOST_AUTO_TEST_CASE(a_late_response_does_not_end_the_use_of_a_server)
+{
+  server_fixture server = MakeServerFixture();
+  const dispatch_request dispatch = SendUntilServer(server);
+  Deliver(server, MakeEntry(8, true));
+  Deliver(server, MakeEntry(12, false));
+  StateLeaving(server, dispatch);
+  BOOST_TEST(CountRequests(server) == 0);
+  Await(server, kRemovalTime + 2 * kHeartbeat);
+  // The response was slow, so that the other server would be preferred.
+  RemoveOtherServer(server);
+  BOOST_TEST(CountRequests(server) > 0);
+}
+
 // Guards against an entry that is confirmed only because nothing was heard of
 // the store.
 BOOST_AUTO_TEST_CASE(an_entry_is_not_confirmed_without_the_store)
