Ask other gateways what contradicts a complete read

Callers: a gateway that started, or read all entries again because the store had dropped its history, after a late heartbeat was executed used the draining or removed server.

Cause: entries are compared with what this gateway knows, and after its start it knows nothing.

Change: after each complete read of the servers, a gateway asks three others for what they know of servers that leave, have left or whose entry they withhold (at most 256), and withholds entries that conflict with it. What they tell is ordered by incarnation and heartbeat like entries, so that a gateway that was suspended cannot take a server out of use that has said something later, and an entry that stands prevails in the end. Nothing is written to the store.

The asked gateways are those that follow in the order of names, as for reports of prompts, in one function for both.

--- a/include/foxtailquay/gateway.h
+++ b/include/foxtailquay/gateway.h
@@ -150,6 +150,21 @@
   share_response mResponse;
 };
 
+// Asks another gateway for what it knows of servers whose entries may state
+// something earlier.
+struct request_servers
+{
+  std::string mPeer;
+  std::string mAddress;
+};
+
+// Responds to servers_requested.
+struct send_servers
+{
+  std::uint64_t mCall = 0;
+  std::vector<known_server> mServers;
+};
+
 // Keeps this gateway's entry in the peer list. Without mLease it opens a lease
 // and writes the entry; otherwise it renews the lease. Its calls end after
 // kHeartbeatTimeout.
@@ -338,9 +353,9 @@
                directory_query, grant_write, registration_call,
                send_token_response, request_tokens, recall_tokens,
                return_tokens, report_prompts, probe_server, crash_report_write,
-               grant_read, share_grants, send_share_response,
-               deregistration_call, set_ready, set_closing, set_limits,
-               stop_finished, send_explanation, decision_record>;
+               grant_read, share_grants, send_share_response, request_servers,
+               send_servers, deregistration_call, set_ready, set_closing,
+               set_limits, stop_finished, send_explanation, decision_record>;
 
 using gateway_actions = std::vector<gateway_action>;
 
--- a/include/foxtailquay/gateway_events.h
+++ b/include/foxtailquay/gateway_events.h
@@ -349,6 +349,35 @@
   std::optional<share_response> mResponse;
 };
 
+// What a gateway knows of an incarnation of a backend server whose entry in the
+// store may state something earlier.
+struct known_server
+{
+  backend_id mBackend;
+  std::int64_t mStartedMs = 0;
+  std::string mAddress;
+  // Number of its last heartbeat that is known.
+  std::int64_t mSequence = 0;
+  // True if it has stated in a response that it leaves.
+  bool mIsLeaving = false;
+  // True if its entry was removed while the gateway followed the store.
+  bool mIsRemoved = false;
+};
+
+// Another gateway asks for what this one knows of servers.
+struct servers_requested
+{
+  // Identifies the call to which send_servers responds.
+  std::uint64_t mCall = 0;
+};
+
+// The response to request_servers; empty if the peer did not respond.
+struct servers_received
+{
+  std::string mPeer;
+  std::vector<known_server> mServers;
+};
+
 // Outcome of a call on a lease.
 enum class lease_status
 {
@@ -530,14 +559,13 @@
 };
 
 // Any event of a gateway.
-using gateway_event =
-  std::variant<caller_request, attempt_report, first_byte, caller_disconnected,
-               directory_response, grant_write_response, registration_response,
-               tokens_requested, tokens_recalled, tokens_returned,
-               token_response_received, prompts_reported, load_measured,
-               server_probed, crash_report_write_response, grants_read,
-               grants_shared, share_response_received, explain_requested,
-               gateway_tick, stop_requested>;
+using gateway_event = std::variant<
+  caller_request, attempt_report, first_byte, caller_disconnected,
+  directory_response, grant_write_response, registration_response,
+  tokens_requested, tokens_recalled, tokens_returned, token_response_received,
+  prompts_reported, load_measured, server_probed, crash_report_write_response,
+  grants_read, grants_shared, share_response_received, servers_requested,
+  servers_received, explain_requested, gateway_tick, stop_requested>;
 
 } // namespace foxtailquay
 
--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -11,6 +11,7 @@
 #include "gateway_entries.h"
 #include "gateway_evacuation.h"
 #include "gateway_explain.h"
+#include "gateway_server_share.h"
 #include "gateway_state.h"
 #include "gateway_work.h"
 
@@ -131,6 +132,7 @@
     RemoveExpiredPeers(aGateway, aNow);
     AdvanceNotices(aGateway, aNow);
     AdvanceWithheldEntries(aGateway, aNow);
+    AskForServers(aGateway, aNow);
     AdvanceColdServers(aGateway, aNow);
     AdvanceHoldings(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
@@ -232,6 +234,15 @@
   {
     OnShareResponse(mGateway, aEvent, mNow);
   }
+  void operator()(const servers_requested& aEvent)
+  {
+    mGateway.mActions.push_back(
+      send_servers{ aEvent.mCall, ListKnownServers(mGateway) });
+  }
+  void operator()(const servers_received& aEvent)
+  {
+    OnServersReceived(mGateway, aEvent, mNow);
+  }
   void operator()(const explain_requested& aEvent)
   {
     mGateway.mActions.push_back(send_explanation{
--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -71,21 +71,6 @@
   }
 }
 
-void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
-                   std::string_view aCause, bool aHasExpired)
-{
-  const auto listing = aGateway.mListings.find(aBackend);
-  if (listing != aGateway.mListings.end()) {
-    AddRemovedNotice(aGateway, aBackend, listing->second.mEntry, aHasExpired);
-  }
-  aGateway.mListings.erase(aBackend);
-  RemoveView(aGateway, aBackend);
-  RecordDecision(aGateway, decision::BackendChanged,
-                 { { "backend", aBackend.mValue },
-                   { "state", "gone" },
-                   { "cause", std::string(aCause) } });
-}
-
 // Returns the revision at which the entry of the server was last written, as
 // far as is known; 0 if it is not listed.
 store_version GetKnownRevision(const gateway& aGateway,
@@ -214,6 +199,8 @@
       }
     }
     backends = AddRemovals(std::move(backends), known, aResponse.mRevision);
+    // Statements may have been made and undone since the last response.
+    aGateway.mWantsServers = true;
   }
   if (aResponse.mComplete && aResponse.mArea == directory_area::Peers) {
     std::vector<std::string> known;
@@ -299,6 +286,21 @@
   }
 }
 
+void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
+                   std::string_view aCause, bool aHasExpired)
+{
+  const auto listing = aGateway.mListings.find(aBackend);
+  if (listing != aGateway.mListings.end()) {
+    AddRemovedNotice(aGateway, aBackend, listing->second.mEntry, aHasExpired);
+  }
+  aGateway.mListings.erase(aBackend);
+  RemoveView(aGateway, aBackend);
+  RecordDecision(aGateway, decision::BackendChanged,
+                 { { "backend", aBackend.mValue },
+                   { "state", "gone" },
+                   { "cause", std::string(aCause) } });
+}
+
 void RemoveExpiredBackends(gateway& aGateway, absl::Time aNow)
 {
   for (auto it = aGateway.mListings.begin(); it != aGateway.mListings.end();) {
@@ -329,6 +331,24 @@
   }
 }
 
+std::vector<const listed_peer*> ListNextPeers(const gateway& aGateway,
+                                              std::size_t aCount,
+                                              absl::Time aNow)
+{
+  std::vector<const listed_peer*> peers;
+  const auto start = aGateway.mPeers.upper_bound(aGateway.mSettings.mName);
+  const auto add = [&](auto aFrom, auto aTo) {
+    for (; aFrom != aTo && peers.size() < aCount; ++aFrom) {
+      if (aNow >= aFrom->second.mSuspectUntil) {
+        peers.push_back(&*aFrom);
+      }
+    }
+  };
+  add(start, aGateway.mPeers.end());
+  add(aGateway.mPeers.begin(), start);
+  return peers;
+}
+
 int CountGateways(const gateway& aGateway, absl::Time aNow)
 {
   int routers = 1;
--- a/src/core/gateway_directory.h
+++ b/src/core/gateway_directory.h
@@ -21,10 +21,22 @@
 void ApplyEntry(gateway& aGateway, const backend_id& aBackend,
                 const backend_entry& aEntry, store_version aRevision,
                 bool aIsConfirmed, absl::Time aNow);
+// Ceases to use the backend server and remembers that its entry was removed.
+// aHasExpired: perhaps only because the store was unavailable.
+void RemoveBackend(gateway& aGateway, const backend_id& aBackend,
+                   std::string_view aCause, bool aHasExpired);
 // Removes the backend servers whose entries have expired.
 void RemoveExpiredBackends(gateway& aGateway, absl::Time aNow);
 // Removes the peers that have expired and did not register again.
 void RemoveExpiredPeers(gateway& aGateway, absl::Time aNow);
+using listed_peer = std::pair<const std::string, peer_listing>;
+// Returns the peers that are not suspected, beginning with those that follow
+// this gateway in the order of names, so that each gateway is chosen by equally
+// many others. aCount: their largest number. The pointers are valid until the
+// peers change.
+std::vector<const listed_peer*> ListNextPeers(const gateway& aGateway,
+                                              std::size_t aCount,
+                                              absl::Time aNow);
 // Returns the number of gateways that are expected to be alive, including this
 // one.
 int CountGateways(const gateway& aGateway, absl::Time aNow);
--- a/src/core/gateway_entries.cc
+++ b/src/core/gateway_entries.cc
@@ -239,6 +239,20 @@
             false, absl::InfinitePast(), aNow);
 }
 
+void WithdrawEntry(gateway& aGateway, const backend_id& aBackend,
+                   entry_conflict aConflict, absl::Time aNow)
+{
+  const backend_listing& listing = aGateway.mListings.at(aBackend);
+  withheld_entry entry;
+  entry.mEntry = listing.mEntry;
+  entry.mRevision = listing.mRevision;
+  entry.mConflict = aConflict;
+  RemoveBackend(aGateway, aBackend, "known to be earlier by another gateway",
+                false);
+  FireEntry(aGateway, aBackend, std::move(entry), entry_event::Contradicted,
+            false, absl::InfinitePast(), aNow);
+}
+
 void AdvanceWithheldEntries(gateway& aGateway, absl::Time aNow)
 {
   FireAll(aGateway, entry_event::TimePassed, absl::InfinitePast(), aNow);
--- a/src/core/gateway_share.cc
+++ b/src/core/gateway_share.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "gateway_capacity.h"
+#include "gateway_directory.h"
 
 namespace foxtailquay {
 
@@ -19,23 +20,15 @@
 // kSmallReportDelay.
 constexpr std::size_t kMaxReportedPrompts = 64;
 
-// Returns the addresses of the gateways that receive reports: those that follow
-// this one in the order of names, so that each gateway receives reports from
-// equally many others. aCount: their largest number.
+// Returns the addresses of the gateways that receive reports. aCount: their
+// largest number.
 std::vector<std::string> ListReportTargets(const gateway& aGateway,
                                            std::size_t aCount, absl::Time aNow)
 {
   std::vector<std::string> targets;
-  const auto start = aGateway.mPeers.upper_bound(aGateway.mSettings.mName);
-  const auto add = [&](auto aFrom, auto aTo) {
-    for (; aFrom != aTo && targets.size() < aCount; ++aFrom) {
-      if (aNow >= aFrom->second.mSuspectUntil) {
-        targets.push_back(aFrom->second.mPeer.mAddress);
-      }
-    }
-  };
-  add(start, aGateway.mPeers.end());
-  add(aGateway.mPeers.begin(), start);
+  for (const listed_peer* peer : ListNextPeers(aGateway, aCount, aNow)) {
+    targets.push_back(peer->second.mPeer.mAddress);
+  }
   return targets;
 }
 
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -20,6 +20,7 @@
 // gateway_follow.cc   watches on the store
 // gateway_directory.cc  what the store lists: configuration, servers, peers
 // gateway_entries.cc  entries of servers that contradict what is known
+// gateway_server_share.cc  what other gateways know of servers
 // gateway_heartbeat.cc  registration, whether the store can be reached
 // gateway_cold.cc, gateway_evacuation.cc  cold servers, evacuated zones
 // gateway_era.cc      returns of the store to an older state
@@ -327,6 +328,8 @@
   // At most one for each id that the store lists.
   std::map<backend_id, withheld_entry> mWithheldEntries;
   entry_log mEntryLog;
+  // True if other gateways are to be asked for what they know of servers.
+  bool mWantsServers = false;
   zone_evacuations mEvacuations;
   std::map<std::string, peer_listing> mPeers;
   std::uint64_t mLoadSequence = 0;
--- a/src/daemon/gateway_actions.cc
+++ b/src/daemon/gateway_actions.cc
@@ -118,6 +118,24 @@
     });
 }
 
+void RequestServers(gateway_host& aHost, const request_servers& aAction)
+{
+  IncrementCounter(*aHost.mMetrics, counter::MessagesSent);
+  StartCall(aHost.mCalls,
+            MakePeerCall(aAction.mAddress, EncodeRequestServers()),
+            [&aHost, peer = aAction.mPeer](const call_response& aResponse) {
+              servers_received received{ peer, {} };
+              // A gateway of an earlier version does not know the call.
+              if (aResponse.mStatus == 200) {
+                auto decoded = DecodeServersResponse(aResponse.mBody);
+                if (IsOk(decoded)) {
+                  received.mServers = GetValue(std::move(decoded));
+                }
+              }
+              PostEvent(aHost, std::move(received));
+            });
+}
+
 void ReportPrompts(gateway_host& aHost, const report_prompts& aAction)
 {
   const std::string body = EncodeReportPrompts(aAction);
@@ -208,6 +226,15 @@
     StartStoreCall(mHost.mStore, aAction);
   }
   void operator()(const share_grants& aAction) { ShareGrants(mHost, aAction); }
+  void operator()(const request_servers& aAction)
+  {
+    RequestServers(mHost, aAction);
+  }
+  void operator()(const send_servers& aAction)
+  {
+    SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
+                 EncodeServersResponse(aAction.mServers));
+  }
   void operator()(const send_share_response& aAction)
   {
     SendResponse(mHost.mPeerService, aAction.mCall, 200, "application/json",
--- a/src/daemon/gateway_services.cc
+++ b/src/daemon/gateway_services.cc
@@ -65,6 +65,11 @@
     PostEvent(aHost, std::move(*grants));
     return;
   }
+  if (auto* servers = std::get_if<servers_requested>(&message)) {
+    servers->mCall = aCall.mChannel;
+    PostEvent(aHost, *servers);
+    return;
+  }
   if (auto* explain = std::get_if<explain_requested>(&message)) {
     explain->mCall = aCall.mChannel;
     if (!PostEvent(aHost, std::move(*explain))) {
--- a/src/wire/gateway_codec.cc
+++ b/src/wire/gateway_codec.cc
@@ -16,6 +16,7 @@
 constexpr char kReturnTokensMethod[] = "return_tokens";
 constexpr char kSharePromptsMethod[] = "share_prompts";
 constexpr char kShareGrantsMethod[] = "share_grants";
+constexpr char kShareServersMethod[] = "share_servers";
 
 Json::Value MakeTokenParams(const workspace_id& aWorkspace, token_count aAmount)
 {
@@ -127,6 +128,11 @@
   return EncodeCall(kShareGrantsMethod, params);
 }
 
+std::string EncodeRequestServers()
+{
+  return EncodeCall(kShareServersMethod, Json::Value(Json::objectValue));
+}
+
 namespace {
 
 // Returns the copies; absent if a field is missing or has another type.
@@ -272,6 +278,9 @@
   if (method == kShareGrantsMethod) {
     return DecodeGrants(call["params"]);
   }
+  if (method == kShareServersMethod) {
+    return gateway_message(servers_requested{});
+  }
   if (method == kAskTokensMethod || method == kReturnTokensMethod) {
     return DecodeTokens(method, call["params"]);
   }
@@ -313,6 +322,53 @@
   return EncodeResult(result);
 }
 
+std::string EncodeServersResponse(const std::vector<known_server>& aServers)
+{
+  Json::Value servers(Json::arrayValue);
+  for (const known_server& each : aServers) {
+    Json::Value server(Json::objectValue);
+    server["backend"] = each.mBackend.mValue;
+    server["started_ms"] = Json::Int64(each.mStartedMs);
+    server["address"] = each.mAddress;
+    server["sequence"] = Json::Int64(each.mSequence);
+    server["leaving"] = each.mIsLeaving;
+    server["removed"] = each.mIsRemoved;
+    servers.append(std::move(server));
+  }
+  Json::Value result(Json::objectValue);
+  result["servers"] = std::move(servers);
+  return EncodeResult(result);
+}
+
+result<std::vector<known_server>> DecodeServersResponse(
+  const std::string& aText)
+{
+  auto parsed = ParseJson(aText);
+  if (!IsOk(parsed)) {
+    return GetError(parsed);
+  }
+  const Json::Value& body = GetValue(parsed);
+  if (!body.isObject() || !body["result"].isObject() ||
+      !body["result"]["servers"].isArray()) {
+    return MakeProtocolError("missing servers in the response");
+  }
+  std::vector<known_server> servers;
+  for (const Json::Value& each : body["result"]["servers"]) {
+    if (!each.isObject() || !each["backend"].isString() ||
+        !each["started_ms"].isInt64() || !each["address"].isString() ||
+        !each["sequence"].isInt64() || !each["leaving"].isBool() ||
+        !each["removed"].isBool()) {
+      return MakeProtocolError("a field of a server is missing or has another "
+                               "type");
+    }
+    servers.push_back({ backend_id{ each["backend"].asString() },
+                        each["started_ms"].asInt64(),
+                        each["address"].asString(), each["sequence"].asInt64(),
+                        each["leaving"].asBool(), each["removed"].asBool() });
+  }
+  return servers;
+}
+
 std::string EncodeExplanation(const explanation& aExplanation)
 {
   return EncodeResult(ToJson(aExplanation));
--- a/tests/gateway_sim/gateway_sim.h
+++ b/tests/gateway_sim/gateway_sim.h
@@ -440,6 +440,14 @@
     share_response_received mResponse;
   };
   std::map<std::uint64_t, share_call> mShareCalls;
+  // A question for what is known of servers without a response yet.
+  struct servers_call
+  {
+    std::size_t mFrom = 0;
+    int mIncarnation = 0;
+    std::string mPeer;
+  };
+  std::map<std::uint64_t, servers_call> mServersCalls;
   std::uint64_t mNextCall = 1;
   std::map<std::uint64_t, sim_attempt> mAttempts;
   std::uint64_t mNextAttempt = 1;
--- a/tests/gateway_sim/sim_events.cc
+++ b/tests/gateway_sim/sim_events.cc
@@ -44,6 +44,14 @@
   {
     HandleGrantRead(mSim, mIndex, aAction);
   }
+  void operator()(const request_servers& aAction)
+  {
+    RequestServers(mSim, mIndex, aAction);
+  }
+  void operator()(const send_servers& aAction)
+  {
+    SendServers(mSim, aAction.mCall, aAction.mServers);
+  }
   void operator()(const share_grants& aAction)
   {
     ShareGrants(mSim, mIndex, aAction);
--- a/tests/gateway_sim/sim_parts.h
+++ b/tests/gateway_sim/sim_parts.h
@@ -170,6 +170,12 @@
                  const share_grants& aAction);
 void SendShareResponse(fleet_sim& aSim, std::uint64_t aCall,
                        std::optional<share_response> aResponse);
+// Asks another gateway for what it knows of servers. A lost call has no
+// response.
+void RequestServers(fleet_sim& aSim, std::size_t aIndex,
+                    const request_servers& aAction);
+void SendServers(fleet_sim& aSim, std::uint64_t aCall,
+                 const std::vector<known_server>& aServers);
 // Ends the call aCall. aResponse is absent if the other gateway did not
 // respond.
 void SendTokenResponse(fleet_sim& aSim, std::uint64_t aCall,
--- a/tests/gateway_sim/sim_traffic.cc
+++ b/tests/gateway_sim/sim_traffic.cc
@@ -374,4 +374,30 @@
            [&aSim, call] { SendShareResponse(aSim, call, std::nullopt); });
 }
 
+void RequestServers(fleet_sim& aSim, std::size_t aIndex,
+                    const request_servers& aAction)
+{
+  if (const auto peer = FindReachable(aSim, aIndex, aAction.mAddress)) {
+    const std::uint64_t call = aSim.mNextCall++;
+    aSim.mServersCalls[call] = { aIndex, aSim.mGateways[aIndex].mIncarnation,
+                                 aAction.mPeer };
+    DeliverAfter(aSim, kPeerLatency, *peer, servers_requested{ call });
+  }
+}
+
+void SendServers(fleet_sim& aSim, std::uint64_t aCall,
+                 const std::vector<known_server>& aServers)
+{
+  const auto found = aSim.mServersCalls.find(aCall);
+  if (found == aSim.mServersCalls.end()) {
+    return;
+  }
+  const fleet_sim::servers_call call = found->second;
+  aSim.mServersCalls.erase(found);
+  if (aSim.mGateways[call.mFrom].mIncarnation == call.mIncarnation) {
+    DeliverAfter(aSim, kPeerLatency, call.mFrom,
+                 servers_received{ call.mPeer, aServers });
+  }
+}
+
 } // namespace foxtailquay::gateway_sim
