--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -13,6 +13,7 @@
 #include "gateway_explain.h"
 #include "gateway_server_share.h"
 #include "gateway_state.h"
+#include "gateway_statements.h"
 #include "gateway_work.h"
 
 namespace foxtailquay {
--- a/src/core/gateway_choice.cc
+++ b/src/core/gateway_choice.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
 #include "gateway_directory.h"
+#include "gateway_statements.h"
 #include "xxhash.h"
 
 namespace foxtailquay {
--- a/src/core/gateway_directory.cc
+++ b/src/core/gateway_directory.cc
@@ -8,6 +8,7 @@
 #include "gateway_entries.h"
 #include "gateway_evacuation.h"
 #include "gateway_placement.h"
+#include "gateway_statements.h"
 
 namespace foxtailquay {
 
--- a/src/core/gateway_explain.cc
+++ b/src/core/gateway_explain.cc
@@ -9,6 +9,7 @@
 #include "gateway_choice.h"
 #include "gateway_directory.h"
 #include "gateway_placement.h"
+#include "gateway_statements.h"
 #include "gateway_waiters.h"
 #include "gateway_work.h"
 
--- a/src/core/gateway_follow.cc
+++ b/src/core/gateway_follow.cc
@@ -6,6 +6,7 @@
 #include "gateway_directory.h"
 #include "gateway_entries.h"
 #include "gateway_evacuation.h"
+#include "gateway_statements.h"
 
 namespace foxtailquay {
 
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -7,6 +7,7 @@
 #include "gateway_choice.h"
 #include "gateway_cold.h"
 #include "gateway_directory.h"
+#include "gateway_statements.h"
 #include "gateway_work.h"
 
 namespace foxtailquay {
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -432,45 +432,6 @@
 // Ends the requests whose deadline has passed.
 void AdvanceDeadlines(gateway& aGateway, absl::Time aNow);
 
-// --- gateway_statements.cc --------------------------------------------------
-
-// Records the load that a server has stated, if any.
-void RecordLoad(gateway& aGateway, const backend_id& aBackend,
-                const std::optional<observed_load>& aLoad, absl::Time aNow);
-// Applies what the backend server of the current attempt has stated about
-// itself in its response.
-void ApplyStatement(gateway& aGateway, const forwarded_request& aRequest,
-                    const server_statement& aStatement, absl::Time aNow);
-// Applies what a report on the current attempt tells about its backend server.
-void ApplyServerReport(gateway& aGateway, const forwarded_request& aRequest,
-                       const attempt_report& aReport, absl::Time aNow);
-// Returns aEntry with what the incarnation has stated of itself, and forgets
-// what another one has. aIsConfirmed: the entry is known to be later than that.
-backend_entry AddNotice(gateway& aGateway, const backend_id& aBackend,
-                        backend_entry aEntry, bool aIsConfirmed);
-// Remembers over a change of the era that the server leaves or is gone.
-void KeepLeavingNotices(gateway& aGateway);
-// aHasExpired: the entry may have been removed only because the store was
-// unavailable.
-void AddRemovedNotice(gateway& aGateway, const backend_id& aBackend,
-                      const backend_entry& aEntry, bool aHasExpired);
-// Forgets what servers have stated that have not been listed for long.
-void AdvanceNotices(gateway& aGateway, absl::Time aNow);
-// Records that a request is being sent to the server, if that states a rate
-// limit or is cold.
-void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
-                           absl::Time aNow);
-// Records the cost of a new request in the costs of its service. Returns how
-// the request uses the servers of its service that state a rate limit or are
-// cold.
-limited_use ChooseLimitedUse(const gateway& aGateway,
-                             const forwarded_request& aRequest,
-                             cost_profile& aCosts, absl::Time aNow);
-// Returns the error for a request that no backend server can take. If one can
-// take it once its rate limit allows, the caller is told when.
-error MakeUnroutableError(const gateway& aGateway, const routing_query& aQuery,
-                          absl::Time aNow);
-
 // --- gateway_quarantine.cc --------------------------------------------------
 
 // Records what the end of an attempt shows of crashes of its server and of what
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -1,5 +1,7 @@
 // What backend servers state about themselves in their responses.
 
+#include "gateway_statements.h"
+
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
--- a/src/core/gateway_work.cc
+++ b/src/core/gateway_work.cc
@@ -4,6 +4,7 @@
 #include "gateway_work.h"
 
 #include "gateway_capacity.h"
+#include "gateway_statements.h"
 
 namespace foxtailquay {
 
