Record attempts only for the incarnation that they were sent to

Callers: a server that started again under its id could be ejected at once by the failures of requests at its earlier incarnation, or passed over because of a load that this one had stated.

Cause: the outcome of an attempt, the stated load and the count of open requests were recorded by the id of the server. Only what a server states of itself was compared with its incarnation.

Change: FindAttemptView returns the server of an attempt if that incarnation is still listed. It replaces two such checks and is used for outcome, load, work and open requests.

--- a/src/core/gateway_cold.cc
+++ b/src/core/gateway_cold.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gateway_directory.h"
+#include "gateway_statements.h"
 
 namespace foxtailquay {
 
@@ -118,18 +119,6 @@
          GetTerms(aGateway, aBackend).mRate > 0;
 }
 
-// Returns the view of the server to which the current attempt was sent; null if
-// that incarnation is not listed any more.
-backend_view* FindView(gateway& aGateway, const forwarded_request& aRequest)
-{
-  const auto listing = aGateway.mListings.find(aRequest.mBackend);
-  const auto view = aGateway.mViews.find(aRequest.mBackend);
-  return listing == aGateway.mListings.end() || view == aGateway.mViews.end() ||
-             listing->second.mEntry.mStartedMs != aRequest.mBackendStartedMs
-           ? nullptr
-           : &view->second;
-}
-
 } // namespace
 
 void RecordColdEntry(gateway& aGateway, const backend_id& aBackend,
@@ -165,8 +154,9 @@
 void RecordColdStatement(gateway& aGateway, const forwarded_request& aRequest,
                          const server_statement& aStatement, absl::Time aNow)
 {
-  backend_view* view =
-    aGateway.mSettings.mColdBounds ? FindView(aGateway, aRequest) : nullptr;
+  backend_view* view = aGateway.mSettings.mColdBounds
+                         ? FindAttemptView(aGateway, aRequest)
+                         : nullptr;
   if (view == nullptr) {
     return;
   }
@@ -186,7 +176,7 @@
                           absl::Time aNow)
 {
   backend_view* view = IsInForce(aGateway, aRequest.mBackend)
-                         ? FindView(aGateway, aRequest)
+                         ? FindAttemptView(aGateway, aRequest)
                          : nullptr;
   if (view != nullptr) {
     Fire(aGateway, aRequest.mBackend, *view, cold_event::ConnectionLost,
--- a/src/core/gateway_memory.cc
+++ b/src/core/gateway_memory.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "gateway_capacity.h"
 #include "gateway_directory.h"
+#include "gateway_statements.h"
 
 namespace foxtailquay {
 
@@ -102,17 +103,14 @@
 {
   const token_count held = aRequest.mHeldTokens;
   aRequest.mHeldTokens = 0;
-  const auto view = aGateway.mViews.find(aRequest.mBackend);
-  const auto listing = aGateway.mListings.find(aRequest.mBackend);
   // Another incarnation does not hold the request.
-  if (held == 0 || view == aGateway.mViews.end() ||
-      listing == aGateway.mListings.end() ||
-      listing->second.mEntry.mStartedMs != aRequest.mBackendStartedMs) {
+  backend_view* view = FindAttemptView(aGateway, aRequest);
+  if (held == 0 || view == nullptr) {
     return;
   }
-  ReportIfTight(aGateway, aRequest.mBackend, view->second, aRequest.mService,
+  ReportIfTight(aGateway, aRequest.mBackend, *view, aRequest.mService,
                 aNow + kHoldingEndDelay, aNow);
-  ReleaseHolding(view->second.mMemory, held);
+  ReleaseHolding(view->mMemory, held);
 }
 
 std::optional<error> CheckMemory(const gateway& aGateway,
--- a/src/core/gateway_request.cc
+++ b/src/core/gateway_request.cc
@@ -121,17 +121,16 @@
                 absl::Time aNow)
 {
   ReleaseHeldTokens(aGateway, aRequest, aNow);
-  auto view = aGateway.mViews.find(aRequest.mBackend);
-  if (!aRequest.mBackend.mValue.empty() && view != aGateway.mViews.end()) {
-    EndWork(aRequest, view->second);
-    const backend_status before = view->second.mStatus;
-    RecordRunEnd(view->second, aFailed, aGateway.mRouting, aNow,
+  if (backend_view* view = FindAttemptView(aGateway, aRequest)) {
+    EndWork(aRequest, *view);
+    const backend_status before = view->mStatus;
+    RecordRunEnd(*view, aFailed, aGateway.mRouting, aNow,
                  &aGateway.mCharts.mBackend);
-    if (view->second.mStatus != before) {
+    if (view->mStatus != before) {
       RecordDecision(
         aGateway, decision::BackendChanged,
         { { "backend", aRequest.mBackend.mValue },
-          { "state", std::string(ToName(view->second.mStatus)) },
+          { "state", std::string(ToName(view->mStatus)) },
           { "cause", aFailed ? "failed attempt" : "successful attempt" },
           { "request", aRequest.mCaller.mAttemptId } });
     }
@@ -429,7 +428,7 @@
   }
   found->second->mHasResponseStarted = true;
   RecordFirstEvent(aGateway, *found->second, aEvent.mLoad, aNow);
-  RecordLoad(aGateway, found->second->mBackend, aEvent.mLoad, aNow);
+  RecordLoad(aGateway, *found->second, aEvent.mLoad, aNow);
   ApplyStatement(aGateway, *found->second, aEvent.mStatement, aNow);
   RecordColdStatement(aGateway, *found->second, aEvent.mStatement, aNow);
 }
--- a/src/core/gateway_statements.cc
+++ b/src/core/gateway_statements.cc
@@ -159,28 +159,37 @@
            static_cast<double>(aCaller.mMaxOutputTokens);
 }
 
-void RecordLoad(gateway& aGateway, const backend_id& aBackend,
+backend_view* FindAttemptView(gateway& aGateway,
+                              const forwarded_request& aRequest)
+{
+  const auto listing = aGateway.mListings.find(aRequest.mBackend);
+  const auto view = aGateway.mViews.find(aRequest.mBackend);
+  return listing == aGateway.mListings.end() || view == aGateway.mViews.end() ||
+             listing->second.mEntry.mStartedMs != aRequest.mBackendStartedMs
+           ? nullptr
+           : &view->second;
+}
+
+void RecordLoad(gateway& aGateway, const forwarded_request& aRequest,
                 const std::optional<observed_load>& aLoad, absl::Time aNow)
 {
-  auto view = aGateway.mViews.find(aBackend);
-  if (!aLoad || view == aGateway.mViews.end()) {
+  backend_view* view = FindAttemptView(aGateway, aRequest);
+  if (!aLoad || view == nullptr) {
     return;
   }
   load_report report;
-  report.mBackend = aBackend;
+  report.mBackend = aRequest.mBackend;
   report.mSequence = ++aGateway.mLoadSequence;
   report.mRunning = aLoad->mRunning;
   report.mQueued = aLoad->mQueued;
-  report.mLoadedModels = view->second.mConfig.mModels;
-  RecordLoadReport(view->second, report, aNow);
-  RecordSlowness(view->second.mSlowness, aLoad->mSlowness, aNow);
-  RecordMemoryLoad(aGateway, aBackend, view->second, aNow);
-  const auto listing = aGateway.mListings.find(aBackend);
-  if (listing != aGateway.mListings.end()) {
-    RecordStatedSlowness(aGateway.mWork, listing->second.mEntry.mService.mValue,
-                         view->second.mStatements,
-                         view->second.mSlowness.mFactor, aNow);
-  }
+  report.mLoadedModels = view->mConfig.mModels;
+  RecordLoadReport(*view, report, aNow);
+  RecordSlowness(view->mSlowness, aLoad->mSlowness, aNow);
+  RecordMemoryLoad(aGateway, aRequest.mBackend, *view, aNow);
+  RecordStatedSlowness(
+    aGateway.mWork,
+    aGateway.mListings.at(aRequest.mBackend).mEntry.mService.mValue,
+    view->mStatements, view->mSlowness.mFactor, aNow);
 }
 
 void RecordLimitedDispatch(gateway& aGateway, backend_view& aView,
@@ -305,20 +314,18 @@
 void ApplyStatement(gateway& aGateway, const forwarded_request& aRequest,
                     const server_statement& aStatement, absl::Time aNow)
 {
-  const auto view = aGateway.mViews.find(aRequest.mBackend);
-  const auto listing = aGateway.mListings.find(aRequest.mBackend);
-  if (view == aGateway.mViews.end() || listing == aGateway.mListings.end() ||
-      listing->second.mEntry.mStartedMs != aRequest.mBackendStartedMs) {
+  backend_view* view = FindAttemptView(aGateway, aRequest);
+  if (view == nullptr) {
     return;
   }
+  listed_server& server = *aGateway.mListings.find(aRequest.mBackend);
   if (aStatement.mIsLeaving) {
-    ApplyLeaving(aGateway, *listing, view->second, aRequest, aNow);
+    ApplyLeaving(aGateway, server, *view, aRequest, aNow);
   }
   if (aStatement.mBackoff) {
-    ApplyBackoff(aGateway, *listing, view->second, aRequest,
-                 *aStatement.mBackoff, aNow);
+    ApplyBackoff(aGateway, server, *view, aRequest, *aStatement.mBackoff, aNow);
   }
-  ApplyRateLimit(aGateway, view->second, aRequest, aStatement, aNow);
+  ApplyRateLimit(aGateway, *view, aRequest, aStatement, aNow);
 }
 
 void ApplyServerReport(gateway& aGateway, const forwarded_request& aRequest,
--- a/src/core/gateway_statements.h
+++ b/src/core/gateway_statements.h
@@ -9,8 +9,12 @@
 
 namespace foxtailquay {
 
-// Records the load that a server has stated, if any.
-void RecordLoad(gateway& aGateway, const backend_id& aBackend,
+// Returns the view of the server to which the current attempt of the request
+// was sent; null if that incarnation is not listed any more.
+backend_view* FindAttemptView(gateway& aGateway,
+                              const forwarded_request& aRequest);
+// Records the load that the server of the current attempt has stated, if any.
+void RecordLoad(gateway& aGateway, const forwarded_request& aRequest,
                 const std::optional<observed_load>& aLoad, absl::Time aNow);
 // Applies what the backend server of the current attempt has stated about
 // itself in its response.
--- a/src/core/gateway_work.cc
+++ b/src/core/gateway_work.cc
@@ -69,15 +69,15 @@
                       const std::optional<observed_load>& aLoad,
                       absl::Time aNow)
 {
-  const auto view = aGateway.mViews.find(aRequest.mBackend);
-  if (view == aGateway.mViews.end()) {
+  backend_view* view = FindAttemptView(aGateway, aRequest);
+  if (view == nullptr) {
     return;
   }
   request_work& work = aRequest.mWork;
   work.mFirstAt = aNow;
   work.mHasWaited = work.mHasWaited || (aLoad && aLoad->mQueued > 0);
-  RecordFirstOutput(view->second.mRemaining, work.mPrompt,
-                    GetPromptRate(view->second, aGateway.mRouting), aNow);
+  RecordFirstOutput(view->mRemaining, work.mPrompt,
+                    GetPromptRate(*view, aGateway.mRouting), aNow);
 }
 
 void RecordWork(gateway& aGateway, forwarded_request& aRequest,
@@ -85,12 +85,11 @@
 {
   // The load of a response whose start was reported is as old as that start.
   if (!aRequest.mHasResponseStarted) {
-    RecordLoad(aGateway, aRequest.mBackend, aReport.mLoad, aNow);
+    RecordLoad(aGateway, aRequest, aReport.mLoad, aNow);
   }
-  const auto view = aGateway.mViews.find(aRequest.mBackend);
+  backend_view* view = FindAttemptView(aGateway, aRequest);
   if (aReport.mOutcome != attempt_outcome::Delivered ||
-      aReport.mStatus >= 400 || aRequest.mAttempts != 1 ||
-      view == aGateway.mViews.end()) {
+      aReport.mStatus >= 400 || aRequest.mAttempts != 1 || view == nullptr) {
     return;
   }
   const request_work& work = aRequest.mWork;
@@ -107,7 +106,7 @@
   const token_count cached =
     aRequest.mCaller.mPromptTokens - work.mUncachedTokens;
   RecordRun(aGateway.mWork, MakeWorkFeatures(aRequest, cached), run,
-            view->second.mSpeed, aNow);
+            view->mSpeed, aNow);
   if (aReport.mLoad) {
     RecordUsualLoad(aGateway.mWork, aRequest.mService.mValue,
                     aReport.mLoad->mRunning + aReport.mLoad->mQueued, aNow);
--- a/tests/statement_fixture.h
+++ b/tests/statement_fixture.h
@@ -144,7 +144,8 @@
 // Sends requests until the server gets one, which stays open.
 inline dispatch_request SendUntilServer(server_fixture& aServer)
 {
-  while (true) {
+  constexpr int kMaxRequests = 200;
+  for (int i = 0; i < kMaxRequests; ++i) {
     FireEvent(aServer.mGateway,
               MakeCallerRequest(aServer.mGateway, "/order/1"));
     const auto dispatch = TakeOnlyDispatch(aServer.mGateway);
@@ -154,6 +155,8 @@
     FireEvent(aServer.mGateway,
               MakeAttemptReport(dispatch, attempt_outcome::Delivered));
   }
+  BOOST_FAIL("the server gets no request");
+  return {};
 }
 
 // Ends the request with a response that states that the server leaves.
