Ignore late reports of crashes of which a request was cleared

Callers: a sound request could be refused with request_quarantined for up to two minutes, although a complete response had cleared it.

Cause: the store may execute a crash report seconds late. A report has no order, and only a success in the last 3 s spoke against it.

Change: the crashes of which a suspect was cleared, by a success or by the removal of their reports, are remembered (at most 4,096). A report that lists only these is an earlier one and is removed from the store. An incarnation crashes once, so nothing new is ignored.

Result: a_late_report_does_not_undo_a_success failed without the check and passes.

--- a/src/core/crash_quarantine.cc
+++ b/src/core/crash_quarantine.cc
@@ -72,6 +72,32 @@
   return false;
 }
 
+// Remembers that the suspect is not to blame for the crashes.
+void RememberCleared(crash_quarantine& aQuarantine, const suspect_id& aSuspect,
+                     const std::set<std::string>& aCrashes)
+{
+  for (const std::string& crash : aCrashes) {
+    if (aQuarantine.mCleared.insert({ aSuspect, crash }).second) {
+      aQuarantine.mClearedOrder.emplace_back(aSuspect, crash);
+    }
+  }
+  while (aQuarantine.mClearedOrder.size() > kMaxClearedCrashes) {
+    aQuarantine.mCleared.erase(aQuarantine.mClearedOrder.front());
+    aQuarantine.mClearedOrder.pop_front();
+  }
+}
+
+// Returns true if the suspect was cleared of all crashes of the report, so that
+// it is an earlier statement.
+bool IsCleared(const crash_quarantine& aQuarantine, const crash_report& aReport)
+{
+  return std::all_of(aReport.mCrashes.begin(), aReport.mCrashes.end(),
+                     [&](const server_crash& aCrash) {
+                       return aQuarantine.mCleared.count(
+                                { aReport.mSuspect, aCrash.mIncarnation }) > 0;
+                     });
+}
+
 // Fires aEvent in the chart of a suspect. Erases its record if it is trusted
 // then. Precondition: the record exists.
 void FireSuspect(crash_quarantine& aQuarantine, const suspect_id& aSuspect,
@@ -111,6 +137,9 @@
         ListCrashes(record, crash_evidence::ResponseBegun).size(), aEvent });
   }
   if (record.mStatus == suspect_status::Trusted) {
+    if (aEvent == suspect_event::Succeeded) {
+      RememberCleared(aQuarantine, aSuspect, ListCrashes(record, kAnyEvidence));
+    }
     aQuarantine.mSuspects.erase(found);
   }
 }
@@ -289,18 +318,25 @@
     return;
   }
   if (aReport.mCrashes.empty()) {
+    // Another gateway has cleared the suspect.
     const auto found = aQuarantine.mSuspects.find(aReport.mSuspect);
     if (found == aQuarantine.mSuspects.end()) {
       return;
     }
+    std::set<std::string> withdrawn = ListCrashes(found->second, kAnyEvidence);
     found->second.mCrashes.erase(aReport.mGateway);
+    for (const std::string& crash : ListCrashes(found->second, kAnyEvidence)) {
+      withdrawn.erase(crash);
+    }
+    RememberCleared(aQuarantine, aReport.mSuspect, withdrawn);
     if (found->second.mCrashes.empty()) {
       FireSuspect(aQuarantine, aReport.mSuspect, suspect_event::Withdrawn,
                   aNow);
     }
     return;
   }
-  if (HasRecentSuccess(aQuarantine, aReport.mSuspect, aNow)) {
+  if (HasRecentSuccess(aQuarantine, aReport.mSuspect, aNow) ||
+      IsCleared(aQuarantine, aReport)) {
     aQuarantine.mUnwritten.insert(key);
     return;
   }
--- a/src/core/crash_quarantine.h
+++ b/src/core/crash_quarantine.h
@@ -19,14 +19,16 @@
 // are refused. A part of a prompt is also in requests that only wait at a
 // server, so weak evidence counts less against it; a request that comes again
 // is the same one. Life cycle of a suspect: charts/crash_suspect.yaml. Memory:
-// at most kMaxSuspects records, kMaxSuccesses successes, and kMaxUnwritten +
-// kMaxSuspects names of unwritten reports. Not thread-safe.
+// at most kMaxSuspects records, kMaxSuccesses successes, kMaxClearedCrashes
+// crashes, and kMaxUnwritten + kMaxSuspects names of unwritten reports. Not
+// thread-safe.
 
 #ifndef FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
 #define FOXTAILQUAY_CORE_CRASH_QUARANTINE_H
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -70,6 +72,8 @@
 // kMaxSuspects.
 constexpr std::size_t kForgottenSuspects = kMaxSuspects / 4;
 constexpr std::size_t kMaxSuccesses = 8192;
+// Number of crashes remembered after their suspect was cleared of them.
+constexpr std::size_t kMaxClearedCrashes = 4096;
 // Number of unwritten reports above which the removal of further ones is left
 // to gateways that start later and read them.
 constexpr std::size_t kMaxUnwritten = 4 * kMaxSuspects;
@@ -179,6 +183,10 @@
   std::size_t mQuarantined = 0;
   // Time of the last complete response to a request with a suspect.
   absl::flat_hash_map<suspect_id, absl::Time> mSuccesses;
+  // Crashes of which a suspect was cleared, and the same in their order. The
+  // store may execute a report on them late.
+  std::set<std::pair<suspect_id, std::string>> mCleared;
+  std::deque<std::pair<suspect_id, std::string>> mClearedOrder;
   // Reports that differ from those in the store.
   std::set<report_key> mUnwritten;
   // Changes since the caller last took them.
@@ -202,8 +210,8 @@
                  absl::Time aNow);
 
 // Adopts the report of a gateway from the store. One that this gateway has not
-// written yet is ignored. After a recent success, the report is removed from
-// the store.
+// written yet is ignored. After a recent success, or if the suspect was cleared
+// of all its crashes, the report is removed from the store.
 void ApplyCrashReport(crash_quarantine& aQuarantine,
                       const crash_report& aReport, absl::Time aNow);
 
--- a/tests/crash_quarantine_test.cc
+++ b/tests/crash_quarantine_test.cc
@@ -390,5 +390,45 @@
   BOOST_TEST(FindQuarantined(quarantine, { MakeRequest(2) }).has_value());
 }
 
+// Guards against sound requests that are refused for minutes: the store
+// executes a report on crashes after a response has cleared the request of
+// them, and long enough for that response not to be recent any more.
+BOOST_AUTO_TEST_CASE(a_late_report_does_not_undo_a_success)
+{
+  constexpr absl::Duration kLate = absl::Seconds(6);
+  const crash_report late =
+    MakeReport(kPoisonous, "h", { "e1/1", "e2/1", "e3/1" });
+  for (const bool isOwnSuccess : { true, false }) {
+    crash_quarantine quarantine = MakeQuarantine();
+    ApplyCrashReport(quarantine, late, kStart);
+    BOOST_TEST(FindQuarantinedPart(quarantine, { kPoisonous }).has_value());
+    if (isOwnSuccess) {
+      RecordSuccess(quarantine, MakeParts({ kPoisonous }), kStart);
+      quarantine.mUnwritten.clear();
+    } else {
+      ApplyCrashReport(quarantine, MakeReport(kPoisonous, "h", {}), kStart);
+    }
+    ApplyCrashReport(quarantine, late, kStart + kLate);
+    BOOST_TEST(!HasSuspectPart(quarantine, { kPoisonous }));
+    // It is removed from the store.
+    BOOST_TEST(quarantine.mUnwritten.size() == 1U);
+    ApplyCrashReport(quarantine, MakeReport(kPoisonous, "g", { "e9/1" }),
+                     kStart + kLate);
+    BOOST_TEST(HasSuspectPart(quarantine, { kPoisonous }));
+  }
+}
+
+// Guards against memory that grows with the number of crashes.
+BOOST_AUTO_TEST_CASE(the_number_of_cleared_crashes_is_bounded)
+{
+  crash_quarantine quarantine = MakeQuarantine();
+  for (std::uint64_t i = 0; i < kMaxClearedCrashes + 100; ++i) {
+    ApplyCrashReport(quarantine, MakeReport(i, "h", { "e1/1" }), kStart);
+    ApplyCrashReport(quarantine, MakeReport(i, "h", {}), kStart);
+  }
+  BOOST_TEST(quarantine.mCleared.size() == kMaxClearedCrashes);
+  BOOST_TEST(quarantine.mClearedOrder.size() == kMaxClearedCrashes);
+}
+
 } // namespace
 } // namespace foxtailquay
