Log what another gateway knows when its statement withholds an entry

The line entry_withheld was logged before the statement of the other gateway was recorded, so that it named this gateway's own order twice. server_share_test now checks the line; it failed before.

--- a/src/core/gateway_entries.cc
+++ b/src/core/gateway_entries.cc
@@ -231,24 +231,18 @@
   if (listing.mEntry.mLeaving || aSentAt >= listing.mReadAt) {
     return;
   }
-  withheld_entry entry;
-  entry.mEntry = listing.mEntry;
-  entry.mRevision = listing.mRevision;
-  entry.mConflict = entry_conflict::AfterLeaving;
-  FireEntry(aGateway, aBackend, std::move(entry), entry_event::Contradicted,
-            false, absl::InfinitePast(), aNow);
+  WithholdEntry(aGateway, aBackend, listing.mEntry, listing.mRevision,
+                entry_conflict::AfterLeaving, aNow);
 }
 
-void WithdrawEntry(gateway& aGateway, const backend_id& aBackend,
+void WithholdEntry(gateway& aGateway, const backend_id& aBackend,
+                   const backend_entry& aEntry, store_version aRevision,
                    entry_conflict aConflict, absl::Time aNow)
 {
-  const backend_listing& listing = aGateway.mListings.at(aBackend);
   withheld_entry entry;
-  entry.mEntry = listing.mEntry;
-  entry.mRevision = listing.mRevision;
+  entry.mEntry = aEntry;
+  entry.mRevision = aRevision;
   entry.mConflict = aConflict;
-  RemoveBackend(aGateway, aBackend, "known to be earlier by another gateway",
-                false);
   FireEntry(aGateway, aBackend, std::move(entry), entry_event::Contradicted,
             false, absl::InfinitePast(), aNow);
 }
--- a/src/core/gateway_entries.h
+++ b/src/core/gateway_entries.h
@@ -24,9 +24,10 @@
 // Precondition: the server is listed.
 void OnLeavingStated(gateway& aGateway, const backend_id& aBackend,
                      absl::Time aSentAt, absl::Time aNow);
-// Withholds the entry in force, which contradicts what another gateway knows of
-// the server. Precondition: the server is listed.
-void WithdrawEntry(gateway& aGateway, const backend_id& aBackend,
+// Withholds an entry that was in force and contradicts what has been learned
+// since.
+void WithholdEntry(gateway& aGateway, const backend_id& aBackend,
+                   const backend_entry& aEntry, store_version aRevision,
                    entry_conflict aConflict, absl::Time aNow);
 // Checks the withheld entries that have stood for the confirmation time.
 void AdvanceWithheldEntries(gateway& aGateway, absl::Time aNow);
--- a/src/core/gateway_server_share.cc
+++ b/src/core/gateway_server_share.cc
@@ -68,8 +68,12 @@
                                aServer.mIsLeaving,
                                aServer.mIsRemoved };
   if (const auto conflict = FindConflict(known, listing->second.mEntry)) {
-    WithdrawEntry(aGateway, aServer.mBackend, *conflict, aNow);
+    const backend_listing earlier = listing->second;
+    RemoveBackend(aGateway, aServer.mBackend,
+                  "another gateway knows a later statement", false);
     RecordNotice(aGateway, aServer);
+    WithholdEntry(aGateway, aServer.mBackend, earlier.mEntry, earlier.mRevision,
+                  *conflict, aNow);
   }
 }
 
--- a/tests/server_share_test.cc
+++ b/tests/server_share_test.cc
@@ -54,7 +54,12 @@
       Deliver(known, MakeEntry(5, false));
       server_fixture reader = MakeReader(MakeEntry(5, false));
       BOOST_TEST(CountRequests(reader) > 0);
+      reader.mGateway.mActions.clear();
       Tell(reader, Ask(known));
+      const auto lines = TakeWithheldLines(reader);
+      BOOST_REQUIRE(lines.size() == 1U);
+      BOOST_TEST(GetInput(lines[0], "known_sequence") ==
+                 std::to_string(entry.mSequence));
       BOOST_TEST(CountRequests(reader) == 0);
       BOOST_TEST(CountUnconfirmed(reader) == 1U);
     }
