--- a/tests/statement_fixture.h
+++ b/tests/statement_fixture.h
@@ -148,7 +148,7 @@
   for (int i = 0; i < kMaxRequests; ++i) {
     FireEvent(aServer.mGateway,
               MakeCallerRequest(aServer.mGateway, "/order/1"));
-    const auto dispatch = TakeOnlyDispatch(aServer.mGateway);
+    auto dispatch = TakeOnlyDispatch(aServer.mGateway);
     if (dispatch.mBackend.mValue == "o1") {
       return dispatch;
     }
