Await what other gateways know before a gateway is ready

Cause: the gateway asked others at its next tick, up to 250 ms after its first read, and was ready before they had answered.

Change: it asks with the first read, and is ready once all asked gateways have answered, or after 0.3 s. Later reads do not affect readiness.

--- a/src/core/gateway.cc
+++ b/src/core/gateway.cc
@@ -68,10 +68,12 @@
   }
 }
 
-void UpdateReady(gateway& aGateway)
+void UpdateReady(gateway& aGateway, absl::Time aNow)
 {
-  const bool ready =
-    IsDirectoryKnown(aGateway) && !aGateway.mStopping && !IsShedding(aGateway);
+  const bool isComplete =
+    IsDirectoryKnown(aGateway) &&
+    (aGateway.mReady || !IsAwaitingServers(aGateway, aNow));
+  const bool ready = isComplete && !aGateway.mStopping && !IsShedding(aGateway);
   if (ready != aGateway.mReady) {
     aGateway.mReady = ready;
     aGateway.mActions.push_back(set_ready{ ready });
@@ -133,7 +135,6 @@
     RemoveExpiredPeers(aGateway, aNow);
     AdvanceNotices(aGateway, aNow);
     AdvanceWithheldEntries(aGateway, aNow);
-    AskForServers(aGateway, aNow);
     AdvanceColdServers(aGateway, aNow);
     AdvanceHoldings(aGateway, aNow);
     AdvanceStop(aGateway, aNow);
@@ -167,6 +168,7 @@
   void operator()(const directory_response& aEvent)
   {
     OnDirectoryResponse(mGateway, aEvent, mNow);
+    AskForServers(mGateway, mNow);
   }
   void operator()(const grant_write_response& aEvent)
   {
@@ -346,7 +348,7 @@
   // A request must not reach a server whose time has come before the tick.
   AdvanceEvacuations(aGateway, aNow);
   std::visit(event_handler{ aGateway, aNow }, aEvent);
-  UpdateReady(aGateway);
+  UpdateReady(aGateway, aNow);
   gateway_actions actions;
   actions.swap(aGateway.mActions);
   return actions;
--- a/src/core/gateway_server_share.cc
+++ b/src/core/gateway_server_share.cc
@@ -11,6 +11,9 @@
 
 // Number of gateways that are asked. Some of those listed may have ended.
 constexpr std::size_t kMaxAskedPeers = 3;
+// Longest wait for their answers before a gateway that starts reports itself as
+// ready: a few round trips, since some may have ended.
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(300);
 // Largest number of servers in a response: far more than leave a large fleet
 // at the same time.
 constexpr std::size_t kMaxSharedServers = 256;
@@ -105,16 +108,24 @@
     return;
   }
   aGateway.mWantsServers = false;
-  for (const listed_peer* peer :
-       ListNextPeers(aGateway, kMaxAskedPeers, aNow)) {
+  const auto peers = ListNextPeers(aGateway, kMaxAskedPeers, aNow);
+  aGateway.mServerAnswersDue = peers.size();
+  aGateway.mServerAnswersUntil = aNow + kAnswerTime;
+  for (const listed_peer* peer : peers) {
     aGateway.mActions.push_back(
       request_servers{ peer->first, peer->second.mPeer.mAddress });
   }
 }
 
+bool IsAwaitingServers(const gateway& aGateway, absl::Time aNow)
+{
+  return aGateway.mServerAnswersDue > 0 && aNow < aGateway.mServerAnswersUntil;
+}
+
 void OnServersReceived(gateway& aGateway, const servers_received& aEvent,
                        absl::Time aNow)
 {
+  aGateway.mServerAnswersDue -= aGateway.mServerAnswersDue > 0 ? 1 : 0;
   for (std::size_t i = 0;
        i < std::min(aEvent.mServers.size(), kMaxSharedServers); ++i) {
     ApplyServer(aGateway, aEvent.mServers[i], aNow);
--- a/src/core/gateway_server_share.h
+++ b/src/core/gateway_server_share.h
@@ -17,6 +17,9 @@
 std::vector<known_server> ListKnownServers(const gateway& aGateway);
 // Asks some other gateways after all entries were read.
 void AskForServers(gateway& aGateway, absl::Time aNow);
+// Returns true while other gateways have yet to answer, which takes a few
+// milliseconds if they respond.
+bool IsAwaitingServers(const gateway& aGateway, absl::Time aNow);
 // Withholds the entries that state something earlier than the other gateway
 // knows.
 void OnServersReceived(gateway& aGateway, const servers_received& aEvent,
--- a/src/core/gateway_state.h
+++ b/src/core/gateway_state.h
@@ -328,8 +328,12 @@
   // At most one for each id that the store lists.
   std::map<backend_id, withheld_entry> mWithheldEntries;
   entry_log mEntryLog;
-  // True if other gateways are to be asked for what they know of servers.
+  // True if other gateways are to be asked for what they know of servers, the
+  // number of those that have not answered yet, and the end of the wait for
+  // them.
   bool mWantsServers = false;
+  std::size_t mServerAnswersDue = 0;
+  absl::Time mServerAnswersUntil = absl::InfinitePast();
   zone_evacuations mEvacuations;
   std::map<std::string, peer_listing> mPeers;
   std::uint64_t mLoadSequence = 0;
--- a/tests/server_share_test.cc
+++ b/tests/server_share_test.cc
@@ -154,6 +154,28 @@
   }
 }
 
+// Guards against requests in the milliseconds between the first read and the
+// answers, and against a gateway that never becomes ready since a peer has
+// ended.
+BOOST_AUTO_TEST_CASE(a_gateway_that_starts_awaits_answers_before_it_is_ready)
+{
+  for (const bool isAnswered : { true, false }) {
+    gateway_fixture reader = MakeStartedGateway();
+    DeliverConfig(reader, MakeConfig(5), 10);
+    DeliverPeers(reader, 11, { { "p", 3, gateway_peer{ "10.9.0.1:1" } } });
+    DeliverBackends(reader, 12, true, { { "o1", 4, MakeEntry(5, false) } });
+    BOOST_TEST(TakeActions<request_servers>(reader).size() == 1U);
+    BOOST_TEST(!GetSummary(*reader.mNode).mReady);
+    if (isAnswered) {
+      FireEvent(reader, servers_received{ "p", {} });
+      BOOST_TEST(GetSummary(*reader.mNode).mReady);
+    } else {
+      AdvanceTime(reader, absl::Milliseconds(600));
+      BOOST_TEST(GetSummary(*reader.mNode).mReady);
+    }
+  }
+}
+
 // Guards against a response that grows with the number of servers that leave.
 BOOST_AUTO_TEST_CASE(a_response_has_a_limit)
 {
