--- a/src/core/gateway_entries.cc
+++ b/src/core/gateway_entries.cc
@@ -13,9 +13,10 @@
 // The store removes entries after three intervals of silence; one more covers
 // the time until the gateway knows of it.
 constexpr int kConfirmationIntervals = 4;
-// Largest number of log lines on withheld entries per second. A store that
-// returns from an outage may execute many heartbeats late.
-constexpr int kMaxLinesPerSecond = 20;
+// Largest number of log lines on withheld entries within kLogWindow. A store
+// that returns from an outage may execute many heartbeats late.
+constexpr int kMaxLogLines = 20;
+constexpr absl::Duration kLogWindow = absl::Seconds(1);
 
 struct entry_context
 {
@@ -80,11 +81,11 @@
 // Returns true if a line may be logged now.
 bool TakeLine(entry_log& aLog, absl::Time aNow)
 {
-  if (aNow >= aLog.mWindowStart + absl::Seconds(1)) {
+  if (aNow >= aLog.mWindowStart + kLogWindow) {
     aLog.mWindowStart = aNow;
     aLog.mLines = 0;
   }
-  if (aLog.mLines >= kMaxLinesPerSecond) {
+  if (aLog.mLines >= kMaxLogLines) {
     ++aLog.mOmitted;
     return false;
   }
