Withhold only entries that the store holds

Callers: a server that had left could be used again by a gateway, once an entry was confirmed that the store did not hold.

Cause: WithholdEntry took the entry in force. After an outage the store may have removed it, and if another entry was withheld already, that one is what the store holds. The check then found no change and confirmed it.

Change: an entry that is withheld already stays, and its time starts anew; one that the store has removed is not withheld.

--- a/src/core/gateway_entries.cc
+++ b/src/core/gateway_entries.cc
@@ -222,28 +222,29 @@
 void OnLeavingStated(gateway& aGateway, const backend_id& aBackend,
                      absl::Time aSentAt, absl::Time aNow)
 {
-  const auto withheld = aGateway.mWithheldEntries.find(aBackend);
-  if (withheld != aGateway.mWithheldEntries.end()) {
-    FireEntry(aGateway, aBackend, withheld->second, entry_event::Contradicted,
-              false, absl::InfinitePast(), aNow);
-    return;
-  }
   const backend_listing& listing = aGateway.mListings.at(aBackend);
-  if (listing.mEntry.mLeaving || aSentAt >= listing.mReadAt) {
-    return;
+  const bool mayBeLater = !listing.mEntry.mLeaving && aSentAt < listing.mReadAt;
+  if (mayBeLater || aGateway.mWithheldEntries.count(aBackend) > 0) {
+    WithholdEntry(aGateway, aBackend, listing, entry_conflict::AfterLeaving,
+                  aNow);
   }
-  WithholdEntry(aGateway, aBackend, listing.mEntry, listing.mRevision,
-                entry_conflict::AfterLeaving, aNow);
 }
 
 void WithholdEntry(gateway& aGateway, const backend_id& aBackend,
-                   const backend_entry& aEntry, store_version aRevision,
-                   entry_conflict aConflict, absl::Time aNow)
+                   const backend_listing& aListing, entry_conflict aConflict,
+                   absl::Time aNow)
 {
+  const auto withheld = aGateway.mWithheldEntries.find(aBackend);
   withheld_entry entry;
-  entry.mEntry = aEntry;
-  entry.mRevision = aRevision;
-  entry.mConflict = aConflict;
+  if (withheld != aGateway.mWithheldEntries.end()) {
+    entry = withheld->second;
+  } else if (aListing.mRemoveAt == absl::InfiniteFuture()) {
+    entry.mEntry = aListing.mEntry;
+    entry.mRevision = aListing.mRevision;
+    entry.mConflict = aConflict;
+  } else {
+    return;
+  }
   FireEntry(aGateway, aBackend, std::move(entry), entry_event::Contradicted,
             false, absl::InfinitePast(), aNow);
 }
--- a/src/core/gateway_entries.h
+++ b/src/core/gateway_entries.h
@@ -24,11 +24,12 @@
 // Precondition: the server is listed.
 void OnLeavingStated(gateway& aGateway, const backend_id& aBackend,
                      absl::Time aSentAt, absl::Time aNow);
-// Withholds an entry that was in force and contradicts what has been learned
-// since.
+// Withholds the entry of the server, which contradicts what has been learned
+// since: the withheld one if there is one, otherwise that of aListing, which
+// was in force, unless the store has removed it.
 void WithholdEntry(gateway& aGateway, const backend_id& aBackend,
-                   const backend_entry& aEntry, store_version aRevision,
-                   entry_conflict aConflict, absl::Time aNow);
+                   const backend_listing& aListing, entry_conflict aConflict,
+                   absl::Time aNow);
 // Checks the withheld entries that have stood for the confirmation time.
 void AdvanceWithheldEntries(gateway& aGateway, absl::Time aNow);
 // Applies the entries whose check a call that began at aCalledAt has answered.
--- a/src/core/gateway_server_share.cc
+++ b/src/core/gateway_server_share.cc
@@ -75,8 +75,7 @@
     RemoveBackend(aGateway, aServer.mBackend,
                   "another gateway knows a later statement", false);
     RecordNotice(aGateway, aServer);
-    WithholdEntry(aGateway, aServer.mBackend, earlier.mEntry, earlier.mRevision,
-                  *conflict, aNow);
+    WithholdEntry(aGateway, aServer.mBackend, earlier, *conflict, aNow);
   }
 }
 
--- a/tests/server_share_test.cc
+++ b/tests/server_share_test.cc
@@ -122,6 +122,21 @@
   BOOST_TEST(CountRequests(reader) > 0);
 }
 
+// Guards against a confirmation of what the store does not hold: the withheld
+// entry must stay the one in the store.
+BOOST_AUTO_TEST_CASE(what_a_gateway_tells_does_not_replace_a_withheld_entry)
+{
+  server_fixture known = MakeServerFixture();
+  Deliver(known, MakeEntry(13, true));
+  server_fixture reader = MakeServerFixture();
+  Deliver(reader, MakeEntry(12, false));
+  Deliver(reader, MakeEntry(9, true));
+  BOOST_TEST(CountUnconfirmed(reader) == 1U);
+  Tell(reader, Ask(known));
+  Await(reader, kRemovalTime + 3 * kHeartbeat);
+  BOOST_TEST(CountRequests(reader) == 0);
+}
+
 // Guards against servers that other gateways take out of use although nothing
 // contradicts their entries.
 BOOST_AUTO_TEST_CASE(servers_in_use_are_not_told)
--- a/tests/stored_entry_test.cc
+++ b/tests/stored_entry_test.cc
@@ -186,6 +186,27 @@
   BOOST_TEST(CountRequests(server) > 0);
 }
 
+// Guards against a removed server that is used again: its entry is kept for a
+// while after an outage of the store, which does not list it any more, and must
+// not be withheld as if it did.
+BOOST_AUTO_TEST_CASE(an_entry_that_the_store_has_removed_is_not_confirmed)
+{
+  server_fixture server = MakeServerFixture();
+  const dispatch_request dispatch = SendUntilServer(server);
+  AdvanceTime(server.mGateway, kWatchPause);
+  Deliver(server, MakeEntry(12, false));
+  const std::size_t backends = GetSummary(*server.mGateway.mNode).mBackends;
+  directory_response lost;
+  lost.mArea = directory_area::Backends;
+  FireEvent(server.mGateway, lost);
+  AdvanceTime(server.mGateway, kWatchPause);
+  Remove(server);
+  StateLeaving(server, dispatch);
+  Await(server, kRemovalTime + 3 * kHeartbeat);
+  BOOST_TEST(CountUnconfirmed(server) == 0U);
+  BOOST_TEST(GetSummary(*server.mGateway.mNode).mBackends == backends - 1);
+}
+
 // Guards against an entry that is confirmed only because nothing was heard of
 // the store.
 BOOST_AUTO_TEST_CASE(an_entry_is_not_confirmed_without_the_store)
